--- /dev/null
+++ b/packages/colleague_messages/src/lib.rs
@@ -0,0 +1,309 @@
+//! Everything vanelane's processes say to each other: one macro declares all messages, `deku` lays
+//! them out, and a frame with a length and a checksum carries them.
+//!
+//! A foreign, damaged or oversized frame is an outcome ([`FrameFailure`]), never a panic.
+
+mod parts;
+
+use deku::prelude::*;
+pub use parts::{Address, Bytes, List, Text};
+
+#[cfg(target_endian = "big")]
+compile_error!("messages are laid out in the machine's order; vanelane's fleets are little-endian");
+
+/// A node's identity: drawn anew by each process at start, so a restarted node is never taken for
+/// the one before it. Example: `let own: NodeId = 7;`.
+pub type NodeId = u64;
+
+/// The longest frame that is read or written: a configuration of several megabytes fits.
+pub const FRAME_LIMIT: usize = 16 * 1024 * 1024;
+
+/// Bytes before a frame's payload: mark, length, checksum.
+pub const FRAME_HEAD: usize = 12;
+
+const FRAME_MARK: u32 = 0x314C_4E56; // "VNL1"
+
+/// Declares message parts and the one enum of messages, all with the same derives.
+macro_rules! messages {
+    (
+        parts { $($(#[$partNote:meta])* $part:ident { $($(#[$partFieldNote:meta])* $partField:ident: $partType:ty,)* })* }
+        messages { $($(#[$note:meta])* $id:literal $name:ident { $($field:ident: $type:ty,)* })* }
+    ) => {
+        $($(#[$partNote])*
+        #[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
+        pub struct $part { $($(#[$partFieldNote])* pub $partField: $partType,)* })*
+
+        /// Every message between colleagues. Example: `Message::Probe { sequence: 1, .. }`.
+        #[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
+        #[deku(id_type = "u8")]
+        #[allow(missing_docs)]
+        pub enum Message { $($(#[$note])* #[deku(id = $id)] $name { $($field: $type,)* },)* }
+
+        impl Message {
+            /// The message's name for logs and counts. Example: `message.name() == "Probe"`.
+            pub fn name(&self) -> &'static str {
+                match self { $(Message::$name { .. } => stringify!($name),)* }
+            }
+        }
+    };
+}
+
+messages! {
+    parts {
+        /// What is said of one member: `state` is 0 alive, 1 suspected, 2 gone.
+        MemberNews {
+            node: NodeId,
+            address: Address,
+            zone: Text,
+            incarnation: u64,
+            state: u8,
+            /// Zero when the member holds no disk.
+            disk: u64,
+            /// 0 no disk, 1 blank, 2 voting.
+            disk_state: u8,
+            /// 1 while the member is draining: it takes no new work.
+            draining: u8,
+        }
+        /// Who may write a key: compared by counter, then by owner.
+        Epoch { counter: u64, owner: NodeId, }
+        PromiseEntry { key: Text, epoch: Epoch, }
+        /// `granted` 0 means `promised` is the higher epoch that stands.
+        PromisedEntry { key: Text, granted: u8, promised: Epoch, stored_epoch: Epoch, version: u64, value: Bytes, }
+        StoreEntry { key: Text, epoch: Epoch, version: u64, value: Bytes, }
+        StoredEntry { key: Text, epoch: Epoch, version: u64, granted: u8, promised: Epoch, }
+        PolledRecord { key: Text, version: u64, value: Bytes, }
+        /// `hasty` 1 asks for a flush at once; renewals wait for the group.
+        WriteEntry { ask: u64, key: Text, expected: u64, value: Bytes, hasty: u8, }
+        /// `outcome`: 0 written, 1 version differs (value holds what stands), 2 not owner, 3 no majority.
+        WriteOutcome { ask: u64, key: Text, outcome: u8, version: u64, value: Bytes, }
+        /// The paper's leader record with an epoch beside it.
+        LeaderRecord { holder: NodeId, renew_count: u64, lease_micros: u64, steward_epoch: u64, }
+        /// The right to one dispatch to one cell.
+        Ticket { id: u64, granted_by: NodeId, steward_epoch: u64, function: Text, cell: Text, address: Address, }
+        HeldTicket { ticket: Ticket, ends_in_micros: u64, }
+        NewsItem { topic: Text, origin: NodeId, sequence: u64, body: Bytes, }
+        NewsMark { topic: Text, sequence: u64, }
+        DecisionLine { node: NodeId, sequence: u64, line: Text, }
+        CursorMark { node: NodeId, sequence: u64, }
+    }
+    messages {
+        "1" Probe { sequence: u64, target: NodeId, members: List<MemberNews>, }
+        "2" ProbeAnswer { sequence: u64, members: List<MemberNews>, }
+        "3" ProbeFor { sequence: u64, target: NodeId, target_address: Address, }
+        "10" Promise { batch: u64, fleet_set: u64, entries: List<PromiseEntry>, }
+        "11" Promised { batch: u64, disk: u64, entries: List<PromisedEntry>, }
+        "12" Store { batch: u64, fleet_set: u64, entries: List<StoreEntry>, }
+        "13" Stored { batch: u64, disk: u64, entries: List<StoredEntry>, }
+        "14" Found { set: u64, disks: List<u64>, }
+        "15" FoundAnswer { set: u64, disk: u64, accepted: u8, }
+        "20" RecordsPoll { keys: List<Text>, }
+        "21" RecordsPolled { records: List<PolledRecord>, }
+        "22" Write { entries: List<WriteEntry>, }
+        "23" WriteAnswer { outcomes: List<WriteOutcome>, }
+        "24" ReadConfirmed { ask: u64, key: Text, }
+        "30" TicketAsk { ask: u64, function: Text, time_left_micros: u64, extra: u8, avoid: Text, deputy: u8, }
+        "31" TicketGranted { ask: u64, ticket: Ticket, }
+        /// `outcome`: 0 waiting, 1 refused for good, 2 not the steward.
+        "32" TicketHeldBack { ask: u64, outcome: u8, reason: Text, retry_after_millis: u64, }
+        /// `how`: 0 ran, 1 not run, 2 turned away, 3 unknown, 4 unused.
+        "33" TicketReturn { ticket: Ticket, how: u8, latency_micros: u64, }
+        "34" TicketWithdraw { ask: u64, function: Text, }
+        "35" HeldAsk { ask: u64, function: Text, steward_epoch: u64, }
+        "36" HeldAnswer { ask: u64, function: Text, tickets: List<HeldTicket>, }
+        "40" News { items: List<NewsItem>, }
+        "41" NewsDigest { digest: u64, }
+        "42" NewsMarks { marks: List<NewsMark>, }
+        "43" NewsAsk { topics: List<Text>, }
+        "50" DecisionsAsk { ask: u64, after: List<CursorMark>, most: u32, }
+        "51" DecisionsAnswer { ask: u64, lines: List<DecisionLine>, }
+    }
+}
+
+impl Epoch {
+    /// The order in which epochs win. Example: `low.rank() < high.rank()`.
+    pub fn rank(&self) -> (u64, NodeId) {
+        (self.counter, self.owner)
+    }
+
+    /// The epoch below all others. Example: `Epoch::none().rank() == (0, 0)`.
+    pub fn none() -> Epoch {
+        Epoch { counter: 0, owner: 0 }
+    }
+}
+
+impl LeaderRecord {
+    /// The record as register bytes. Example: `LeaderRecord::decode(&record.encode()) == Some(record)`.
+    pub fn encode(&self) -> Bytes {
+        Bytes(self.to_bytes().unwrap_or_default())
+    }
+
+    /// Reads register bytes; empty or foreign bytes are no record. Example: `LeaderRecord::decode(&Bytes::default()) == None`.
+    pub fn decode(recordBytes: &Bytes) -> Option<LeaderRecord> {
+        LeaderRecord::from_bytes((&recordBytes.0, 0)).ok().map(|(_, leaderRecord)| leaderRecord)
+    }
+}
+
+/// A message with its sender and the fleet it belongs to.
+///
+/// Example: `Envelope { fleet: fleet_mark("blue"), from: 7, message }`.
+#[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
+pub struct Envelope {
+    /// Digest of the fleet's name: colleagues of another fleet are not heard.
+    pub fleet: u64,
+    /// Who sent it.
+    pub from: NodeId,
+    /// Where the sender listens.
+    pub from_address: Address,
+    /// What it says.
+    pub message: Message,
+}
+
+/// Why a frame was dropped. Example: `FrameFailure::Checksum`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FrameFailure {
+    /// The frame does not start with vanelane's mark.
+    Foreign,
+    /// The frame is longer than [`FRAME_LIMIT`].
+    TooLong,
+    /// The payload's checksum does not hold.
+    Checksum,
+    /// The payload is no message.
+    Malformed,
+}
+
+/// The mark that tells fleets apart. Example: `fleet_mark("blue") != fleet_mark("green")`.
+pub fn fleet_mark(fleetName: &str) -> u64 {
+    stable_hash(fleetName.as_bytes())
+}
+
+/// A hash that is the same in every process (FNV-1a with a final mix), for rendezvous and digests.
+///
+/// Example: `stable_hash(b"a") == stable_hash(b"a")`.
+pub fn stable_hash(hashedBytes: &[u8]) -> u64 {
+    let mut runningHash = 0xcbf2_9ce4_8422_2325u64;
+    for byte in hashedBytes {
+        runningHash = (runningHash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    }
+    mix(runningHash)
+}
+
+/// The weight of one node for one name: the highest weight is the rendezvous choice.
+///
+/// Example: `nodes.max_by_key(|node| rendezvous_weight("proof", *node))`.
+pub fn rendezvous_weight(name: &str, node: u64) -> u64 {
+    mix(stable_hash(name.as_bytes()) ^ mix(node))
+}
+
+fn mix(mixedValue: u64) -> u64 {
+    let mut value = mixedValue.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+impl Envelope {
+    /// The frame to send; `None` when it would pass [`FRAME_LIMIT`].
+    ///
+    /// Example: `decode_frame(&envelope.frame().unwrap()).unwrap() == envelope`.
+    pub fn frame(&self) -> Option<Vec<u8>> {
+        let payloadBytes = self.to_bytes().ok()?;
+        if payloadBytes.len() > FRAME_LIMIT {
+            return None;
+        }
+        let mut frameBytes = Vec::with_capacity(FRAME_HEAD + payloadBytes.len());
+        frameBytes.extend_from_slice(&FRAME_MARK.to_le_bytes());
+        frameBytes.extend_from_slice(&(payloadBytes.len() as u32).to_le_bytes());
+        frameBytes.extend_from_slice(&crc32fast::hash(&payloadBytes).to_le_bytes());
+        frameBytes.extend_from_slice(&payloadBytes);
+        Some(frameBytes)
+    }
+}
+
+/// The payload length that a frame's head announces. Example: `frame_length(&frame[..12]) == Ok(n)`.
+pub fn frame_length(headBytes: &[u8; FRAME_HEAD]) -> Result<usize, FrameFailure> {
+    if headBytes[0..4] != FRAME_MARK.to_le_bytes() {
+        return Err(FrameFailure::Foreign);
+    }
+    let payloadLength = u32::from_le_bytes([headBytes[4], headBytes[5], headBytes[6], headBytes[7]]) as usize;
+    if payloadLength > FRAME_LIMIT {
+        return Err(FrameFailure::TooLong);
+    }
+    Ok(payloadLength)
+}
+
+/// Reads a payload against its frame head. Example: `decode_payload(&head, &payload)?.message`.
+pub fn decode_payload(headBytes: &[u8; FRAME_HEAD], payloadBytes: &[u8]) -> Result<Envelope, FrameFailure> {
+    let wantedChecksum = [headBytes[8], headBytes[9], headBytes[10], headBytes[11]];
+    if crc32fast::hash(payloadBytes).to_le_bytes() != wantedChecksum {
+        return Err(FrameFailure::Checksum);
+    }
+    match Envelope::from_bytes((payloadBytes, 0)) {
+        Ok((([], _), envelope)) => Ok(envelope),
+        _ => Err(FrameFailure::Malformed),
+    }
+}
+
+/// Reads one whole frame. Example: `decode_frame(b"GET / HTTP/1.1") == Err(FrameFailure::Foreign)`.
+pub fn decode_frame(frameBytes: &[u8]) -> Result<Envelope, FrameFailure> {
+    let Some((headBytes, payloadBytes)) = frameBytes.split_first_chunk::<FRAME_HEAD>() else {
+        return Err(FrameFailure::Malformed);
+    };
+    if frame_length(headBytes)? != payloadBytes.len() {
+        return Err(FrameFailure::Malformed);
+    }
+    decode_payload(headBytes, payloadBytes)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn example_envelope() -> Envelope {
+        let ownAddress = Address::from(std::net::SocketAddr::from(([127, 0, 0, 1], 7000)));
+        let memberNews = MemberNews {
+            node: 9,
+            address: ownAddress,
+            zone: "a".into(),
+            incarnation: 3,
+            state: 1,
+            disk: 5,
+            disk_state: 2,
+            draining: 0,
+        };
+        Envelope {
+            fleet: fleet_mark("blue"),
+            from: 9,
+            from_address: ownAddress,
+            message: Message::Probe { sequence: 4, target: 1, members: List(vec![memberNews]) },
+        }
+    }
+
+    #[test]
+    fn frames_come_back_whole_and_any_damage_is_refused() {
+        let sentEnvelope = example_envelope();
+        let sentFrame = sentEnvelope.frame().expect("an example frame is short");
+        assert_eq!(decode_frame(&sentFrame), Ok(sentEnvelope));
+        for damagedPlace in 0..sentFrame.len() {
+            let mut damagedFrame = sentFrame.clone();
+            damagedFrame[damagedPlace] ^= 0x10;
+            assert!(decode_frame(&damagedFrame).is_err(), "byte {damagedPlace}");
+        }
+    }
+
+    #[test]
+    fn no_bytes_make_the_decoder_panic_or_reserve_much() {
+        arbtest::arbtest(|source| {
+            let payloadBytes: Vec<u8> = source.arbitrary()?;
+            let mut headBytes = [0u8; FRAME_HEAD];
+            headBytes[0..4].copy_from_slice(&FRAME_MARK.to_le_bytes());
+            headBytes[4..8].copy_from_slice(&(payloadBytes.len() as u32).to_le_bytes());
+            headBytes[8..12].copy_from_slice(&crc32fast::hash(&payloadBytes).to_le_bytes());
+            if let Ok(envelope) = decode_payload(&headBytes, &payloadBytes) {
+                assert!(envelope.frame().is_some());
+            }
+            LeaderRecord::decode(&Bytes(payloadBytes));
+            Ok(())
+        })
+        .seed(0x5eed_0001_0000_0040);
+    }
+}
--- /dev/null
+++ b/packages/control_registers/src/disk_registers.rs
@@ -0,0 +1,202 @@
+use crate::{DISKS_KEY, VoterSet};
+use colleague_messages::{Bytes, Epoch, List, PromiseEntry, PromisedEntry, StoreEntry, StoredEntry, Text};
+use deku::prelude::*;
+use std::collections::BTreeMap;
+
+/// A line of the record file: kind 0 a promise, kind 1 a stored value, which is a promise too.
+#[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
+struct DiskRecord {
+    kind: u8,
+    key: Text,
+    epoch: Epoch,
+    version: u64,
+    value: Bytes,
+}
+
+#[derive(Clone, Debug)]
+struct DiskRegister {
+    promised: Epoch,
+    epoch: Epoch,
+    version: u64,
+    value: Bytes,
+}
+
+impl Default for DiskRegister {
+    fn default() -> DiskRegister {
+        DiskRegister { promised: Epoch::none(), epoch: Epoch::none(), version: 0, value: Bytes::default() }
+    }
+}
+
+/// Answers together with the records that must be synced before the answers may leave.
+pub type Answered<T> = (Vec<T>, Vec<Vec<u8>>);
+
+/// One disk's registers. Example: `DiskRegisters::restore(&[])` is a blank disk without a vote.
+#[derive(Clone, Debug, Default)]
+pub struct DiskRegisters {
+    registers: BTreeMap<String, DiskRegister>,
+    set: VoterSet,
+}
+
+impl DiskRegisters {
+    /// Folds the record file's records; `None` when one of them is not a register record.
+    /// Example: `DiskRegisters::restore(&records).unwrap().set().generation`.
+    pub fn restore(records: &[Vec<u8>]) -> Option<DiskRegisters> {
+        let mut restoredRegisters = DiskRegisters::default();
+        for record in records {
+            let (_, diskRecord) = DiskRecord::from_bytes((record, 0)).ok()?;
+            restoredRegisters.apply(diskRecord);
+        }
+        Some(restoredRegisters)
+    }
+
+    fn apply(&mut self, diskRecord: DiskRecord) {
+        let register = self.registers.entry(diskRecord.key.0.clone()).or_default();
+        if diskRecord.epoch.rank() > register.promised.rank() {
+            register.promised = diskRecord.epoch.clone();
+        }
+        if diskRecord.kind == 0 {
+            return;
+        }
+        register.epoch = diskRecord.epoch;
+        register.version = diskRecord.version;
+        register.value = diskRecord.value;
+        if diskRecord.key.0 == DISKS_KEY
+            && let Some(storedSet) = VoterSet::decode(&register.value)
+            && storedSet.generation > self.set.generation
+        {
+            self.set = storedSet;
+        }
+    }
+
+    /// The voter set this disk knows. Example: a blank disk's `set().generation == 0`.
+    pub fn set(&self) -> &VoterSet {
+        &self.set
+    }
+
+    /// Every key this disk knows. Example: `registers.keys().contains(&"configuration".to_owned())`.
+    pub fn keys(&self) -> Vec<String> {
+        self.registers.keys().cloned().collect()
+    }
+
+    /// The stored epoch, version and value of a key. Example: `registers.stored("disks")`.
+    pub fn stored(&self, key: &str) -> Option<(&Epoch, u64, &Bytes)> {
+        let register = self.registers.get(key)?;
+        Some((&register.epoch, register.version, &register.value))
+    }
+
+    /// Accepts the founding set if this disk is blank or already took the very same set.
+    ///
+    /// A disk takes one founding set in its life, so two halves can never found two states.
+    /// Example: `blank.found(&VoterSet::founding(&[1, 2, 3])).is_some()`.
+    pub fn found(&mut self, foundingSet: &VoterSet) -> Option<Vec<Vec<u8>>> {
+        if self.set == *foundingSet {
+            return Some(Vec::new());
+        }
+        if self.set.generation != 0 || foundingSet.generation != 1 {
+            return None;
+        }
+        let diskRecord = DiskRecord {
+            kind: 1,
+            key: DISKS_KEY.into(),
+            epoch: Epoch { counter: 1, owner: 0 },
+            version: 1,
+            value: foundingSet.encode(),
+        };
+        let recordBytes = diskRecord.to_bytes().unwrap_or_default();
+        self.apply(diskRecord);
+        Some(vec![recordBytes])
+    }
+
+    /// Promises each key to the epoch unless a higher one stands or the sender's set is outdated.
+    /// Example: `registers.promise(set.generation, &entries)`.
+    pub fn promise(&mut self, senderSet: u64, entries: &List<PromiseEntry>) -> Answered<PromisedEntry> {
+        let mut answers = Vec::new();
+        let mut records = Vec::new();
+        for entry in &entries.0 {
+            let standing = self.registers.get(&entry.key.0).cloned().unwrap_or_default();
+            let granted = senderSet >= self.set.generation && entry.epoch.rank() >= standing.promised.rank();
+            if granted && entry.epoch.rank() > standing.promised.rank() {
+                let diskRecord = DiskRecord {
+                    kind: 0,
+                    key: entry.key.clone(),
+                    epoch: entry.epoch.clone(),
+                    version: 0,
+                    value: Bytes::default(),
+                };
+                records.push(diskRecord.to_bytes().unwrap_or_default());
+                self.apply(diskRecord);
+            }
+            answers.push(PromisedEntry {
+                key: entry.key.clone(),
+                granted: u8::from(granted),
+                promised: if granted { entry.epoch.clone() } else { standing.promised },
+                stored_epoch: standing.epoch,
+                version: standing.version,
+                value: if granted { standing.value } else { Bytes::default() },
+            });
+        }
+        (answers, records)
+    }
+
+    /// Stores each value unless a higher epoch was promised or the sender's set is outdated.
+    /// Example: `registers.store(set.generation, &entries)`.
+    pub fn store(&mut self, senderSet: u64, entries: &List<StoreEntry>) -> Answered<StoredEntry> {
+        let mut answers = Vec::new();
+        let mut records = Vec::new();
+        for entry in &entries.0 {
+            let promised =
+                self.registers.get(&entry.key.0).map_or(Epoch::none(), |standing| standing.promised.clone());
+            let granted = senderSet >= self.set.generation && entry.epoch.rank() >= promised.rank();
+            if granted && !self.already_stored(entry) {
+                let diskRecord = DiskRecord {
+                    kind: 1,
+                    key: entry.key.clone(),
+                    epoch: entry.epoch.clone(),
+                    version: entry.version,
+                    value: entry.value.clone(),
+                };
+                records.push(diskRecord.to_bytes().unwrap_or_default());
+                self.apply(diskRecord);
+            }
+            answers.push(StoredEntry {
+                key: entry.key.clone(),
+                epoch: entry.epoch.clone(),
+                version: entry.version,
+                granted: u8::from(granted),
+                promised,
+            });
+        }
+        (answers, records)
+    }
+
+    /// A late repeat of an older store under the same epoch must not undo a newer one.
+    fn already_stored(&self, entry: &StoreEntry) -> bool {
+        self.registers
+            .get(&entry.key.0)
+            .is_some_and(|standing| standing.epoch == entry.epoch && standing.version >= entry.version)
+    }
+
+    /// What a rewritten file holds: one value and one promise for each key.
+    /// Example: `file.rewrite(&registers.live_records())`.
+    pub fn live_records(&self) -> Vec<Vec<u8>> {
+        let mut records = Vec::new();
+        for (key, register) in &self.registers {
+            let stored = DiskRecord {
+                kind: 1,
+                key: key.as_str().into(),
+                epoch: register.epoch.clone(),
+                version: register.version,
+                value: register.value.clone(),
+            };
+            let promise = DiskRecord {
+                kind: 0,
+                epoch: register.promised.clone(),
+                version: 0,
+                value: Bytes::default(),
+                ..stored.clone()
+            };
+            records.extend([stored, promise].iter().filter_map(|record| record.to_bytes().ok()));
+        }
+        records
+    }
+}
--- /dev/null
+++ b/packages/control_registers/src/key_owner.rs
@@ -0,0 +1,412 @@
+use crate::VoterSet;
+use clock_events::Micros;
+use colleague_messages::{
+    Bytes, Epoch, List, NodeId, PolledRecord, PromiseEntry, PromisedEntry, StoreEntry, StoredEntry, Text,
+    WriteEntry, WriteOutcome,
+};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// The write was stored on a majority.
+pub const WRITTEN: u8 = 0;
+/// The expected version does not stand; the outcome carries what does.
+pub const DIFFERS: u8 = 1;
+/// This node does not own the key.
+pub const NOT_OWNER: u8 = 2;
+/// No majority answered: the write may or may not stand.
+pub const UNKNOWN: u8 = 3;
+
+const RESEND_AFTER: Micros = Micros::from_millis(250);
+const GIVE_UP_AFTER: Micros = Micros::from_millis(2_000);
+const WAITLIST_LIMIT: usize = 64;
+const GROUP_AFTER: Micros = Micros::from_millis(200);
+
+/// What the owner wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OwnerAct {
+    /// Ask these disks for promises.
+    Promise { disk: u64, fleet_set: u64, entries: List<PromiseEntry> },
+    /// Ask these disks to store.
+    Store { disk: u64, fleet_set: u64, entries: List<StoreEntry> },
+    /// Answer the node that asked.
+    Answer { node: NodeId, outcome: WriteOutcome },
+}
+
+#[derive(Debug)]
+struct WaitingWrite {
+    node: NodeId,
+    entry: WriteEntry,
+    /// A confirmed read stores what stands and answers with it.
+    confirms: bool,
+}
+
+#[derive(Debug)]
+struct StoreFlight {
+    version: u64,
+    value: Bytes,
+    stored: BTreeSet<u64>,
+    /// `None` for the store that opens an ownership.
+    write: Option<WaitingWrite>,
+    sent_at: Option<Micros>,
+    begun_at: Micros,
+    hasty: bool,
+}
+
+#[derive(Debug)]
+enum Standing {
+    Acquiring { promised: BTreeSet<u64>, newest: (Epoch, u64, Bytes), sent_at: Option<Micros> },
+    Owned { version: u64, value: Bytes, flight: Option<StoreFlight> },
+}
+
+#[derive(Debug)]
+struct OwnedKey {
+    epoch: Epoch,
+    standing: Standing,
+    waitlist: VecDeque<WaitingWrite>,
+    begun_at: Micros,
+}
+
+/// The keys one node owns. Example: `KeyOwner::new(7)` owns nothing until it is asked.
+#[derive(Debug)]
+pub struct KeyOwner {
+    own: NodeId,
+    highest_counter: u64,
+    keys: BTreeMap<String, OwnedKey>,
+    set: VoterSet,
+    answers: Vec<OwnerAct>,
+    group_due: Option<Micros>,
+    store_group_count: u64,
+}
+
+impl KeyOwner {
+    /// An owner without keys. Example: `KeyOwner::new(7).owned_count() == 0`.
+    pub fn new(own: NodeId) -> KeyOwner {
+        KeyOwner {
+            own,
+            highest_counter: 0,
+            keys: BTreeMap::new(),
+            set: VoterSet::default(),
+            answers: Vec::new(),
+            group_due: None,
+            store_group_count: 0,
+        }
+    }
+
+    /// Tells which disks vote; a newer set makes every key start over under a higher epoch.
+    /// Example: `owner.take_set(registers.set())`.
+    pub fn take_set(&mut self, knownSet: &VoterSet) {
+        if knownSet.generation <= self.set.generation {
+            return;
+        }
+        self.set = knownSet.clone();
+        let ownedKeys: Vec<String> = self.keys.keys().cloned().collect();
+        for key in ownedKeys {
+            self.lose(&key);
+        }
+    }
+
+    /// Keys held or being acquired. Example: `owner.owned_count()` in a status page.
+    pub fn owned_count(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Groups of stores sent so far, for measuring group commit. Example: `owner.store_group_count()`.
+    pub fn store_group_count(&self) -> u64 {
+        self.store_group_count
+    }
+
+    /// Lets go of all keys that `keeps` refuses: the hand-over to another disk node.
+    /// Example: `owner.keep_only(|key| choice(key) == own)`.
+    pub fn keep_only(&mut self, keeps: impl Fn(&str) -> bool) {
+        let lostKeys: Vec<String> = self.keys.keys().filter(|key| !keeps(key)).cloned().collect();
+        for key in lostKeys {
+            self.lose(&key);
+        }
+    }
+
+    /// Takes a conditional write, acquiring the key first if need be.
+    /// Example: `owner.write(asker, entry, now); for act in owner.flush(now) { .. }`.
+    pub fn write(&mut self, node: NodeId, entry: WriteEntry, now: Micros) {
+        self.wait(node, entry, false, now);
+    }
+
+    /// Reads a key in a way that is confirmed by a majority.
+    /// Example: `owner.read_confirmed(asker, 1, "configuration".into(), now)`.
+    pub fn read_confirmed(&mut self, node: NodeId, ask: u64, key: Text, now: Micros) {
+        let entry = WriteEntry { ask, key, expected: 0, value: Bytes::default(), hasty: 1 };
+        self.wait(node, entry, true, now);
+    }
+
+    fn wait(&mut self, node: NodeId, entry: WriteEntry, confirms: bool, now: Micros) {
+        let key = entry.key.0.clone();
+        self.acquire(&key, now);
+        let Some(ownedKey) = self.keys.get_mut(&key) else {
+            self.answer(node, &entry, NOT_OWNER, 0, Bytes::default());
+            return;
+        };
+        if ownedKey.waitlist.len() >= WAITLIST_LIMIT {
+            self.answer(node, &entry, NOT_OWNER, 0, Bytes::default());
+            return;
+        }
+        ownedKey.waitlist.push_back(WaitingWrite { node, entry, confirms });
+        self.next_flight(&key, now);
+    }
+
+    /// Starts to own a key. Example: a poll for a key nobody owns calls `owner.acquire(key, now)`.
+    pub fn acquire(&mut self, key: &str, now: Micros) {
+        if self.keys.contains_key(key) || self.set.generation == 0 {
+            return;
+        }
+        self.highest_counter += 1;
+        let ownedKey = OwnedKey {
+            epoch: Epoch { counter: self.highest_counter, owner: self.own },
+            standing: Standing::Acquiring {
+                promised: BTreeSet::new(),
+                newest: (Epoch::none(), 0, Bytes::default()),
+                sent_at: None,
+            },
+            waitlist: VecDeque::new(),
+            begun_at: now,
+        };
+        self.keys.insert(key.to_owned(), ownedKey);
+    }
+
+    /// The records of owned keys, as followers poll them; unknown keys begin to be acquired.
+    /// Example: `owner.poll(&["steward/proof".into()], now)`.
+    pub fn poll(&mut self, polledKeys: &[Text], now: Micros) -> Vec<PolledRecord> {
+        let mut records = Vec::new();
+        for polledKey in polledKeys {
+            self.acquire(&polledKey.0, now);
+            let Some(OwnedKey { standing: Standing::Owned { version, value, flight }, .. }) =
+                self.keys.get(&polledKey.0)
+            else {
+                continue;
+            };
+            // Before the opening store stands on a majority, what was read may still be lost.
+            if flight.as_ref().is_some_and(|openFlight| openFlight.write.is_none()) {
+                continue;
+            }
+            records.push(PolledRecord { key: polledKey.clone(), version: *version, value: value.clone() });
+        }
+        records
+    }
+
+    /// Takes a disk's promises. Example: `owner.promised(disk, entries, now)`.
+    pub fn promised(&mut self, disk: u64, entries: List<PromisedEntry>, now: Micros) {
+        for entry in entries.0 {
+            let key = entry.key.0;
+            self.highest_counter = self.highest_counter.max(entry.promised.counter);
+            let Some(ownedKey) = self.keys.get_mut(&key) else { continue };
+            let Standing::Acquiring { promised, newest, .. } = &mut ownedKey.standing else { continue };
+            if entry.granted == 0 {
+                if entry.promised.rank() > ownedKey.epoch.rank() {
+                    self.restart(&key, now);
+                }
+                continue;
+            }
+            if entry.promised != ownedKey.epoch {
+                continue;
+            }
+            if (entry.stored_epoch.rank(), entry.version) > (newest.0.rank(), newest.1) {
+                *newest = (entry.stored_epoch, entry.version, entry.value);
+            }
+            promised.insert(disk);
+            if !self.set.quorum(promised) {
+                continue;
+            }
+            let (_, version, value) = std::mem::replace(newest, (Epoch::none(), 0, Bytes::default()));
+            let openingFlight = (version > 0).then(|| StoreFlight {
+                version,
+                value: value.clone(),
+                stored: BTreeSet::new(),
+                write: None,
+                sent_at: None,
+                begun_at: now,
+                hasty: true,
+            });
+            ownedKey.standing = Standing::Owned { version, value, flight: openingFlight };
+            self.next_flight(&key, now);
+        }
+    }
+
+    /// Takes a disk's stores. Example: `owner.stored(disk, entries, now)`.
+    pub fn stored(&mut self, disk: u64, entries: List<StoredEntry>, now: Micros) {
+        for entry in entries.0 {
+            let key = entry.key.0;
+            self.highest_counter = self.highest_counter.max(entry.promised.counter);
+            let Some(ownedKey) = self.keys.get_mut(&key) else { continue };
+            if entry.epoch != ownedKey.epoch {
+                continue;
+            }
+            let Standing::Owned { version, value, flight } = &mut ownedKey.standing else { continue };
+            let Some(openFlight) = flight else { continue };
+            if entry.granted == 0 {
+                if entry.promised.rank() > ownedKey.epoch.rank() {
+                    self.lose(&key);
+                }
+                continue;
+            }
+            if openFlight.version != entry.version {
+                continue;
+            }
+            openFlight.stored.insert(disk);
+            if !self.set.quorum(&openFlight.stored) {
+                continue;
+            }
+            *version = openFlight.version;
+            *value = std::mem::take(&mut openFlight.value);
+            let finishedWrite = flight.take().and_then(|doneFlight| doneFlight.write);
+            let (doneVersion, doneValue) = (*version, value.clone());
+            if let Some(write) = finishedWrite {
+                let answeredValue = if write.confirms { doneValue } else { Bytes::default() };
+                self.answer(write.node, &write.entry, WRITTEN, doneVersion, answeredValue);
+            }
+            self.next_flight(&key, now);
+        }
+    }
+
+    /// Puts the next fitting write of a key in flight and answers those whose condition fails.
+    fn next_flight(&mut self, key: &str, now: Micros) {
+        while let Some(ownedKey) = self.keys.get_mut(key) {
+            let Standing::Owned { version, value, flight: flight @ None } = &mut ownedKey.standing else {
+                return;
+            };
+            let Some(write) = ownedKey.waitlist.pop_front() else { return };
+            let hasty = write.entry.hasty == 1;
+            if write.confirms && *version == 0 {
+                // Nothing was ever stored: the promises of a majority are the confirmation.
+                self.answer(write.node, &write.entry, WRITTEN, 0, Bytes::default());
+                continue;
+            }
+            if !write.confirms && write.entry.expected != *version {
+                let (standingVersion, standingValue) = (*version, value.clone());
+                self.answer(write.node, &write.entry, DIFFERS, standingVersion, standingValue);
+                continue;
+            }
+            let (flightVersion, flightValue) = match write.confirms {
+                true => (*version, value.clone()),
+                false => (*version + 1, write.entry.value.clone()),
+            };
+            *flight = Some(StoreFlight {
+                version: flightVersion,
+                value: flightValue,
+                stored: BTreeSet::new(),
+                write: Some(write),
+                sent_at: None,
+                begun_at: now,
+                hasty,
+            });
+            return;
+        }
+    }
+
+    /// Everything to send now: promises and stores grouped by disk, and answers. Hasty writes leave
+    /// at once and take the waiting group along; renewals alone wait a little for company.
+    /// Example: `for act in owner.flush(now) { carry(act) }`.
+    pub fn flush(&mut self, now: Micros) -> Vec<OwnerAct> {
+        self.give_up(now);
+        let resendDue = |sentAt: Option<Micros>| sentAt.is_none_or(|sent| now >= sent + RESEND_AFTER);
+        let mut hastyCount = 0;
+        let mut patientCount = 0;
+        for ownedKey in self.keys.values() {
+            match &ownedKey.standing {
+                Standing::Acquiring { sent_at, .. } if resendDue(*sent_at) => hastyCount += 1,
+                Standing::Owned { flight: Some(openFlight), .. } if resendDue(openFlight.sent_at) => {
+                    match openFlight.hasty || openFlight.sent_at.is_some() {
+                        true => hastyCount += 1,
+                        false => patientCount += 1,
+                    }
+                }
+                _ => {}
+            }
+        }
+        let groupDue = patientCount > 0 && *self.group_due.get_or_insert(now + GROUP_AFTER) <= now;
+        if hastyCount == 0 && !groupDue {
+            return std::mem::take(&mut self.answers);
+        }
+        self.group_due = None;
+        let mut promiseGroups: BTreeMap<u64, Vec<PromiseEntry>> = BTreeMap::new();
+        let mut storeGroups: BTreeMap<u64, Vec<StoreEntry>> = BTreeMap::new();
+        let voters = self.set.all();
+        for (key, ownedKey) in &mut self.keys {
+            match &mut ownedKey.standing {
+                Standing::Acquiring { promised, sent_at, .. } if resendDue(*sent_at) => {
+                    *sent_at = Some(now);
+                    for disk in voters.difference(promised) {
+                        let entry = PromiseEntry { key: key.as_str().into(), epoch: ownedKey.epoch.clone() };
+                        promiseGroups.entry(*disk).or_default().push(entry);
+                    }
+                }
+                Standing::Owned { flight: Some(openFlight), .. } if resendDue(openFlight.sent_at) => {
+                    openFlight.sent_at = Some(now);
+                    for disk in voters.difference(&openFlight.stored) {
+                        let entry = StoreEntry {
+                            key: key.as_str().into(),
+                            epoch: ownedKey.epoch.clone(),
+                            version: openFlight.version,
+                            value: openFlight.value.clone(),
+                        };
+                        storeGroups.entry(*disk).or_default().push(entry);
+                    }
+                }
+                _ => {}
+            }
+        }
+        let fleetSet = self.set.generation;
+        self.store_group_count += u64::from(!storeGroups.is_empty());
+        let mut acts = std::mem::take(&mut self.answers);
+        acts.extend(promiseGroups.into_iter().map(|(disk, entries)| OwnerAct::Promise {
+            disk,
+            fleet_set: fleetSet,
+            entries: List(entries),
+        }));
+        acts.extend(storeGroups.into_iter().map(|(disk, entries)| OwnerAct::Store {
+            disk,
+            fleet_set: fleetSet,
+            entries: List(entries),
+        }));
+        acts
+    }
+
+    /// Answers what waited too long: writes in flight are of unknown fate, the others did not happen.
+    fn give_up(&mut self, now: Micros) {
+        let stuckKeys: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, ownedKey)| match &ownedKey.standing {
+                Standing::Acquiring { .. } => now >= ownedKey.begun_at + GIVE_UP_AFTER,
+                Standing::Owned { flight: Some(openFlight), .. } => {
+                    now >= openFlight.begun_at + GIVE_UP_AFTER
+                }
+                Standing::Owned { .. } => false,
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in stuckKeys {
+            self.lose(&key);
+        }
+    }
+
+    fn restart(&mut self, key: &str, now: Micros) {
+        let waitlist = self.keys.remove(key).map(|ownedKey| ownedKey.waitlist).unwrap_or_default();
+        self.acquire(key, now);
+        if let Some(ownedKey) = self.keys.get_mut(key) {
+            ownedKey.waitlist = waitlist;
+        }
+    }
+
+    fn lose(&mut self, key: &str) {
+        let Some(lostKey) = self.keys.remove(key) else { return };
+        if let Standing::Owned { flight: Some(StoreFlight { write: Some(write), .. }), .. } = lostKey.standing
+        {
+            self.answer(write.node, &write.entry, UNKNOWN, 0, Bytes::default());
+        }
+        for write in lostKey.waitlist {
+            self.answer(write.node, &write.entry, NOT_OWNER, 0, Bytes::default());
+        }
+    }
+
+    fn answer(&mut self, node: NodeId, entry: &WriteEntry, outcome: u8, version: u64, value: Bytes) {
+        let writeOutcome = WriteOutcome { ask: entry.ask, key: entry.key.clone(), outcome, version, value };
+        self.answers.push(OwnerAct::Answer { node, outcome: writeOutcome });
+    }
+}
--- /dev/null
+++ b/packages/control_registers/src/lib.rs
@@ -0,0 +1,167 @@
+//! Per-key registers on a majority of the voting disks.
+//!
+//! [`DiskRegisters`] is one disk's part: it promises and stores. [`KeyOwner`] is the part of the one
+//! node that owns a key at a time: it picks a higher epoch, collects promises and values from a
+//! majority, stores the newest value anew, and then serves conditional writes. Nothing ties keys
+//! together: no log, no leader for all. Both parts are pure; many keys ride in one message.
+
+mod disk_registers;
+mod key_owner;
+mod voter_set;
+
+pub use disk_registers::DiskRegisters;
+pub use key_owner::{DIFFERS, KeyOwner, NOT_OWNER, OwnerAct, UNKNOWN, WRITTEN};
+pub use voter_set::VoterSet;
+
+/// The key that says which disks vote.
+pub const DISKS_KEY: &str = "disks";
+/// The key that holds the whole configuration.
+pub const CONFIGURATION_KEY: &str = "configuration";
+
+/// The key of a function's leader record. Example: `steward_key("proof") == "steward/proof"`.
+pub fn steward_key(function: &str) -> String {
+    format!("steward/{function}")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use clock_events::Micros;
+    use colleague_messages::{Bytes, WriteEntry, WriteOutcome};
+    use std::collections::BTreeMap;
+
+    /// Disks that answer at once; a disk out of the map is down.
+    type Disks = BTreeMap<u64, DiskRegisters>;
+
+    fn founded_disks() -> (Disks, VoterSet) {
+        let set = VoterSet::founding(&[1, 2, 3]);
+        let mut disks = Disks::new();
+        for disk in [1, 2, 3] {
+            disks.entry(disk).or_default().found(&set).expect("a blank disk takes the first set");
+        }
+        (disks, set)
+    }
+
+    fn settle(owner: &mut KeyOwner, disks: &mut Disks, now: Micros) -> Vec<WriteOutcome> {
+        let mut outcomes = Vec::new();
+        loop {
+            let acts = owner.flush(now);
+            if acts.is_empty() {
+                return outcomes;
+            }
+            for act in acts {
+                match act {
+                    OwnerAct::Promise { disk, fleet_set, entries } => {
+                        let Some(registers) = disks.get_mut(&disk) else { continue };
+                        let (answers, _) = registers.promise(fleet_set, &entries);
+                        owner.promised(disk, colleague_messages::List(answers), now);
+                    }
+                    OwnerAct::Store { disk, fleet_set, entries } => {
+                        let Some(registers) = disks.get_mut(&disk) else { continue };
+                        let (answers, _) = registers.store(fleet_set, &entries);
+                        owner.stored(disk, colleague_messages::List(answers), now);
+                    }
+                    OwnerAct::Answer { outcome, .. } => outcomes.push(outcome),
+                }
+            }
+        }
+    }
+
+    fn entry(ask: u64, expected: u64, value: &str) -> WriteEntry {
+        WriteEntry {
+            ask,
+            key: CONFIGURATION_KEY.into(),
+            expected,
+            value: Bytes(value.as_bytes().to_vec()),
+            hasty: 1,
+        }
+    }
+
+    fn outcome_of(outcomes: Vec<WriteOutcome>) -> (u8, u64, String) {
+        let [outcome] = &outcomes[..] else { panic!("one outcome, not {outcomes:?}") };
+        (outcome.outcome, outcome.version, String::from_utf8_lossy(&outcome.value.0).into_owned())
+    }
+
+    #[test]
+    fn one_writer_wins_and_a_deposed_owner_fails_by_itself() {
+        let (mut disks, set) = founded_disks();
+        let mut firstOwner = KeyOwner::new(10);
+        let mut secondOwner = KeyOwner::new(11);
+        firstOwner.take_set(&set);
+        secondOwner.take_set(&set);
+        firstOwner.write(5, entry(1, 0, "a"), Micros(0));
+        assert_eq!(outcome_of(settle(&mut firstOwner, &mut disks, Micros(0))).0, WRITTEN);
+        firstOwner.write(5, entry(2, 0, "late"), Micros(0));
+        let refused = outcome_of(settle(&mut firstOwner, &mut disks, Micros(0)));
+        assert_eq!(refused, (DIFFERS, 1, "a".to_owned()));
+        // The other owner takes over with one disk down and sees what was acknowledged.
+        disks.remove(&1);
+        secondOwner.read_confirmed(6, 3, CONFIGURATION_KEY.into(), Micros(0));
+        assert_eq!(outcome_of(settle(&mut secondOwner, &mut disks, Micros(0))), (WRITTEN, 1, "a".to_owned()));
+        secondOwner.write(6, entry(4, 1, "b"), Micros(0));
+        assert_eq!(outcome_of(settle(&mut secondOwner, &mut disks, Micros(0))).0, WRITTEN);
+        firstOwner.write(5, entry(5, 1, "c"), Micros(0));
+        assert_eq!(outcome_of(settle(&mut firstOwner, &mut disks, Micros(0))).0, UNKNOWN);
+    }
+
+    #[test]
+    fn without_a_majority_nothing_is_acknowledged() {
+        let (mut disks, set) = founded_disks();
+        disks.remove(&1);
+        disks.remove(&2);
+        let mut owner = KeyOwner::new(10);
+        owner.take_set(&set);
+        owner.write(5, entry(1, 0, "a"), Micros(0));
+        assert!(settle(&mut owner, &mut disks, Micros(0)).is_empty());
+        let refused = outcome_of(settle(&mut owner, &mut disks, Micros::from_secs(3)));
+        assert_eq!(refused.0, NOT_OWNER);
+    }
+
+    #[test]
+    fn a_restored_disk_keeps_promises_and_values_through_a_rewrite() {
+        let (mut disks, set) = founded_disks();
+        let mut owner = KeyOwner::new(10);
+        owner.take_set(&set);
+        owner.write(5, entry(1, 0, "a"), Micros(0));
+        settle(&mut owner, &mut disks, Micros(0));
+        let restored = DiskRegisters::restore(&disks[&2].live_records()).expect("own records");
+        assert_eq!(restored.set(), &set);
+        assert_eq!(restored.stored(CONFIGURATION_KEY), disks[&2].stored(CONFIGURATION_KEY));
+        let lowEpoch = colleague_messages::Epoch { counter: 0, owner: 99 };
+        let lowEntry = colleague_messages::PromiseEntry { key: CONFIGURATION_KEY.into(), epoch: lowEpoch };
+        let mut restored = restored;
+        let (answers, _) = restored.promise(1, &colleague_messages::List(vec![lowEntry]));
+        assert_eq!(answers[0].granted, 0);
+    }
+
+    #[test]
+    fn a_lost_disk_is_replaced_and_an_outdated_set_is_refused() {
+        let (mut disks, set) = founded_disks();
+        let mut oldOwner = KeyOwner::new(10);
+        oldOwner.take_set(&set);
+        oldOwner.write(5, entry(1, 0, "a"), Micros(0));
+        settle(&mut oldOwner, &mut disks, Micros(0));
+        disks.remove(&3);
+        disks.insert(9, DiskRegisters::default());
+        let jointSet = set.begin_change(3, 9).expect("no change under way");
+        let mut changer = KeyOwner::new(11);
+        changer.take_set(&set);
+        let write =
+            |ask, expected, value| WriteEntry { ask, key: DISKS_KEY.into(), expected, value, hasty: 1 };
+        changer.write(7, write(1, 1, jointSet.encode()), Micros(0));
+        assert_eq!(outcome_of(settle(&mut changer, &mut disks, Micros(0))).0, WRITTEN);
+        // Under the joint set every key is stored anew, the fresh disk included.
+        changer.take_set(&jointSet);
+        changer.read_confirmed(7, 2, CONFIGURATION_KEY.into(), Micros(0));
+        assert_eq!(outcome_of(settle(&mut changer, &mut disks, Micros(0))).2, "a");
+        let finalSet = jointSet.end_change().expect("a change is under way");
+        changer.write(7, write(3, 2, finalSet.encode()), Micros(0));
+        assert_eq!(outcome_of(settle(&mut changer, &mut disks, Micros(0))).0, WRITTEN);
+        assert_eq!(disks[&9].set(), &finalSet);
+        // The old owner, still under the founding set, can no longer reach a majority.
+        oldOwner.write(5, entry(9, 1, "stale"), Micros(0));
+        settle(&mut oldOwner, &mut disks, Micros(0));
+        let lateOutcome = settle(&mut oldOwner, &mut disks, Micros::from_secs(3));
+        assert_eq!(outcome_of(lateOutcome).0, UNKNOWN);
+    }
+}
--- /dev/null
+++ b/packages/control_registers/src/voter_set.rs
@@ -0,0 +1,71 @@
+use colleague_messages::{Bytes, List};
+use deku::prelude::*;
+use std::collections::BTreeSet;
+
+/// Which disks vote, and while a change is under way, which will.
+///
+/// Example: `VoterSet::founding(&[1, 2, 3]).quorum(&[1, 3].into()) == true`.
+#[derive(Clone, Debug, Default, PartialEq, DekuRead, DekuWrite)]
+pub struct VoterSet {
+    /// Zero before the set was founded; each change raises it.
+    pub generation: u64,
+    /// The disks that vote.
+    pub disks: List<u64>,
+    /// During a change the disks that will vote; a quorum then needs a majority of both.
+    pub joining: List<u64>,
+}
+
+impl VoterSet {
+    /// The first set. Example: `VoterSet::founding(&[1]).generation == 1`.
+    pub fn founding(disks: &[u64]) -> VoterSet {
+        VoterSet { generation: 1, disks: List(disks.to_vec()), joining: List(Vec::new()) }
+    }
+
+    /// Whether `answered` holds a majority, of the joining set too during a change.
+    /// Example: `!VoterSet::founding(&[1, 2, 3]).quorum(&[1].into())`.
+    pub fn quorum(&self, answered: &BTreeSet<u64>) -> bool {
+        let majority = |voters: &[u64]| {
+            voters.iter().filter(|voter| answered.contains(voter)).count() * 2 > voters.len()
+        };
+        self.generation > 0
+            && majority(&self.disks.0)
+            && (self.joining.0.is_empty() || majority(&self.joining.0))
+    }
+
+    /// Every disk that has a say now. Example: `set.all().contains(&1)`.
+    pub fn all(&self) -> BTreeSet<u64> {
+        self.disks.0.iter().chain(&self.joining.0).copied().collect()
+    }
+
+    /// The set that begins to replace `lost` by `fresh`; `None` while a change is under way.
+    /// Example: `set.begin_change(3, 9).unwrap().joining.0 == [1, 2, 9]`.
+    pub fn begin_change(&self, lost: u64, fresh: u64) -> Option<VoterSet> {
+        if !self.joining.0.is_empty() || !self.disks.0.contains(&lost) || self.disks.0.contains(&fresh) {
+            return None;
+        }
+        let joining = self.disks.0.iter().map(|disk| if *disk == lost { fresh } else { *disk }).collect();
+        Some(VoterSet { generation: self.generation + 1, disks: self.disks.clone(), joining })
+    }
+
+    /// The set after the change under way. Example: `joint.end_change().unwrap().joining.0.is_empty()`.
+    pub fn end_change(&self) -> Option<VoterSet> {
+        if self.joining.0.is_empty() {
+            return None;
+        }
+        Some(VoterSet {
+            generation: self.generation + 1,
+            disks: self.joining.clone(),
+            joining: List(Vec::new()),
+        })
+    }
+
+    /// The set as register bytes. Example: `VoterSet::decode(&set.encode()) == Some(set)`.
+    pub fn encode(&self) -> Bytes {
+        Bytes(self.to_bytes().unwrap_or_default())
+    }
+
+    /// Reads register bytes. Example: `VoterSet::decode(&Bytes::default()) == None`.
+    pub fn decode(setBytes: &Bytes) -> Option<VoterSet> {
+        VoterSet::from_bytes((&setBytes.0, 0)).ok().map(|(_, voterSet)| voterSet)
+    }
+}
