--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -112,7 +112,8 @@
         "36" HeldAnswer { ask: u64, function: Text, tickets: List<HeldTicket>, }
         "40" News { items: List<NewsItem>, }
         "41" NewsDigest { digest: u64, }
-        "42" NewsMarks { marks: List<NewsMark>, }
+        /// `full` 1: every topic the sender has is in the list.
+        "42" NewsMarks { full: u8, marks: List<NewsMark>, }
         "43" NewsAsk { topics: List<Text>, }
         "50" DecisionsAsk { ask: u64, after: List<CursorMark>, most: u32, }
         "51" DecisionsAnswer { ask: u64, lines: List<DecisionLine>, }
--- /dev/null
+++ b/packages/colleague_probes/src/lib.rs
@@ -0,0 +1,482 @@
+//! How nodes know each other: probes to colleagues in rotation, second opinions through third
+//! parties, suspicion that the suspected may refute, then removal. Removed members and seeds go on
+//! being probed now and then, so a healed cut joins itself again.
+
+use clock_events::{ClockEvent, Micros};
+use colleague_messages::{Address, List, MemberNews, Message, NodeId};
+use fastrand::Rng;
+use std::collections::BTreeMap;
+
+/// A member that answers or has not yet been doubted.
+pub const ALIVE: u8 = 0;
+/// A member that did not answer; it counts as alive until the suspicion runs out.
+pub const SUSPECTED: u8 = 1;
+/// A removed member.
+pub const GONE: u8 = 2;
+
+const MEMBER_LIMIT: usize = 256;
+const TOLD_LIMIT: usize = 64;
+
+/// How often and how patiently colleagues are probed.
+/// Example: `ProbeSettings::default().interval == Micros::from_millis(400)`.
+#[derive(Clone, Debug)]
+pub struct ProbeSettings {
+    /// Between two probes of this node.
+    pub interval: Micros,
+    /// Until third parties are asked.
+    pub answer_within: Micros,
+    /// From suspicion to removal.
+    pub suspicion: Micros,
+    /// How long a removed member is still remembered and probed.
+    pub remember_gone: Micros,
+}
+
+impl Default for ProbeSettings {
+    fn default() -> ProbeSettings {
+        ProbeSettings {
+            interval: Micros::from_millis(400),
+            answer_within: Micros::from_millis(250),
+            suspicion: Micros::from_millis(1_500),
+            remember_gone: Micros::from_secs(600),
+        }
+    }
+}
+
+/// A message and where to send it. Example: `for (address, message) in members.tick(now) { .. }`.
+pub type Outgoing = (Address, Message);
+
+/// What became of a member. Example: `MemberChange::Gone(node)`.
+#[derive(Clone, Debug, PartialEq)]
+pub enum MemberChange {
+    /// A node not known before, or one that came back.
+    Joined(NodeId),
+    /// A node was removed.
+    Gone(NodeId),
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    news: MemberNews,
+    state_since: Micros,
+}
+
+#[derive(Debug)]
+struct PendingProbe {
+    target: NodeId,
+    sequence: u64,
+    sent_at: Micros,
+    asked_others: bool,
+}
+
+#[derive(Debug)]
+struct Relay {
+    requester: Address,
+    sequence: u64,
+}
+
+/// One node's view of all members. Example: `Members::new(own, vec![seed], ProbeSettings::default(), 1)`.
+#[derive(Debug)]
+pub struct Members {
+    own: MemberNews,
+    seeds: Vec<Address>,
+    settings: ProbeSettings,
+    members: BTreeMap<NodeId, Member>,
+    rotation: Vec<NodeId>,
+    pending: Option<PendingProbe>,
+    relays: BTreeMap<u64, Relay>,
+    next_sequence: u64,
+    probe_event: ClockEvent,
+    heal_event: ClockEvent,
+    last_tick: Micros,
+    changes: Vec<MemberChange>,
+    dice: Rng,
+}
+
+impl Members {
+    /// A view that knows only itself and its seeds.
+    /// Example: `Members::new(own, seeds, settings, 7).live().len() == 1`.
+    pub fn new(own: MemberNews, seeds: Vec<Address>, settings: ProbeSettings, luckSeed: u64) -> Members {
+        let ownAddress = own.address;
+        Members {
+            seeds: seeds.into_iter().filter(|seed| *seed != ownAddress).collect(),
+            probe_event: ClockEvent::each(settings.interval),
+            heal_event: ClockEvent::each(Micros(settings.interval.0 * 2)),
+            own,
+            settings,
+            members: BTreeMap::new(),
+            rotation: Vec::new(),
+            pending: None,
+            relays: BTreeMap::new(),
+            next_sequence: 0,
+            last_tick: Micros(0),
+            changes: Vec::new(),
+            dice: Rng::with_seed(luckSeed),
+        }
+    }
+
+    /// This node's own entry. Example: `members.own().node`.
+    pub fn own(&self) -> &MemberNews {
+        &self.own
+    }
+
+    /// Changes what this node says of itself; colleagues take it for its higher incarnation.
+    /// Example: `members.update_own(|own| own.draining = 1)`.
+    pub fn update_own(&mut self, change: impl FnOnce(&mut MemberNews)) {
+        let previousOwn = self.own.clone();
+        change(&mut self.own);
+        if self.own != previousOwn {
+            self.own.incarnation += 1;
+        }
+    }
+
+    /// All members believed alive, this node included, by rising id.
+    /// Example: `members.live().len()` is the paper's N.
+    pub fn live(&self) -> Vec<&MemberNews> {
+        let mut liveMembers: Vec<&MemberNews> = self.colleagues().collect();
+        liveMembers.push(&self.own);
+        liveMembers.sort_by_key(|news| news.node);
+        liveMembers
+    }
+
+    /// The colleagues believed alive. Example: `members.colleagues().count()`.
+    pub fn colleagues(&self) -> impl Iterator<Item = &MemberNews> {
+        self.members.values().map(|member| &member.news).filter(|news| news.state != GONE)
+    }
+
+    /// A live member's entry. Example: `members.find(node).map(|news| news.address)`.
+    pub fn find(&self, node: NodeId) -> Option<&MemberNews> {
+        if node == self.own.node {
+            return Some(&self.own);
+        }
+        self.members.get(&node).map(|member| &member.news).filter(|news| news.state != GONE)
+    }
+
+    /// How long a node has been gone, if it is remembered as gone.
+    /// Example: `members.gone_for(node, now) > Some(Micros::from_secs(30))`.
+    pub fn gone_for(&self, node: NodeId, now: Micros) -> Option<Micros> {
+        let member = self.members.get(&node)?;
+        (member.news.state == GONE).then(|| now - member.state_since)
+    }
+
+    /// Every remembered entry, the gone ones too. Example: `members.remembered().count()`.
+    pub fn remembered(&self) -> impl Iterator<Item = &MemberNews> {
+        self.members.values().map(|member| &member.news)
+    }
+
+    /// How many of the seeds are live members or this node, for the guard on founding.
+    /// Example: `members.seeds_heard() == 3`.
+    pub fn seeds_heard(&self) -> usize {
+        self.seeds.iter().filter(|seed| self.colleagues().any(|news| news.address == **seed)).count()
+    }
+
+    /// The seeds other than this node. Example: `members.seed_count() <= 3`.
+    pub fn seed_count(&self) -> usize {
+        self.seeds.len()
+    }
+
+    /// Takes new seeds after a reload. Example: `members.take_seeds(seeds)`.
+    pub fn take_seeds(&mut self, seeds: Vec<Address>) {
+        self.seeds = seeds.into_iter().filter(|seed| *seed != self.own.address).collect();
+    }
+
+    /// The changes since the last call. Example: `for change in members.take_changes() { .. }`.
+    pub fn take_changes(&mut self) -> Vec<MemberChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Probes what is due and lets suspicions run out. Example: `members.tick(now)`.
+    pub fn tick(&mut self, now: Micros) -> Vec<Outgoing> {
+        let mut outgoing = Vec::new();
+        let wasFrozen = now > self.last_tick + self.settings.suspicion;
+        self.last_tick = now;
+        if wasFrozen {
+            // Whoever was frozen itself has no ground to doubt others.
+            self.pending = None;
+            for member in self.members.values_mut().filter(|member| member.news.state == SUSPECTED) {
+                member.state_since = now;
+            }
+        }
+        self.check_pending(now, &mut outgoing);
+        self.check_suspicions(now);
+        if self.probe_event.due(now) {
+            self.probe_next(now, &mut outgoing);
+        }
+        if self.heal_event.due(now) {
+            self.probe_lost(&mut outgoing);
+        }
+        outgoing
+    }
+
+    /// Takes a colleague's probe, answer or request for a second opinion.
+    /// Example: `members.received(from, address, message, now)`.
+    pub fn received(
+        &mut self,
+        from: NodeId,
+        fromAddress: Address,
+        message: Message,
+        now: Micros,
+    ) -> Vec<Outgoing> {
+        if from == self.own.node {
+            return Vec::new();
+        }
+        self.displace(from, fromAddress, now);
+        match message {
+            Message::Probe { sequence, target, members } => {
+                self.merge(members, now);
+                // A probe meant for the process that was here before is answered all the same: the
+                // answer shows the asker who listens here now.
+                let _ = target;
+                vec![(fromAddress, Message::ProbeAnswer { sequence, members: self.told() })]
+            }
+            Message::ProbeAnswer { sequence, members } => {
+                self.merge(members, now);
+                if self.pending.as_ref().is_some_and(|pending| pending.sequence == sequence) {
+                    self.pending = None;
+                }
+                let Some(relay) = self.relays.remove(&sequence) else { return Vec::new() };
+                let relayed = Message::ProbeAnswer { sequence: relay.sequence, members: self.told() };
+                vec![(relay.requester, relayed)]
+            }
+            Message::ProbeFor { sequence, target, target_address } => {
+                let ownSequence = self.sequence();
+                self.relays.insert(ownSequence, Relay { requester: fromAddress, sequence });
+                while self.relays.len() > TOLD_LIMIT {
+                    self.relays.pop_first();
+                }
+                vec![(target_address, Message::Probe { sequence: ownSequence, target, members: self.told() })]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn sequence(&mut self) -> u64 {
+        self.next_sequence += 1;
+        self.next_sequence
+    }
+
+    /// Another process speaks from this address: the one known there before is gone.
+    fn displace(&mut self, from: NodeId, fromAddress: Address, now: Micros) {
+        for (node, member) in &mut self.members {
+            if *node != from && member.news.address == fromAddress && member.news.state != GONE {
+                member.news.state = GONE;
+                member.state_since = now;
+                self.changes.push(MemberChange::Gone(*node));
+            }
+        }
+    }
+
+    /// What is told with every probe: this node first, then colleagues, in a small fleet all of them.
+    fn told(&mut self) -> List<MemberNews> {
+        let mut toldNews: Vec<MemberNews> = self.members.values().map(|member| member.news.clone()).collect();
+        if toldNews.len() >= TOLD_LIMIT {
+            self.dice.shuffle(&mut toldNews);
+            toldNews.truncate(TOLD_LIMIT - 1);
+        }
+        toldNews.insert(0, self.own.clone());
+        List(toldNews)
+    }
+
+    fn merge(&mut self, toldMembers: List<MemberNews>, now: Micros) {
+        for news in toldMembers.0.into_iter().take(TOLD_LIMIT) {
+            self.merge_one(news, now);
+        }
+    }
+
+    fn merge_one(&mut self, news: MemberNews, now: Micros) {
+        if news.node == self.own.node {
+            if news.state != ALIVE && news.incarnation >= self.own.incarnation {
+                self.own.incarnation = news.incarnation + 1;
+            }
+            return;
+        }
+        let Some(member) = self.members.get_mut(&news.node) else {
+            if news.state == GONE || self.members.len() >= MEMBER_LIMIT {
+                return;
+            }
+            self.changes.push(MemberChange::Joined(news.node));
+            self.rotation.push(news.node);
+            self.members.insert(news.node, Member { news, state_since: now });
+            return;
+        };
+        let isNewer = (news.incarnation, news.state) > (member.news.incarnation, member.news.state);
+        if !isNewer {
+            return;
+        }
+        if news.state == GONE && member.news.state != GONE {
+            self.changes.push(MemberChange::Gone(news.node));
+        }
+        if news.state != GONE && member.news.state == GONE {
+            self.changes.push(MemberChange::Joined(news.node));
+        }
+        if news.state != member.news.state {
+            member.state_since = now;
+        }
+        member.news = news;
+    }
+
+    fn check_pending(&mut self, now: Micros, outgoing: &mut Vec<Outgoing>) {
+        let Some(pending) = &mut self.pending else { return };
+        let Some(target) = self.members.get_mut(&pending.target) else {
+            self.pending = None;
+            return;
+        };
+        if !pending.asked_others && now >= pending.sent_at + self.settings.answer_within {
+            pending.asked_others = true;
+            let (sequence, suspectNode, suspectAddress) =
+                (pending.sequence, pending.target, target.news.address);
+            let mut helpers: Vec<Address> = self
+                .members
+                .values()
+                .filter(|member| member.news.state == ALIVE && member.news.node != suspectNode)
+                .map(|member| member.news.address)
+                .collect();
+            self.dice.shuffle(&mut helpers);
+            outgoing.extend(helpers.into_iter().take(3).map(|helper| {
+                let ask = Message::ProbeFor { sequence, target: suspectNode, target_address: suspectAddress };
+                (helper, ask)
+            }));
+            return;
+        }
+        if now >= pending.sent_at + Micros(self.settings.answer_within.0 * 2) {
+            if target.news.state == ALIVE {
+                target.news.state = SUSPECTED;
+                target.state_since = now;
+            }
+            self.pending = None;
+        }
+    }
+
+    fn check_suspicions(&mut self, now: Micros) {
+        for (node, member) in &mut self.members {
+            if member.news.state == SUSPECTED && now >= member.state_since + self.settings.suspicion {
+                member.news.state = GONE;
+                member.state_since = now;
+                self.changes.push(MemberChange::Gone(*node));
+            }
+        }
+        let rememberGone = self.settings.remember_gone;
+        self.members.retain(|_, member| member.news.state != GONE || now < member.state_since + rememberGone);
+    }
+
+    fn probe_next(&mut self, now: Micros, outgoing: &mut Vec<Outgoing>) {
+        if self.pending.is_some() {
+            return;
+        }
+        if self.rotation.is_empty() {
+            self.rotation = self.colleagues().map(|news| news.node).collect();
+            self.dice.shuffle(&mut self.rotation);
+        }
+        while let Some(target) = self.rotation.pop() {
+            let Some(targetAddress) = self.find(target).map(|news| news.address) else { continue };
+            let sequence = self.sequence();
+            self.pending = Some(PendingProbe { target, sequence, sent_at: now, asked_others: false });
+            outgoing.push((targetAddress, Message::Probe { sequence, target, members: self.told() }));
+            return;
+        }
+    }
+
+    /// One probe to a seed that is no live member or to a removed member.
+    fn probe_lost(&mut self, outgoing: &mut Vec<Outgoing>) {
+        let liveAddresses: Vec<Address> = self.colleagues().map(|news| news.address).collect();
+        let mut lostAddresses: Vec<Address> = self
+            .seeds
+            .iter()
+            .copied()
+            .chain(self.members.values().map(|member| member.news.address))
+            .filter(|address| !liveAddresses.contains(address))
+            .collect();
+        lostAddresses.sort();
+        lostAddresses.dedup();
+        let probedAddresses = match liveAddresses.is_empty() {
+            true => lostAddresses,
+            false => self.dice.choice(lostAddresses).into_iter().collect(),
+        };
+        for lostAddress in probedAddresses {
+            let sequence = self.sequence();
+            outgoing.push((lostAddress, Message::Probe { sequence, target: 0, members: self.told() }));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeSet;
+    use std::net::SocketAddr;
+
+    fn news(node: NodeId) -> MemberNews {
+        MemberNews {
+            node,
+            address: Address::from(SocketAddr::from(([127, 0, 0, 1], node as u16))),
+            zone: "a".into(),
+            incarnation: 1,
+            state: ALIVE,
+            disk: 0,
+            disk_state: 0,
+            draining: 0,
+        }
+    }
+
+    /// Runs the fleet in steps of 50 ms; links for which `cut` holds lose everything.
+    fn run(fleet: &mut [Members], fromMillis: u64, toMillis: u64, cut: impl Fn(NodeId, NodeId) -> bool) {
+        for millisecond in (fromMillis..toMillis).step_by(50) {
+            let now = Micros::from_millis(millisecond);
+            let mut waiting: Vec<(NodeId, Outgoing)> = Vec::new();
+            for members in fleet.iter_mut() {
+                let sender = members.own().node;
+                waiting.extend(members.tick(now).into_iter().map(|sent| (sender, sent)));
+            }
+            while let Some((sender, (address, message))) = waiting.pop() {
+                let senderAddress = news(sender).address;
+                let Some(receiver) = fleet.iter_mut().find(|members| members.own().address == address) else {
+                    continue;
+                };
+                let receiverNode = receiver.own().node;
+                if cut(sender, receiverNode) {
+                    continue;
+                }
+                let answers = receiver.received(sender, senderAddress, message, now);
+                waiting.extend(answers.into_iter().map(|sent| (receiverNode, sent)));
+            }
+        }
+    }
+
+    fn seen(members: &Members) -> BTreeSet<NodeId> {
+        members.live().iter().map(|news| news.node).collect()
+    }
+
+    #[test]
+    fn a_cut_is_seen_by_both_sides_and_heals_and_one_bad_link_harms_nobody() {
+        let mut fleet: Vec<Members> = (1..=10)
+            .map(|node| Members::new(news(node), vec![news(1).address], ProbeSettings::default(), node))
+            .collect();
+        let everyone: BTreeSet<NodeId> = (1..=10).collect();
+        run(&mut fleet, 0, 8_000, |_, _| false);
+        assert!(fleet.iter().all(|members| seen(members) == everyone));
+        // A single link that loses everything one way is covered by second opinions.
+        run(&mut fleet, 8_000, 20_000, |sender, receiver| (sender, receiver) == (2, 3));
+        assert!(fleet.iter().all(|members| seen(members) == everyone));
+        run(&mut fleet, 20_000, 30_000, |sender, receiver| (sender <= 4) != (receiver <= 4));
+        assert!(
+            fleet.iter().all(|members| seen(members).len() == if members.own().node <= 4 { 4 } else { 6 })
+        );
+        run(&mut fleet, 30_000, 40_000, |_, _| false);
+        assert!(fleet.iter().all(|members| seen(members) == everyone));
+    }
+
+    #[test]
+    fn a_restarted_process_displaces_the_one_before_at_its_address() {
+        let mut fleet: Vec<Members> = (1..=3)
+            .map(|node| Members::new(news(node), vec![news(1).address], ProbeSettings::default(), node))
+            .collect();
+        run(&mut fleet, 0, 5_000, |_, _| false);
+        let reborn = MemberNews { node: 77, ..news(3) };
+        let displacing = Message::Probe { sequence: 1, target: 0, members: List(vec![reborn.clone()]) };
+        fleet[0].received(77, reborn.address, displacing, Micros::from_secs(5));
+        assert_eq!(seen(&fleet[0]), BTreeSet::from([1, 2, 77]));
+        assert_eq!(
+            fleet[0].take_changes().last_chunk::<2>(),
+            Some(&[MemberChange::Gone(3), MemberChange::Joined(77)])
+        );
+    }
+}
--- /dev/null
+++ b/packages/steward_election/src/lib.rs
@@ -0,0 +1,638 @@
+//! Who is steward of which function: the balanced leader distribution of Nguyen and Kim (Sensors
+//! 2021, 21, 869), as a pure machine of observations and times.
+//!
+//! Kept: the leader record (holder, renew time, lease duration) claimed by a conditional write; the
+//! observer copy with the local time it was taken; candidacy after a whole lease without change by
+//! own observation; the gate `own <= (L_cluster + 1) / N`; renewal. Changed: the tally is folded
+//! from the leader records themselves, so tally and record can never part; a steward epoch rides in
+//! the record and fences; and after several polls with nobody holding, the next by (own count,
+//! rendezvous weight) claims without the gate.
+
+use clock_events::Micros;
+use colleague_messages::{LeaderRecord, NodeId, rendezvous_weight};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The election's times and limits. Example: `ElectionSettings::default().lease == Micros::from_secs(3)`.
+#[derive(Clone, Debug)]
+pub struct ElectionSettings {
+    /// How long a record stands without renewal.
+    pub lease: Micros,
+    /// Between two polls of the records.
+    pub poll: Micros,
+    /// Between two renewals.
+    pub renewal: Micros,
+    /// Off only to measure what the gate does.
+    pub gate: bool,
+    /// Claims in flight at once, so that a herd does not race on one stale tally.
+    pub claims_at_once: usize,
+    /// Polls without a holder after which the gate is passed over.
+    pub polls_before_fallback: u32,
+}
+
+impl Default for ElectionSettings {
+    fn default() -> ElectionSettings {
+        ElectionSettings {
+            lease: Micros::from_secs(3),
+            poll: Micros::from_millis(500),
+            renewal: Micros::from_secs(1),
+            gate: true,
+            claims_at_once: 4,
+            polls_before_fallback: 4,
+        }
+    }
+}
+
+/// A conditional write of a leader record that the election wants.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RecordWrite {
+    /// The function.
+    pub function: String,
+    /// The version that must stand for the write to count.
+    pub expected: u64,
+    /// What to write.
+    pub record: LeaderRecord,
+    /// Claims and releases are hasty; renewals wait for company.
+    pub hasty: bool,
+}
+
+/// What became of a steward's term, for the decision stream.
+#[derive(Clone, Debug, PartialEq)]
+pub enum TermChange {
+    /// This node is steward now; `past_gate` when the fallback was used.
+    Taken { function: String, steward_epoch: u64, past_gate: bool, waited: Micros },
+    /// This node is steward no more.
+    Lost { function: String, steward_epoch: u64, why: &'static str },
+}
+
+#[derive(Clone, Debug)]
+struct ObserverCopy {
+    version: u64,
+    record: Option<LeaderRecord>,
+    observed_at: Micros,
+    idle_polls: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Claim {
+    record: LeaderRecord,
+    sent_at: Micros,
+    past_gate: bool,
+    candidate_since: Micros,
+}
+
+#[derive(Clone, Debug)]
+struct Term {
+    version: u64,
+    record: LeaderRecord,
+    /// When the last acknowledged write was sent: the term ends a lease after that.
+    acknowledged_sent_at: Micros,
+    renewal_sent_at: Option<Micros>,
+    renewal_due: Micros,
+    releasing: bool,
+}
+
+/// One node's part in all elections. Example: `Election::new(7, ElectionSettings::default())`.
+#[derive(Debug)]
+pub struct Election {
+    own: NodeId,
+    settings: ElectionSettings,
+    functions: BTreeSet<String>,
+    copies: BTreeMap<String, ObserverCopy>,
+    claims: BTreeMap<String, Claim>,
+    terms: BTreeMap<String, Term>,
+    called: BTreeSet<String>,
+    draining: bool,
+    changes: Vec<TermChange>,
+    gate_refusals: u64,
+    lost_races: u64,
+    passed_gate_over: u64,
+}
+
+/// An unanswered write is sent anew after this.
+const WRITE_PATIENCE: Micros = Micros::from_millis(1_200);
+
+impl Election {
+    /// A follower of everything. Example: `Election::new(7, settings).own_count() == 0`.
+    pub fn new(own: NodeId, settings: ElectionSettings) -> Election {
+        Election {
+            own,
+            settings,
+            functions: BTreeSet::new(),
+            copies: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            terms: BTreeMap::new(),
+            called: BTreeSet::new(),
+            draining: false,
+            changes: Vec::new(),
+            gate_refusals: 0,
+            lost_races: 0,
+            passed_gate_over: 0,
+        }
+    }
+
+    /// The functions of the current configuration. Example: `election.take_functions(names)`.
+    pub fn take_functions(&mut self, functions: BTreeSet<String>) {
+        self.functions = functions;
+        let functions = &self.functions;
+        self.copies.retain(|function, _| functions.contains(function));
+    }
+
+    /// Takes a polled record; an unchanged one leaves the observer copy's time alone.
+    /// Example: `election.observe("proof", 4, Some(record), now)`.
+    pub fn observe(&mut self, function: &str, version: u64, record: Option<LeaderRecord>, now: Micros) {
+        if !self.functions.contains(function) {
+            return;
+        }
+        let record = record.filter(|leaderRecord| leaderRecord.holder != 0);
+        match self.copies.get_mut(function) {
+            // The owner's answers may arrive out of order: a copy never goes back.
+            Some(copy) if copy.version > version => {}
+            Some(copy) if copy.version == version => {
+                let isHeld = copy.record.as_ref().is_some_and(|held| now < copy.observed_at + lease_of(held));
+                copy.idle_polls = if isHeld { 0 } else { copy.idle_polls + 1 };
+            }
+            _ => {
+                let copy = ObserverCopy { version, record, observed_at: now, idle_polls: 0 };
+                self.copies.insert(function.to_owned(), copy);
+            }
+        }
+    }
+
+    /// A call waits on this function and nobody holds it: the election is tried at once.
+    /// Example: `election.call_waits("proof")`.
+    pub fn call_waits(&mut self, function: &str) {
+        if self.functions.contains(function) {
+            self.called.insert(function.to_owned());
+        }
+    }
+
+    /// Whether a poll should come soon rather than at the next interval: something is unheld.
+    /// Example: `if election.is_unsettled(now) { poll_event.hasten() }`.
+    pub fn is_unsettled(&self, now: Micros) -> bool {
+        self.functions
+            .iter()
+            .any(|function| self.holder(function, now).is_none() && !self.claims.contains_key(function))
+    }
+
+    /// Who holds the function by this node's observation, with the steward epoch.
+    /// Example: `election.holder("proof", now) == Some((7, 12))`.
+    pub fn holder(&self, function: &str, now: Micros) -> Option<(NodeId, u64)> {
+        if let Some(stewardEpoch) = self.term(function, now) {
+            return Some((self.own, stewardEpoch));
+        }
+        let copy = self.copies.get(function)?;
+        let record = copy.record.as_ref()?;
+        if record.holder == self.own || now >= copy.observed_at + lease_of(record) {
+            return None;
+        }
+        Some((record.holder, record.steward_epoch))
+    }
+
+    /// The epoch under which this node may act as steward now. The term ends one lease after the
+    /// last acknowledged write was *sent*, which is before any follower's observation can run out.
+    /// Example: `let Some(epoch) = election.term("proof", now) else { return };`.
+    pub fn term(&self, function: &str, now: Micros) -> Option<u64> {
+        let term = self.terms.get(function)?;
+        let stands = !term.releasing && now < term.acknowledged_sent_at + lease_of(&term.record);
+        stands.then_some(term.record.steward_epoch)
+    }
+
+    /// Functions this node is steward of now. Example: `election.held(now).len()`.
+    pub fn held(&self, now: Micros) -> Vec<String> {
+        self.terms.keys().filter(|function| self.term(function, now).is_some()).cloned().collect()
+    }
+
+    /// Own count: terms and claims in flight. Example: `election.own_count() <= 16`.
+    pub fn own_count(&self) -> usize {
+        self.terms.len() + self.claims.len()
+    }
+
+    /// Leaders counted by holder, folded from the records: the paper's tally.
+    /// Example: `election.tally(&members, now)[&7]`.
+    pub fn tally(&self, members: &[NodeId], now: Micros) -> BTreeMap<NodeId, usize> {
+        let mut counts: BTreeMap<NodeId, usize> = members.iter().map(|node| (*node, 0)).collect();
+        for (function, copy) in &self.copies {
+            if self.terms.contains_key(function) || self.claims.contains_key(function) {
+                continue;
+            }
+            let Some(record) = &copy.record else { continue };
+            let isHeld = now < copy.observed_at + lease_of(record);
+            if isHeld
+                && record.holder != self.own
+                && let Some(count) = counts.get_mut(&record.holder)
+            {
+                *count += 1;
+            }
+        }
+        counts.insert(self.own, self.own_count());
+        counts
+    }
+
+    /// Counts for measuring: gate refusals, lost races, gates passed over.
+    /// Example: `let (refused, lost, passed) = election.counts();`.
+    pub fn counts(&self) -> (u64, u64, u64) {
+        (self.gate_refusals, self.lost_races, self.passed_gate_over)
+    }
+
+    /// Whether this node's term on a copied record should be taken back up: after a lost answer the
+    /// record may name this node although no term is known.
+    fn names_own(&self, copy: &ObserverCopy) -> bool {
+        copy.record.as_ref().is_some_and(|record| record.holder == self.own)
+    }
+
+    /// Stops claiming and gives every term back. Example: `let releases = election.release_all(now);`.
+    pub fn release_all(&mut self, now: Micros) -> Vec<RecordWrite> {
+        self.draining = true;
+        let held: Vec<String> = self.terms.keys().cloned().collect();
+        held.into_iter().filter_map(|function| self.release(&function, now)).collect()
+    }
+
+    /// Gives one term back, at once and before its lease ends.
+    /// Example: `election.release("proof", now)`.
+    pub fn release(&mut self, function: &str, now: Micros) -> Option<RecordWrite> {
+        let term = self.terms.get_mut(function)?;
+        term.releasing = true;
+        term.renewal_sent_at = Some(now);
+        let record =
+            LeaderRecord { holder: 0, renew_count: term.record.renew_count + 1, ..term.record.clone() };
+        let stewardEpoch = term.record.steward_epoch;
+        let write =
+            RecordWrite { function: function.to_owned(), expected: term.version, record, hasty: true };
+        self.changes.push(TermChange::Lost {
+            function: function.to_owned(),
+            steward_epoch: stewardEpoch,
+            why: "released",
+        });
+        Some(write)
+    }
+
+    /// Whether all releases were answered. Example: `if election.is_empty() { exit }`.
+    pub fn is_empty(&self) -> bool {
+        self.terms.is_empty() && self.claims.is_empty()
+    }
+
+    /// The writes that are due: renewals of what is held, then claims that pass the gate.
+    /// `members` are the nodes believed alive and not draining: the paper's N.
+    /// Example: `for write in election.tick(&members, now) { send(write) }`.
+    pub fn tick(&mut self, members: &[NodeId], now: Micros) -> Vec<RecordWrite> {
+        let mut writes = Vec::new();
+        self.end_terms(now);
+        self.renew(now, &mut writes);
+        if !self.draining {
+            self.claim(members, now, &mut writes);
+        }
+        writes
+    }
+
+    /// The changes since the last call. Example: `for change in election.take_changes() { .. }`.
+    pub fn take_changes(&mut self) -> Vec<TermChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn end_terms(&mut self, now: Micros) {
+        let functions = &self.functions;
+        let changes = &mut self.changes;
+        self.terms.retain(|function, term| {
+            let isOver = now >= term.acknowledged_sent_at + lease_of(&term.record);
+            let isUnknown = !functions.contains(function) && !term.releasing;
+            if isOver && !term.releasing {
+                changes.push(TermChange::Lost {
+                    function: function.clone(),
+                    steward_epoch: term.record.steward_epoch,
+                    why: "lease ran out",
+                });
+            }
+            if isUnknown && !isOver {
+                changes.push(TermChange::Lost {
+                    function: function.clone(),
+                    steward_epoch: term.record.steward_epoch,
+                    why: "function no longer configured",
+                });
+            }
+            !isOver && !isUnknown
+        });
+        let called = &mut self.called;
+        self.claims.retain(|function, claim| {
+            let isOpen = now < claim.sent_at + WRITE_PATIENCE;
+            if !isOpen {
+                called.remove(function);
+            }
+            isOpen
+        });
+    }
+
+    fn renew(&mut self, now: Micros, writes: &mut Vec<RecordWrite>) {
+        for (function, term) in &mut self.terms {
+            let isWaiting = term.renewal_sent_at.is_some_and(|sentAt| now < sentAt + WRITE_PATIENCE);
+            if term.releasing || isWaiting || now < term.renewal_due {
+                continue;
+            }
+            term.renewal_sent_at = Some(now);
+            term.renewal_due = now + self.settings.renewal;
+            let record = LeaderRecord {
+                renew_count: term.record.renew_count + 1,
+                lease_micros: self.settings.lease.0,
+                ..term.record.clone()
+            };
+            writes.push(RecordWrite {
+                function: function.clone(),
+                expected: term.version,
+                record,
+                hasty: false,
+            });
+        }
+    }
+
+    fn claim(&mut self, members: &[NodeId], now: Micros, writes: &mut Vec<RecordWrite>) {
+        if !members.contains(&self.own) {
+            return;
+        }
+        // Called functions first; the rest in this node's own rendezvous order, so that nodes
+        // begin at different functions.
+        let mut candidates: Vec<(bool, u64, String)> = Vec::new();
+        for function in &self.functions {
+            let Some(copy) = self.copies.get(function) else { continue };
+            let isHeld = copy
+                .record
+                .as_ref()
+                .is_some_and(|record| now < copy.observed_at + lease_of(record) && !self.names_own(copy));
+            if isHeld || self.terms.contains_key(function) || self.claims.contains_key(function) {
+                continue;
+            }
+            let isCalled = self.called.contains(function);
+            candidates.push((!isCalled, u64::MAX - rendezvous_weight(function, self.own), function.clone()));
+        }
+        if candidates.is_empty() {
+            self.called.clear();
+            return;
+        }
+        candidates.sort();
+        let mut counts = self.tally(members, now);
+        let mut clusterCount: usize = counts.values().sum();
+        for (_, _, function) in candidates {
+            if self.claims.len() >= self.settings.claims_at_once {
+                return;
+            }
+            let ownCount = counts.get(&self.own).copied().unwrap_or(0);
+            let passesGate =
+                !self.settings.gate || ownCount as f64 <= (clusterCount as f64 + 1.0) / members.len() as f64;
+            let isFallback = !passesGate && self.is_next_without_gate(&function, members, &counts);
+            if !passesGate && !isFallback {
+                self.gate_refusals += 1;
+                continue;
+            }
+            let Some(copy) = self.copies.get(&function) else { continue };
+            let record = LeaderRecord {
+                holder: self.own,
+                renew_count: 0,
+                lease_micros: self.settings.lease.0,
+                steward_epoch: copy.version + 1,
+            };
+            writes.push(RecordWrite {
+                function: function.clone(),
+                expected: copy.version,
+                record: record.clone(),
+                hasty: true,
+            });
+            let candidateSince =
+                copy.record.as_ref().map_or(copy.observed_at, |held| copy.observed_at + lease_of(held));
+            self.passed_gate_over += u64::from(isFallback);
+            self.claims.insert(
+                function,
+                Claim { record, sent_at: now, past_gate: isFallback, candidate_since: candidateSince },
+            );
+            clusterCount += 1;
+            *counts.entry(self.own).or_default() += 1;
+        }
+    }
+
+    /// The smallest exception: nobody held it for several polls, and this node comes next by
+    /// (own count, rendezvous weight); one node more is let in with each further poll.
+    fn is_next_without_gate(
+        &self,
+        function: &str,
+        members: &[NodeId],
+        counts: &BTreeMap<NodeId, usize>,
+    ) -> bool {
+        let Some(copy) = self.copies.get(function) else { return false };
+        let Some(patience) = copy.idle_polls.checked_sub(self.settings.polls_before_fallback) else {
+            return false;
+        };
+        let mut order: Vec<(usize, u64, NodeId)> = members
+            .iter()
+            .map(|node| {
+                let count = counts.get(node).copied().unwrap_or(0);
+                (count, u64::MAX - rendezvous_weight(function, *node), *node)
+            })
+            .collect();
+        order.sort();
+        order.iter().take(patience as usize + 1).any(|(_, _, node)| *node == self.own)
+    }
+
+    /// The write stands at `version`. Example: `election.written("proof", 4, &record, now)`.
+    pub fn written(&mut self, function: &str, version: u64, record: &LeaderRecord, now: Micros) {
+        if let Some(term) = self.terms.get_mut(function)
+            && (record.steward_epoch == term.record.steward_epoch)
+        {
+            if record.holder != self.own {
+                self.terms.remove(function);
+                let copy = ObserverCopy { version, record: None, observed_at: now, idle_polls: 0 };
+                self.copies.insert(function.to_owned(), copy);
+                return;
+            }
+            if let Some(sentAt) = term.renewal_sent_at.take() {
+                term.acknowledged_sent_at = sentAt;
+            }
+            term.version = version;
+            term.record = record.clone();
+            self.observe(function, version, Some(record.clone()), now);
+            return;
+        }
+        let Some(claim) = self.claims.get(function) else { return };
+        if claim.record != *record {
+            return;
+        }
+        let claim = claim.clone();
+        self.claims.remove(function);
+        self.called.remove(function);
+        self.observe(function, version, Some(record.clone()), now);
+        let term = Term {
+            version,
+            record: record.clone(),
+            acknowledged_sent_at: claim.sent_at,
+            renewal_sent_at: None,
+            renewal_due: claim.sent_at + self.settings.renewal,
+            releasing: false,
+        };
+        self.terms.insert(function.to_owned(), term);
+        self.changes.push(TermChange::Taken {
+            function: function.to_owned(),
+            steward_epoch: record.steward_epoch,
+            past_gate: claim.past_gate,
+            waited: now - claim.candidate_since,
+        });
+    }
+
+    /// Another version stands: refresh the copy and be a follower.
+    /// Example: `election.differs("proof", 5, Some(theirs), now)`.
+    pub fn differs(&mut self, function: &str, version: u64, record: Option<LeaderRecord>, now: Micros) {
+        // A repeated write whose first answer was lost finds its own record standing.
+        if let Some(standing) = &record
+            && self.is_own_write(function, standing)
+        {
+            self.written(function, version, &standing.clone(), now);
+            return;
+        }
+        if self.claims.remove(function).is_some() {
+            self.lost_races += 1;
+            self.called.remove(function);
+        }
+        if let Some(term) = self.terms.remove(function)
+            && !term.releasing
+        {
+            self.changes.push(TermChange::Lost {
+                function: function.to_owned(),
+                steward_epoch: term.record.steward_epoch,
+                why: "another record stands",
+            });
+        }
+        self.observe(function, version, record, now);
+    }
+
+    fn is_own_write(&self, function: &str, standing: &LeaderRecord) -> bool {
+        if let Some(claim) = self.claims.get(function) {
+            return claim.record == *standing;
+        }
+        self.terms.get(function).is_some_and(|term| {
+            standing.steward_epoch == term.record.steward_epoch
+                && standing.renew_count == term.record.renew_count + 1
+                && (standing.holder == self.own || term.releasing)
+        })
+    }
+
+    /// No answer of worth came: claims are dropped, renewals tried again at once.
+    /// Example: `election.unanswered("proof", now)`.
+    pub fn unanswered(&mut self, function: &str, now: Micros) {
+        self.claims.remove(function);
+        self.called.remove(function);
+        if let Some(term) = self.terms.get_mut(function)
+            && !term.releasing
+        {
+            term.renewal_sent_at = None;
+            term.renewal_due = now + Micros::from_millis(100);
+        }
+    }
+}
+
+fn lease_of(record: &LeaderRecord) -> Micros {
+    Micros(record.lease_micros)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A register for each function, written at once; every node polls every `poll`.
+    struct Bench {
+        nodes: Vec<Election>,
+        registers: BTreeMap<String, (u64, Option<LeaderRecord>)>,
+        functions: BTreeSet<String>,
+    }
+
+    impl Bench {
+        fn new(nodeCount: u64, functionCount: usize, settings: ElectionSettings) -> Bench {
+            let functions: BTreeSet<String> =
+                (0..functionCount).map(|number| format!("function-{number}")).collect();
+            let registers = functions.iter().map(|name| (name.clone(), (0, None))).collect();
+            let mut nodes: Vec<Election> =
+                (1..=nodeCount).map(|node| Election::new(node, settings.clone())).collect();
+            nodes.iter_mut().for_each(|node| node.take_functions(functions.clone()));
+            Bench { nodes, registers, functions }
+        }
+
+        fn run(&mut self, fromMillis: u64, toMillis: u64, down: &[NodeId]) {
+            let members: Vec<NodeId> =
+                self.nodes.iter().map(|node| node.own).filter(|node| !down.contains(node)).collect();
+            for millisecond in (fromMillis..toMillis).step_by(50) {
+                let now = Micros::from_millis(millisecond);
+                for node in self.nodes.iter_mut().filter(|node| !down.contains(&node.own)) {
+                    if millisecond % 500 == (node.own * 50) % 500 || node.is_unsettled(now) {
+                        for (function, (version, record)) in &self.registers {
+                            node.observe(function, *version, record.clone(), now);
+                        }
+                    }
+                    for write in node.tick(&members, now) {
+                        let register = self.registers.get_mut(&write.function).expect("a known function");
+                        if register.0 != write.expected {
+                            node.differs(&write.function, register.0, register.1.clone(), now);
+                            continue;
+                        }
+                        *register = (register.0 + 1, Some(write.record.clone()));
+                        node.written(&write.function, register.0, &write.record, now);
+                    }
+                }
+                // One steward acting for each function at any time.
+                for function in &self.functions {
+                    let acting = self.nodes.iter().filter(|node| node.term(function, now).is_some()).count();
+                    assert!(acting <= 1, "{function} at {now:?}");
+                }
+            }
+        }
+
+        fn spread(&self, now: Micros) -> Vec<usize> {
+            self.nodes.iter().map(|node| node.held(now).len()).collect()
+        }
+    }
+
+    #[test]
+    fn stewards_spread_evenly_and_a_dead_nodes_functions_go_to_the_least_loaded() {
+        let mut bench = Bench::new(10, 158, ElectionSettings::default());
+        bench.run(0, 10_000, &[]);
+        let spread = bench.spread(Micros::from_millis(9_950));
+        assert_eq!(spread.iter().sum::<usize>(), 158);
+        assert!(spread.iter().all(|count| (15..=17).contains(count)), "{spread:?}");
+        bench.run(10_000, 20_000, &[3, 7]);
+        let spread = bench.spread(Micros::from_millis(19_950));
+        assert_eq!(spread.iter().sum::<usize>(), 158);
+        assert!(
+            (0..10).all(|place| [2, 6].contains(&place) || (18..=21).contains(&spread[place])),
+            "{spread:?}"
+        );
+    }
+
+    #[test]
+    fn a_term_ends_a_lease_after_its_last_acknowledged_renewal_was_sent() {
+        let mut bench = Bench::new(1, 1, ElectionSettings::default());
+        bench.run(0, 2_000, &[]);
+        let node = &bench.nodes[0];
+        let lastSent = node.terms["function-0"].acknowledged_sent_at;
+        let leaseEnd = lastSent + Micros::from_secs(3);
+        assert!(node.term("function-0", leaseEnd - Micros(1)).is_some());
+        assert!(node.term("function-0", leaseEnd).is_none());
+    }
+
+    #[test]
+    fn the_fallback_claims_when_the_least_loaded_never_does() {
+        // Node 1 holds its share; node 2 is a member that never claims.
+        let mut bench = Bench::new(2, 3, ElectionSettings::default());
+        let members = [1, 2];
+        let mut takenPastGate = 0;
+        for millisecond in (0..6_000u64).step_by(100) {
+            let now = Micros::from_millis(millisecond);
+            let node = &mut bench.nodes[0];
+            for (function, (version, record)) in &bench.registers {
+                node.observe(function, *version, record.clone(), now);
+            }
+            for write in node.tick(&members, now) {
+                let register = bench.registers.get_mut(&write.function).expect("a known function");
+                *register = (register.0 + 1, Some(write.record.clone()));
+                node.written(&write.function, register.0, &write.record, now);
+            }
+            for change in node.take_changes() {
+                takenPastGate += usize::from(matches!(change, TermChange::Taken { past_gate: true, .. }));
+            }
+        }
+        assert_eq!(bench.nodes[0].held(Micros::from_millis(5_900)).len(), 3);
+        assert!((1..3).contains(&takenPastGate), "{takenPastGate}");
+    }
+}
