--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -83,6 +83,12 @@
         HeldTicket { ticket: Ticket, ends_in_micros: u64, }
         NewsItem { topic: Text, origin: NodeId, sequence: u64, body: Bytes, }
         NewsMark { topic: Text, sequence: u64, }
+        DemandEntry { function: Text, memory_mb: u64, milli_starts: u64, }
+        /// What a node's functions want, as news.
+        DemandNews { entries: List<DemandEntry>, }
+        CellEntry { cell: Text, address: Address, }
+        /// The cells a steward knows to run, as news for deputies.
+        CellsNews { cells: List<CellEntry>, }
         DecisionLine { node: NodeId, sequence: u64, line: Text, }
         CursorMark { node: NodeId, sequence: u64, }
     }
--- /dev/null
+++ b/packages/configuration_check/src/lib.rs
@@ -0,0 +1,319 @@
+//! Reading, checking and changing the operator's configuration.
+//!
+//! A document is checked against the shipped schema and then for meaning; all reasons are reported,
+//! each with its JSON path. A change is applied to the stored document as one step: it takes effect
+//! whole under a new generation, or not at all.
+
+mod changes;
+
+pub use changes::{Change, ChangeOutcome, StoredConfiguration};
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::LazyLock;
+
+/// The schema that is shipped with vanelane. Example: `vanelane schema` prints it.
+pub const SCHEMA: &str = include_str!("../configuration.schema.json");
+/// The longest configuration document.
+pub const DOCUMENT_LIMIT: usize = 8 * 1024 * 1024;
+/// The most reasons told of one document.
+const REASON_LIMIT: usize = 100;
+
+/// One reason against a document. Example: `Reason::at("/lanes/a/function", "no such function")`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reason {
+    /// Where: a JSON pointer.
+    pub path: String,
+    /// What is wrong there.
+    pub reason: String,
+}
+
+impl Reason {
+    /// A reason at a place. Example: `Reason::at("", "not JSON").path.is_empty()`.
+    pub fn at(path: impl Into<String>, reason: impl Into<String>) -> Reason {
+        Reason { path: path.into(), reason: reason.into() }
+    }
+}
+
+/// Declares a part of the document, with serde derives and defaults.
+macro_rules! document_parts {
+    ($($(#[$note:meta])* $part:ident { $($(#[$fieldNote:meta])* $field:ident: $type:ty,)* })*) => {
+        $($(#[$note])*
+        #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+        pub struct $part { $($(#[$fieldNote])* pub $field: $type,)* })*
+    };
+}
+
+document_parts! {
+    /// A node of the tree of shares. Example: `{"parent": "all", "weight": 3}`.
+    Allowance {
+        /// None for a root.
+        #[serde(default)] parent: Option<String>,
+        /// The share beside its siblings.
+        weight: f64,
+        /// Memory it gets first, if it wants it.
+        #[serde(default)] memory_floor_mb: Option<f64>,
+        /// Memory it never passes.
+        #[serde(default)] memory_ceiling_mb: Option<f64>,
+        /// Starts a second it gets first.
+        #[serde(default)] starts_floor_per_second: Option<f64>,
+        /// Starts a second it never passes.
+        #[serde(default)] starts_ceiling_per_second: Option<f64>,
+    }
+    /// What runs in cells. Example: `{"allowance": "busy", "cell_memory_mb": 600, "calls_at_once": 4}`.
+    Function {
+        /// The tree's node it is a leaf of.
+        allowance: String,
+        /// The share beside its siblings.
+        #[serde(default = "default_weight")] weight: f64,
+        /// Memory of one cell.
+        cell_memory_mb: u64,
+        /// Calls one cell may run at once.
+        calls_at_once: u32,
+        /// How long a cell boots, until that is learnt.
+        #[serde(default = "default_boot")] boot_millis: u64,
+        /// How long a cell may idle before it is stopped.
+        #[serde(default = "default_idle")] idle_seconds: u64,
+        /// Cells kept even when idle.
+        #[serde(default)] least_cells: u32,
+        /// Cells never passed.
+        #[serde(default = "default_most")] most_cells: u32,
+        /// Calls that may wait at the steward.
+        #[serde(default = "default_waitlist")] waitlist: u32,
+    }
+    /// Which calls go to a function. Example: `{"function": "proof", "path_prefix": "/proof"}`.
+    Lane {
+        /// Where its calls go.
+        function: String,
+        /// Only for this host, if named.
+        #[serde(default)] host: Option<String>,
+        /// Matched at whole path segments; the longest wins.
+        path_prefix: String,
+        /// Only these methods; all when empty.
+        #[serde(default)] methods: Vec<String>,
+        /// Whether a call whose fate is unknown may be dispatched again.
+        #[serde(default)] repeatable: bool,
+        /// How long a call may take in all, where the visitor names no shorter time.
+        #[serde(default = "default_patience")] patience_millis: u64,
+    }
+    /// A checked document. Example: `check(&document)?.lanes["proofs"].function`.
+    Configuration {
+        /// The tree of shares.
+        allowances: BTreeMap<String, Allowance>,
+        /// The functions.
+        functions: BTreeMap<String, Function>,
+        /// The lanes.
+        lanes: BTreeMap<String, Lane>,
+    }
+}
+
+fn default_weight() -> f64 {
+    1.0
+}
+fn default_boot() -> u64 {
+    1_000
+}
+fn default_idle() -> u64 {
+    60
+}
+fn default_most() -> u32 {
+    1_000
+}
+fn default_waitlist() -> u32 {
+    256
+}
+fn default_patience() -> u64 {
+    4_000
+}
+
+impl Configuration {
+    /// The configuration before any change. Example: `Configuration::empty().lanes.is_empty()`.
+    pub fn empty() -> Configuration {
+        Configuration { allowances: BTreeMap::new(), functions: BTreeMap::new(), lanes: BTreeMap::new() }
+    }
+}
+
+static VALIDATOR: LazyLock<Result<jsonschema::Validator, String>> = LazyLock::new(|| {
+    let schemaValue: Value = serde_json::from_str(SCHEMA).map_err(|failure| failure.to_string())?;
+    jsonschema::validator_for(&schemaValue).map_err(|failure| failure.to_string())
+});
+
+/// Checks a document by schema and meaning; every reason comes with its path.
+/// Example: `check(&json!({"lanes": 3})).unwrap_err()[0].path == "/lanes"`.
+pub fn check(document: &Value) -> Result<Configuration, Vec<Reason>> {
+    let validator = match &*VALIDATOR {
+        Ok(validator) => validator,
+        Err(failure) => return Err(vec![Reason::at("", format!("the shipped schema: {failure}"))]),
+    };
+    let schemaReasons: Vec<Reason> = validator
+        .iter_errors(document)
+        .take(REASON_LIMIT)
+        .map(|failure| Reason::at(failure.instance_path().to_string(), failure.to_string()))
+        .collect();
+    if !schemaReasons.is_empty() {
+        return Err(schemaReasons);
+    }
+    let configuration = match Configuration::deserialize(document) {
+        Ok(configuration) => configuration,
+        Err(failure) => return Err(vec![Reason::at("", failure.to_string())]),
+    };
+    let mut reasons = Vec::new();
+    check_allowances(&configuration, &mut reasons);
+    check_functions(&configuration, &mut reasons);
+    check_lanes(&configuration, &mut reasons);
+    reasons.truncate(REASON_LIMIT);
+    if reasons.is_empty() { Ok(configuration) } else { Err(reasons) }
+}
+
+fn check_allowances(configuration: &Configuration, reasons: &mut Vec<Reason>) {
+    for (name, allowance) in &configuration.allowances {
+        let place = format!("/allowances/{name}");
+        if let Some(parent) = &allowance.parent
+            && !configuration.allowances.contains_key(parent)
+        {
+            reasons.push(Reason::at(format!("{place}/parent"), format!("no allowance named {parent}")));
+        }
+        if is_circular(configuration, name) {
+            reasons.push(Reason::at(format!("{place}/parent"), "the tree runs in a circle"));
+            continue;
+        }
+        let pairs = [
+            ("memory_floor_mb", allowance.memory_floor_mb, allowance.memory_ceiling_mb),
+            (
+                "starts_floor_per_second",
+                allowance.starts_floor_per_second,
+                allowance.starts_ceiling_per_second,
+            ),
+        ];
+        for (field, floor, ceiling) in pairs {
+            if floor.zip(ceiling).is_some_and(|(low, high)| low > high) {
+                reasons.push(Reason::at(format!("{place}/{field}"), "the floor is above the ceiling"));
+            }
+        }
+        let childFloors = |floor: fn(&Allowance) -> Option<f64>| -> f64 {
+            let children =
+                configuration.allowances.values().filter(|child| child.parent.as_ref() == Some(name));
+            children.filter_map(floor).sum()
+        };
+        let floorSums = [
+            ("memory_ceiling_mb", childFloors(|child| child.memory_floor_mb), allowance.memory_ceiling_mb),
+            (
+                "starts_ceiling_per_second",
+                childFloors(|child| child.starts_floor_per_second),
+                allowance.starts_ceiling_per_second,
+            ),
+        ];
+        for (field, floorSum, ceiling) in floorSums {
+            if ceiling.is_some_and(|high| floorSum > high) {
+                let reason = format!("the children's floors add up to {floorSum}, above this ceiling");
+                reasons.push(Reason::at(format!("{place}/{field}"), reason));
+            }
+        }
+    }
+}
+
+fn is_circular(configuration: &Configuration, start: &str) -> bool {
+    let mut seenNames = BTreeSet::new();
+    let mut currentName = start;
+    while seenNames.insert(currentName) {
+        let parentName =
+            configuration.allowances.get(currentName).and_then(|allowance| allowance.parent.as_deref());
+        let Some(parentName) = parentName else { return false };
+        currentName = parentName;
+    }
+    true
+}
+
+fn check_functions(configuration: &Configuration, reasons: &mut Vec<Reason>) {
+    for (name, function) in &configuration.functions {
+        let place = format!("/functions/{name}");
+        let Some(allowance) = configuration.allowances.get(&function.allowance) else {
+            let reason = format!("no allowance named {}", function.allowance);
+            reasons.push(Reason::at(format!("{place}/allowance"), reason));
+            continue;
+        };
+        if allowance.memory_ceiling_mb.is_some_and(|ceiling| (function.cell_memory_mb as f64) > ceiling) {
+            let reason = "one cell is larger than its allowance's memory ceiling";
+            reasons.push(Reason::at(format!("{place}/cell_memory_mb"), reason));
+        }
+        if function.least_cells > function.most_cells {
+            let reason = "least_cells is above most_cells";
+            reasons.push(Reason::at(format!("{place}/least_cells"), reason));
+        }
+    }
+}
+
+fn check_lanes(configuration: &Configuration, reasons: &mut Vec<Reason>) {
+    let mut takenPlaces: BTreeMap<(Option<&str>, &str, &str), &str> = BTreeMap::new();
+    for (name, lane) in &configuration.lanes {
+        let place = format!("/lanes/{name}");
+        if !configuration.functions.contains_key(&lane.function) {
+            let reason = format!("no function named {}", lane.function);
+            reasons.push(Reason::at(format!("{place}/function"), reason));
+        }
+        let trimmedPrefix = lane.path_prefix.trim_end_matches('/');
+        let methods: Vec<&str> = match lane.methods.is_empty() {
+            true => vec!["any"],
+            false => lane.methods.iter().map(String::as_str).collect(),
+        };
+        for method in methods {
+            let key = (lane.host.as_deref(), trimmedPrefix, method);
+            if let Some(otherName) = takenPlaces.insert(key, name) {
+                let reason = format!("lane {otherName} takes the same calls");
+                reasons.push(Reason::at(format!("{place}/path_prefix"), reason));
+                break;
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    pub(crate) fn small_document() -> Value {
+        json!({
+            "allowances": { "all": { "weight": 1 }, "busy": { "parent": "all", "weight": 3 } },
+            "functions": { "proof": { "allowance": "busy", "cell_memory_mb": 600, "calls_at_once": 4 } },
+            "lanes": { "proofs": { "function": "proof", "path_prefix": "/proof" } }
+        })
+    }
+
+    fn paths(document: &Value) -> Vec<String> {
+        check(document).expect_err("a refused document").into_iter().map(|reason| reason.path).collect()
+    }
+
+    #[test]
+    fn every_reason_is_told_with_its_path() {
+        assert!(check(&small_document()).is_ok());
+        let mut badShape = small_document();
+        badShape["allowances"]["all"]["weight"] = json!(0);
+        badShape["lanes"]["proofs"]["path_prefix"] = json!("proof");
+        badShape["surprise"] = json!(1);
+        let badPaths = paths(&badShape);
+        for wantedPath in ["/allowances/all/weight", "/lanes/proofs/path_prefix", ""] {
+            assert!(badPaths.contains(&wantedPath.to_owned()), "{wantedPath} in {badPaths:?}");
+        }
+        let mut badMeaning = small_document();
+        badMeaning["allowances"]["all"]["parent"] = json!("busy");
+        badMeaning["functions"]["other"] =
+            json!({ "allowance": "none", "cell_memory_mb": 1, "calls_at_once": 1 });
+        badMeaning["lanes"]["twin"] = json!({ "function": "ghost", "path_prefix": "/proof/" });
+        assert_eq!(
+            paths(&badMeaning),
+            [
+                "/allowances/all/parent",
+                "/allowances/busy/parent",
+                "/functions/other/allowance",
+                "/lanes/twin/function",
+                "/lanes/twin/path_prefix"
+            ]
+        );
+        let mut badFloors = small_document();
+        badFloors["allowances"]["all"]["memory_ceiling_mb"] = json!(100);
+        badFloors["allowances"]["busy"]["memory_floor_mb"] = json!(200);
+        assert_eq!(paths(&badFloors), ["/allowances/all/memory_ceiling_mb"]);
+    }
+}
--- /dev/null
+++ b/packages/steward_work/src/allowance_split.rs
@@ -0,0 +1,215 @@
+use configuration_check::{Allowance, Configuration};
+use std::collections::BTreeMap;
+
+/// What a function wants now. Example: `Demand { memory_mb: 1200.0, starts: 2.0 }`.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Memory of all the cells it wants.
+    pub memory_mb: f64,
+    /// Starts and stops a second it wants.
+    pub starts: f64,
+}
+
+/// What there is to split. Example: `Totals { memory_mb: 78_000.0, starts: 80.0 }`.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Totals {
+    /// Memory of all usable workers.
+    pub memory_mb: f64,
+    /// Starts and stops the platform accepts each second.
+    pub starts: f64,
+}
+
+/// What a function gets. Example: `shares["proof"].memory_mb`.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Share {
+    /// Memory for its cells.
+    pub memory_mb: f64,
+    /// Starts and stops a second.
+    pub starts: f64,
+}
+
+#[derive(Default)]
+struct TreeNode<'a> {
+    demand: f64,
+    weight: f64,
+    floor: f64,
+    ceiling: f64,
+    children: Vec<&'a str>,
+    leaves: Vec<&'a str>,
+}
+
+/// Splits the totals over the tree: at each node the floors first, then by weight up to the demand
+/// (hierarchical max-min). Every node computes the same split from the same inputs.
+///
+/// Example: two siblings of weights 3 and 1 that both want all of 80 get 60 and 20.
+pub fn allowance_split(
+    configuration: &Configuration,
+    demands: &BTreeMap<String, Demand>,
+    totals: Totals,
+) -> BTreeMap<String, Share> {
+    let memory = split_one(
+        configuration,
+        totals.memory_mb,
+        &|name| demands.get(name).map_or(0.0, |demand| demand.memory_mb),
+        &|allowance| (allowance.memory_floor_mb, allowance.memory_ceiling_mb),
+    );
+    let starts = split_one(
+        configuration,
+        totals.starts,
+        &|name| demands.get(name).map_or(0.0, |demand| demand.starts),
+        &|allowance| (allowance.starts_floor_per_second, allowance.starts_ceiling_per_second),
+    );
+    memory
+        .into_iter()
+        .map(|(name, memory_mb)| {
+            let share = Share { memory_mb, starts: starts.get(&name).copied().unwrap_or(0.0) };
+            (name, share)
+        })
+        .collect()
+}
+
+type Bounds = (Option<f64>, Option<f64>);
+
+fn split_one(
+    configuration: &Configuration,
+    total: f64,
+    demandOf: &dyn Fn(&str) -> f64,
+    boundsOf: &dyn Fn(&Allowance) -> Bounds,
+) -> BTreeMap<String, f64> {
+    let mut nodes: BTreeMap<&str, TreeNode> = BTreeMap::new();
+    let mut roots = Vec::new();
+    for (name, allowance) in &configuration.allowances {
+        let (floor, ceiling) = boundsOf(allowance);
+        let node = nodes.entry(name).or_default();
+        node.weight = allowance.weight;
+        node.floor = floor.unwrap_or(0.0);
+        node.ceiling = ceiling.unwrap_or(f64::INFINITY);
+        match &allowance.parent {
+            Some(parent) => nodes.entry(parent).or_default().children.push(name),
+            None => roots.push(name.as_str()),
+        }
+    }
+    for (name, function) in &configuration.functions {
+        nodes.entry(&function.allowance).or_default().leaves.push(name);
+    }
+    for root in &roots {
+        sum_demand(&mut nodes, root, demandOf);
+    }
+    let mut shares = BTreeMap::new();
+    let rootGrants = fill(total, roots.iter().map(|root| claim_of(&nodes[root])).collect());
+    for (root, granted) in roots.iter().zip(rootGrants) {
+        hand_down(configuration, &nodes, root, granted, demandOf, &mut shares);
+    }
+    shares
+}
+
+fn sum_demand(nodes: &mut BTreeMap<&str, TreeNode>, name: &str, demandOf: &dyn Fn(&str) -> f64) -> f64 {
+    let Some(node) = nodes.get(name) else { return 0.0 };
+    let (children, ceiling) = (node.children.clone(), node.ceiling);
+    let leafDemand: f64 = node.leaves.iter().map(|leaf| demandOf(leaf)).sum();
+    let childDemand: f64 = children.iter().map(|child| sum_demand(nodes, child, demandOf)).sum();
+    let demand = (leafDemand + childDemand).min(ceiling);
+    if let Some(node) = nodes.get_mut(name) {
+        node.demand = demand;
+    }
+    demand
+}
+
+struct Claim {
+    demand: f64,
+    weight: f64,
+    floor: f64,
+}
+
+fn claim_of(node: &TreeNode) -> Claim {
+    Claim { demand: node.demand, weight: node.weight, floor: node.floor }
+}
+
+fn hand_down(
+    configuration: &Configuration,
+    nodes: &BTreeMap<&str, TreeNode>,
+    name: &str,
+    granted: f64,
+    demandOf: &dyn Fn(&str) -> f64,
+    shares: &mut BTreeMap<String, f64>,
+) {
+    let node = &nodes[name];
+    let leafClaims = node.leaves.iter().map(|leaf| Claim {
+        demand: demandOf(leaf),
+        weight: configuration.functions.get(*leaf).map_or(1.0, |function| function.weight),
+        floor: 0.0,
+    });
+    let claims: Vec<Claim> =
+        node.children.iter().map(|child| claim_of(&nodes[child])).chain(leafClaims).collect();
+    let grants = fill(granted, claims);
+    for (child, grant) in node.children.iter().zip(&grants) {
+        hand_down(configuration, nodes, child, *grant, demandOf, shares);
+    }
+    for (leaf, grant) in node.leaves.iter().zip(&grants[node.children.len()..]) {
+        shares.insert((*leaf).to_owned(), *grant);
+    }
+}
+
+/// Max-min by weight: floors first, then water rises until demands or the total are met.
+fn fill(total: f64, claims: Vec<Claim>) -> Vec<f64> {
+    let floorOf = |claim: &Claim| claim.floor.min(claim.demand);
+    let floorSum: f64 = claims.iter().map(floorOf).sum();
+    let floorPart = if floorSum > total { total / floorSum } else { 1.0 };
+    let mut grants: Vec<f64> = claims.iter().map(|claim| floorOf(claim) * floorPart).collect();
+    let mut remaining = (total - grants.iter().sum::<f64>()).max(0.0);
+    let mut open: Vec<usize> =
+        (0..claims.len()).filter(|place| claims[*place].demand > grants[*place]).collect();
+    while remaining > 1e-9 && !open.is_empty() {
+        let weightSum: f64 = open.iter().map(|place| claims[*place].weight).sum();
+        // The level at which the first open claim is met, or the water ends.
+        let level = open
+            .iter()
+            .map(|place| (claims[*place].demand - grants[*place]) / claims[*place].weight)
+            .fold(remaining / weightSum, f64::min);
+        for place in &open {
+            grants[*place] += level * claims[*place].weight;
+        }
+        remaining -= level * weightSum;
+        open.retain(|place| claims[*place].demand - grants[*place] > 1e-9);
+    }
+    grants
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use configuration_check::Configuration;
+
+    fn configuration(text: &str) -> Configuration {
+        let document = text.parse().expect("JSON");
+        configuration_check::check(&document).expect("a checked document")
+    }
+
+    #[test]
+    fn floors_then_weights_up_to_the_demand_and_nothing_is_left_while_some_want() {
+        let tree = configuration(
+            r#"{"allowances": {"all": {"weight": 1},
+                "busy": {"parent": "all", "weight": 3},
+                "rare": {"parent": "all", "weight": 1, "memory_floor_mb": 30},
+                "capped": {"parent": "all", "weight": 10, "memory_ceiling_mb": 5}},
+              "functions": {
+                "a": {"allowance": "busy", "weight": 2, "cell_memory_mb": 1, "calls_at_once": 1},
+                "b": {"allowance": "busy", "weight": 1, "cell_memory_mb": 1, "calls_at_once": 1},
+                "c": {"allowance": "rare", "cell_memory_mb": 1, "calls_at_once": 1},
+                "d": {"allowance": "capped", "cell_memory_mb": 1, "calls_at_once": 1}},
+              "lanes": {}}"#,
+        );
+        let demand = |memory_mb| Demand { memory_mb, starts: 0.0 };
+        let share = |demands: [f64; 4]| {
+            let wanted =
+                ["a", "b", "c", "d"].iter().map(|name| name.to_string()).zip(demands.map(demand)).collect();
+            let shares = allowance_split(&tree, &wanted, Totals { memory_mb: 95.0, starts: 0.0 });
+            ["a", "b", "c", "d"].map(|name| (shares[name].memory_mb * 100.0).round() / 100.0)
+        };
+        // 5 to the capped one, 30 to the floor, the other 60 by 3 to 1.
+        assert_eq!(share([100.0, 100.0, 100.0, 100.0]), [30.0, 15.0, 45.0, 5.0]);
+        // What one does not want goes to those that do.
+        assert_eq!(share([100.0, 10.0, 0.0, 0.0]), [85.0, 10.0, 0.0, 0.0]);
+        assert_eq!(share([1.0, 2.0, 3.0, 4.0]), [1.0, 2.0, 3.0, 4.0]);
+    }
+}
--- /dev/null
+++ b/packages/steward_work/src/lib.rs
@@ -0,0 +1,27 @@
+//! A steward's work for its functions: tickets within what cells may run at once, the waitlist while
+//! cells boot, starting and stopping cells within the allowance tree, and the deputy's reduced part.
+//!
+//! All of it is pure: times and events come in, acts go out.
+
+mod allowance_split;
+mod deputy_work;
+mod function_work;
+mod placement;
+
+pub use allowance_split::{Demand, Share, Totals, allowance_split};
+pub use deputy_work::DeputyWork;
+pub use function_work::{
+    FunctionWork, HeldBackAs, ListedCell, ReadyCell, StartOutcome, WorkAct, WorkSettings,
+};
+pub use placement::{ListedWorker, Placement, StartRate};
+
+/// How a ticket came back: the cell ran the call and answered.
+pub const RAN: u8 = 0;
+/// The connection was refused: the call did not run.
+pub const NOT_RUN: u8 = 1;
+/// The cell turned the call away: it did not run.
+pub const TURNED_AWAY: u8 = 2;
+/// Some bytes may have reached the cell and no whole answer came back.
+pub const UNKNOWN: u8 = 3;
+/// The ticket was not used.
+pub const UNUSED: u8 = 4;
--- /dev/null
+++ b/packages/steward_work/src/placement.rs
@@ -0,0 +1,169 @@
+use clock_events::Micros;
+use colleague_messages::rendezvous_weight;
+use std::collections::BTreeMap;
+
+/// A worker as the platform lists it.
+/// Example: `ListedWorker { id: "w1".into(), memory_mb: 6500, draining: false }`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListedWorker {
+    /// The platform's name for it.
+    pub id: String,
+    /// All its memory.
+    pub memory_mb: u64,
+    /// It takes no new cells, and those it has will leave.
+    pub draining: bool,
+}
+
+#[derive(Clone, Debug)]
+struct RecentStart {
+    worker: String,
+    memory_mb: u64,
+    at: Micros,
+}
+
+/// Where cells go: the workers with most free memory, spread by rendezvous weight.
+/// Example: `placement.pick("proof", 600, start_id, &[], now)`.
+#[derive(Debug, Default)]
+pub struct Placement {
+    workers: Vec<ListedWorker>,
+    used: BTreeMap<String, u64>,
+    recent: Vec<RecentStart>,
+    full_until: BTreeMap<String, (u64, Micros)>,
+}
+
+/// A start is counted on its own until the late list surely shows it.
+const RECENT_SPAN: Micros = Micros::from_secs(4);
+const FULL_SPAN: Micros = Micros::from_secs(2);
+
+impl Placement {
+    /// Takes the platform's list: workers, and the memory its cells use on each.
+    /// Example: `placement.take_list(workers, used)`.
+    pub fn take_list(&mut self, workers: Vec<ListedWorker>, used: BTreeMap<String, u64>) {
+        self.workers = workers;
+        self.used = used;
+    }
+
+    /// Memory of all usable workers. Example: `placement.total_memory_mb() == 78_000`.
+    pub fn total_memory_mb(&self) -> u64 {
+        self.workers.iter().filter(|worker| !worker.draining).map(|worker| worker.memory_mb).sum()
+    }
+
+    /// Whether the worker is listed and not draining. Example: `!placement.is_usable("w9")`.
+    pub fn is_usable(&self, workerName: &str) -> bool {
+        self.workers.iter().any(|worker| worker.id == workerName && !worker.draining)
+    }
+
+    /// Picks a worker with room: of the three with most free memory the one that the start id
+    /// hashes to, so that many stewards placing at once do not all pick the same.
+    /// Example: `placement.pick("proof", 600, "7-1", now) == Some("w3".into())`.
+    pub fn pick(&mut self, memoryMb: u64, startId: &str, now: Micros) -> Option<String> {
+        self.recent.retain(|start| now < start.at + RECENT_SPAN);
+        self.full_until.retain(|_, (_, until)| now < *until);
+        let mut rooms: Vec<(u64, &str)> = self
+            .workers
+            .iter()
+            .filter(|worker| !worker.draining)
+            .filter(|worker| {
+                self.full_until.get(&worker.id).is_none_or(|(refusedMb, _)| memoryMb < *refusedMb)
+            })
+            .filter_map(|worker| {
+                let recentMb: u64 = self
+                    .recent
+                    .iter()
+                    .filter(|start| start.worker == worker.id)
+                    .map(|start| start.memory_mb)
+                    .sum();
+                let usedMb = self.used.get(&worker.id).copied().unwrap_or(0) + recentMb;
+                let freeMb = worker.memory_mb.checked_sub(usedMb)?;
+                (freeMb >= memoryMb).then_some((freeMb, worker.id.as_str()))
+            })
+            .collect();
+        rooms.sort_by(|left, right| right.cmp(left));
+        rooms.truncate(3);
+        let pickedWorker = rooms
+            .into_iter()
+            .max_by_key(|(_, workerId)| {
+                rendezvous_weight(startId, colleague_messages::stable_hash(workerId.as_bytes()))
+            })
+            .map(|(_, workerId)| workerId.to_owned())?;
+        self.recent.push(RecentStart { worker: pickedWorker.clone(), memory_mb: memoryMb, at: now });
+        Some(pickedWorker)
+    }
+
+    /// The worker refused a cell of this size: others are tried first for a while.
+    /// Example: `placement.refused("w3", 600, now)`.
+    pub fn refused(&mut self, workerName: &str, memoryMb: u64, now: Micros) {
+        self.full_until.insert(workerName.to_owned(), (memoryMb, now + FULL_SPAN));
+    }
+}
+
+/// This node's part of the starts and stops that the platform accepts.
+/// Example: `let mut rate = StartRate::new(); rate.take_rate(8.0, now); rate.spend(now)`.
+#[derive(Debug)]
+pub struct StartRate {
+    per_second: f64,
+    tokens: f64,
+    filled_at: Micros,
+    held_until: Micros,
+    hold: Micros,
+}
+
+const BURST: f64 = 4.0;
+const FIRST_HOLD: Micros = Micros::from_millis(100);
+const LONGEST_HOLD: Micros = Micros::from_millis(1_600);
+
+impl StartRate {
+    /// A full bucket that does not refill yet. Example: `StartRate::new().spend(Micros(0))`.
+    pub fn new() -> StartRate {
+        StartRate {
+            per_second: 0.0,
+            tokens: BURST,
+            filled_at: Micros(0),
+            held_until: Micros(0),
+            hold: FIRST_HOLD,
+        }
+    }
+
+    /// Sets the acts a second. Example: `rate.take_rate(8.0, now)`.
+    pub fn take_rate(&mut self, perSecond: f64, now: Micros) {
+        self.fill(now);
+        self.per_second = perSecond;
+    }
+
+    fn fill(&mut self, now: Micros) {
+        let passedSeconds = (now - self.filled_at).0 as f64 / 1e6;
+        self.filled_at = now;
+        self.tokens = (self.tokens + passedSeconds * self.per_second).min(BURST.max(self.per_second / 4.0));
+    }
+
+    /// Spends one act if there is one and the platform is not backing us off.
+    /// Example: `if rate.spend(now) { start_cell() }`.
+    pub fn spend(&mut self, now: Micros) -> bool {
+        self.fill(now);
+        if now < self.held_until || self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// The platform answered 429: hold, twice as long each time. Example: `rate.throttled(now)`.
+    pub fn throttled(&mut self, now: Micros) {
+        if now < self.held_until {
+            return;
+        }
+        self.held_until = now + self.hold;
+        self.hold = Micros((self.hold.0 * 2).min(LONGEST_HOLD.0));
+    }
+
+    /// The platform took an act. Example: `rate.accepted()`.
+    pub fn accepted(&mut self) {
+        self.hold = FIRST_HOLD;
+    }
+}
+
+impl Default for StartRate {
+    fn default() -> StartRate {
+        StartRate::new()
+    }
+}
