--- a/packages/configuration_check/src/changes.rs
+++ b/packages/configuration_check/src/changes.rs
@@ -102,6 +102,12 @@
         check(&self.document)
     }
 
+    /// The document as it was checked before it was stored, without checking it again.
+    /// Example: `stored.trusted().unwrap().lanes.len()`.
+    pub fn trusted(&self) -> Option<Configuration> {
+        Configuration::deserialize(&self.document).ok()
+    }
+
     /// Applies a change to what stands. On `Accepted` without repetition `self` is the next value to
     /// write; otherwise `self` is untouched.
     /// Example: `stored.apply(&change) == ChangeOutcome::Accepted { generation: 1, repeated: false }`.
--- /dev/null
+++ b/packages/node_protocol/src/call_part.rs
@@ -0,0 +1,255 @@
+//! This node's own calls: asking stewards and deputies for tickets, and the tickets it holds.
+
+use crate::node::Node;
+use crate::{Act, RefusedAs};
+use clock_events::Micros;
+use colleague_messages::{CellsNews, HeldTicket, List, Message, NodeId, Ticket};
+use deku::DekuContainerRead;
+use std::collections::BTreeMap;
+use steward_work::{ReadyCell, UNUSED};
+
+/// A steward that leaves an ask unanswered this long is passed over for the deputy.
+const STEWARD_PATIENCE: Micros = Micros::from_millis(200);
+/// A waiting ask is told again this often, so that both sides know of each other.
+const KEEP_ALIVE: Micros = Micros::from_millis(500);
+const ASK_AGAIN: Micros = Micros::from_millis(60);
+
+#[derive(Debug)]
+struct CallAsk {
+    function: String,
+    ends_at: Micros,
+    is_extra: bool,
+    avoid: String,
+    asked: Option<NodeId>,
+    asked_deputy: bool,
+    next_at: Micros,
+    tries: u32,
+}
+
+#[derive(Debug)]
+pub(crate) struct CallPart {
+    /// By call: a call has one ask at a time and the ask's number is the call's.
+    asks: BTreeMap<u64, CallAsk>,
+    held: BTreeMap<u64, (Ticket, Micros)>,
+    newest_epochs: BTreeMap<String, u64>,
+}
+
+impl CallPart {
+    pub(crate) fn new() -> CallPart {
+        CallPart { asks: BTreeMap::new(), held: BTreeMap::new(), newest_epochs: BTreeMap::new() }
+    }
+
+    pub(crate) fn held_for(&self, function: &str, now: Micros) -> Vec<HeldTicket> {
+        self.held
+            .values()
+            .filter(|(ticket, _)| ticket.function.0 == function)
+            .map(|(ticket, endsAt)| HeldTicket { ticket: ticket.clone(), ends_in_micros: (*endsAt - now).0 })
+            .collect()
+    }
+}
+
+impl Node {
+    pub(crate) fn call_asks(
+        &mut self,
+        call: u64,
+        function: String,
+        timeLeft: Micros,
+        isExtra: bool,
+        avoid: String,
+    ) {
+        let ask = CallAsk {
+            function,
+            ends_at: self.now + timeLeft,
+            is_extra: isExtra,
+            avoid,
+            asked: None,
+            asked_deputy: false,
+            next_at: self.now,
+            tries: 0,
+        };
+        self.calls.asks.insert(call, ask);
+        self.drive_ask(call);
+    }
+
+    pub(crate) fn call_ends(&mut self, call: u64) {
+        let Some(ask) = self.calls.asks.remove(&call) else { return };
+        if let Some(asked) = ask.asked {
+            let function = ask.function.as_str().into();
+            self.send(asked, Message::TicketWithdraw { ask: call, function });
+        }
+    }
+
+    /// One step for an ask: refuse it, or ask the steward, or the deputy where the steward is silent.
+    fn drive_ask(&mut self, call: u64) {
+        let now = self.now;
+        let Some(ask) = self.calls.asks.get_mut(&call) else { return };
+        if now >= ask.ends_at {
+            self.refuse_call(call, RefusedAs::NoTimeLeft, "no time left", Micros::from_secs(1));
+            return;
+        }
+        if now < ask.next_at {
+            return;
+        }
+        ask.tries += 1;
+        let function = ask.function.clone();
+        if !self.configuration.current().functions.contains_key(&function) {
+            self.refuse_call(call, RefusedAs::NoFunction, "function not configured", Micros::from_secs(1));
+            return;
+        }
+        let holder = self.stewards.election.holder(&function, now).map(|(node, _)| node);
+        let steward = holder.filter(|node| {
+            *node == self.settings.node || self.members.find(*node).is_some_and(|news| news.draining == 0)
+        });
+        if steward.is_none() {
+            self.stewards.election.call_waits(&function);
+        }
+        let Some(ask) = self.calls.asks.get(&call) else { return };
+        // A steward that did not answer in time, and one that denies being it, make way for the
+        // deputy; each further try turns between the two.
+        let isStewardTurn = !(ask.asked.is_some() && ask.asked == steward && !ask.asked_deputy);
+        let (node, isDeputy) = match steward {
+            Some(stewardNode) if isStewardTurn => (stewardNode, false),
+            _ => match self.deputy_of(&function, holder) {
+                Some(deputyNode) => (deputyNode, true),
+                None => match steward {
+                    Some(stewardNode) => (stewardNode, false),
+                    None => {
+                        self.put_off(call, ASK_AGAIN);
+                        return;
+                    }
+                },
+            },
+        };
+        let Some(ask) = self.calls.asks.get_mut(&call) else { return };
+        ask.asked = Some(node);
+        ask.asked_deputy = isDeputy;
+        ask.next_at = now + STEWARD_PATIENCE;
+        let message = Message::TicketAsk {
+            ask: call,
+            function: function.into(),
+            time_left_micros: (ask.ends_at - now).0,
+            extra: u8::from(ask.is_extra),
+            avoid: ask.avoid.as_str().into(),
+            deputy: u8::from(isDeputy),
+        };
+        self.send(node, message);
+    }
+
+    fn put_off(&mut self, call: u64, pause: Micros) {
+        let nextAt = self.now + pause;
+        if let Some(ask) = self.calls.asks.get_mut(&call) {
+            ask.next_at = nextAt;
+        }
+    }
+
+    /// The next node by rendezvous hash after the steward.
+    fn deputy_of(&self, function: &str, steward: Option<NodeId>) -> Option<NodeId> {
+        let members = self.serving_members();
+        Node::rendezvous_choice(function, members.into_iter().filter(|node| Some(*node) != steward))
+    }
+
+    fn refuse_call(&mut self, call: u64, refusedAs: RefusedAs, reason: &str, retryAfter: Micros) {
+        self.call_ends(call);
+        self.act(Act::CallRefused {
+            call,
+            refused_as: refusedAs,
+            reason: reason.to_owned(),
+            retry_after: retryAfter,
+        });
+    }
+
+    pub(crate) fn take_call_message(&mut self, from: NodeId, message: Message) {
+        match message {
+            Message::TicketGranted { ask, ticket } => self.ticket_granted(from, ask, ticket),
+            Message::TicketHeldBack { ask, outcome, reason, retry_after_millis } => {
+                let Some(callAsk) = self.calls.asks.get(&ask) else { return };
+                if callAsk.asked != Some(from) {
+                    return;
+                }
+                match outcome {
+                    0 => self.put_off(ask, KEEP_ALIVE),
+                    1 => {
+                        let retryAfter = Micros::from_millis(retry_after_millis.min(600_000));
+                        self.refuse_call(ask, RefusedAs::TurnedDown, &reason.0, retryAfter);
+                    }
+                    _ => {
+                        // Not the steward, or a deputy without room: look again shortly.
+                        let pause = if callAsk.tries <= 1 { Micros(0) } else { ASK_AGAIN };
+                        self.put_off(ask, pause);
+                    }
+                }
+                // A steward that keeps an ask waiting is alive: it is asked again, not the deputy.
+                if outcome == 0
+                    && let Some(callAsk) = self.calls.asks.get_mut(&ask)
+                {
+                    callAsk.asked_deputy = true;
+                }
+            }
+            Message::HeldAsk { ask, function, steward_epoch } => {
+                let newestEpoch = self.calls.newest_epochs.entry(function.0.clone()).or_default();
+                *newestEpoch = steward_epoch.max(*newestEpoch);
+                let tickets = List(self.calls.held_for(&function.0, self.now));
+                self.send(from, Message::HeldAnswer { ask, function, tickets });
+            }
+            _ => {}
+        }
+    }
+
+    fn ticket_granted(&mut self, from: NodeId, call: u64, ticket: Ticket) {
+        let now = self.now;
+        let newestEpoch = self.calls.newest_epochs.entry(ticket.function.0.clone()).or_default();
+        let isStale = ticket.steward_epoch != 0 && ticket.steward_epoch < *newestEpoch;
+        *newestEpoch = ticket.steward_epoch.max(*newestEpoch);
+        if self.calls.held.contains_key(&ticket.id) {
+            return;
+        }
+        let isWanted = self
+            .calls
+            .asks
+            .get(&call)
+            .is_some_and(|ask| ask.function == ticket.function.0 && now < ask.ends_at);
+        if !isWanted || isStale || self.is_barred(&ticket) {
+            self.send(from, Message::TicketReturn { ticket, how: UNUSED, latency_micros: 0 });
+            if isWanted {
+                self.put_off(call, ASK_AGAIN);
+            }
+            return;
+        }
+        let Some(ask) = self.calls.asks.remove(&call) else { return };
+        self.calls.held.insert(ticket.id, (ticket.clone(), ask.ends_at + Micros::from_secs(1)));
+        self.act(Act::CallGranted { call, ticket });
+    }
+
+    pub(crate) fn ticket_done(&mut self, ticket: &Ticket, how: u8, latency: Micros) {
+        self.calls.held.remove(&ticket.id);
+        let message = Message::TicketReturn { ticket: ticket.clone(), how, latency_micros: latency.0 };
+        self.send(ticket.granted_by, message);
+    }
+
+    /// The cells that a steward told it knows to run.
+    pub(crate) fn known_ready(&self, function: &str) -> Vec<ReadyCell> {
+        let Some(body) = self.news.body(&format!("cells/{function}")) else { return Vec::new() };
+        let Ok((_, cellsNews)) = CellsNews::from_bytes((&body.0, 0)) else { return Vec::new() };
+        cellsNews
+            .cells
+            .0
+            .into_iter()
+            .map(|entry| ReadyCell { id: entry.cell.0, address: entry.address.socket() })
+            .collect()
+    }
+
+    pub(crate) fn tick_calls(&mut self) {
+        let now = self.now;
+        let dueCalls: Vec<u64> = self
+            .calls
+            .asks
+            .iter()
+            .filter(|(_, ask)| now >= ask.next_at || now >= ask.ends_at)
+            .map(|(call, _)| *call)
+            .collect();
+        for call in dueCalls {
+            self.drive_ask(call);
+        }
+        self.calls.held.retain(|_, (_, endsAt)| now < *endsAt);
+    }
+}
--- /dev/null
+++ b/packages/node_protocol/src/control_part.rs
@@ -0,0 +1,683 @@
+//! Disks and registers: founding, promising and storing, owning keys, replacing a lost disk, and the
+//! writes and polls this node sends to the owners of keys.
+
+use crate::Act;
+use crate::node::Node;
+use clock_events::{ClockEvent, Micros};
+use colleague_messages::{
+    Bytes, LeaderRecord, List, MemberNews, Message, NodeId, Text, WriteEntry, WriteOutcome, stable_hash,
+};
+use control_registers::{
+    CONFIGURATION_KEY, DIFFERS, DISKS_KEY, DiskRegisters, KeyOwner, OwnerAct, VoterSet, WRITTEN, steward_key,
+};
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A blank disk that never voted.
+pub(crate) const DISK_BLANK: u8 = 1;
+/// A disk of the newest known voter set.
+pub(crate) const DISK_VOTING: u8 = 2;
+/// A disk that voted once and is no longer in the set.
+pub(crate) const DISK_SPARE: u8 = 3;
+
+/// After this an owner that does not answer is passed over for a while.
+const OWNER_PATIENCE: Micros = Micros::from_millis(600);
+const OWNER_DOUBT: Micros = Micros::from_secs(2);
+const REWRITE_SLACK: usize = 4 * 1024 * 1024;
+const COPY_SPAN: Micros = Micros::from_secs(15);
+
+/// What a write or confirmed read in flight is for.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum WritePurpose {
+    Leader { function: String, record: LeaderRecord },
+    Configuration,
+    ConfigurationRead,
+    ConfigurationCheck,
+    DisksChange,
+    DisksCopy { key: String },
+}
+
+#[derive(Debug)]
+struct WriteFlight {
+    owner: NodeId,
+    purpose: WritePurpose,
+    sent_at: Micros,
+}
+
+#[derive(Debug)]
+struct Disk {
+    id: u64,
+    registers: DiskRegisters,
+    is_broken: bool,
+    next_token: u64,
+    synced_token: u64,
+    answers: BTreeMap<u64, Vec<(NodeId, Message)>>,
+    appended_bytes: usize,
+}
+
+/// The copying that a change of the voter set needs.
+#[derive(Debug)]
+struct SetCopy {
+    generation: u64,
+    wanted: BTreeSet<String>,
+    asked: BTreeMap<String, Micros>,
+    copied: BTreeSet<String>,
+    began_at: Micros,
+}
+
+#[derive(Debug)]
+pub(crate) struct ControlPart {
+    disk: Option<Disk>,
+    owner: KeyOwner,
+    set: VoterSet,
+    set_version: u64,
+    flights: BTreeMap<u64, WriteFlight>,
+    doubted: BTreeMap<NodeId, Micros>,
+    polls: BTreeMap<NodeId, Micros>,
+    missing_since: BTreeMap<u64, Micros>,
+    copy: Option<SetCopy>,
+    found_event: ClockEvent,
+    replace_event: ClockEvent,
+}
+
+impl ControlPart {
+    pub(crate) fn new(own: NodeId, disk: Option<(u64, DiskRegisters)>) -> ControlPart {
+        ControlPart {
+            disk: disk.map(|(id, registers)| Disk {
+                id,
+                registers,
+                is_broken: false,
+                next_token: 1,
+                synced_token: 0,
+                answers: BTreeMap::new(),
+                appended_bytes: 0,
+            }),
+            owner: KeyOwner::new(own),
+            set: VoterSet::default(),
+            set_version: 0,
+            flights: BTreeMap::new(),
+            doubted: BTreeMap::new(),
+            polls: BTreeMap::new(),
+            missing_since: BTreeMap::new(),
+            copy: None,
+            found_event: ClockEvent::each(Micros::from_millis(200)),
+            replace_event: ClockEvent::each(Micros::from_millis(500)),
+        }
+    }
+
+    pub(crate) fn voters(&self) -> &VoterSet {
+        &self.set
+    }
+
+    pub(crate) fn owned_count(&self) -> usize {
+        self.owner.owned_count()
+    }
+
+    fn sound_disk(&mut self) -> Option<&mut Disk> {
+        self.disk.as_mut().filter(|disk| !disk.is_broken)
+    }
+}
+
+impl Node {
+    /// Takes the newest voter set from the own disk or the news.
+    pub(crate) fn set_changed(&mut self) {
+        let newsSet = self.news.body(DISKS_KEY).and_then(VoterSet::decode);
+        let diskSet = self.control.disk.as_ref().map(|disk| disk.registers.set().clone());
+        let newestSet = [newsSet, diskSet].into_iter().flatten().max_by_key(|set| set.generation);
+        let Some(newestSet) = newestSet.filter(|set| set.generation > 0) else { return };
+        if newestSet.generation > self.control.set.generation {
+            self.control.set = newestSet.clone();
+            self.control.copy = None;
+            self.control.owner.take_set(&newestSet);
+            self.journal.append(
+                "voters",
+                json!({
+                    "generation": newestSet.generation,
+                    "disks": hex_list(&newestSet.disks.0),
+                    "joining": hex_list(&newestSet.joining.0),
+                }),
+                self.now,
+            );
+        }
+        self.news.publish(DISKS_KEY, self.settings.node, newestSet.generation, newestSet.encode());
+        self.tell_disk_state();
+    }
+
+    fn tell_disk_state(&mut self) {
+        let Some(disk) = &self.control.disk else { return };
+        let isVoting = self.control.set.all().contains(&disk.id);
+        let state = match (disk.is_broken, isVoting, disk.registers.set().generation) {
+            (true, ..) => 0,
+            (false, true, 1..) => DISK_VOTING,
+            (false, _, 0) => DISK_BLANK,
+            (false, false, _) => DISK_SPARE,
+        };
+        let id = if disk.is_broken { 0 } else { disk.id };
+        self.members.update_own(|own| {
+            own.disk_state = state;
+            own.disk = id;
+        });
+    }
+
+    /// Live members whose disks vote now.
+    fn voting_members(&self) -> Vec<MemberNews> {
+        let voters = self.control.set.all();
+        let live = self.members.live().into_iter();
+        live.filter(|news| news.disk_state == DISK_VOTING && voters.contains(&news.disk)).cloned().collect()
+    }
+
+    fn node_of_disk(&self, disk: u64) -> Option<NodeId> {
+        self.members.live().into_iter().find(|news| news.disk == disk).map(|news| news.node)
+    }
+
+    /// The node to ask about a key: the rendezvous choice among live voters, those in doubt last.
+    pub(crate) fn key_owner(&self, key: &str) -> Option<NodeId> {
+        let voters = self.voting_members();
+        let isDoubted = |news: &MemberNews| {
+            news.draining == 1
+                || news.state != 0
+                || self.control.doubted.get(&news.node).is_some_and(|until| self.now < *until)
+        };
+        let soundNodes = voters.iter().filter(|news| !isDoubted(news)).map(|news| news.node);
+        Node::rendezvous_choice(key, soundNodes)
+            .or_else(|| Node::rendezvous_choice(key, voters.iter().map(|news| news.node)))
+    }
+
+    /// Sends one conditional write or confirmed read to the key's owner.
+    pub(crate) fn send_write(
+        &mut self,
+        key: &str,
+        expected: u64,
+        value: Bytes,
+        purpose: WritePurpose,
+    ) -> Option<u64> {
+        let owner = self.key_owner(key)?;
+        let ask = self.fresh_ask();
+        let isRead = matches!(
+            purpose,
+            WritePurpose::ConfigurationRead
+                | WritePurpose::ConfigurationCheck
+                | WritePurpose::DisksCopy { .. }
+        );
+        let message = match isRead {
+            true => Message::ReadConfirmed { ask, key: key.into() },
+            false => {
+                let entry = WriteEntry { ask, key: key.into(), expected, value, hasty: 1 };
+                Message::Write { entries: List(vec![entry]) }
+            }
+        };
+        self.control.flights.insert(ask, WriteFlight { owner, purpose, sent_at: self.now });
+        self.send(owner, message);
+        Some(ask)
+    }
+
+    /// Sends the election's writes, one message for each owner.
+    pub(crate) fn send_leader_writes(&mut self, writes: Vec<steward_election::RecordWrite>) {
+        let mut groups: BTreeMap<NodeId, Vec<WriteEntry>> = BTreeMap::new();
+        for write in writes {
+            let key = steward_key(&write.function);
+            let Some(owner) = self.key_owner(&key) else {
+                self.stewards.election.unanswered(&write.function, self.now);
+                continue;
+            };
+            let ask = self.fresh_ask();
+            let purpose = WritePurpose::Leader { function: write.function, record: write.record.clone() };
+            self.control.flights.insert(ask, WriteFlight { owner, purpose, sent_at: self.now });
+            groups.entry(owner).or_default().push(WriteEntry {
+                ask,
+                key: key.into(),
+                expected: write.expected,
+                value: write.record.encode(),
+                hasty: u8::from(write.hasty),
+            });
+        }
+        for (owner, entries) in groups {
+            self.send(owner, Message::Write { entries: List(entries) });
+        }
+    }
+
+    /// Polls the leader records of all functions, one message for each owner.
+    pub(crate) fn poll_records(&mut self) {
+        let configuration = self.configuration.current();
+        let mut groups: BTreeMap<NodeId, Vec<Text>> = BTreeMap::new();
+        for function in configuration.functions.keys() {
+            let key = steward_key(function);
+            if let Some(owner) = self.key_owner(&key) {
+                groups.entry(owner).or_default().push(key.into());
+            }
+        }
+        for (owner, keys) in groups {
+            self.control.polls.entry(owner).or_insert(self.now);
+            self.send(owner, Message::RecordsPoll { keys: List(keys) });
+        }
+    }
+
+    pub(crate) fn take_control_message(&mut self, from: NodeId, message: Message) {
+        let now = self.now;
+        match message {
+            Message::Promise { batch, fleet_set, entries } => {
+                let Some(disk) = self.control.sound_disk() else { return };
+                let (answers, records) = disk.registers.promise(fleet_set, &entries);
+                let diskId = disk.id;
+                let answer = Message::Promised { batch, disk: diskId, entries: List(answers) };
+                self.write_then_answer(records, from, answer);
+            }
+            Message::Store { batch, fleet_set, entries } => {
+                let Some(disk) = self.control.sound_disk() else { return };
+                let setBefore = disk.registers.set().generation;
+                let (answers, records) = disk.registers.store(fleet_set, &entries);
+                let diskId = disk.id;
+                let isNewSet = disk.registers.set().generation > setBefore;
+                let answer = Message::Stored { batch, disk: diskId, entries: List(answers) };
+                self.write_then_answer(records, from, answer);
+                if isNewSet {
+                    self.set_changed();
+                }
+            }
+            Message::Promised { disk, entries, .. } => self.control.owner.promised(disk, entries, now),
+            Message::Stored { disk, entries, .. } => self.control.owner.stored(disk, entries, now),
+            Message::Found { set, disks } => self.found(from, set, &disks.0),
+            Message::FoundAnswer { accepted: 0, disk, .. } => {
+                self.journal.append("founding_refused", json!({"disk": format!("{disk:016x}")}), now);
+            }
+            Message::RecordsPoll { keys } => {
+                if !self.owns_keys() {
+                    return;
+                }
+                let records = self.control.owner.poll(&keys.0, now);
+                self.send(from, Message::RecordsPolled { records: List(records) });
+            }
+            Message::RecordsPolled { records } => {
+                self.control.polls.remove(&from);
+                for record in records.0 {
+                    if let Some(function) = record.key.0.strip_prefix("steward/") {
+                        let leader = LeaderRecord::decode(&record.value);
+                        self.stewards.election.observe(function, record.version, leader, now);
+                    }
+                }
+            }
+            Message::Write { entries } => {
+                if !self.owns_keys() {
+                    return;
+                }
+                for entry in entries.0 {
+                    self.control.owner.write(from, entry, now);
+                }
+            }
+            Message::ReadConfirmed { ask, key } if self.owns_keys() => {
+                self.control.owner.read_confirmed(from, ask, key, now);
+            }
+            Message::WriteAnswer { outcomes } => {
+                for outcome in outcomes.0 {
+                    self.write_answered(from, outcome);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Only a node whose own disk votes and is sound owns keys.
+    fn owns_keys(&mut self) -> bool {
+        let voters = self.control.set.all();
+        self.control.sound_disk().is_some_and(|disk| voters.contains(&disk.id))
+    }
+
+    /// Answers only once the records, and all before them, are synced.
+    fn write_then_answer(&mut self, records: Vec<Vec<u8>>, node: NodeId, answer: Message) {
+        let Some(disk) = self.control.sound_disk() else { return };
+        if records.is_empty() {
+            let lastToken = disk.next_token - 1;
+            if disk.synced_token >= lastToken {
+                self.send(node, answer);
+                return;
+            }
+            disk.answers.entry(lastToken).or_default().push((node, answer));
+            return;
+        }
+        let token = disk.next_token;
+        disk.next_token += 1;
+        disk.answers.entry(token).or_default().push((node, answer));
+        disk.appended_bytes += records.iter().map(|record| record.len() + 8).sum::<usize>();
+        let liveLength = disk.appended_bytes > REWRITE_SLACK;
+        let (written, isRewrite) = match liveLength {
+            true => {
+                disk.appended_bytes = 0;
+                (disk.registers.live_records(), true)
+            }
+            false => (records, false),
+        };
+        self.counts.disk_groups += 1;
+        self.act(Act::WriteDisk { token, records: written, is_rewrite: isRewrite });
+    }
+
+    pub(crate) fn disk_done(&mut self, token: u64, isSynced: bool) {
+        let Some(disk) = &mut self.control.disk else { return };
+        if !isSynced {
+            disk.is_broken = true;
+            disk.answers.clear();
+            self.control.owner.keep_only(|_| false);
+            self.journal.append("disk_failed", json!({}), self.now);
+            self.tell_disk_state();
+            return;
+        }
+        disk.synced_token = disk.synced_token.max(token);
+        let waitingAnswers = disk.answers.split_off(&(disk.synced_token + 1));
+        let readyAnswers = std::mem::replace(&mut disk.answers, waitingAnswers);
+        for (node, answer) in readyAnswers.into_values().flatten() {
+            self.send(node, answer);
+        }
+    }
+
+    fn write_answered(&mut self, from: NodeId, outcome: WriteOutcome) {
+        self.control.doubted.remove(&from);
+        let Some(flight) = self.control.flights.remove(&outcome.ask) else { return };
+        let now = self.now;
+        match flight.purpose {
+            WritePurpose::Leader { function, record } => match outcome.outcome {
+                WRITTEN => self.stewards.election.written(&function, outcome.version, &record, now),
+                DIFFERS => {
+                    let standing = LeaderRecord::decode(&outcome.value);
+                    self.stewards.election.differs(&function, outcome.version, standing, now);
+                }
+                _ => self.stewards.election.unanswered(&function, now),
+            },
+            WritePurpose::Configuration => self.configuration_written(outcome),
+            WritePurpose::ConfigurationRead => self.configuration_read(outcome),
+            WritePurpose::ConfigurationCheck => self.configuration_checked(outcome),
+            WritePurpose::DisksChange => self.disks_changed(outcome),
+            WritePurpose::DisksCopy { key } => {
+                if outcome.outcome == WRITTEN
+                    && let Some(copy) = &mut self.control.copy
+                {
+                    copy.copied.insert(key);
+                }
+            }
+        }
+    }
+
+    /// A write or poll that its owner leaves unanswered: another voter is asked next time.
+    fn check_flights(&mut self) {
+        let now = self.now;
+        let silentOwners: BTreeSet<NodeId> = self
+            .control
+            .flights
+            .values()
+            .map(|flight| (flight.owner, flight.sent_at))
+            .chain(self.control.polls.iter().map(|(owner, sentAt)| (*owner, *sentAt)))
+            .filter(|(_, sentAt)| now >= *sentAt + OWNER_PATIENCE)
+            .map(|(owner, _)| owner)
+            .collect();
+        for owner in silentOwners {
+            self.control.doubted.insert(owner, now + OWNER_DOUBT);
+            self.control.polls.remove(&owner);
+        }
+        let overAsks: Vec<u64> = self
+            .control
+            .flights
+            .iter()
+            .filter(|(_, flight)| {
+                let isHasty = matches!(flight.purpose, WritePurpose::Leader { .. });
+                // A renewal waits up to the owner's group time; another voter is tried after that.
+                now >= flight.sent_at + if isHasty { OWNER_PATIENCE } else { Micros::from_millis(2_500) }
+            })
+            .map(|(ask, _)| *ask)
+            .collect();
+        for ask in overAsks {
+            let Some(flight) = self.control.flights.remove(&ask) else { continue };
+            match flight.purpose {
+                WritePurpose::Leader { function, .. } => {
+                    self.stewards.election.unanswered(&function, now);
+                }
+                WritePurpose::Configuration => self.configuration_unanswered(),
+                WritePurpose::ConfigurationCheck => self.configuration_unanswered(),
+                WritePurpose::ConfigurationRead
+                | WritePurpose::DisksChange
+                | WritePurpose::DisksCopy { .. } => {}
+            }
+        }
+    }
+
+    pub(crate) fn tick_control(&mut self) {
+        self.check_flights();
+        let now = self.now;
+        if self.control.found_event.due(now) {
+            self.try_founding();
+        }
+        if self.control.replace_event.due(now) {
+            self.hand_over_keys();
+            self.try_replacing();
+        }
+    }
+
+    /// Keys whose rendezvous choice is another live voter are let go.
+    fn hand_over_keys(&mut self) {
+        let voters: Vec<NodeId> = self
+            .voting_members()
+            .iter()
+            .filter(|news| news.state == 0 && news.draining == 0)
+            .map(|news| news.node)
+            .collect();
+        let own = self.settings.node;
+        if self.draining_since.is_some() || self.control.copy.is_some() {
+            return;
+        }
+        self.control.owner.keep_only(|key| {
+            Node::rendezvous_choice(key, voters.iter().copied()).is_none_or(|node| node == own)
+        });
+    }
+
+    /// Founds the first voter set, once: all its disks must be blank, live and agree, no member may
+    /// have voted before, and at least half of the seeds must have been heard.
+    fn try_founding(&mut self) {
+        let Some(disk) = &self.control.disk else { return };
+        let (ownDisk, ownSet) = (disk.id, disk.registers.set().clone());
+        if ownSet.generation == 1 && ownSet.joining.0.is_empty() {
+            self.finish_founding(&ownSet);
+            return;
+        }
+        if ownSet.generation != 0 || disk.is_broken || self.control.set.generation != 0 {
+            return;
+        }
+        if self.members.seeds_heard() * 2 < self.members.seed_count() {
+            return;
+        }
+        let live = self.members.live();
+        if live.iter().any(|news| news.disk_state >= DISK_VOTING) {
+            return;
+        }
+        let mut blankDisks: Vec<u64> =
+            live.iter().filter(|news| news.disk_state == DISK_BLANK).map(|news| news.disk).collect();
+        blankDisks.sort_unstable();
+        if blankDisks.len() < self.settings.founding_disks || blankDisks.first() != Some(&ownDisk) {
+            return;
+        }
+        blankDisks.truncate(self.settings.founding_disks);
+        self.tell_founding(&blankDisks.clone(), &blankDisks);
+    }
+
+    /// A founding that was cut short is told again to the members of the set that are still blank.
+    fn finish_founding(&mut self, foundingSet: &VoterSet) {
+        let blankDisks: Vec<u64> = self
+            .members
+            .live()
+            .iter()
+            .filter(|news| news.disk_state == DISK_BLANK && foundingSet.disks.0.contains(&news.disk))
+            .map(|news| news.disk)
+            .collect();
+        self.tell_founding(&foundingSet.disks.0, &blankDisks);
+    }
+
+    fn tell_founding(&mut self, foundingDisks: &[u64], toldDisks: &[u64]) {
+        let setMark = stable_hash(&VoterSet::founding(foundingDisks).encode().0);
+        for disk in toldDisks {
+            if let Some(node) = self.node_of_disk(*disk) {
+                self.send(node, Message::Found { set: setMark, disks: List(foundingDisks.to_vec()) });
+            }
+        }
+    }
+
+    fn found(&mut self, from: NodeId, setMark: u64, foundingDisks: &[u64]) {
+        let foundingSet = VoterSet::founding(foundingDisks);
+        let isKnownOther = self.control.set.generation > 0 && self.control.set != foundingSet;
+        let wantedCount = self.settings.founding_disks;
+        let Some(disk) = self.control.sound_disk() else { return };
+        let diskId = disk.id;
+        let isSound = foundingDisks.len() == wantedCount
+            && foundingDisks.contains(&diskId)
+            && setMark == stable_hash(&foundingSet.encode().0)
+            && !isKnownOther;
+        let records = if isSound { disk.registers.found(&foundingSet) } else { None };
+        let Some(records) = records else {
+            self.send(from, Message::FoundAnswer { set: setMark, disk: diskId, accepted: 0 });
+            return;
+        };
+        self.write_then_answer(
+            records,
+            from,
+            Message::FoundAnswer { set: setMark, disk: diskId, accepted: 1 },
+        );
+        self.set_changed();
+    }
+
+    /// Replaces a voter whose machine is gone for the set time by a spare disk: first the joint set,
+    /// then a copy of every key under it, then the new set. One change at a time.
+    fn try_replacing(&mut self) {
+        let now = self.now;
+        let set = self.control.set.clone();
+        let liveDisks: BTreeSet<u64> =
+            self.members.live().iter().filter(|news| news.disk != 0).map(|news| news.disk).collect();
+        self.control.missing_since.retain(|disk, _| !liveDisks.contains(disk));
+        for disk in set.all() {
+            if !liveDisks.contains(&disk) {
+                self.control.missing_since.entry(disk).or_insert(now);
+            }
+        }
+        if set.generation == 0 || self.key_owner(DISKS_KEY) != Some(self.settings.node) || !self.owns_keys() {
+            self.control.copy = None;
+            return;
+        }
+        if !set.joining.0.is_empty() {
+            self.continue_copy(&set);
+            return;
+        }
+        let isLost = |disk: &u64| {
+            self.control
+                .missing_since
+                .get(disk)
+                .is_some_and(|since| now >= *since + self.settings.replace_disk_after)
+        };
+        let Some(lostDisk) = set.disks.0.iter().copied().find(isLost) else { return };
+        let spareDisk = self
+            .members
+            .live()
+            .iter()
+            .filter(|news| [DISK_BLANK, DISK_SPARE].contains(&news.disk_state) && news.draining == 0)
+            .map(|news| news.disk)
+            .find(|disk| !set.disks.0.contains(disk));
+        let Some(spareDisk) = spareDisk else { return };
+        let Some(jointSet) = set.begin_change(lostDisk, spareDisk) else { return };
+        self.write_disks(&jointSet);
+    }
+
+    fn write_disks(&mut self, nextSet: &VoterSet) {
+        let isOpen = self.control.flights.values().any(|flight| flight.purpose == WritePurpose::DisksChange);
+        if isOpen {
+            return;
+        }
+        let expected = self.control.set_version.max(1);
+        self.send_write(DISKS_KEY, expected, nextSet.encode(), WritePurpose::DisksChange);
+    }
+
+    fn disks_changed(&mut self, outcome: WriteOutcome) {
+        // Whatever stands now is learnt; the next round goes on from there.
+        if outcome.outcome == WRITTEN || outcome.outcome == DIFFERS {
+            self.control.set_version = outcome.version;
+        }
+        if let Some(standingSet) = VoterSet::decode(&outcome.value) {
+            let generation = standingSet.generation;
+            self.news.publish(DISKS_KEY, self.settings.node, generation, standingSet.encode());
+        }
+        self.set_changed();
+    }
+
+    fn continue_copy(&mut self, jointSet: &VoterSet) {
+        let now = self.now;
+        let configuration = self.configuration.current();
+        let isReady = self.configuration.is_ready();
+        if !isReady {
+            return;
+        }
+        let wanted: BTreeSet<String> = configuration
+            .functions
+            .keys()
+            .map(|function| steward_key(function))
+            .chain(self.control.disk.iter().flat_map(|disk| disk.registers.keys()))
+            .chain([CONFIGURATION_KEY.to_owned()])
+            .filter(|key| key != DISKS_KEY)
+            .collect();
+        let copy = self.control.copy.get_or_insert_with(|| SetCopy {
+            generation: jointSet.generation,
+            wanted: BTreeSet::new(),
+            asked: BTreeMap::new(),
+            copied: BTreeSet::new(),
+            began_at: now,
+        });
+        if copy.generation != jointSet.generation || now >= copy.began_at + COPY_SPAN {
+            self.control.copy = None;
+            return;
+        }
+        copy.wanted = wanted;
+        if copy.wanted.is_subset(&copy.copied) {
+            if let Some(finalSet) = jointSet.end_change() {
+                self.write_disks(&finalSet);
+            }
+            return;
+        }
+        let dueKeys: Vec<String> = copy
+            .wanted
+            .difference(&copy.copied)
+            .filter(|key| copy.asked.get(*key).is_none_or(|askedAt| now >= *askedAt + Micros::from_secs(3)))
+            .take(64)
+            .cloned()
+            .collect();
+        for key in &dueKeys {
+            copy.asked.insert(key.clone(), now);
+        }
+        // This node itself takes the keys: under the joint set each is stored anew on both majorities.
+        let own = self.settings.node;
+        for key in dueKeys {
+            let ask = self.fresh_ask();
+            let purpose = WritePurpose::DisksCopy { key: key.clone() };
+            self.control.flights.insert(ask, WriteFlight { owner: own, purpose, sent_at: now });
+            self.send(own, Message::ReadConfirmed { ask, key: key.into() });
+        }
+    }
+
+    /// Hands the owner's promises, stores and answers to the network.
+    pub(crate) fn flush_control(&mut self) {
+        let now = self.now;
+        let mut answerGroups: BTreeMap<NodeId, Vec<WriteOutcome>> = BTreeMap::new();
+        for act in self.control.owner.flush(now) {
+            match act {
+                OwnerAct::Promise { disk, fleet_set, entries } => {
+                    if let Some(node) = self.node_of_disk(disk) {
+                        self.send(node, Message::Promise { batch: 0, fleet_set, entries });
+                    }
+                }
+                OwnerAct::Store { disk, fleet_set, entries } => {
+                    if let Some(node) = self.node_of_disk(disk) {
+                        self.send(node, Message::Store { batch: 0, fleet_set, entries });
+                    }
+                }
+                OwnerAct::Answer { node, outcome } => answerGroups.entry(node).or_default().push(outcome),
+            }
+        }
+        for (node, outcomes) in answerGroups {
+            self.send(node, Message::WriteAnswer { outcomes: List(outcomes) });
+        }
+    }
+}
+
+fn hex_list(ids: &[u64]) -> Vec<String> {
+    ids.iter().map(|id| format!("{id:016x}")).collect()
+}
--- /dev/null
+++ b/packages/node_protocol/src/lib.rs
@@ -0,0 +1,144 @@
+//! One node's whole protocol as a pure machine: an event and the time go in, acts come out.
+//!
+//! The program's shell and the fleet simulator drive the very same [`Node`]; neither the clock, the
+//! network, the disk nor the platform is touched here.
+
+mod call_part;
+mod configuration_part;
+mod control_part;
+mod journal;
+mod node;
+mod steward_part;
+
+pub use journal::Journal;
+pub use node::{Node, NodeCounts, NodeStatus};
+
+use clock_events::Micros;
+use colleague_messages::{Address, DecisionLine, Envelope, Message, NodeId, Ticket};
+use colleague_probes::ProbeSettings;
+use configuration_check::{Change, ChangeOutcome, Configuration};
+use std::sync::Arc;
+use steward_election::ElectionSettings;
+use steward_work::{ListedCell, ListedWorker};
+
+/// What a node is told at its start. Example: see `fleet_simulator`.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Drawn anew by each process.
+    pub node: NodeId,
+    /// Where colleagues reach it.
+    pub address: Address,
+    /// Its zone.
+    pub zone: String,
+    /// Seed addresses.
+    pub seeds: Vec<Address>,
+    /// How many disks found the first voter set.
+    pub founding_disks: usize,
+    /// A voter whose machine is gone this long is replaced by a spare disk.
+    pub replace_disk_after: Micros,
+    /// Starts and stops a second that the platform takes from the whole fleet.
+    pub acts_per_second: f64,
+    /// The election's times.
+    pub election: ElectionSettings,
+    /// The probes' times.
+    pub probes: ProbeSettings,
+    /// Seeds every random choice.
+    pub luck_seed: u64,
+}
+
+/// How a start at the platform went.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StartResult {
+    /// The cell exists.
+    Started { cell: String, address: std::net::SocketAddr },
+    /// The worker has no room, or is draining or unknown.
+    NoRoom,
+    /// Too many acts: back off.
+    Throttled,
+    /// No answer: the same start id is sent again.
+    Unknown,
+}
+
+/// How a stop at the platform went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopResult {
+    /// It is leaving or gone.
+    Stopped,
+    /// Too many acts: back off.
+    Throttled,
+    /// No answer.
+    Unknown,
+}
+
+/// What happens to a node.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time passes.
+    Tick,
+    /// A colleague speaks.
+    Heard(Envelope),
+    /// A call on this node needs a ticket.
+    CallAsks { call: u64, function: String, time_left: Micros, is_extra: bool, avoid: String },
+    /// The call is over; a ticket that still comes is returned unused.
+    CallEnds { call: u64 },
+    /// A dispatch under a ticket ended.
+    TicketDone { ticket: Ticket, how: u8, latency: Micros },
+    /// The disk synced the records of a token, or failed.
+    DiskDone { token: u64, is_synced: bool },
+    /// The platform's list.
+    Listed { workers: Vec<ListedWorker>, cells: Vec<ListedCell> },
+    /// The platform did not answer the list.
+    ListFailed,
+    /// A start was answered.
+    StartDone { start_id: String, result: StartResult },
+    /// A stop was answered.
+    StopDone { cell: String, result: StopResult },
+    /// An operator's change.
+    ChangeAsked { request: u64, change: Change },
+    /// An operator reads the decision stream.
+    DecisionsAsked { request: u64, after: Vec<(NodeId, u64)>, most: u32 },
+    /// Finish: release leases, take no new work.
+    Drain,
+    /// The settings file names other seeds.
+    SeedsChanged { seeds: Vec<Address> },
+}
+
+/// Why a call gets no ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusedAs {
+    /// Its time is over.
+    NoTimeLeft,
+    /// The steward turned it down: waitlist full, no room, budget.
+    TurnedDown,
+    /// The function is no longer configured.
+    NoFunction,
+}
+
+/// What a node wants done.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Send to a colleague; losing it is harmless.
+    Send { address: Address, message: Message },
+    /// Append the records and sync; a rewrite replaces the whole file instead.
+    WriteDisk { token: u64, records: Vec<Vec<u8>>, is_rewrite: bool },
+    /// Ask the platform for its list.
+    List,
+    /// Start a cell.
+    Start { start_id: String, function: String, worker: String, memory_mb: u64 },
+    /// Stop a cell.
+    Stop { cell: String },
+    /// The call may be dispatched once under this ticket.
+    CallGranted { call: u64, ticket: Ticket },
+    /// The call is refused: it did not run.
+    CallRefused { call: u64, refused_as: RefusedAs, reason: String, retry_after: Micros },
+    /// A newer configuration holds here from now on.
+    ConfigurationTaken { generation: u64, configuration: Arc<Configuration> },
+    /// The operator's change has this outcome.
+    ChangeAnswered { request: u64, change_id: String, outcome: ChangeOutcome },
+    /// The decision lines after the cursor, and the cursor behind them.
+    DecisionsAnswered { request: u64, lines: Vec<DecisionLine>, cursor: Vec<(NodeId, u64)> },
+    /// The node knows the newest configuration and may take calls.
+    Ready,
+    /// All leases are given back: the node may go once its calls are done.
+    Drained,
+}
--- /dev/null
+++ b/packages/node_protocol/src/node.rs
@@ -0,0 +1,444 @@
+use crate::call_part::CallPart;
+use crate::configuration_part::ConfigurationPart;
+use crate::control_part::ControlPart;
+use crate::journal::Journal;
+use crate::steward_part::StewardPart;
+use crate::{Act, Event, NodeSettings};
+use clock_events::{ClockEvent, Micros};
+use colleague_messages::{
+    Address, CursorMark, DecisionLine, Envelope, List, MemberNews, Message, NodeId, rendezvous_weight,
+};
+use colleague_probes::{MemberChange, Members};
+use control_registers::DiskRegisters;
+use fastrand::Rng;
+use news_spread::NewsSpread;
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+/// Counts for metrics. Example: `node.status(now).counts.messages_heard`.
+#[derive(Clone, Debug, Default)]
+pub struct NodeCounts {
+    /// Messages taken from colleagues.
+    pub messages_heard: u64,
+    /// Messages handed to the network.
+    pub messages_sent: u64,
+    /// Groups of records given to the disk to sync.
+    pub disk_groups: u64,
+    /// Tickets granted as steward.
+    pub tickets_granted: u64,
+    /// Tickets granted as deputy.
+    pub deputy_tickets: u64,
+    /// Asks turned down as steward.
+    pub asks_refused: u64,
+}
+
+/// A page of a node's state. Example: `node.status(now).generation`.
+#[derive(Clone, Debug)]
+pub struct NodeStatus {
+    /// This process.
+    pub node: NodeId,
+    /// The configuration generation that holds here.
+    pub generation: u64,
+    /// Whether the newest configuration is known.
+    pub is_ready: bool,
+    /// Live members: id, address, zone, disk state.
+    pub members: Vec<MemberNews>,
+    /// Functions this node is steward of.
+    pub held: Vec<String>,
+    /// Steward counts by node, by this node's observation.
+    pub tally: BTreeMap<NodeId, usize>,
+    /// Functions nobody holds, by this node's observation.
+    pub unheld: usize,
+    /// Voting disks.
+    pub voters: Vec<u64>,
+    /// Keys this node owns.
+    pub owned_keys: usize,
+    /// Gate refusals, lost races, gates passed over.
+    pub election_counts: (u64, u64, u64),
+    /// Decisions by kind.
+    pub decisions: BTreeMap<&'static str, u64>,
+    /// Counts.
+    pub counts: NodeCounts,
+}
+
+#[derive(Debug)]
+pub(crate) struct DecisionsGather {
+    request: u64,
+    lines: Vec<DecisionLine>,
+    cursor: BTreeMap<NodeId, u64>,
+    unheard: BTreeSet<NodeId>,
+    ends_at: Micros,
+    most: usize,
+}
+
+/// One node. Example: `let acts = node.handle(Event::Tick, now);`.
+#[derive(Debug)]
+pub struct Node {
+    pub(crate) settings: NodeSettings,
+    pub(crate) members: Members,
+    pub(crate) news: NewsSpread,
+    pub(crate) control: ControlPart,
+    pub(crate) configuration: ConfigurationPart,
+    pub(crate) stewards: StewardPart,
+    pub(crate) calls: CallPart,
+    pub(crate) journal: Journal,
+    pub(crate) counts: NodeCounts,
+    pub(crate) dice: Rng,
+    pub(crate) now: Micros,
+    pub(crate) started_at: Micros,
+    pub(crate) draining_since: Option<Micros>,
+    drained_told: bool,
+    gathers: BTreeMap<u64, DecisionsGather>,
+    next_ask: u64,
+    to_self: VecDeque<Message>,
+    acts: Vec<Act>,
+    upkeep_event: ClockEvent,
+}
+
+const GATHER_SPAN: Micros = Micros::from_millis(600);
+const DRAIN_SPAN: Micros = Micros::from_millis(2_000);
+const GATHER_LIMIT: usize = 32;
+
+impl Node {
+    /// A node at its start; with a disk it brings the disk's id and registers.
+    /// Example: `Node::new(settings, None, Micros(0))`.
+    pub fn new(settings: NodeSettings, disk: Option<(u64, DiskRegisters)>, now: Micros) -> Node {
+        let own = MemberNews {
+            node: settings.node,
+            address: settings.address,
+            zone: settings.zone.as_str().into(),
+            incarnation: 1,
+            state: 0,
+            disk: disk.as_ref().map_or(0, |(diskId, _)| *diskId),
+            disk_state: u8::from(disk.is_some()),
+            draining: 0,
+        };
+        let luckSeed = settings.luck_seed;
+        let mut node = Node {
+            members: Members::new(own, settings.seeds.clone(), settings.probes.clone(), luckSeed),
+            news: NewsSpread::new(luckSeed ^ 0x6e65_7773),
+            control: ControlPart::new(settings.node, disk),
+            configuration: ConfigurationPart::new(),
+            stewards: StewardPart::new(settings.node, settings.election.clone()),
+            calls: CallPart::new(),
+            journal: Journal::new(settings.node),
+            counts: NodeCounts::default(),
+            dice: Rng::with_seed(luckSeed ^ 0x6e6f_6465),
+            now,
+            started_at: now,
+            draining_since: None,
+            drained_told: false,
+            gathers: BTreeMap::new(),
+            // Asks are told apart by process already; the start only keeps them from being small.
+            next_ask: 1,
+            to_self: VecDeque::new(),
+            acts: Vec::new(),
+            upkeep_event: ClockEvent::each(Micros::from_millis(20)),
+            settings,
+        };
+        node.set_changed();
+        node
+    }
+
+    /// Takes an event at a time and returns what is to be done.
+    /// Example: `for act in node.handle(Event::Tick, now) { carry_out(act) }`.
+    pub fn handle(&mut self, event: Event, now: Micros) -> Vec<Act> {
+        self.now = self.now.max(now);
+        self.take_event(event);
+        self.settle();
+        std::mem::take(&mut self.acts)
+    }
+
+    fn take_event(&mut self, event: Event) {
+        match event {
+            Event::Tick => self.tick(),
+            Event::Heard(envelope) => self.heard(envelope),
+            Event::CallAsks { call, function, time_left, is_extra, avoid } => {
+                self.call_asks(call, function, time_left, is_extra, avoid);
+            }
+            Event::CallEnds { call } => self.call_ends(call),
+            Event::TicketDone { ticket, how, latency } => self.ticket_done(&ticket, how, latency),
+            Event::DiskDone { token, is_synced } => self.disk_done(token, is_synced),
+            Event::Listed { workers, cells } => self.listed(workers, cells),
+            Event::ListFailed => self.list_failed(),
+            Event::StartDone { start_id, result } => self.start_done(&start_id, result),
+            Event::StopDone { cell, result } => self.stop_done(&cell, result),
+            Event::ChangeAsked { request, change } => self.change_asked(request, change),
+            Event::DecisionsAsked { request, after, most } => self.decisions_asked(request, after, most),
+            Event::Drain => self.drain(),
+            Event::SeedsChanged { seeds } => self.members.take_seeds(seeds),
+        }
+    }
+
+    /// Handles what the node says to itself and what its parts want sent, until nothing is left.
+    fn settle(&mut self) {
+        loop {
+            self.flush_control();
+            self.flush_stewards();
+            let Some(message) = self.to_self.pop_front() else { return };
+            self.take_message(self.settings.node, self.settings.address, message);
+        }
+    }
+
+    fn tick(&mut self) {
+        if !self.upkeep_event.due(self.now) {
+            return;
+        }
+        let now = self.now;
+        for (address, message) in self.members.tick(now) {
+            self.send_to_address(address, message);
+        }
+        self.take_member_changes();
+        let colleagues: Vec<NodeId> = self.members.colleagues().map(|news| news.node).collect();
+        for (node, message) in self.news.tick(&colleagues, now) {
+            self.send(node, message);
+        }
+        self.tick_control();
+        self.tick_configuration();
+        self.tick_stewards();
+        self.tick_calls();
+        self.tick_gathers();
+        self.tick_drain();
+    }
+
+    fn heard(&mut self, envelope: Envelope) {
+        self.counts.messages_heard += 1;
+        self.take_message(envelope.from, envelope.from_address, envelope.message);
+    }
+
+    fn take_message(&mut self, from: NodeId, fromAddress: Address, message: Message) {
+        match message {
+            Message::Probe { .. } | Message::ProbeAnswer { .. } | Message::ProbeFor { .. } => {
+                let now = self.now;
+                for (address, answer) in self.members.received(from, fromAddress, message, now) {
+                    self.send_to_address(address, answer);
+                }
+                self.take_member_changes();
+            }
+            Message::News { .. }
+            | Message::NewsDigest { .. }
+            | Message::NewsMarks { .. }
+            | Message::NewsAsk { .. } => {
+                let (newerTopics, sends) = self.news.received(from, message);
+                for (node, answer) in sends {
+                    self.send(node, answer);
+                }
+                for topic in newerTopics {
+                    self.news_came(&topic);
+                }
+            }
+            Message::Promise { .. }
+            | Message::Promised { .. }
+            | Message::Store { .. }
+            | Message::Stored { .. }
+            | Message::Found { .. }
+            | Message::FoundAnswer { .. }
+            | Message::RecordsPoll { .. }
+            | Message::RecordsPolled { .. }
+            | Message::Write { .. }
+            | Message::WriteAnswer { .. }
+            | Message::ReadConfirmed { .. } => self.take_control_message(from, message),
+            Message::TicketAsk { .. }
+            | Message::TicketReturn { .. }
+            | Message::TicketWithdraw { .. }
+            | Message::HeldAnswer { .. } => self.take_steward_message(from, message),
+            Message::TicketGranted { .. } | Message::TicketHeldBack { .. } | Message::HeldAsk { .. } => {
+                self.take_call_message(from, message);
+            }
+            Message::DecisionsAsk { ask, after, most } => {
+                let afterOwn = after.0.iter().find(|mark| mark.node == self.settings.node);
+                let lines = self.journal.after(afterOwn.map_or(0, |mark| mark.sequence), most as usize);
+                self.send(from, Message::DecisionsAnswer { ask, lines: List(lines) });
+            }
+            Message::DecisionsAnswer { ask, lines } => self.decisions_answered(from, ask, lines.0),
+        }
+    }
+
+    fn news_came(&mut self, topic: &str) {
+        if topic == control_registers::DISKS_KEY {
+            self.set_changed();
+        }
+        if topic == control_registers::CONFIGURATION_KEY {
+            self.configuration_news();
+        }
+    }
+
+    fn take_member_changes(&mut self) {
+        for change in self.members.take_changes() {
+            let (kind, node) = match change {
+                MemberChange::Joined(node) => ("member_joined", node),
+                MemberChange::Gone(node) => ("member_gone", node),
+            };
+            let address = self.members.remembered().find(|news| news.node == node).map(|news| news.address);
+            self.journal.append(
+                kind,
+                json!({
+                    "member": format!("{node:016x}"),
+                    "address": address.map(|found| found.socket().to_string()),
+                }),
+                self.now,
+            );
+            if kind == "member_gone" {
+                let demandTopic = format!("demand/{node:016x}");
+                self.news.forget(|topic| topic == demandTopic);
+            }
+        }
+    }
+
+    /// Sends to a live member, or to this node itself.
+    pub(crate) fn send(&mut self, node: NodeId, message: Message) {
+        if node == self.settings.node {
+            self.to_self.push_back(message);
+            return;
+        }
+        let Some(address) = self.members.find(node).map(|news| news.address) else { return };
+        self.send_to_address(address, message);
+    }
+
+    pub(crate) fn send_to_address(&mut self, address: Address, message: Message) {
+        if address == self.settings.address {
+            return;
+        }
+        self.counts.messages_sent += 1;
+        self.acts.push(Act::Send { address, message });
+    }
+
+    pub(crate) fn act(&mut self, act: Act) {
+        self.acts.push(act);
+    }
+
+    pub(crate) fn fresh_ask(&mut self) -> u64 {
+        self.next_ask += 1;
+        self.next_ask
+    }
+
+    /// Live members that are not draining: the paper's N, in order of id.
+    pub(crate) fn serving_members(&self) -> Vec<NodeId> {
+        self.members.live().iter().filter(|news| news.draining == 0).map(|news| news.node).collect()
+    }
+
+    /// The rendezvous choice among nodes.
+    pub(crate) fn rendezvous_choice(name: &str, nodes: impl Iterator<Item = NodeId>) -> Option<NodeId> {
+        nodes.max_by_key(|node| (rendezvous_weight(name, *node), *node))
+    }
+
+    fn decisions_asked(&mut self, request: u64, after: Vec<(NodeId, u64)>, most: u32) {
+        let ask = self.fresh_ask();
+        let most = most.min(2_000);
+        let marks: List<CursorMark> =
+            after.iter().map(|(node, sequence)| CursorMark { node: *node, sequence: *sequence }).collect();
+        if self.gathers.len() >= GATHER_LIMIT {
+            self.act(Act::DecisionsAnswered { request, lines: Vec::new(), cursor: after });
+            return;
+        }
+        let everyone: BTreeSet<NodeId> = self.members.live().iter().map(|news| news.node).collect();
+        self.gathers.insert(
+            ask,
+            DecisionsGather {
+                request,
+                lines: Vec::new(),
+                cursor: after.into_iter().collect(),
+                unheard: everyone.clone(),
+                ends_at: self.now + GATHER_SPAN,
+                most: most as usize,
+            },
+        );
+        for node in everyone {
+            self.send(node, Message::DecisionsAsk { ask, after: marks.clone(), most });
+        }
+    }
+
+    fn decisions_answered(&mut self, from: NodeId, ask: u64, lines: Vec<DecisionLine>) {
+        let Some(gather) = self.gathers.get_mut(&ask) else { return };
+        if gather.unheard.remove(&from) {
+            gather.lines.extend(lines.into_iter().filter(|line| line.node == from));
+        }
+        if gather.unheard.is_empty() {
+            self.end_gather(ask);
+        }
+    }
+
+    fn end_gather(&mut self, ask: u64) {
+        let Some(mut gather) = self.gathers.remove(&ask) else { return };
+        gather.lines.truncate(gather.most);
+        for line in &gather.lines {
+            gather.cursor.insert(line.node, line.sequence);
+        }
+        self.act(Act::DecisionsAnswered {
+            request: gather.request,
+            lines: gather.lines,
+            cursor: gather.cursor.into_iter().collect(),
+        });
+    }
+
+    fn tick_gathers(&mut self) {
+        let now = self.now;
+        let overAsks: Vec<u64> =
+            self.gathers.iter().filter(|(_, gather)| now >= gather.ends_at).map(|(ask, _)| *ask).collect();
+        for ask in overAsks {
+            self.end_gather(ask);
+        }
+    }
+
+    fn drain(&mut self) {
+        if self.draining_since.is_some() {
+            return;
+        }
+        self.draining_since = Some(self.now);
+        self.members.update_own(|own| own.draining = 1);
+        self.journal.append("draining", json!({}), self.now);
+        self.release_stewards();
+        // Colleagues hear it at once, not at the next probe.
+        let told = Message::Probe { sequence: 0, target: 0, members: List(vec![self.members.own().clone()]) };
+        let addresses: Vec<Address> = self.members.colleagues().map(|news| news.address).collect();
+        for address in addresses {
+            self.send_to_address(address, told.clone());
+        }
+    }
+
+    fn tick_drain(&mut self) {
+        let Some(drainingSince) = self.draining_since else { return };
+        let isOver = self.stewards.election.is_empty() || self.now >= drainingSince + DRAIN_SPAN;
+        if isOver && !self.drained_told {
+            self.drained_told = true;
+            self.act(Act::Drained);
+        }
+    }
+
+    /// The node's page of state. Example: `node.status(now).held.len()`.
+    pub fn status(&self, now: Micros) -> NodeStatus {
+        let members = self.serving_members();
+        NodeStatus {
+            node: self.settings.node,
+            generation: self.configuration.generation(),
+            is_ready: self.configuration.is_ready(),
+            members: self.members.live().into_iter().cloned().collect(),
+            held: self.stewards.election.held(now),
+            tally: self.stewards.election.tally(&members, now),
+            unheld: self
+                .configuration
+                .current()
+                .functions
+                .keys()
+                .filter(|function| self.stewards.election.holder(function, now).is_none())
+                .count(),
+            voters: self.control.voters().disks.0.clone(),
+            owned_keys: self.control.owned_count(),
+            election_counts: self.stewards.election.counts(),
+            decisions: self.journal.counts().clone(),
+            counts: self.counts.clone(),
+        }
+    }
+
+    /// The configuration that holds here. Example: `node.current_configuration().lanes.len()`.
+    pub fn current_configuration(&self) -> Arc<configuration_check::Configuration> {
+        self.configuration.current()
+    }
+
+    /// Whether this node may act as the function's steward now, and under which epoch.
+    /// Example: `node.term("proof", now)`.
+    pub fn term(&self, function: &str, now: Micros) -> Option<u64> {
+        self.stewards.election.term(function, now)
+    }
+}
--- /dev/null
+++ b/packages/node_protocol/src/steward_part.rs
@@ -0,0 +1,674 @@
+//! What this node does as steward and as deputy: terms, tickets, cells, the split of allowances.
+
+use crate::node::Node;
+use crate::{Act, StartResult, StopResult};
+use clock_events::{ClockEvent, Micros};
+use colleague_messages::{
+    Address, Bytes, CellEntry, CellsNews, DemandEntry, DemandNews, List, Message, NodeId, Ticket,
+};
+use configuration_check::Function;
+use deku::{DekuContainerRead, DekuContainerWrite};
+use serde_json::json;
+use std::collections::{BTreeMap, VecDeque};
+use steward_election::{Election, ElectionSettings, TermChange};
+use steward_work::{
+    Demand, DeputyWork, FunctionWork, HeldBackAs, ListedCell, ListedWorker, Placement, StartOutcome,
+    StartRate, Totals, WorkAct, WorkSettings, allowance_split,
+};
+
+const START_WAITLIST: usize = 2_048;
+const START_TRIES: u32 = 4;
+const LIST_EVERY: Micros = Micros::from_millis(900);
+const LIST_PATIENCE: Micros = Micros::from_secs(3);
+const UNSETTLED_POLL: Micros = Micros::from_millis(100);
+/// Until the first list is in, a new steward may not know of cells that run: it starts none.
+const ADOPTION_SPAN: Micros = Micros::from_millis(1_500);
+
+#[derive(Debug)]
+struct WaitingStart {
+    function: String,
+    start_id: String,
+    worker: Option<String>,
+    tries: u32,
+}
+
+#[derive(Debug)]
+pub(crate) struct StewardPart {
+    pub(crate) election: Election,
+    works: BTreeMap<String, FunctionWork>,
+    deputies: BTreeMap<String, DeputyWork>,
+    next_deputy_ticket: u64,
+    placement: Placement,
+    rate: StartRate,
+    starts: VecDeque<WaitingStart>,
+    starts_out: BTreeMap<String, WaitingStart>,
+    stops: VecDeque<(String, String)>,
+    list_asked_at: Option<Micros>,
+    list_due: Micros,
+    cells: Vec<ListedCell>,
+    has_list: bool,
+    poll_due: Micros,
+    unsettled_poll: ClockEvent,
+    split_event: ClockEvent,
+    work_event: ClockEvent,
+    held_event: ClockEvent,
+    orphan_since: BTreeMap<String, Micros>,
+    demand_told: (Micros, DemandNews),
+    cells_sequence: u64,
+}
+
+impl StewardPart {
+    pub(crate) fn new(own: NodeId, settings: ElectionSettings) -> StewardPart {
+        StewardPart {
+            election: Election::new(own, settings),
+            works: BTreeMap::new(),
+            deputies: BTreeMap::new(),
+            next_deputy_ticket: 0,
+            placement: Placement::default(),
+            rate: StartRate::new(),
+            starts: VecDeque::new(),
+            starts_out: BTreeMap::new(),
+            stops: VecDeque::new(),
+            list_asked_at: None,
+            list_due: Micros(0),
+            cells: Vec::new(),
+            has_list: false,
+            poll_due: Micros(0),
+            unsettled_poll: ClockEvent::each(UNSETTLED_POLL),
+            split_event: ClockEvent::each(Micros::from_millis(100)),
+            work_event: ClockEvent::each(Micros::from_millis(40)),
+            held_event: ClockEvent::each(Micros::from_millis(300)),
+            orphan_since: BTreeMap::new(),
+            demand_told: (Micros(0), DemandNews { entries: List(Vec::new()) }),
+            cells_sequence: 0,
+        }
+    }
+}
+
+fn work_settings(function: &Function) -> WorkSettings {
+    WorkSettings {
+        calls_at_once: function.calls_at_once,
+        boot: Micros::from_millis(function.boot_millis),
+        idle: Micros::from_secs(function.idle_seconds),
+        least_cells: function.least_cells,
+        most_cells: function.most_cells,
+        waitlist: function.waitlist as usize,
+    }
+}
+
+impl Node {
+    pub(crate) fn tick_stewards(&mut self) {
+        let now = self.now;
+        let isUnsettled = self.stewards.election.is_unsettled(now);
+        if now >= self.stewards.poll_due || (isUnsettled && self.stewards.unsettled_poll.due(now)) {
+            let jitter = Micros(self.dice.u64(..self.settings.election.poll.0 / 10 + 1));
+            self.stewards.poll_due = now + self.settings.election.poll - jitter;
+            self.poll_records();
+        }
+        let members = self.serving_members();
+        let writes = self.stewards.election.tick(&members, now);
+        self.send_leader_writes(writes);
+        self.take_term_changes();
+        self.ask_list();
+        if self.stewards.held_event.due(now) {
+            self.ask_held();
+        }
+        if self.stewards.split_event.due(now) {
+            self.split_allowances(&members);
+        }
+        if self.stewards.work_event.due(now) {
+            let works = &mut self.stewards.works;
+            let election = &self.stewards.election;
+            for (function, work) in works {
+                if election.term(function, now).is_some() {
+                    work.tick(now);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn configuration_changed(&mut self) {
+        let configuration = self.configuration.current();
+        for (function, work) in &mut self.stewards.works {
+            if let Some(settings) = configuration.functions.get(function) {
+                work.take_settings(work_settings(settings));
+            }
+        }
+        self.stewards.deputies.retain(|function, _| configuration.functions.contains_key(function));
+        self.news.forget(|topic| {
+            topic
+                .strip_prefix("cells/")
+                .is_some_and(|function| !configuration.functions.contains_key(function))
+        });
+        // New functions are polled for at once.
+        self.stewards.poll_due = self.now;
+    }
+
+    pub(crate) fn release_stewards(&mut self) {
+        let releases = self.stewards.election.release_all(self.now);
+        self.send_leader_writes(releases);
+        self.take_term_changes();
+    }
+
+    fn take_term_changes(&mut self) {
+        for change in self.stewards.election.take_changes() {
+            match change {
+                TermChange::Taken { function, steward_epoch, past_gate, waited } => {
+                    self.journal.append(
+                        "steward_taken",
+                        json!({
+                            "function": function, "steward_epoch": steward_epoch,
+                            "past_gate": past_gate, "waited_micros": waited.0,
+                        }),
+                        self.now,
+                    );
+                    self.begin_work(&function, steward_epoch);
+                }
+                TermChange::Lost { function, steward_epoch, why } => {
+                    self.journal.append(
+                        "steward_lost",
+                        json!({"function": function, "steward_epoch": steward_epoch, "why": why}),
+                        self.now,
+                    );
+                    if let Some(work) = self.stewards.works.get_mut(&function) {
+                        work.give_up();
+                    }
+                    self.flush_works();
+                    self.stewards.works.remove(&function);
+                    self.stewards.starts.retain(|start| start.function != function);
+                }
+            }
+        }
+    }
+
+    fn begin_work(&mut self, function: &str, stewardEpoch: u64) {
+        let now = self.now;
+        let configuration = self.configuration.current();
+        let Some(settings) = configuration.functions.get(function) else { return };
+        let unheard: Vec<NodeId> = self.members.colleagues().map(|news| news.node).collect();
+        let mut work = FunctionWork::new(
+            function,
+            self.settings.node,
+            stewardEpoch,
+            work_settings(settings),
+            unheard.clone(),
+            now,
+        );
+        let knownReady: Vec<String> = self.known_ready(function).into_iter().map(|cell| cell.id).collect();
+        if self.stewards.has_list {
+            let ownCells = cells_of(&self.stewards.cells, function);
+            work.listed(&ownCells, &knownReady, now, now);
+        } else {
+            work.hold_starts(now + ADOPTION_SPAN);
+        }
+        let ownHeld = self.calls.held_for(function, now);
+        let heldTickets =
+            ownHeld.into_iter().map(|held| (held.ticket, Micros(held.ends_in_micros))).collect();
+        work.held_elsewhere(self.settings.node, heldTickets, now);
+        self.stewards.works.insert(function.to_owned(), work);
+        for node in unheard {
+            let message = Message::HeldAsk {
+                ask: stewardEpoch,
+                function: function.into(),
+                steward_epoch: stewardEpoch,
+            };
+            self.send(node, message);
+        }
+    }
+
+    fn ask_held(&mut self) {
+        let mut asks = Vec::new();
+        for (function, work) in &self.stewards.works {
+            let stewardEpoch = work.steward_epoch();
+            asks.extend(work.unheard().iter().map(|node| (*node, function.clone(), stewardEpoch)));
+        }
+        for (node, function, stewardEpoch) in asks {
+            let function = function.into();
+            self.send(node, Message::HeldAsk { ask: stewardEpoch, function, steward_epoch: stewardEpoch });
+        }
+    }
+
+    pub(crate) fn take_steward_message(&mut self, from: NodeId, message: Message) {
+        let now = self.now;
+        match message {
+            Message::TicketAsk { ask, function, time_left_micros, extra, avoid, deputy } => {
+                let timeLeft = Micros(time_left_micros);
+                let isExtra = extra == 1;
+                let isSteward = self.stewards.election.term(&function.0, now).is_some();
+                let work = self.stewards.works.get_mut(&function.0).filter(|_| isSteward);
+                if let Some(work) = work {
+                    work.ask(from, ask, timeLeft, isExtra, &avoid.0, now);
+                    return;
+                }
+                let holder = self.stewards.election.holder(&function.0, now);
+                if holder.is_none() {
+                    self.stewards.election.call_waits(&function.0);
+                }
+                if deputy == 1
+                    && let Some(ticket) = self.deputy_ticket(&function.0, isExtra, &avoid.0, timeLeft)
+                {
+                    self.counts.deputy_tickets += 1;
+                    self.send(from, Message::TicketGranted { ask, ticket });
+                    return;
+                }
+                self.send(
+                    from,
+                    Message::TicketHeldBack {
+                        ask,
+                        outcome: 2,
+                        reason: "not the steward".into(),
+                        retry_after_millis: 0,
+                    },
+                );
+            }
+            Message::TicketReturn { ticket, how, latency_micros } => {
+                let latency = Micros(latency_micros);
+                if ticket.steward_epoch == 0 {
+                    if let Some(deputy) = self.stewards.deputies.get_mut(&ticket.function.0) {
+                        deputy.returned(ticket.id, how, now);
+                    }
+                    return;
+                }
+                if let Some(work) = self.stewards.works.get_mut(&ticket.function.0) {
+                    work.returned(&ticket, how, latency, now);
+                }
+            }
+            Message::TicketWithdraw { ask, function } => {
+                if let Some(work) = self.stewards.works.get_mut(&function.0) {
+                    work.withdraw(from, ask);
+                }
+            }
+            Message::HeldAnswer { ask, function, tickets } => {
+                let Some(work) = self.stewards.works.get_mut(&function.0) else { return };
+                if work.steward_epoch() != ask || !work.unheard().contains(&from) {
+                    return;
+                }
+                let heldTickets = tickets
+                    .0
+                    .into_iter()
+                    .map(|held| (held.ticket, Micros(held.ends_in_micros.min(120_000_000))))
+                    .collect();
+                work.held_elsewhere(from, heldTickets, now);
+            }
+            _ => {}
+        }
+    }
+
+    fn deputy_ticket(
+        &mut self,
+        function: &str,
+        isExtra: bool,
+        avoid: &str,
+        timeLeft: Micros,
+    ) -> Option<Ticket> {
+        if self.draining_since.is_some() {
+            return None;
+        }
+        let now = self.now;
+        let callsAtOnce = self.configuration.current().functions.get(function)?.calls_at_once;
+        let mut readyCells = self.known_ready(function);
+        // What the list shows leaving or gone is not known to run any more.
+        if self.stewards.has_list {
+            let cells = &self.stewards.cells;
+            readyCells.retain(|ready| cells.iter().any(|listed| listed.id == ready.id && !listed.leaving));
+        }
+        self.stewards.next_deputy_ticket += 1;
+        let ticketName = format!("{:x}/{}", self.settings.node, self.stewards.next_deputy_ticket);
+        let ticketId = colleague_messages::stable_hash(ticketName.as_bytes());
+        let own = self.settings.node;
+        let deputy = self.stewards.deputies.entry(function.to_owned()).or_default();
+        let endsAt = now + timeLeft + Micros::from_secs(1);
+        deputy.grant(own, ticketId, function, &readyCells, callsAtOnce, isExtra, avoid, endsAt, now)
+    }
+
+    /// A ticket for a cell that the list shows leaving, or whose address is another cell's by now.
+    pub(crate) fn is_barred(&self, ticket: &Ticket) -> bool {
+        let address = ticket.address.socket();
+        let cells = &self.stewards.cells;
+        match cells.iter().find(|listed| listed.id == ticket.cell.0) {
+            Some(listed) => listed.leaving || listed.address != address,
+            None => cells.iter().any(|listed| listed.address == address && !listed.leaving),
+        }
+    }
+
+    fn ask_list(&mut self) {
+        let now = self.now;
+        let isOpen = self.stewards.list_asked_at.is_some_and(|askedAt| now < askedAt + LIST_PATIENCE);
+        if isOpen || now < self.stewards.list_due {
+            return;
+        }
+        let jitter = Micros(self.dice.u64(..LIST_EVERY.0 / 5));
+        self.stewards.list_due = now + LIST_EVERY + jitter;
+        self.stewards.list_asked_at = Some(now);
+        self.act(Act::List);
+    }
+
+    pub(crate) fn list_failed(&mut self) {
+        self.stewards.list_asked_at = None;
+    }
+
+    pub(crate) fn listed(&mut self, workers: Vec<ListedWorker>, mut cells: Vec<ListedCell>) {
+        let now = self.now;
+        let Some(askedAt) = self.stewards.list_asked_at.take() else { return };
+        let mut used: BTreeMap<String, u64> = BTreeMap::new();
+        for cell in &cells {
+            *used.entry(cell.worker.clone()).or_default() += cell.memory_mb;
+        }
+        self.stewards.placement.take_list(workers, used);
+        for cell in &mut cells {
+            // A cell leaves with its worker.
+            cell.leaving |= !self.stewards.placement.is_usable(&cell.worker);
+        }
+        self.stewards.cells = cells;
+        self.stewards.has_list = true;
+        let functions: Vec<String> = self.stewards.works.keys().cloned().collect();
+        for function in functions {
+            let knownReady: Vec<String> =
+                self.known_ready(&function).into_iter().map(|cell| cell.id).collect();
+            let ownCells = cells_of(&self.stewards.cells, &function);
+            if let Some(work) = self.stewards.works.get_mut(&function) {
+                work.listed(&ownCells, &knownReady, askedAt, now);
+            }
+        }
+        self.stop_orphans();
+    }
+
+    /// Cells of functions that are configured no more are stopped by one node, after a grace in
+    /// which a newer configuration or a running call may still want them.
+    fn stop_orphans(&mut self) {
+        let now = self.now;
+        let configuration = self.configuration.current();
+        if self.configuration.generation() == 0 || !self.configuration.is_ready() {
+            return;
+        }
+        let orphans: Vec<String> = self
+            .stewards
+            .cells
+            .iter()
+            .filter(|cell| !configuration.functions.contains_key(&cell.function) && !cell.leaving)
+            .map(|cell| cell.id.clone())
+            .collect();
+        self.stewards.orphan_since.retain(|cell, _| orphans.contains(cell));
+        let members = self.serving_members();
+        for orphan in orphans {
+            let since = *self.stewards.orphan_since.entry(orphan.clone()).or_insert(now);
+            let isOwnTask =
+                Node::rendezvous_choice(&orphan, members.iter().copied()) == Some(self.settings.node);
+            let isWaiting = self.stewards.stops.iter().any(|(_, cell)| *cell == orphan);
+            if isOwnTask && now >= since + Micros::from_secs(5) && !isWaiting {
+                self.stewards.orphan_since.insert(orphan.clone(), now);
+                self.stewards.stops.push_back((String::new(), orphan));
+            }
+        }
+    }
+
+    /// Tells what own functions want and applies the split of everything to them.
+    fn split_allowances(&mut self, members: &[NodeId]) {
+        let now = self.now;
+        let configuration = self.configuration.current();
+        let mut ownDemands: BTreeMap<String, Demand> = BTreeMap::new();
+        for (function, work) in &self.stewards.works {
+            let Some(settings) = configuration.functions.get(function) else { continue };
+            let demand = Demand {
+                memory_mb: f64::from(work.demanded_cells()) * settings.cell_memory_mb as f64,
+                starts: f64::from(work.wanted_acts()),
+            };
+            if demand != Demand::default() {
+                ownDemands.insert(function.clone(), demand);
+            }
+        }
+        self.tell_demand(&ownDemands);
+        let mut demands = ownDemands.clone();
+        for item in self.news.topics("demand/") {
+            if item.origin == self.settings.node || !members.contains(&item.origin) {
+                continue;
+            }
+            let Ok((_, demandNews)) = DemandNews::from_bytes((&item.body.0, 0)) else { continue };
+            for entry in demandNews.entries.0 {
+                let demand =
+                    Demand { memory_mb: entry.memory_mb as f64, starts: entry.milli_starts as f64 / 1_000.0 };
+                demands.entry(entry.function.0).or_insert(demand);
+            }
+        }
+        let memberCount = members.len().max(1) as f64;
+        let actsPerSecond = self.settings.acts_per_second;
+        // Half of the acts is every node's own in equal parts, so that a lone start never waits for
+        // news; the other half follows the demand through the tree.
+        let totals = Totals {
+            memory_mb: self.stewards.placement.total_memory_mb() as f64,
+            starts: actsPerSecond / 2.0,
+        };
+        let shares = allowance_split(&configuration, &demands, totals);
+        let mut ownActs = actsPerSecond / 2.0 / memberCount;
+        for (function, work) in &mut self.stewards.works {
+            let Some(settings) = configuration.functions.get(function) else { continue };
+            let Some(share) = shares.get(function) else { continue };
+            ownActs += share.starts;
+            let cellCount = (share.memory_mb / settings.cell_memory_mb as f64 + 0.001).floor() as u32;
+            // A function that is called gets one cell as soon as a worker has room for it.
+            work.allow_cells(cellCount.max(1));
+        }
+        self.stewards.rate.take_rate(ownActs, now);
+    }
+
+    fn tell_demand(&mut self, ownDemands: &BTreeMap<String, Demand>) {
+        let now = self.now;
+        let entries: List<DemandEntry> = ownDemands
+            .iter()
+            .map(|(function, demand)| DemandEntry {
+                function: function.as_str().into(),
+                memory_mb: demand.memory_mb as u64,
+                milli_starts: (demand.starts * 1_000.0) as u64,
+            })
+            .collect();
+        let demandNews = DemandNews { entries };
+        let (toldAt, toldNews) = &self.stewards.demand_told;
+        if *toldNews == demandNews || now < *toldAt + Micros::from_millis(300) {
+            return;
+        }
+        let topic = format!("demand/{:016x}", self.settings.node);
+        let sequence = self.news.sequence(&topic) + 1;
+        let body = Bytes(demandNews.to_bytes().unwrap_or_default());
+        self.news.publish(&topic, self.settings.node, sequence, body);
+        self.stewards.demand_told = (now, demandNews);
+    }
+
+    /// Hands out the acts of all works and serves the platform's waitlists.
+    pub(crate) fn flush_stewards(&mut self) {
+        self.flush_works();
+        self.serve_platform();
+    }
+
+    fn flush_works(&mut self) {
+        let mut allActs = Vec::new();
+        for (function, work) in &mut self.stewards.works {
+            let acts = work.take_acts();
+            if !acts.is_empty() {
+                allActs.push((function.clone(), acts));
+            }
+        }
+        for (function, acts) in allActs {
+            for act in acts {
+                self.take_work_act(&function, act);
+            }
+        }
+    }
+
+    fn take_work_act(&mut self, function: &str, act: WorkAct) {
+        match act {
+            WorkAct::Grant { asker, ask, ticket } => {
+                // Fencing: no ticket leaves after the term's end.
+                if self.stewards.election.term(function, self.now).is_none() {
+                    return;
+                }
+                self.counts.tickets_granted += 1;
+                self.send(asker, Message::TicketGranted { ask, ticket });
+            }
+            WorkAct::HoldBack { asker, ask, held_back_as, reason, retry_after } => {
+                let outcome = match held_back_as {
+                    HeldBackAs::Waiting => 0,
+                    HeldBackAs::Refused => 1,
+                    HeldBackAs::NotSteward => 2,
+                };
+                if outcome == 1 {
+                    self.counts.asks_refused += 1;
+                    self.journal.append("refused", json!({"function": function, "reason": reason}), self.now);
+                }
+                let message = Message::TicketHeldBack {
+                    ask,
+                    outcome,
+                    reason: reason.into(),
+                    retry_after_millis: retry_after.millis(),
+                };
+                self.send(asker, message);
+            }
+            WorkAct::Start { start_id } => {
+                if self.stewards.starts.len() >= START_WAITLIST {
+                    if let Some(work) = self.stewards.works.get_mut(function) {
+                        work.started(&start_id, StartOutcome::NoRoom, self.now);
+                    }
+                    return;
+                }
+                let start = WaitingStart { function: function.to_owned(), start_id, worker: None, tries: 0 };
+                self.stewards.starts.push_back(start);
+            }
+            WorkAct::Stop { cell } => {
+                let isWaiting = self.stewards.stops.iter().any(|(_, waiting)| *waiting == cell);
+                if !isWaiting {
+                    self.stewards.stops.push_back((function.to_owned(), cell));
+                }
+            }
+            WorkAct::ReadyChanged => self.tell_ready_cells(function),
+        }
+    }
+
+    fn tell_ready_cells(&mut self, function: &str) {
+        let Some(work) = self.stewards.works.get(function) else { return };
+        let cells = work
+            .ready_cells()
+            .into_iter()
+            .map(|ready| CellEntry { cell: ready.id.into(), address: Address::from(ready.address) })
+            .collect();
+        let topic = format!("cells/{function}");
+        self.stewards.cells_sequence += 1;
+        // The epoch leads, so a new steward's word always replaces an old one's.
+        let epochPart = work.steward_epoch() << 24;
+        let sequence =
+            (self.news.sequence(&topic) + 1).max(epochPart + self.stewards.cells_sequence % (1 << 24));
+        let body = Bytes(CellsNews { cells }.to_bytes().unwrap_or_default());
+        self.news.publish(&topic, self.settings.node, sequence, body);
+    }
+
+    /// Starts before stops, as far as the start rate goes, and only under a standing term.
+    fn serve_platform(&mut self) {
+        let now = self.now;
+        while let Some(start) = self.stewards.starts.front() {
+            let function = start.function.clone();
+            let isHeld = self.stewards.election.term(&function, now).is_some();
+            let memoryMb =
+                self.configuration.current().functions.get(&function).map(|found| found.cell_memory_mb);
+            let (true, Some(memoryMb)) = (isHeld, memoryMb) else {
+                self.stewards.starts.pop_front();
+                continue;
+            };
+            let pickedWorker = match &start.worker {
+                Some(worker) => Some(worker.clone()),
+                None => self.stewards.placement.pick(memoryMb, &start.start_id, now),
+            };
+            let Some(worker) = pickedWorker else {
+                let Some(start) = self.stewards.starts.pop_front() else { return };
+                self.end_start(&start, StartOutcome::NoRoom);
+                continue;
+            };
+            if !self.stewards.rate.spend(now) {
+                if let Some(start) = self.stewards.starts.front_mut() {
+                    start.worker = Some(worker);
+                }
+                return;
+            }
+            let Some(mut start) = self.stewards.starts.pop_front() else { return };
+            start.worker = Some(worker.clone());
+            start.tries += 1;
+            let startId = start.start_id.clone();
+            self.stewards.starts_out.insert(startId.clone(), start);
+            self.journal.append(
+                "start",
+                json!({"function": function, "worker": worker, "start_id": startId}),
+                now,
+            );
+            self.act(Act::Start { start_id: startId, function, worker, memory_mb: memoryMb });
+        }
+        while let Some((function, _)) = self.stewards.stops.front() {
+            let isHeld = function.is_empty() || self.stewards.election.term(function, now).is_some();
+            if !isHeld {
+                self.stewards.stops.pop_front();
+                continue;
+            }
+            if !self.stewards.rate.spend(now) {
+                return;
+            }
+            let Some((function, cell)) = self.stewards.stops.pop_front() else { return };
+            self.journal.append("stop", json!({"function": function, "cell": cell}), now);
+            self.act(Act::Stop { cell });
+        }
+    }
+
+    fn end_start(&mut self, start: &WaitingStart, outcome: StartOutcome) {
+        let now = self.now;
+        if outcome == StartOutcome::NoRoom {
+            self.journal.append("no_room", json!({"function": start.function}), now);
+        }
+        if let Some(work) = self.stewards.works.get_mut(&start.function) {
+            work.started(&start.start_id, outcome, now);
+        }
+    }
+
+    pub(crate) fn start_done(&mut self, startId: &str, result: StartResult) {
+        let now = self.now;
+        let Some(mut start) = self.stewards.starts_out.remove(startId) else { return };
+        let worker = start.worker.clone().unwrap_or_default();
+        match result {
+            StartResult::Started { cell, address } => {
+                self.stewards.rate.accepted();
+                self.end_start(&start, StartOutcome::Started { cell, address, worker });
+            }
+            StartResult::NoRoom => {
+                let configuration = self.configuration.current();
+                let memoryMb = configuration.functions.get(&start.function).map_or(0, |f| f.cell_memory_mb);
+                self.stewards.placement.refused(&worker, memoryMb, now);
+                if start.tries >= START_TRIES {
+                    self.end_start(&start, StartOutcome::NoRoom);
+                    return;
+                }
+                start.worker = None;
+                self.stewards.starts.push_front(start);
+            }
+            StartResult::Throttled => {
+                self.stewards.rate.throttled(now);
+                self.journal.append("throttled", json!({"function": start.function}), now);
+                start.tries = start.tries.saturating_sub(1);
+                self.stewards.starts.push_front(start);
+            }
+            StartResult::Unknown => {
+                if start.tries >= START_TRIES {
+                    self.end_start(&start, StartOutcome::NoRoom);
+                    return;
+                }
+                // The same id at the same worker: the platform starts it once.
+                self.stewards.starts.push_back(start);
+            }
+        }
+    }
+
+    pub(crate) fn stop_done(&mut self, cell: &str, result: StopResult) {
+        if result == StopResult::Throttled {
+            self.stewards.rate.throttled(self.now);
+            self.journal.append("throttled", json!({"cell": cell}), self.now);
+        }
+        // A stop that did not take is asked for again by the function's work.
+    }
+}
+
+fn cells_of(cells: &[ListedCell], function: &str) -> Vec<ListedCell> {
+    cells.iter().filter(|cell| cell.function == function).cloned().collect()
+}
--- a/packages/steward_work/src/deputy_work.rs
+++ b/packages/steward_work/src/deputy_work.rs
@@ -1,5 +1,5 @@
-use crate::function_work::ReadyCell;
 use crate::TURNED_AWAY;
+use crate::function_work::ReadyCell;
 use clock_events::Micros;
 use colleague_messages::{Address, NodeId, Ticket};
 use std::collections::BTreeMap;
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -220,6 +220,12 @@
         self.settings = settings;
     }
 
+    /// Starts nothing before this time: the cells that run are not known yet.
+    /// Example: `work.hold_starts(now + Micros::from_secs(1))`.
+    pub fn hold_starts(&mut self, until: Micros) {
+        self.no_room_until = until;
+    }
+
     /// How many cells the allowance lets this function have. Example: `work.allow_cells(3)`.
     pub fn allow_cells(&mut self, cellCount: u32) {
         self.allowed_cells = cellCount;
