--- /dev/null
+++ b/packages/function_front/src/call_chart.rs
@@ -0,0 +1,120 @@
+/// Declares the chart: each state with the states that may follow it.
+macro_rules! call_chart {
+    ($($(#[$note:meta])* $state:ident => [$($next:ident),*],)*) => {
+        /// Where a call is. Example: `CallState::Received.may_become(CallState::Matched)`.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum CallState { $($(#[$note])* $state,)* }
+
+        impl CallState {
+            /// Every state. Example: `CallState::ALL.len() == 7`.
+            pub const ALL: &[CallState] = &[$(CallState::$state,)*];
+
+            /// Whether the chart has this step. Example: `!CallState::Answered.may_become(CallState::Received)`.
+            pub fn may_become(self, nextState: CallState) -> bool {
+                let followers: &[CallState] = match self { $(CallState::$state => &[$(CallState::$next),*],)* };
+                followers.contains(&nextState)
+            }
+
+            /// The state's name in metrics. Example: `CallState::TicketAsked.name() == "TicketAsked"`.
+            pub fn name(self) -> &'static str {
+                match self { $(CallState::$state => stringify!($state),)* }
+            }
+        }
+    };
+}
+
+call_chart! {
+    /// The head is read.
+    Received => [Matched, Refused],
+    /// A lane takes it, and its time left is stamped.
+    Matched => [TicketAsked, Refused],
+    /// The steward or deputy is asked for a ticket.
+    TicketAsked => [Dispatched, Refused, Unknown],
+    /// Bytes may reach a cell.
+    Dispatched => [TicketAsked, Answered, Refused, Unknown],
+    /// A whole answer went to the visitor.
+    Answered => [],
+    /// The visitor was told that it did not run.
+    Refused => [],
+    /// The visitor was told that its fate is unknown.
+    Unknown => [],
+}
+
+/// One call's walk over the chart.
+/// Example: `let mut chart = CallChart::begin(); chart.step(CallState::Matched);`.
+#[derive(Debug)]
+pub struct CallChart {
+    state: CallState,
+    /// Once true, the call is never refused as not run.
+    may_have_run: bool,
+    dispatches: u32,
+}
+
+impl CallChart {
+    /// A call just received. Example: `CallChart::begin().state() == CallState::Received`.
+    pub fn begin() -> CallChart {
+        CallChart { state: CallState::Received, may_have_run: false, dispatches: 0 }
+    }
+
+    /// The state it is in. Example: `chart.state()`.
+    pub fn state(&self) -> CallState {
+        self.state
+    }
+
+    /// How often it was dispatched. Example: `chart.dispatches() <= 4`.
+    pub fn dispatches(&self) -> u32 {
+        self.dispatches
+    }
+
+    /// Whether some dispatch may have run it. Example: `chart.may_have_run()`.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Takes a step. A step that the chart does not have, or a refusal of a call that may have run,
+    /// is a broken invariant. Example: `chart.step(CallState::Matched)`.
+    pub fn step(&mut self, nextState: CallState) {
+        assert!(self.state.may_become(nextState), "{:?} cannot become {nextState:?}", self.state);
+        assert!(
+            !(nextState == CallState::Refused && self.may_have_run),
+            "a call that may have run is no refusal"
+        );
+        if nextState == CallState::Dispatched {
+            self.dispatches += 1;
+        }
+        self.state = nextState;
+    }
+
+    /// A dispatch ended without telling whether it ran. Example: `chart.lost_track()`.
+    pub fn lost_track(&mut self) {
+        self.may_have_run = true;
+    }
+
+    /// The end for a call that is given up: refused if it surely did not run.
+    /// Example: `chart.give_up() == CallState::Refused` before any dispatch.
+    pub fn give_up(&mut self) -> CallState {
+        let finalState = if self.may_have_run { CallState::Unknown } else { CallState::Refused };
+        self.step(finalState);
+        finalState
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_call_that_may_have_run_is_never_refused() {
+        let mut chart = CallChart::begin();
+        for state in [CallState::Matched, CallState::TicketAsked, CallState::Dispatched] {
+            chart.step(state);
+        }
+        chart.lost_track();
+        chart.step(CallState::TicketAsked);
+        assert_eq!(chart.give_up(), CallState::Unknown);
+        let endStates = CallState::ALL
+            .iter()
+            .filter(|state| !CallState::ALL.iter().any(|nextState| state.may_become(*nextState)));
+        assert_eq!(endStates.count(), 3);
+    }
+}
--- /dev/null
+++ b/packages/function_front/src/front.rs
@@ -0,0 +1,634 @@
+use crate::call_chart::{CallChart, CallState};
+use crate::cell_dispatch::{
+    AnswerRest, CellAnswer, DispatchCall, DispatchOutcome, DispatchSettings, dispatch, end_to_end,
+};
+use crate::lane_table::{LaneRow, LaneTable};
+use crate::{OUTCOME_HEADER, TIME_LEFT_HEADER};
+use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::header::{self, HeaderValue};
+use actix_http::{HttpMessage, Payload, Request, Response, StatusCode};
+use arc_swap::ArcSwap;
+use bytes::{Bytes, BytesMut};
+use clock_events::{Micros, MonotonicClock};
+use colleague_messages::Ticket;
+use configuration_check::Configuration;
+use futures_util::StreamExt;
+use serde_json::json;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::task::{Context, Poll};
+use steward_work::{NOT_RUN, RAN, TURNED_AWAY, UNKNOWN, UNUSED};
+use tokio::sync::{mpsc, oneshot};
+
+/// Limits of the front. Example: `FrontSettings::default().body_limit == 4 << 20`.
+#[derive(Clone, Debug)]
+pub struct FrontSettings {
+    /// The longest body of a call.
+    pub body_limit: usize,
+    /// All bodies and answers held at once.
+    pub memory_limit: usize,
+    /// Calls under way at once.
+    pub calls_limit: usize,
+    /// Dispatches of one call, the first included.
+    pub dispatch_limit: u32,
+    /// Limits of one dispatch.
+    pub dispatch: DispatchSettings,
+}
+
+impl Default for FrontSettings {
+    fn default() -> FrontSettings {
+        FrontSettings {
+            body_limit: 4 * 1024 * 1024,
+            memory_limit: 96 * 1024 * 1024,
+            calls_limit: 1_000,
+            dispatch_limit: 4,
+            dispatch: DispatchSettings::default(),
+        }
+    }
+}
+
+/// The protocol's answer to an ask for a ticket.
+#[derive(Clone, Debug)]
+pub enum TicketAnswer {
+    /// One dispatch to one cell.
+    Granted(Ticket),
+    /// None: it did not run. `is_missing` when the function is configured no more.
+    Refused { reason: String, retry_after: Micros, is_full: bool, is_missing: bool },
+}
+
+/// What the front says to the node's protocol.
+#[derive(Debug)]
+pub enum FrontLink {
+    /// A call needs a ticket.
+    Ask {
+        call: u64,
+        function: String,
+        time_left: Micros,
+        is_extra: bool,
+        avoid: String,
+        reply: oneshot::Sender<TicketAnswer>,
+    },
+    /// The call is over before a ticket came.
+    End { call: u64 },
+    /// A dispatch ended.
+    Done { ticket: Ticket, how: u8, latency: Micros },
+}
+
+macro_rules! front_counts {
+    ($($(#[$note:meta])* $field:ident,)*) => {
+        /// Counts for metrics. Example: `front.counts.answered.load(Ordering::Relaxed)`.
+        #[derive(Debug, Default)]
+        pub struct FrontCounts { $($(#[$note])* pub $field: AtomicU64,)* }
+
+        impl FrontCounts {
+            /// All counts by name. Example: `front.counts.all()`.
+            pub fn all(&self) -> Vec<(&'static str, u64)> {
+                vec![$((stringify!($field), self.$field.load(Ordering::Relaxed)),)*]
+            }
+        }
+    };
+}
+
+front_counts! {
+    /// Calls whose head was read.
+    received,
+    /// Whole answers of cells.
+    answered,
+    /// Refused as not run.
+    refused,
+    /// Of unknown fate.
+    unknown,
+    /// Calls without a lane.
+    no_lane,
+    /// Dispatches beyond a call's first.
+    extra_dispatches,
+    /// Dispatches that a cell turned away.
+    turned_away,
+    /// Answers cut after their beginning had gone to the visitor.
+    cut_answers,
+    /// Microseconds spent waiting for tickets, and how many tickets came.
+    ticket_micros,
+    /// Tickets that came.
+    tickets,
+}
+
+/// A node's front. Example: `Front::new(FrontSettings::default(), sender)`.
+#[derive(Debug)]
+pub struct Front {
+    settings: FrontSettings,
+    lanes: ArcSwap<LaneTable>,
+    link: mpsc::Sender<FrontLink>,
+    clock: MonotonicClock,
+    next_call: AtomicU64,
+    memory_used: AtomicUsize,
+    calls_open: AtomicUsize,
+    draining: AtomicBool,
+    /// Counts for metrics.
+    pub counts: FrontCounts,
+}
+
+/// The answer to a visitor.
+pub type FrontAnswer = Response<BoxBody>;
+
+/// Memory and a place among the open calls, given back when dropped.
+struct Held {
+    front: Arc<Front>,
+    bytes: usize,
+}
+
+impl Held {
+    fn grow(&mut self, byteCount: usize) -> bool {
+        let usedBefore = self.front.memory_used.fetch_add(byteCount, Ordering::Relaxed);
+        self.bytes += byteCount;
+        usedBefore + byteCount <= self.front.settings.memory_limit
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.front.memory_used.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.front.calls_open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Returns the ticket however the dispatch ends, a dropped connection of the visitor included.
+struct TicketGuard {
+    front: Arc<Front>,
+    ticket: Option<Ticket>,
+    began_at: Micros,
+}
+
+impl TicketGuard {
+    fn done(&mut self, how: u8) {
+        let Some(ticket) = self.ticket.take() else { return };
+        let latency = self.front.clock.now() - self.began_at;
+        // A lost return is harmless: the ticket runs out.
+        let _ = self.front.link.try_send(FrontLink::Done { ticket, how, latency });
+    }
+}
+
+impl Drop for TicketGuard {
+    fn drop(&mut self) {
+        self.done(UNKNOWN);
+    }
+}
+
+/// Withdraws the ask if the call ends while it waits.
+struct AskGuard {
+    front: Arc<Front>,
+    call: u64,
+    is_open: bool,
+}
+
+impl Drop for AskGuard {
+    fn drop(&mut self) {
+        if self.is_open {
+            let _ = self.front.link.try_send(FrontLink::End { call: self.call });
+        }
+    }
+}
+
+struct Refusal {
+    status: StatusCode,
+    reason: String,
+    retry_after: Option<Micros>,
+}
+
+impl Refusal {
+    fn new(status: StatusCode, reason: &str, retryAfter: Option<Micros>) -> Refusal {
+        Refusal { status, reason: reason.to_owned(), retry_after: retryAfter }
+    }
+}
+
+impl Front {
+    /// A front without lanes. Example: `Front::new(FrontSettings::default(), sender).open_calls() == 0`.
+    pub fn new(settings: FrontSettings, link: mpsc::Sender<FrontLink>) -> Front {
+        Front {
+            settings,
+            lanes: ArcSwap::from_pointee(LaneTable::default()),
+            link,
+            clock: MonotonicClock::start(),
+            next_call: AtomicU64::new(1 << 32),
+            memory_used: AtomicUsize::new(0),
+            calls_open: AtomicUsize::new(0),
+            draining: AtomicBool::new(false),
+            counts: FrontCounts::default(),
+        }
+    }
+
+    /// Swaps in a newer generation's lanes; calls under way keep the row they matched.
+    /// Example: `front.take_configuration(4, &configuration)`.
+    pub fn take_configuration(&self, generation: u64, configuration: &Configuration) {
+        self.lanes.store(Arc::new(LaneTable::new(generation, configuration)));
+    }
+
+    /// The generation that calls are matched against. Example: `front.generation() == 4`.
+    pub fn generation(&self) -> u64 {
+        self.lanes.load().generation
+    }
+
+    /// Calls under way. Example: `front.open_calls() == 0` before a drained node goes.
+    pub fn open_calls(&self) -> usize {
+        self.calls_open.load(Ordering::Relaxed)
+    }
+
+    /// From now on answers ask visitors to close their connections. Example: `front.drain()`.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Takes one call to its end. Example: the HTTP service calls `front.call(request)` for each.
+    pub async fn call(self: Arc<Self>, request: Request) -> FrontAnswer {
+        self.counts.received.fetch_add(1, Ordering::Relaxed);
+        let openBefore = self.calls_open.fetch_add(1, Ordering::Relaxed);
+        let mut held = Held { front: self.clone(), bytes: 0 };
+        let mut chart = CallChart::begin();
+        let mut answer = match self.clone().walk(request, &mut chart, &mut held, openBefore).await {
+            Ok(cellAnswer) => self.answered(cellAnswer, held),
+            Err(refusal) => self.refused(&chart, refusal),
+        };
+        if self.draining.load(Ordering::Relaxed) {
+            answer.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+        }
+        answer
+    }
+
+    async fn walk(
+        self: Arc<Self>,
+        mut request: Request,
+        chart: &mut CallChart,
+        held: &mut Held,
+        openBefore: usize,
+    ) -> Result<(CellAnswer, TicketGuard, Micros), Refusal> {
+        let refuse = |chart: &mut CallChart, refusal: Refusal| {
+            chart.give_up();
+            refusal
+        };
+        if openBefore >= self.settings.calls_limit {
+            let refusal =
+                Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "too many calls", Some(Micros::from_secs(1)));
+            return Err(refuse(chart, refusal));
+        }
+        let lanes = self.lanes.load_full();
+        let hostValue = request.headers().get(header::HOST).and_then(|value| value.to_str().ok());
+        let host = hostValue.or_else(|| request.uri().host());
+        let Some(lane) = lanes.find(request.method().as_str(), host, request.path()).cloned() else {
+            self.counts.no_lane.fetch_add(1, Ordering::Relaxed);
+            return Err(refuse(chart, Refusal::new(StatusCode::NOT_FOUND, "no lane takes this call", None)));
+        };
+        let endsAt = self.clock.now() + time_left(&request, &lane);
+        chart.step(CallState::Matched);
+        let payload = request.take_payload();
+        let body = match self.read_body(payload, held, endsAt).await {
+            Ok(body) => body,
+            Err(refusal) => return Err(refuse(chart, refusal)),
+        };
+        let mut headers = end_to_end(request.headers());
+        if let Some(peer) = request.peer_addr()
+            && let Ok(peerValue) = HeaderValue::from_str(&peer.ip().to_string())
+        {
+            headers.append(header::X_FORWARDED_FOR, peerValue);
+        }
+        let call = self.next_call.fetch_add(1, Ordering::Relaxed);
+        let dispatchCall = DispatchCall {
+            method: request.method().clone(),
+            uri: request.uri().clone(),
+            headers,
+            body,
+            function: lane.function.clone(),
+            cell: String::new(),
+            address: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
+            time_left: Micros(0),
+        };
+        drop(request);
+        self.dispatch_in_turn(call, &lane, dispatchCall, endsAt, chart).await
+    }
+
+    /// Reads the whole body before a ticket is asked for: a slow visitor holds no cell.
+    async fn read_body(
+        &self,
+        mut payload: Payload,
+        held: &mut Held,
+        endsAt: Micros,
+    ) -> Result<Bytes, Refusal> {
+        let mut body = BytesMut::new();
+        loop {
+            let timeLeft = endsAt - self.clock.now();
+            let Ok(chunk) = tokio::time::timeout(timeLeft.duration(), payload.next()).await else {
+                return Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "the body did not come in time", None));
+            };
+            let Some(chunk) = chunk else { return Ok(body.freeze()) };
+            let Ok(chunk) = chunk else {
+                return Err(Refusal::new(StatusCode::BAD_REQUEST, "the body is damaged or cut", None));
+            };
+            if body.len() + chunk.len() > self.settings.body_limit {
+                return Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long", None));
+            }
+            if !held.grow(chunk.len()) {
+                let retryAfter = Some(Micros::from_secs(1));
+                return Err(Refusal::new(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "out of memory for bodies",
+                    retryAfter,
+                ));
+            }
+            body.extend_from_slice(&chunk);
+        }
+    }
+
+    /// Asks for tickets and dispatches until the call is answered or given up.
+    async fn dispatch_in_turn(
+        self: &Arc<Self>,
+        call: u64,
+        lane: &LaneRow,
+        dispatchCall: DispatchCall,
+        endsAt: Micros,
+        chart: &mut CallChart,
+    ) -> Result<(CellAnswer, TicketGuard, Micros), Refusal> {
+        let mut avoid = String::new();
+        let mut lastReason = "";
+        loop {
+            chart.step(CallState::TicketAsked);
+            let asked = self.ask_ticket(call, lane, endsAt, chart.dispatches() > 0, &avoid).await;
+            let ticket = match asked {
+                Ok(ticket) => ticket,
+                Err(refusal) => {
+                    let finalState = chart.give_up();
+                    return Err(match finalState {
+                        CallState::Unknown => Refusal::new(StatusCode::BAD_GATEWAY, lastReason, None),
+                        _ => refusal,
+                    });
+                }
+            };
+            let began = self.clock.now();
+            let mut guard =
+                TicketGuard { front: self.clone(), ticket: Some(ticket.clone()), began_at: began };
+            if began >= endsAt {
+                guard.done(UNUSED);
+                chart.give_up();
+                return Err(no_time_left(chart));
+            }
+            chart.step(CallState::Dispatched);
+            if chart.dispatches() > 1 {
+                self.counts.extra_dispatches.fetch_add(1, Ordering::Relaxed);
+            }
+            let timeLeft = endsAt - began;
+            let attempt = DispatchCall {
+                cell: ticket.cell.0.clone(),
+                address: ticket.address.socket(),
+                time_left: timeLeft,
+                ..dispatchCall.clone()
+            };
+            let dispatching = dispatch(attempt, &self.settings.dispatch);
+            let outcome = tokio::time::timeout(timeLeft.duration(), dispatching).await;
+            match outcome {
+                Err(_) => {
+                    guard.done(UNKNOWN);
+                    chart.lost_track();
+                    chart.give_up();
+                    return Err(Refusal::new(
+                        StatusCode::GATEWAY_TIMEOUT,
+                        "no answer in the time left",
+                        None,
+                    ));
+                }
+                Ok(DispatchOutcome::Answered(cellAnswer)) => {
+                    chart.step(CallState::Answered);
+                    return Ok((cellAnswer, guard, endsAt));
+                }
+                Ok(DispatchOutcome::NotRun) => {
+                    guard.done(NOT_RUN);
+                    lastReason = "the cell could not be reached";
+                }
+                Ok(DispatchOutcome::TurnedAway) => {
+                    self.counts.turned_away.fetch_add(1, Ordering::Relaxed);
+                    guard.done(TURNED_AWAY);
+                    lastReason = "the cell turned the call away";
+                }
+                Ok(DispatchOutcome::Unknown(reason)) => {
+                    guard.done(UNKNOWN);
+                    chart.lost_track();
+                    lastReason = reason;
+                    if !lane.repeatable {
+                        chart.give_up();
+                        return Err(Refusal::new(StatusCode::BAD_GATEWAY, reason, None));
+                    }
+                }
+            }
+            if chart.dispatches() >= self.settings.dispatch_limit {
+                let status = match chart.give_up() {
+                    CallState::Unknown => StatusCode::BAD_GATEWAY,
+                    _ => StatusCode::SERVICE_UNAVAILABLE,
+                };
+                return Err(Refusal::new(status, lastReason, Some(Micros::from_secs(1))));
+            }
+            avoid = ticket.cell.0;
+        }
+    }
+
+    async fn ask_ticket(
+        self: &Arc<Self>,
+        call: u64,
+        lane: &LaneRow,
+        endsAt: Micros,
+        isExtra: bool,
+        avoid: &str,
+    ) -> Result<Ticket, Refusal> {
+        let askedAt = self.clock.now();
+        let (reply, answer) = oneshot::channel();
+        let ask = FrontLink::Ask {
+            call,
+            function: lane.function.clone(),
+            time_left: endsAt - askedAt,
+            is_extra: isExtra,
+            avoid: avoid.to_owned(),
+            reply,
+        };
+        let retryAfter = Some(Micros::from_secs(1));
+        if self.link.try_send(ask).is_err() {
+            return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "the node is overloaded", retryAfter));
+        }
+        let mut guard = AskGuard { front: self.clone(), call, is_open: true };
+        // The protocol refuses when the time is over; the margin only guards against its silence.
+        let margin = Micros::from_millis(200);
+        let waiting = tokio::time::timeout((endsAt - askedAt + margin).duration(), answer);
+        let Ok(Ok(ticketAnswer)) = waiting.await else {
+            return Err(Refusal::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no ticket in the time left",
+                retryAfter,
+            ));
+        };
+        guard.is_open = false;
+        match ticketAnswer {
+            TicketAnswer::Granted(ticket) => {
+                self.counts.tickets.fetch_add(1, Ordering::Relaxed);
+                self.counts.ticket_micros.fetch_add((self.clock.now() - askedAt).0, Ordering::Relaxed);
+                Ok(ticket)
+            }
+            TicketAnswer::Refused { reason, retry_after, is_full, is_missing } => {
+                let status = match (is_missing, is_full) {
+                    (true, _) => StatusCode::NOT_FOUND,
+                    (false, true) => StatusCode::TOO_MANY_REQUESTS,
+                    (false, false) => StatusCode::SERVICE_UNAVAILABLE,
+                };
+                Err(Refusal { status, reason, retry_after: Some(retry_after) })
+            }
+        }
+    }
+
+    fn answered(
+        self: &Arc<Self>,
+        (cellAnswer, mut guard, endsAt): (CellAnswer, TicketGuard, Micros),
+        mut held: Held,
+    ) -> FrontAnswer {
+        let CellAnswer { status, headers, body, rest } = cellAnswer;
+        let mut answer: FrontAnswer = match rest {
+            None => {
+                guard.done(RAN);
+                held.grow(body.len());
+                self.counts.answered.fetch_add(1, Ordering::Relaxed);
+                Response::with_body(status, BoxBody::new(WholeBody { body: Some(body), _held: held }))
+            }
+            Some((rest, length)) => {
+                held.grow(body.len());
+                let body = StreamedBody {
+                    begun: Some(body),
+                    rest,
+                    length,
+                    passed: 0,
+                    guard,
+                    _held: held,
+                    ends: Box::pin(tokio::time::sleep((endsAt - self.clock.now()).duration())),
+                };
+                Response::with_body(status, BoxBody::new(body))
+            }
+        };
+        for (name, value) in headers {
+            answer.headers_mut().append(name, value);
+        }
+        answer.headers_mut().insert(outcome_header(), HeaderValue::from_static("ran"));
+        answer
+    }
+
+    fn refused(&self, chart: &CallChart, refusal: Refusal) -> FrontAnswer {
+        let isUnknown = chart.state() == CallState::Unknown;
+        let (outcome, count) = match isUnknown {
+            true => ("unknown", &self.counts.unknown),
+            false => ("not_run", &self.counts.refused),
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+        let mut document = json!({ "outcome": outcome, "reason": refusal.reason });
+        if let Some(retryAfter) = refusal.retry_after.filter(|_| !isUnknown) {
+            document["retry_after_ms"] = json!(retryAfter.millis());
+        }
+        let mut answer: FrontAnswer = Response::with_body(refusal.status, BoxBody::new(document.to_string()));
+        let headers = answer.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(outcome_header(), HeaderValue::from_static(outcome));
+        if let Some(retryAfter) = refusal.retry_after.filter(|_| !isUnknown) {
+            let wholeSeconds = retryAfter.0.div_ceil(1_000_000).max(1);
+            if let Ok(secondsValue) = HeaderValue::from_str(&wholeSeconds.to_string()) {
+                headers.insert(header::RETRY_AFTER, secondsValue);
+            }
+        }
+        answer
+    }
+}
+
+fn outcome_header() -> header::HeaderName {
+    header::HeaderName::from_static(OUTCOME_HEADER)
+}
+
+fn no_time_left(chart: &CallChart) -> Refusal {
+    match chart.state() {
+        CallState::Unknown => Refusal::new(StatusCode::GATEWAY_TIMEOUT, "no time left", None),
+        _ => Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no time left", Some(Micros::from_secs(1))),
+    }
+}
+
+/// The lane's patience, or less if the visitor or a calling cell names less.
+fn time_left(request: &Request, lane: &LaneRow) -> Micros {
+    let named = request
+        .headers()
+        .get(TIME_LEFT_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.trim().parse::<u64>().ok());
+    named.map_or(lane.patience, |millis| lane.patience.min(Micros(millis.saturating_mul(1_000))))
+}
+
+/// A whole answer that keeps its memory counted until it is handed over.
+struct WholeBody {
+    body: Option<Bytes>,
+    _held: Held,
+}
+
+impl MessageBody for WholeBody {
+    type Error = std::convert::Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.body.as_ref().map_or(0, Bytes::len) as u64)
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        Poll::Ready(self.body.take().filter(|body| !body.is_empty()).map(Ok))
+    }
+}
+
+/// A long answer on its way. A cut ends in a failure, which makes the server break the visitor's
+/// connection off instead of ending the answer cleanly.
+struct StreamedBody {
+    begun: Option<Bytes>,
+    rest: Box<AnswerRest>,
+    length: Option<u64>,
+    passed: u64,
+    guard: TicketGuard,
+    _held: Held,
+    ends: Pin<Box<tokio::time::Sleep>>,
+}
+
+impl StreamedBody {
+    fn cut(&mut self) -> Poll<Option<Result<Bytes, std::io::Error>>> {
+        self.guard.done(UNKNOWN);
+        self.guard.front.counts.cut_answers.fetch_add(1, Ordering::Relaxed);
+        Poll::Ready(Some(Err(std::io::Error::other("the cell's answer was cut"))))
+    }
+}
+
+impl MessageBody for StreamedBody {
+    type Error = std::io::Error;
+
+    fn size(&self) -> BodySize {
+        self.length.map_or(BodySize::Stream, BodySize::Sized)
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        if let Some(begun) = self.begun.take() {
+            self.passed += begun.len() as u64;
+            return Poll::Ready(Some(Ok(begun)));
+        }
+        if self.ends.as_mut().poll(context).is_ready() {
+            return self.cut();
+        }
+        match self.rest.poll_next_unpin(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Ok(Some(chunk)))) => {
+                self.passed += chunk.len() as u64;
+                Poll::Ready(Some(Ok(chunk)))
+            }
+            Poll::Ready(Some(Ok(None))) if self.length.is_none_or(|length| length == self.passed) => {
+                self.guard.done(RAN);
+                self.guard.front.counts.answered.fetch_add(1, Ordering::Relaxed);
+                Poll::Ready(None)
+            }
+            Poll::Ready(_) => self.cut(),
+        }
+    }
+}
--- /dev/null
+++ b/packages/platform_client/src/lib.rs
@@ -0,0 +1,136 @@
+//! The narrow client of the platform: list, start, stop. What it assumes of the platform's API is
+//! written down in `docs/design.md`; another platform needs only this package changed.
+
+use awc::Client;
+use awc::http::StatusCode;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::time::Duration;
+use steward_work::{ListedCell, ListedWorker};
+
+const LIST_LIMIT: usize = 8 * 1024 * 1024;
+const ANSWER_LIMIT: usize = 64 * 1024;
+
+macro_rules! platform_documents {
+    ($($(#[$note:meta])* $name:ident { $($(#[$fieldNote:meta])* $field:ident: $type:ty,)* })*) => {
+        $($(#[$note])*
+        #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+        pub struct $name { $($(#[$fieldNote])* pub $field: $type,)* })*
+    };
+}
+
+platform_documents! {
+    /// A worker in the list; `state` is `ready` or `draining`.
+    WorkerDocument { id: String, memory_mb: u64, state: String, }
+    /// A cell in the list; `state` is `running` or `leaving`. Booting cells count as running.
+    CellDocument {
+        id: String, function: String, worker: String, address: SocketAddr, memory_mb: u64, state: String,
+    }
+    /// The answer to `GET /cells`.
+    ListDocument { workers: Vec<WorkerDocument>, cells: Vec<CellDocument>, }
+    /// The body of `POST /cells`; a repeated start id starts nothing twice.
+    StartDocument { start_id: String, function: String, worker: String, memory_mb: u64, }
+    /// The answer to `POST /cells`.
+    StartedDocument { cell: String, address: SocketAddr, }
+}
+
+/// The platform's answer to a start. Example: `StartAnswer::NoRoom` for 409.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StartAnswer {
+    /// 201.
+    Started(StartedDocument),
+    /// 409: no room, or the worker is draining or unknown.
+    NoRoom,
+    /// 429.
+    Throttled,
+    /// No answer, or one that says nothing.
+    Unknown,
+}
+
+/// The platform's answer to a stop. Example: `StopAnswer::Stopped` for 200, 202, 204 and 404.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopAnswer {
+    /// It is stopping or gone.
+    Stopped,
+    /// 429.
+    Throttled,
+    /// No answer, or one that says nothing.
+    Unknown,
+}
+
+/// A client of one platform. Example: `PlatformClient::new("127.0.0.1:9000".parse().unwrap())`.
+#[derive(Clone)]
+pub struct PlatformClient {
+    client: Client,
+    base: String,
+}
+
+impl PlatformClient {
+    /// A client without hidden redirects; each act has two seconds.
+    /// Example: `PlatformClient::new(address).list().await`.
+    pub fn new(platformAddress: SocketAddr) -> PlatformClient {
+        let client = Client::builder().timeout(Duration::from_secs(2)).disable_redirects().finish();
+        PlatformClient { client, base: format!("http://{platformAddress}") }
+    }
+
+    /// Workers and cells as the platform shows them, perhaps late; `None` without a sound answer.
+    /// Example: `let Some((workers, cells)) = client.list().await else { return };`.
+    pub async fn list(&self) -> Option<(Vec<ListedWorker>, Vec<ListedCell>)> {
+        let mut answer = self.client.get(format!("{}/cells", self.base)).send().await.ok()?;
+        if answer.status() != StatusCode::OK {
+            return None;
+        }
+        let list: ListDocument = answer.json().limit(LIST_LIMIT).await.ok()?;
+        let workers = list
+            .workers
+            .into_iter()
+            .map(|worker| ListedWorker {
+                draining: worker.state != "ready",
+                id: worker.id,
+                memory_mb: worker.memory_mb,
+            })
+            .collect();
+        let cells = list
+            .cells
+            .into_iter()
+            .map(|cell| ListedCell {
+                leaving: cell.state != "running",
+                id: cell.id,
+                function: cell.function,
+                worker: cell.worker,
+                address: cell.address,
+                memory_mb: cell.memory_mb,
+            })
+            .collect();
+        Some((workers, cells))
+    }
+
+    /// Starts a cell. Example: `client.start(&StartDocument { .. }).await == StartAnswer::Throttled`.
+    pub async fn start(&self, start: &StartDocument) -> StartAnswer {
+        let sending = self.client.post(format!("{}/cells", self.base)).send_json(start);
+        let Ok(mut answer) = sending.await else { return StartAnswer::Unknown };
+        match answer.status() {
+            StatusCode::CREATED | StatusCode::OK => match answer.json().limit(ANSWER_LIMIT).await {
+                Ok(started) => StartAnswer::Started(started),
+                Err(_) => StartAnswer::Unknown,
+            },
+            StatusCode::CONFLICT => StartAnswer::NoRoom,
+            StatusCode::TOO_MANY_REQUESTS => StartAnswer::Throttled,
+            _ => StartAnswer::Unknown,
+        }
+    }
+
+    /// Stops a cell; stopping one that is gone is no failure.
+    /// Example: `client.stop("c12").await == StopAnswer::Stopped`.
+    pub async fn stop(&self, cell: &str) -> StopAnswer {
+        let sending = self.client.delete(format!("{}/cells/{cell}", self.base)).send();
+        let Ok(answer) = sending.await else { return StopAnswer::Unknown };
+        match answer.status() {
+            StatusCode::OK | StatusCode::ACCEPTED | StatusCode::NO_CONTENT | StatusCode::NOT_FOUND => {
+                StopAnswer::Stopped
+            }
+            StatusCode::TOO_MANY_REQUESTS => StopAnswer::Throttled,
+            _ => StopAnswer::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/packages/supervisor/src/lib.rs
@@ -0,0 +1,142 @@
+//! A supervisor tree: each part of the program is a named child that is started anew when it fails
+//! or panics, a few times; a child that goes on failing ends its supervisor, and so up the tree.
+
+use error_stack::Report;
+use std::future::Future;
+use std::pin::Pin;
+use std::time::{Duration, Instant};
+
+/// A child that was given up. Example: `ChildFailure("colleague listener".into())`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChildFailure(pub String);
+
+impl std::fmt::Display for ChildFailure {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{} failed for good", self.0)
+    }
+}
+
+impl std::error::Error for ChildFailure {}
+
+type ChildFuture = Pin<Box<dyn Future<Output = Result<(), Report<ChildFailure>>>>>;
+
+struct Child {
+    name: String,
+    make: Box<dyn Fn() -> ChildFuture>,
+}
+
+/// How often a child may be started anew. Example: `Patience::default().restarts == 5`.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// So many restarts...
+    pub restarts: usize,
+    /// ...within this span; one more ends the supervisor.
+    pub within: Duration,
+    /// Pause before a restart.
+    pub pause: Duration,
+}
+
+impl Default for Patience {
+    fn default() -> Patience {
+        Patience { restarts: 5, within: Duration::from_secs(30), pause: Duration::from_millis(200) }
+    }
+}
+
+/// A supervisor of children on one thread; it is itself a fit child of another.
+/// Example: `Supervisor::new("vanelane", Patience::default()).child("list", || async { Ok(()) })`.
+pub struct Supervisor {
+    name: String,
+    patience: Patience,
+    children: Vec<Child>,
+}
+
+impl Supervisor {
+    /// A supervisor without children. Example: `Supervisor::new("root", Patience::default())`.
+    pub fn new(name: &str, patience: Patience) -> Supervisor {
+        Supervisor { name: name.to_owned(), patience, children: Vec::new() }
+    }
+
+    /// Adds a child by what makes its work. Work that ends well is not started again.
+    /// Example: `supervisor.child("colleague listener", move || listen(port))`.
+    pub fn child<Work>(mut self, name: &str, make: impl Fn() -> Work + 'static) -> Supervisor
+    where
+        Work: Future<Output = Result<(), Report<ChildFailure>>> + 'static,
+    {
+        let childName = format!("{}/{name}", self.name);
+        self.children.push(Child { name: childName, make: Box::new(move || Box::pin(make())) });
+        self
+    }
+
+    /// Runs all children until all ended well or one was given up; the others are then ended.
+    /// Example: `supervisor.run().await?`.
+    pub async fn run(self) -> Result<(), Report<ChildFailure>> {
+        let patience = self.patience;
+        let mut keepers = tokio::task::JoinSet::new();
+        for child in self.children {
+            keepers.spawn_local(keep(child, patience));
+        }
+        while let Some(kept) = keepers.join_next().await {
+            match kept {
+                Ok(Ok(())) => {}
+                Ok(Err(failure)) => return Err(failure),
+                Err(broken) => return Err(Report::new(ChildFailure(broken.to_string()))),
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Ends the child's work when its keeper is ended.
+struct EndOnDrop(tokio::task::AbortHandle);
+
+impl Drop for EndOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+async fn keep(child: Child, patience: Patience) -> Result<(), Report<ChildFailure>> {
+    let mut failedAt: Vec<Instant> = Vec::new();
+    loop {
+        let working = tokio::task::spawn_local((child.make)());
+        let _ending = EndOnDrop(working.abort_handle());
+        let reason = match working.await {
+            Ok(Ok(())) => return Ok(()),
+            Ok(Err(failure)) => format!("{failure:?}"),
+            Err(broken) => broken.to_string(),
+        };
+        log::error!("{} failed: {reason}", child.name);
+        failedAt.retain(|failed| failed.elapsed() < patience.within);
+        failedAt.push(Instant::now());
+        if failedAt.len() > patience.restarts {
+            return Err(Report::new(ChildFailure(child.name)).attach(reason));
+        }
+        tokio::time::sleep(patience.pause).await;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::Cell;
+    use std::rc::Rc;
+
+    #[test]
+    fn a_failing_child_is_started_anew_and_then_given_up() {
+        let patience = Patience { restarts: 3, within: Duration::from_secs(60), pause: Duration::ZERO };
+        let starts = Rc::new(Cell::new(0));
+        let countedStarts = starts.clone();
+        let supervisor = Supervisor::new("root", patience)
+            .child("steady", || async {
+                std::future::pending::<()>().await;
+                Ok(())
+            })
+            .child("broken", move || {
+                countedStarts.set(countedStarts.get() + 1);
+                async { panic!("a broken invariant") }
+            });
+        let ended = actix_rt::System::new().block_on(supervisor.run());
+        assert_eq!(ended.expect_err("given up").current_context().0, "root/broken");
+        assert_eq!(starts.get(), 4);
+    }
+}
