--- a/packages/node_protocol/src/configuration_part.rs
+++ b/packages/node_protocol/src/configuration_part.rs
@@ -252,6 +252,15 @@
         self.act(Act::ConfigurationTaken { generation: stored.generation, configuration });
     }
 
+    /// The configuration's stored bytes as this node knows them.
+    /// Example: `StoredConfiguration::decode(&node.stored_configuration())`.
+    pub fn stored_configuration(&self) -> Vec<u8> {
+        match self.news.body(CONFIGURATION_KEY) {
+            Some(body) => body.0.clone(),
+            None => StoredConfiguration::empty().encode(),
+        }
+    }
+
     pub(crate) fn tick_configuration(&mut self) {
         let now = self.now;
         if let Some(batch) = &self.configuration.batch
--- /dev/null
+++ b/packages/vanelane/src/control_pages.rs
@@ -0,0 +1,337 @@
+//! The operators' pages: changes in, decisions out, status, health, readiness, metrics.
+
+use crate::colleague_links::FrameCounts;
+use crate::protocol_shell::{DecisionsReply, NodeFlags, ShellEvent};
+use actix_http::body::{BodyStream, BoxBody};
+use actix_http::header::{self, HeaderValue};
+use actix_http::{Method, Payload, Request, Response, StatusCode};
+use bytes::{Bytes, BytesMut};
+use colleague_messages::NodeId;
+use configuration_check::{Change, ChangeOutcome, DOCUMENT_LIMIT, Reason, StoredConfiguration};
+use function_front::Front;
+use futures_util::StreamExt;
+use serde_json::{Value, json};
+use std::fmt::Write;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+const LINE_LIMIT: usize = DOCUMENT_LIMIT + 64 * 1024;
+const ANSWER_WITHIN: Duration = Duration::from_secs(10);
+const FOLLOW_PAUSE: Duration = Duration::from_millis(500);
+const DECISIONS_AT_ONCE: u32 = 500;
+
+#[derive(Clone)]
+pub struct ControlPages {
+    pub inbox: mpsc::Sender<ShellEvent>,
+    pub front: Arc<Front>,
+    pub flags: Arc<NodeFlags>,
+    pub frames: Arc<FrameCounts>,
+}
+
+type Page = Response<BoxBody>;
+
+fn page(status: StatusCode, kind: &'static str, body: impl Into<Bytes>) -> Page {
+    let mut answer = Response::with_body(status, BoxBody::new(body.into()));
+    answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    answer
+}
+
+fn json_page(status: StatusCode, document: &Value) -> Page {
+    page(status, "application/json", document.to_string() + "\n")
+}
+
+impl ControlPages {
+    pub async fn answer(self, mut request: Request) -> Page {
+        let path = request.path().to_owned();
+        match (request.method().clone(), path.as_str()) {
+            (Method::POST, "/control/changes") => self.changes(request.take_payload()),
+            (Method::GET, "/control/decisions") => {
+                let query = request.uri().query().unwrap_or_default().to_owned();
+                self.decisions(&query).await
+            }
+            (Method::GET, "/control/status") => self.status().await,
+            (Method::GET, "/control/configuration") => self.configuration().await,
+            (Method::GET, "/health") => json_page(StatusCode::OK, &json!({"health": "ok"})),
+            (Method::GET, "/ready") => self.ready(),
+            (Method::GET, "/metrics") => self.metrics().await,
+            (
+                _,
+                "/control/changes"
+                | "/control/decisions"
+                | "/control/status"
+                | "/control/configuration"
+                | "/health"
+                | "/ready"
+                | "/metrics",
+            ) => json_page(StatusCode::METHOD_NOT_ALLOWED, &json!({"reason": "another method"})),
+            _ => json_page(StatusCode::NOT_FOUND, &json!({"reason": "no such page"})),
+        }
+    }
+
+    fn ready(&self) -> Page {
+        let isDraining = self.flags.draining.load(Ordering::Relaxed);
+        let isReady = self.flags.ready.load(Ordering::Relaxed) && !isDraining;
+        let status = if isReady { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        json_page(status, &json!({"ready": isReady, "draining": isDraining}))
+    }
+
+    async fn ask<T>(&self, make: impl FnOnce(oneshot::Sender<T>) -> ShellEvent) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.inbox.send(make(reply)).await.ok()?;
+        tokio::time::timeout(ANSWER_WITHIN, answer).await.ok()?.ok()
+    }
+
+    /// Lines are taken one after another; each outcome leaves before the next line is looked at.
+    fn changes(self, payload: Payload) -> Page {
+        let begun = LineReader { payload, buffer: BytesMut::new(), is_over: false };
+        let outcomes = futures_util::stream::unfold((self, begun), |(pages, mut reader)| async move {
+            let line = reader.next_line().await?;
+            let outcomeLine = match line {
+                Ok(line) => pages.change(&line).await,
+                Err(reason) => {
+                    reader.is_over = true;
+                    refused_line(Value::Null, reason)
+                }
+            };
+            let outcomeBytes = Bytes::from(outcomeLine.to_string() + "\n");
+            Some((Ok::<Bytes, std::io::Error>(outcomeBytes), (pages, reader)))
+        });
+        let mut answer =
+            Response::with_body(StatusCode::OK, BoxBody::new(BodyStream::new(Box::pin(outcomes))));
+        answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/x-ndjson"));
+        answer
+    }
+
+    async fn change(&self, line: &[u8]) -> Value {
+        let change: Change = match serde_json::from_slice(line) {
+            Ok(change) => change,
+            Err(failure) => {
+                let changeId = serde_json::from_slice::<Value>(line)
+                    .ok()
+                    .and_then(|document| document.get("change_id").cloned());
+                return refused_line(changeId.unwrap_or(Value::Null), format!("no change: {failure}"));
+            }
+        };
+        let changeId = change.change_id.clone();
+        let outcome = self.ask(|reply| ShellEvent::Change { change, reply }).await;
+        let silence = ChangeOutcome::Unknown { reason: "the node did not answer in time".to_owned() };
+        outcome.unwrap_or(silence).line(&changeId)
+    }
+
+    async fn decisions(self, query: &str) -> Page {
+        let mut after = Vec::new();
+        let mut isFollowing = false;
+        let mut most = DECISIONS_AT_ONCE;
+        for (name, value) in query.split('&').filter_map(|part| part.split_once('=')) {
+            match name {
+                "after" => match parse_cursor(value) {
+                    Some(cursor) => after = cursor,
+                    None => {
+                        return json_page(StatusCode::BAD_REQUEST, &json!({"reason": "after is no cursor"}));
+                    }
+                },
+                "follow" => isFollowing = value == "1",
+                "most" => match value.parse::<u32>() {
+                    Ok(number) => most = number.clamp(1, 2_000),
+                    Err(_) => {
+                        return json_page(StatusCode::BAD_REQUEST, &json!({"reason": "most is no number"}));
+                    }
+                },
+                _ => {
+                    let reason = format!("unknown field {name}");
+                    return json_page(StatusCode::BAD_REQUEST, &json!({"reason": reason}));
+                }
+            }
+        }
+        if !isFollowing {
+            let Some(reply) = self.ask(|reply| ShellEvent::Decisions { after, most, reply }).await else {
+                return json_page(StatusCode::SERVICE_UNAVAILABLE, &json!({"reason": "no answer"}));
+            };
+            return page(StatusCode::OK, "application/x-ndjson", decision_lines(&reply));
+        }
+        let stream =
+            futures_util::stream::unfold((self, after, true), move |(pages, after, isFirst)| async move {
+                if !isFirst {
+                    tokio::time::sleep(FOLLOW_PAUSE).await;
+                }
+                let asked = after.clone();
+                let reply = pages.ask(|reply| ShellEvent::Decisions { after: asked, most, reply }).await?;
+                let lines = if reply.lines.is_empty() { String::new() } else { decision_lines(&reply) };
+                Some((Ok::<Bytes, std::io::Error>(Bytes::from(lines)), (pages, reply.cursor, false)))
+            });
+        let filled = stream.filter(|chunk| {
+            let isKept = chunk.as_ref().is_ok_and(|bytes| !bytes.is_empty());
+            std::future::ready(isKept)
+        });
+        let mut answer = Response::with_body(StatusCode::OK, BoxBody::new(BodyStream::new(Box::pin(filled))));
+        answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/x-ndjson"));
+        answer
+    }
+
+    async fn status(&self) -> Page {
+        let Some(status) = self.ask(|reply| ShellEvent::Status { reply }).await else {
+            return json_page(StatusCode::SERVICE_UNAVAILABLE, &json!({"reason": "no answer"}));
+        };
+        let members: Vec<Value> = status
+            .members
+            .iter()
+            .map(|news| {
+                json!({
+                    "node": hex(news.node),
+                    "address": news.address.socket().to_string(),
+                    "zone": news.zone.0,
+                    "state": (["alive", "suspected", "gone"].get(news.state as usize)),
+                    "disk": (["none", "blank", "voting", "spare"].get(news.disk_state as usize)),
+                    "disk_id": hex(news.disk),
+                    "draining": news.draining == 1,
+                })
+            })
+            .collect();
+        let tally: serde_json::Map<String, Value> =
+            status.tally.iter().map(|(node, count)| (hex(*node), json!(count))).collect();
+        json_page(
+            StatusCode::OK,
+            &json!({
+                "node": hex(status.node),
+                "ready": status.is_ready,
+                "generation": status.generation,
+                "members": members,
+                "steward_of": status.held,
+                "tally": tally,
+                "functions_without_steward": status.unheld,
+                "voters": status.voters.iter().map(|disk| hex(*disk)).collect::<Vec<String>>(),
+                "owned_keys": status.owned_keys,
+                "gate_refusals": status.election_counts.0,
+                "lost_races": status.election_counts.1,
+                "gates_passed_over": status.election_counts.2,
+                "open_calls": self.front.open_calls(),
+            }),
+        )
+    }
+
+    async fn configuration(&self) -> Page {
+        let stored = self.ask(|reply| ShellEvent::Configuration { reply }).await;
+        let Some(stored) = stored.and_then(|bytes| StoredConfiguration::decode(&bytes)) else {
+            return json_page(StatusCode::SERVICE_UNAVAILABLE, &json!({"reason": "no answer"}));
+        };
+        json_page(StatusCode::OK, &json!({"generation": stored.generation, "document": stored.document}))
+    }
+
+    async fn metrics(&self) -> Page {
+        let Some(status) = self.ask(|reply| ShellEvent::Status { reply }).await else {
+            return json_page(StatusCode::SERVICE_UNAVAILABLE, &json!({"reason": "no answer"}));
+        };
+        let mut text = String::new();
+        let mut line = |name: &str, value: u64| {
+            let _ = writeln!(text, "vanelane_{name} {value}");
+        };
+        for (name, value) in self.front.counts.all() {
+            line(&format!("calls_{name}"), value);
+        }
+        line("calls_open", self.front.open_calls() as u64);
+        line("generation", status.generation);
+        line("members", status.members.len() as u64);
+        line("steward_of", status.held.len() as u64);
+        line("functions_without_steward", status.unheld as u64);
+        line("owned_keys", status.owned_keys as u64);
+        line("gate_refusals", status.election_counts.0);
+        line("lost_races", status.election_counts.1);
+        line("gates_passed_over", status.election_counts.2);
+        line("messages_heard", status.counts.messages_heard);
+        line("messages_sent", status.counts.messages_sent);
+        line("disk_groups", status.counts.disk_groups);
+        line("tickets_granted", status.counts.tickets_granted);
+        line("deputy_tickets", status.counts.deputy_tickets);
+        line("asks_refused", status.counts.asks_refused);
+        let frames = [
+            ("frames_foreign", &self.frames.foreign),
+            ("frames_too_long", &self.frames.too_long),
+            ("frames_damaged", &self.frames.damaged),
+            ("frames_other_fleet", &self.frames.other_fleet),
+            ("frames_waitlist_full", &self.frames.waitlist_full),
+        ];
+        for (name, count) in frames {
+            line(name, count.load(Ordering::Relaxed));
+        }
+        for (kind, count) in &status.decisions {
+            line(&format!("decisions{{kind=\"{kind}\"}}"), *count);
+        }
+        page(StatusCode::OK, "text/plain; version=0.0.4", text)
+    }
+}
+
+fn refused_line(changeId: Value, reason: String) -> Value {
+    json!({
+        "change_id": changeId,
+        "outcome": "refused",
+        "reasons": [Reason::at("", reason)],
+    })
+}
+
+fn decision_lines(reply: &DecisionsReply) -> String {
+    let mut text = String::new();
+    for line in &reply.lines {
+        text.push_str(&line.line.0);
+        text.push('\n');
+    }
+    let cursor: Vec<String> =
+        reply.cursor.iter().map(|(node, sequence)| format!("{node:x}.{sequence}")).collect();
+    text.push_str(&json!({"cursor": cursor.join("_")}).to_string());
+    text.push('\n');
+    text
+}
+
+fn parse_cursor(text: &str) -> Option<Vec<(NodeId, u64)>> {
+    text.split('_')
+        .filter(|part| !part.is_empty())
+        .take(1_024)
+        .map(|part| {
+            let (node, sequence) = part.split_once('.')?;
+            Some((NodeId::from_str_radix(node, 16).ok()?, sequence.parse().ok()?))
+        })
+        .collect()
+}
+
+fn hex(id: u64) -> String {
+    format!("{id:016x}")
+}
+
+/// Lines of a request's body, each bounded.
+struct LineReader {
+    payload: Payload,
+    buffer: BytesMut,
+    is_over: bool,
+}
+
+impl LineReader {
+    async fn next_line(&mut self) -> Option<Result<Bytes, String>> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+                let line = self.buffer.split_to(end + 1).freeze().slice(..end);
+                if line.iter().all(u8::is_ascii_whitespace) {
+                    continue;
+                }
+                return Some(Ok(line));
+            }
+            if self.buffer.len() > LINE_LIMIT {
+                self.buffer.clear();
+                return Some(Err(format!("a line is over {LINE_LIMIT} bytes")));
+            }
+            if self.is_over {
+                let line = self.buffer.split().freeze();
+                let isBlank = line.iter().all(u8::is_ascii_whitespace);
+                return if isBlank { None } else { Some(Ok(line)) };
+            }
+            match self.payload.next().await {
+                Some(Ok(chunk)) => self.buffer.extend_from_slice(&chunk),
+                Some(Err(failure)) => {
+                    self.buffer.clear();
+                    return Some(Err(format!("the stream broke: {failure}")));
+                }
+                None => self.is_over = true,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/vanelane/src/disk_thread.rs
@@ -0,0 +1,83 @@
+//! The disk has a thread of its own: a stalled disk never holds up the node.
+
+use error_stack::Report;
+use record_file::{RecordFailure, RecordFile};
+use std::path::Path;
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+
+const WAITLIST_LIMIT: usize = 4_096;
+const GROUP_LIMIT: usize = 256;
+
+/// Records to append and sync, or to rewrite the file with.
+pub struct DiskWork {
+    pub token: u64,
+    pub records: Vec<Vec<u8>>,
+    pub is_rewrite: bool,
+}
+
+/// The way to the disk's thread.
+pub struct DiskThread {
+    sender: SyncSender<DiskWork>,
+}
+
+impl DiskThread {
+    /// Starts the thread; `done` hears the newest synced token, or the failure.
+    pub fn start(file: RecordFile, done: impl Fn(u64, bool) + Send + 'static) -> std::io::Result<DiskThread> {
+        let (sender, receiver) = sync_channel(WAITLIST_LIMIT);
+        std::thread::Builder::new().name("disk".to_owned()).spawn(move || work(file, &receiver, &done))?;
+        Ok(DiskThread { sender })
+    }
+
+    /// Hands work over; false when the disk is so far behind that it cannot be trusted to catch up.
+    pub fn hand_over(&self, work: DiskWork) -> bool {
+        !matches!(self.sender.try_send(work), Err(TrySendError::Full(_) | TrySendError::Disconnected(_)))
+    }
+}
+
+fn work(mut file: RecordFile, receiver: &Receiver<DiskWork>, done: &dyn Fn(u64, bool)) {
+    while let Ok(firstWork) = receiver.recv() {
+        // Whatever waits by now shares one sync: the group commit.
+        let mut group = vec![firstWork];
+        while group.len() < GROUP_LIMIT
+            && let Ok(nextWork) = receiver.try_recv()
+        {
+            group.push(nextWork);
+        }
+        let newestToken = group.last().map_or(0, |work| work.token);
+        if let Err(failure) = write_group(&mut file, group) {
+            log::error!("the disk failed and is trusted no more: {failure:?}");
+            done(newestToken, false);
+            return;
+        }
+        done(newestToken, true);
+    }
+}
+
+fn write_group(file: &mut RecordFile, group: Vec<DiskWork>) -> Result<(), Report<RecordFailure>> {
+    for work in group {
+        match work.is_rewrite {
+            true => file.rewrite(&work.records)?,
+            false => file.append(&work.records)?,
+        }
+    }
+    file.sync()
+}
+
+/// Opens the folder's file. Where synced records are damaged the file is set aside and a new disk is
+/// formatted: it has a new id and no vote until it is taken in.
+pub fn open(folder: &Path, fleet: u64) -> Result<(RecordFile, Vec<Vec<u8>>), Report<RecordFailure>> {
+    let failure = match RecordFile::open(folder, fleet) {
+        Ok(opened) => return Ok(opened),
+        Err(failure) => failure,
+    };
+    let RecordFailure::Damaged(offset) = failure.current_context() else { return Err(failure) };
+    let setAside = (0..1_000)
+        .map(|number| folder.join(format!("records.damaged-{number}")))
+        .find(|path| !path.exists())
+        .unwrap_or_else(|| folder.join("records.damaged"));
+    log::error!("records are damaged at byte {offset}; the file is set aside as {}", setAside.display());
+    if std::fs::rename(folder.join("records"), setAside).is_err() {
+        return Err(failure);
+    }
+    RecordFile::open(folder, fleet)
+}
--- a/packages/vanelane/src/main.rs
+++ b/packages/vanelane/src/main.rs
@@ -1,1 +1,29 @@
-fn main() {}
+//! vanelane: one program for all machines. With a data folder it also holds the control state.
+
+mod colleague_links;
+mod command_line;
+mod control_pages;
+mod disk_thread;
+mod operator_commands;
+mod protocol_shell;
+mod run_node;
+mod settings;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let commandLine = command_line::Vanelane::from_env_or_exit();
+    match commandLine.subcommand {
+        command_line::VanelaneCmd::Run(run) => run_node::run(run),
+        command_line::VanelaneCmd::Schema(_) => operator_commands::schema(),
+        command_line::VanelaneCmd::CheckConfiguration(check) => {
+            operator_commands::check_configuration(&check.file)
+        }
+        command_line::VanelaneCmd::Change(change) => operator_commands::change(change),
+        command_line::VanelaneCmd::Decisions(decisions) => operator_commands::decisions(decisions),
+        command_line::VanelaneCmd::Status(status) => operator_commands::page(&status.control, "status"),
+        command_line::VanelaneCmd::Configuration(shown) => {
+            operator_commands::page(&shown.control, "configuration")
+        }
+    }
+}
--- /dev/null
+++ b/packages/vanelane/src/operator_commands.rs
@@ -0,0 +1,147 @@
+//! The command line for operators: the same as the control pages.
+
+use crate::command_line::{Change, Decisions};
+use awc::Client;
+use futures_util::StreamExt;
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Duration;
+
+const REFUSED: u8 = 1;
+const BAD_USE: u8 = 2;
+const UNREACHED: u8 = 3;
+
+fn complain(reason: impl std::fmt::Display, code: u8) -> ExitCode {
+    eprintln!("vanelane: {reason}");
+    ExitCode::from(code)
+}
+
+/// Prints to standard output; a reader that went away ends the command.
+fn say(text: &[u8]) -> bool {
+    let mut output = std::io::stdout().lock();
+    output.write_all(text).and_then(|()| output.flush()).is_ok()
+}
+
+pub fn schema() -> ExitCode {
+    say(configuration_check::SCHEMA.as_bytes());
+    ExitCode::SUCCESS
+}
+
+fn read_file(path: &Path) -> Result<Vec<u8>, std::io::Error> {
+    if path == Path::new("-") {
+        let mut bytes = Vec::new();
+        std::io::stdin().lock().read_to_end(&mut bytes)?;
+        return Ok(bytes);
+    }
+    std::fs::read(path)
+}
+
+pub fn check_configuration(path: &Path) -> ExitCode {
+    let bytes = match read_file(path) {
+        Ok(bytes) => bytes,
+        Err(failure) => return complain(format!("{}: {failure}", path.display()), BAD_USE),
+    };
+    let document: Value = match serde_json::from_slice(&bytes) {
+        Ok(document) => document,
+        Err(failure) => return complain(format!("{}: {failure}", path.display()), BAD_USE),
+    };
+    match configuration_check::check(&document) {
+        Ok(configuration) => {
+            let line = json!({
+                "outcome": "sound",
+                "allowances": configuration.allowances.len(),
+                "functions": configuration.functions.len(),
+                "lanes": configuration.lanes.len(),
+            });
+            say(format!("{line}\n").as_bytes());
+            ExitCode::SUCCESS
+        }
+        Err(reasons) => {
+            say(format!("{}\n", json!({"outcome": "refused", "reasons": reasons})).as_bytes());
+            ExitCode::from(REFUSED)
+        }
+    }
+}
+
+fn client() -> Client {
+    Client::builder().disable_timeout().disable_redirects().finish()
+}
+
+fn get_ready(work: impl std::future::Future<Output = ExitCode>) -> ExitCode {
+    actix_rt::System::new().block_on(work)
+}
+
+pub fn change(change: Change) -> ExitCode {
+    let bytes = match read_file(&change.file) {
+        Ok(bytes) => bytes,
+        Err(failure) => return complain(format!("{}: {failure}", change.file.display()), BAD_USE),
+    };
+    let body = match change.whole_as {
+        None => bytes,
+        Some(changeId) => {
+            let whole: Value = match serde_json::from_slice(&bytes) {
+                Ok(whole) => whole,
+                Err(failure) => return complain(format!("{}: {failure}", change.file.display()), BAD_USE),
+            };
+            let mut line = json!({"change_id": changeId, "whole": whole});
+            if let Some(generation) = change.expected_generation {
+                line["expected_generation"] = json!(generation);
+            }
+            line.to_string().into_bytes()
+        }
+    };
+    get_ready(async move {
+        let url = format!("http://{}/control/changes", change.control);
+        let sending = client().post(url).timeout(Duration::from_secs(600)).send_body(body);
+        let mut answer = match sending.await {
+            Ok(answer) => answer,
+            Err(failure) => return complain(failure, UNREACHED),
+        };
+        let mut text = Vec::new();
+        while let Some(chunk) = answer.next().await {
+            let Ok(chunk) = chunk else { return complain("the answer was cut", UNREACHED) };
+            text.extend_from_slice(&chunk);
+            say(&chunk);
+        }
+        let isAccepted = |line: &[u8]| {
+            serde_json::from_slice::<Value>(line).is_ok_and(|outcome| outcome["outcome"] == "accepted")
+        };
+        let allAccepted = text.split(|byte| *byte == b'\n').filter(|line| !line.is_empty()).all(isAccepted);
+        if allAccepted { ExitCode::SUCCESS } else { ExitCode::from(REFUSED) }
+    })
+}
+
+pub fn decisions(decisions: Decisions) -> ExitCode {
+    let mut url = format!("http://{}/control/decisions?most=2000", decisions.control);
+    if let Some(cursor) = &decisions.after {
+        url.push_str(&format!("&after={cursor}"));
+    }
+    if decisions.follow {
+        url.push_str("&follow=1");
+    }
+    show(url)
+}
+
+pub fn page(control: &SocketAddr, name: &str) -> ExitCode {
+    show(format!("http://{control}/control/{name}"))
+}
+
+fn show(url: String) -> ExitCode {
+    get_ready(async move {
+        let mut answer = match client().get(url).send().await {
+            Ok(answer) => answer,
+            Err(failure) => return complain(failure, UNREACHED),
+        };
+        let isSound = answer.status().is_success();
+        while let Some(chunk) = answer.next().await {
+            let Ok(chunk) = chunk else { return complain("the answer was cut", UNREACHED) };
+            if !say(&chunk) {
+                break;
+            }
+        }
+        if isSound { ExitCode::SUCCESS } else { ExitCode::from(REFUSED) }
+    })
+}
--- /dev/null
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -0,0 +1,251 @@
+//! The shell of the node's protocol: it carries events in and acts out, and decides nothing.
+
+use crate::colleague_links::ColleagueLinks;
+use crate::disk_thread::{DiskThread, DiskWork};
+use clock_events::{Micros, MonotonicClock};
+use colleague_messages::{Address, DecisionLine, Envelope, NodeId};
+use configuration_check::{Change, ChangeOutcome};
+use error_stack::Report;
+use function_front::{Front, FrontLink, TicketAnswer};
+use node_protocol::{Act, Event, Node, NodeStatus, RefusedAs, StartResult, StopResult};
+use platform_client::{PlatformClient, StartAnswer, StartDocument, StopAnswer};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use supervisor::ChildFailure;
+use tokio::sync::{mpsc, oneshot};
+
+const TICK: Duration = Duration::from_millis(20);
+
+/// What happens around the node.
+pub enum ShellEvent {
+    Heard(Envelope),
+    DiskDone { token: u64, is_synced: bool },
+    Protocol(Event),
+    Change { change: Change, reply: oneshot::Sender<ChangeOutcome> },
+    Decisions { after: Vec<(NodeId, u64)>, most: u32, reply: oneshot::Sender<DecisionsReply> },
+    Status { reply: oneshot::Sender<NodeStatus> },
+    Configuration { reply: oneshot::Sender<Vec<u8>> },
+    Drain,
+}
+
+pub struct DecisionsReply {
+    pub lines: Vec<DecisionLine>,
+    pub cursor: Vec<(NodeId, u64)>,
+}
+
+/// Flags that other threads look at.
+#[derive(Debug, Default)]
+pub struct NodeFlags {
+    pub ready: AtomicBool,
+    pub draining: AtomicBool,
+    pub drained: AtomicBool,
+}
+
+pub struct ProtocolShell {
+    pub node: Node,
+    pub clock: MonotonicClock,
+    pub own_node: NodeId,
+    pub own_address: Address,
+    pub fleet: u64,
+    pub links: ColleagueLinks,
+    pub disk: Option<DiskThread>,
+    pub platform: PlatformClient,
+    pub front: Arc<Front>,
+    pub flags: Arc<NodeFlags>,
+    pub inbox_sender: mpsc::Sender<ShellEvent>,
+    pub tickets: HashMap<u64, oneshot::Sender<TicketAnswer>>,
+    pub changes: HashMap<u64, oneshot::Sender<ChangeOutcome>>,
+    pub decisions: HashMap<u64, oneshot::Sender<DecisionsReply>>,
+    pub next_request: u64,
+}
+
+impl ProtocolShell {
+    /// Runs until the inbox closes.
+    pub async fn run(
+        &mut self,
+        inbox: &mut mpsc::Receiver<ShellEvent>,
+        front: &mut mpsc::Receiver<FrontLink>,
+    ) -> Result<(), Report<ChildFailure>> {
+        let mut ticker = tokio::time::interval(TICK);
+        ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                _ = ticker.tick() => self.handle(Event::Tick),
+                event = inbox.recv() => match event {
+                    Some(event) => self.take(event),
+                    None => return Ok(()),
+                },
+                link = front.recv() => match link {
+                    Some(link) => self.take_front(link),
+                    None => return Ok(()),
+                },
+            }
+        }
+    }
+
+    fn take(&mut self, event: ShellEvent) {
+        self.next_request += 1;
+        let request = self.next_request;
+        match event {
+            ShellEvent::Heard(envelope) => self.handle(Event::Heard(envelope)),
+            ShellEvent::DiskDone { token, is_synced } => self.handle(Event::DiskDone { token, is_synced }),
+            ShellEvent::Protocol(event) => self.handle(event),
+            ShellEvent::Change { change, reply } => {
+                self.changes.insert(request, reply);
+                self.handle(Event::ChangeAsked { request, change });
+            }
+            ShellEvent::Decisions { after, most, reply } => {
+                self.decisions.insert(request, reply);
+                self.handle(Event::DecisionsAsked { request, after, most });
+            }
+            ShellEvent::Status { reply } => {
+                let _ = reply.send(self.node.status(self.clock.now()));
+            }
+            ShellEvent::Configuration { reply } => {
+                let _ = reply.send(self.node.stored_configuration());
+            }
+            ShellEvent::Drain => {
+                self.flags.draining.store(true, Ordering::Relaxed);
+                self.front.drain();
+                self.handle(Event::Drain);
+            }
+        }
+    }
+
+    fn take_front(&mut self, link: FrontLink) {
+        match link {
+            FrontLink::Ask { call, function, time_left, is_extra, avoid, reply } => {
+                self.tickets.insert(call, reply);
+                self.handle(Event::CallAsks { call, function, time_left, is_extra, avoid });
+            }
+            FrontLink::End { call } => {
+                self.tickets.remove(&call);
+                self.handle(Event::CallEnds { call });
+            }
+            FrontLink::Done { ticket, how, latency } => {
+                self.handle(Event::TicketDone { ticket, how, latency });
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut waiting = vec![event];
+        while let Some(event) = waiting.pop() {
+            for act in self.node.handle(event, self.clock.now()) {
+                waiting.extend(self.perform(act));
+            }
+        }
+    }
+
+    /// Carries an act out; an act that failed at once comes back as an event.
+    fn perform(&mut self, act: Act) -> Option<Event> {
+        match act {
+            Act::Send { address, message } => {
+                let name = message.name();
+                let envelope = Envelope {
+                    fleet: self.fleet,
+                    from: self.own_node,
+                    from_address: self.own_address,
+                    message,
+                };
+                match envelope.frame() {
+                    Some(frame) => self.links.send(address, frame),
+                    None => log::error!("a {name} message is over the frame limit and was dropped"),
+                }
+            }
+            Act::WriteDisk { token, records, is_rewrite } => {
+                let work = DiskWork { token, records, is_rewrite };
+                let isTaken = self.disk.as_ref().is_some_and(|disk| disk.hand_over(work));
+                if !isTaken {
+                    return Some(Event::DiskDone { token, is_synced: false });
+                }
+            }
+            Act::List => {
+                let platform = self.platform.clone();
+                self.spawn(async move {
+                    match platform.list().await {
+                        Some((workers, cells)) => Event::Listed { workers, cells },
+                        None => Event::ListFailed,
+                    }
+                });
+            }
+            Act::Start { start_id, function, worker, memory_mb } => {
+                let platform = self.platform.clone();
+                self.spawn(async move {
+                    let start = StartDocument { start_id, function, worker, memory_mb };
+                    let result = match platform.start(&start).await {
+                        StartAnswer::Started(started) => {
+                            StartResult::Started { cell: started.cell, address: started.address }
+                        }
+                        StartAnswer::NoRoom => StartResult::NoRoom,
+                        StartAnswer::Throttled => StartResult::Throttled,
+                        StartAnswer::Unknown => StartResult::Unknown,
+                    };
+                    Event::StartDone { start_id: start.start_id, result }
+                });
+            }
+            Act::Stop { cell } => {
+                let platform = self.platform.clone();
+                self.spawn(async move {
+                    let result = match platform.stop(&cell).await {
+                        StopAnswer::Stopped => StopResult::Stopped,
+                        StopAnswer::Throttled => StopResult::Throttled,
+                        StopAnswer::Unknown => StopResult::Unknown,
+                    };
+                    Event::StopDone { cell, result }
+                });
+            }
+            Act::CallGranted { call, ticket } => {
+                let reply = self.tickets.remove(&call);
+                let isGone = match reply {
+                    Some(reply) => reply.send(TicketAnswer::Granted(ticket.clone())).is_err(),
+                    None => true,
+                };
+                if isGone {
+                    return Some(Event::TicketDone { ticket, how: steward_work::UNUSED, latency: Micros(0) });
+                }
+            }
+            Act::CallRefused { call, refused_as, reason, retry_after } => {
+                if let Some(reply) = self.tickets.remove(&call) {
+                    let _ = reply.send(TicketAnswer::Refused {
+                        is_full: reason == "waitlist full",
+                        is_missing: refused_as == RefusedAs::NoFunction,
+                        reason,
+                        retry_after,
+                    });
+                }
+            }
+            Act::ConfigurationTaken { generation, configuration } => {
+                log::info!("configuration generation {generation} holds");
+                self.front.take_configuration(generation, &configuration);
+            }
+            Act::ChangeAnswered { request, outcome, .. } => {
+                if let Some(reply) = self.changes.remove(&request) {
+                    let _ = reply.send(outcome);
+                }
+            }
+            Act::DecisionsAnswered { request, lines, cursor } => {
+                if let Some(reply) = self.decisions.remove(&request) {
+                    let _ = reply.send(DecisionsReply { lines, cursor });
+                }
+            }
+            Act::Ready => {
+                log::info!("ready");
+                self.flags.ready.store(true, Ordering::Relaxed);
+            }
+            Act::Drained => self.flags.drained.store(true, Ordering::Relaxed),
+        }
+        None
+    }
+
+    fn spawn(&self, work: impl std::future::Future<Output = Event> + 'static) {
+        let inbox = self.inbox_sender.clone();
+        actix_rt::spawn(async move {
+            let event = work.await;
+            let _ = inbox.send(ShellEvent::Protocol(event)).await;
+        });
+    }
+}
--- /dev/null
+++ b/packages/vanelane/src/settings.rs
@@ -0,0 +1,260 @@
+//! The node's settings: a TOML file, flags over it, every field checked and named when it is wrong.
+
+use crate::command_line::Run;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Declares the settings file's fields, all optional as read.
+macro_rules! settings_file {
+    ($($field:ident: $type:ty,)*) => {
+        #[derive(Clone, Debug, Default, Deserialize)]
+        #[serde(deny_unknown_fields)]
+        pub struct SettingsFile { $(pub $field: Option<$type>,)* }
+    };
+}
+
+settings_file! {
+    fleet: String,
+    zone: String,
+    visitor_address: String,
+    control_address: String,
+    colleague_address: String,
+    seeds: Vec<String>,
+    data_folder: PathBuf,
+    platform_address: String,
+    founding_disks: u64,
+    acts_per_second: f64,
+    lease_millis: u64,
+    poll_millis: u64,
+    renewal_millis: u64,
+    gate: bool,
+    replace_disk_after_seconds: u64,
+    worker_threads: u64,
+    body_limit_bytes: u64,
+    memory_limit_bytes: u64,
+    calls_limit: u64,
+    log_level: String,
+}
+
+/// Checked settings. Example: `checked(SettingsFile::default()).unwrap_err()[0].0 == "zone"`.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub fleet: String,
+    pub zone: String,
+    pub visitor_address: SocketAddr,
+    pub control_address: SocketAddr,
+    pub colleague_address: SocketAddr,
+    pub seeds: Vec<SocketAddr>,
+    pub data_folder: Option<PathBuf>,
+    pub platform_address: SocketAddr,
+    pub founding_disks: usize,
+    pub acts_per_second: f64,
+    pub lease_millis: u64,
+    pub poll_millis: u64,
+    pub renewal_millis: u64,
+    pub gate: bool,
+    pub replace_disk_after_seconds: u64,
+    pub worker_threads: usize,
+    pub body_limit_bytes: usize,
+    pub memory_limit_bytes: usize,
+    pub calls_limit: usize,
+    pub log_level: log::LevelFilter,
+}
+
+/// A field's name and what is wrong with it.
+pub type SettingsReason = (&'static str, String);
+
+/// Reads the file, if any, and lays the flags over it. Example: `read(&run)?.zone`.
+pub fn read(run: &Run) -> Result<Settings, Vec<SettingsReason>> {
+    let mut file = match &run.settings {
+        None => SettingsFile::default(),
+        Some(path) => {
+            let text = std::fs::read_to_string(path)
+                .map_err(|failure| vec![("settings", format!("{}: {failure}", path.display()))])?;
+            toml::from_str(&text)
+                .map_err(|failure| vec![("settings", format!("{}: {}", path.display(), failure.message()))])?
+        }
+    };
+    let mut reasons = Vec::new();
+    let flag = |slot: &mut Option<String>, flagValue: &Option<String>| {
+        if flagValue.is_some() {
+            slot.clone_from(flagValue);
+        }
+    };
+    flag(&mut file.fleet, &run.fleet);
+    flag(&mut file.zone, &run.zone);
+    flag(&mut file.visitor_address, &run.visitor_address);
+    flag(&mut file.control_address, &run.control_address);
+    flag(&mut file.colleague_address, &run.colleague_address);
+    flag(&mut file.platform_address, &run.platform_address);
+    flag(&mut file.log_level, &run.log_level);
+    if run.data_folder.is_some() {
+        file.data_folder.clone_from(&run.data_folder);
+    }
+    if !run.seed.is_empty() {
+        file.seeds = Some(run.seed.clone());
+    }
+    if let Some(text) = &run.founding_disks {
+        match text.parse() {
+            Ok(number) => file.founding_disks = Some(number),
+            Err(_) => reasons.push(("founding_disks", format!("{text} is no whole number"))),
+        }
+    }
+    if let Some(text) = &run.acts_per_second {
+        match text.parse() {
+            Ok(number) => file.acts_per_second = Some(number),
+            Err(_) => reasons.push(("acts_per_second", format!("{text} is no number"))),
+        }
+    }
+    match checked(file) {
+        Ok(settings) if reasons.is_empty() => Ok(settings),
+        Ok(_) => Err(reasons),
+        Err(checkReasons) => {
+            reasons.extend(checkReasons);
+            Err(reasons)
+        }
+    }
+}
+
+struct Checker {
+    reasons: Vec<SettingsReason>,
+}
+
+impl Checker {
+    fn address(&mut self, field: &'static str, given: Option<String>) -> SocketAddr {
+        let placeholder = SocketAddr::from(([0, 0, 0, 0], 0));
+        let Some(text) = given else {
+            self.reasons.push((field, "is missing".to_owned()));
+            return placeholder;
+        };
+        match text.parse() {
+            Ok(address) => address,
+            Err(_) => {
+                self.reasons.push((field, format!("{text} is no IP address with a port")));
+                placeholder
+            }
+        }
+    }
+
+    fn text(&mut self, field: &'static str, given: Option<String>, fallback: Option<&str>) -> String {
+        let text = given.or_else(|| fallback.map(str::to_owned)).unwrap_or_default();
+        if text.is_empty() || text.len() > 64 || !text.chars().all(|c| c.is_ascii_graphic()) {
+            self.reasons.push((field, "must have 1 to 64 visible ASCII characters".to_owned()));
+        }
+        text
+    }
+
+    fn number(&mut self, field: &'static str, given: Option<u64>, fallback: u64, low: u64, high: u64) -> u64 {
+        let number = given.unwrap_or(fallback);
+        if !(low..=high).contains(&number) {
+            self.reasons.push((field, format!("{number} is not within {low} to {high}")));
+        }
+        number
+    }
+}
+
+/// Checks every field; all reasons are told. Example: `checked(file).map_err(print_all)`.
+pub fn checked(file: SettingsFile) -> Result<Settings, Vec<SettingsReason>> {
+    let mut checker = Checker { reasons: Vec::new() };
+    let zone = checker.text("zone", file.zone, None);
+    let fleet = checker.text("fleet", file.fleet, Some("vanelane"));
+    let colleagueAddress = checker.address("colleague_address", file.colleague_address);
+    if colleagueAddress.ip().is_unspecified()
+        && !checker.reasons.iter().any(|(f, _)| *f == "colleague_address")
+    {
+        let reason = "must be an address that colleagues can reach, not a wildcard".to_owned();
+        checker.reasons.push(("colleague_address", reason));
+    }
+    let givenSeeds = file.seeds.unwrap_or_default();
+    if givenSeeds.len() > 3 {
+        checker.reasons.push(("seeds", format!("{} seeds are given, three are the most", givenSeeds.len())));
+    }
+    let seeds = givenSeeds.into_iter().map(|seed| checker.address("seeds", Some(seed))).collect();
+    let logLevel = match file.log_level.as_deref().unwrap_or("info").parse() {
+        Ok(level) => level,
+        Err(_) => {
+            checker.reasons.push(("log_level", "must be off, error, warn, info, debug or trace".to_owned()));
+            log::LevelFilter::Info
+        }
+    };
+    let actsPerSecond = file.acts_per_second.unwrap_or(80.0);
+    if !(actsPerSecond > 0.0 && actsPerSecond <= 1_000_000.0) {
+        checker
+            .reasons
+            .push(("acts_per_second", format!("{actsPerSecond} is not above 0 and up to 1000000")));
+    }
+    let leaseMillis = checker.number("lease_millis", file.lease_millis, 3_000, 500, 600_000);
+    let renewalMillis = checker.number("renewal_millis", file.renewal_millis, 1_000, 50, 600_000);
+    if renewalMillis.saturating_mul(2) > leaseMillis {
+        let reason = format!("{renewalMillis} is more than half of lease_millis {leaseMillis}");
+        checker.reasons.push(("renewal_millis", reason));
+    }
+    let settings = Settings {
+        fleet,
+        zone,
+        visitor_address: checker.address("visitor_address", file.visitor_address),
+        control_address: checker.address("control_address", file.control_address),
+        colleague_address: colleagueAddress,
+        seeds,
+        data_folder: file.data_folder,
+        platform_address: checker.address("platform_address", file.platform_address),
+        founding_disks: checker.number("founding_disks", file.founding_disks, 3, 1, 9) as usize,
+        acts_per_second: actsPerSecond,
+        lease_millis: leaseMillis,
+        poll_millis: checker.number("poll_millis", file.poll_millis, 500, 50, 600_000),
+        renewal_millis: renewalMillis,
+        gate: file.gate.unwrap_or(true),
+        replace_disk_after_seconds: checker.number(
+            "replace_disk_after_seconds",
+            file.replace_disk_after_seconds,
+            20,
+            5,
+            86_400,
+        ),
+        worker_threads: checker.number("worker_threads", file.worker_threads, 2, 1, 64) as usize,
+        body_limit_bytes: checker.number(
+            "body_limit_bytes",
+            file.body_limit_bytes,
+            4 * 1024 * 1024,
+            1_024,
+            64 * 1024 * 1024,
+        ) as usize,
+        memory_limit_bytes: checker.number(
+            "memory_limit_bytes",
+            file.memory_limit_bytes,
+            96 * 1024 * 1024,
+            1024 * 1024,
+            64 * 1024 * 1024 * 1024,
+        ) as usize,
+        calls_limit: checker.number("calls_limit", file.calls_limit, 1_000, 1, 1_000_000) as usize,
+        log_level: logLevel,
+    };
+    if checker.reasons.is_empty() { Ok(settings) } else { Err(checker.reasons) }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_wrong_field_is_named() {
+        let sound = r#"
+            zone = "a"
+            visitor_address = "127.0.0.1:8080"
+            control_address = "127.0.0.1:8081"
+            colleague_address = "127.0.0.1:8082"
+            platform_address = "127.0.0.1:9000"
+        "#;
+        let parse = |text: &str| toml::from_str::<SettingsFile>(text).expect("TOML");
+        assert!(checked(parse(sound)).is_ok());
+        let broken = format!(
+            "{sound}\nseeds = [\"nowhere\"]\nlease_millis = 10\nlog_level = \"loud\"\nfounding_disks = 0\n"
+        );
+        let fields: Vec<&str> =
+            checked(parse(&broken)).expect_err("refused").into_iter().map(|(field, _)| field).collect();
+        assert_eq!(fields, ["seeds", "log_level", "lease_millis", "renewal_millis", "founding_disks"]);
+        assert_eq!(checked(SettingsFile::default()).expect_err("refused").len(), 5);
+        assert!(toml::from_str::<SettingsFile>("zoen = \"a\"").is_err());
+    }
+}
