--- /dev/null
+++ b/packages/history_checks/src/checkers.rs
@@ -0,0 +1,415 @@
+use crate::{Line, Outcome};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A rule that was broken, and where. Example: `Breach { rule: "no double run", .. }`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Breach {
+    /// The rule's short name.
+    pub rule: &'static str,
+    /// What was seen.
+    pub seen: String,
+}
+
+/// The numbers of the brief. Example: `CheckSettings::default().refusals_fixed == 5`.
+#[derive(Clone, Debug)]
+pub struct CheckSettings {
+    /// Refused dispatches (turned away) allowed for a function in five seconds.
+    pub turned_away_in_five_seconds: usize,
+    /// Microseconds after which a leaving cell gets no new call.
+    pub leaving_grace: u64,
+    /// Refusals allowed besides one in 500.
+    pub refusals_fixed: usize,
+    /// Whether refusals are counted at all: runs that overload on purpose do not.
+    pub count_refusals: bool,
+    /// Microseconds within which a generation must hold on every node that lives.
+    pub spread_within: u64,
+}
+
+impl Default for CheckSettings {
+    fn default() -> CheckSettings {
+        CheckSettings {
+            turned_away_in_five_seconds: 12,
+            leaving_grace: 3_000_000,
+            refusals_fixed: 5,
+            count_refusals: true,
+            spread_within: 3_000_000,
+        }
+    }
+}
+
+/// Runs every checker. Example: `assert!(check_all(&lines, &CheckSettings::default()).is_empty())`.
+pub fn check_all(lines: &[Line], settings: &CheckSettings) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    check_runs(lines, &mut breaches);
+    check_answers(lines, &mut breaches);
+    check_services(lines, &mut breaches);
+    check_turned_away(lines, settings, &mut breaches);
+    check_leaving(lines, settings, &mut breaches);
+    check_extra_tries(lines, &mut breaches);
+    check_refusals(lines, settings, &mut breaches);
+    check_generations(lines, &mut breaches);
+    check_changes(lines, &mut breaches);
+    check_epochs(lines, &mut breaches);
+    check_planned_stops(lines, &mut breaches);
+    breaches
+}
+
+fn broken(breaches: &mut Vec<Breach>, rule: &'static str, seen: String) {
+    breaches.push(Breach { rule, seen });
+}
+
+struct SentCall<'a> {
+    function: &'a str,
+    repeatable: bool,
+}
+
+fn sent_calls(lines: &[Line]) -> BTreeMap<&str, SentCall<'_>> {
+    lines
+        .iter()
+        .filter_map(|line| match line {
+            Line::CallSent { call, function, repeatable, .. } => {
+                Some((call.as_str(), SentCall { function, repeatable: *repeatable }))
+            }
+            _ => None,
+        })
+        .collect()
+}
+
+fn run_counts(lines: &[Line]) -> BTreeMap<&str, usize> {
+    let mut counts = BTreeMap::new();
+    for line in lines {
+        if let Line::CellTook { call, ran: true, .. } = line {
+            *counts.entry(call.as_str()).or_default() += 1;
+        }
+    }
+    counts
+}
+
+/// A call that may not be repeated runs once at most; one refused as not run never runs.
+fn check_runs(lines: &[Line], breaches: &mut Vec<Breach>) {
+    let calls = sent_calls(lines);
+    let counts = run_counts(lines);
+    for (call, count) in &counts {
+        let isRepeatable = calls.get(call).is_some_and(|sent| sent.repeatable);
+        if *count > 1 && !isRepeatable {
+            broken(breaches, "no double run", format!("{call} ran {count} times"));
+        }
+    }
+    for line in lines {
+        if let Line::CallEnded { call, outcome: Outcome::NotRun, .. } = line
+            && counts.contains_key(call.as_str())
+        {
+            broken(breaches, "not run is true", format!("{call} was refused as not run and ran"));
+        }
+    }
+}
+
+/// An answer that looks complete is the call's own, whole, and some cell ran it.
+fn check_answers(lines: &[Line], breaches: &mut Vec<Breach>) {
+    let counts = run_counts(lines);
+    for line in lines {
+        if let Line::CallEnded { call, outcome: Outcome::Ran, is_own, .. } = line {
+            if !is_own {
+                broken(breaches, "own whole answer", format!("{call} got bytes not its own whole answer"));
+            }
+            if !counts.contains_key(call.as_str()) {
+                broken(breaches, "own whole answer", format!("{call} was answered and never ran"));
+            }
+        }
+    }
+}
+
+/// Calls reach only cells of the function that their lane names.
+fn check_services(lines: &[Line], breaches: &mut Vec<Breach>) {
+    let calls = sent_calls(lines);
+    for line in lines {
+        if let Line::CellTook { call, function, cell, .. } = line
+            && let Some(sent) = calls.get(call.as_str())
+            && sent.function != function
+        {
+            let seen = format!("{call} for {} reached {cell} of {function}", sent.function);
+            broken(breaches, "only allowed services", seen);
+        }
+    }
+}
+
+/// The most entries of a sorted list of times within any window.
+fn most_within(sortedTimes: &[u64], window: u64) -> usize {
+    let mut first = 0;
+    let mut most = 0;
+    for (last, time) in sortedTimes.iter().enumerate() {
+        while sortedTimes[first] + window <= *time {
+            first += 1;
+        }
+        most = most.max(last + 1 - first);
+    }
+    most
+}
+
+fn check_turned_away(lines: &[Line], settings: &CheckSettings, breaches: &mut Vec<Breach>) {
+    let mut times: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+    for line in lines {
+        match line {
+            Line::CellTook { at, function, ran: false, .. } => times.entry(function).or_default().push(*at),
+            Line::CellTook { cell, in_flight, limit, ran: true, .. } if in_flight > limit => {
+                broken(breaches, "cell limits", format!("{cell} ran {in_flight} at once of {limit}"));
+            }
+            _ => {}
+        }
+    }
+    for (function, mut functionTimes) in times {
+        functionTimes.sort_unstable();
+        let most = most_within(&functionTimes, 5_000_000);
+        if most > settings.turned_away_in_five_seconds {
+            broken(breaches, "cell limits", format!("{function}: {most} turned away in five seconds"));
+        }
+    }
+}
+
+fn check_leaving(lines: &[Line], settings: &CheckSettings, breaches: &mut Vec<Breach>) {
+    let mut leavingSince: BTreeMap<&str, u64> = BTreeMap::new();
+    for line in lines {
+        if let Line::CellShownLeaving { at, cell } = line {
+            leavingSince.entry(cell).or_insert(*at);
+        }
+    }
+    for line in lines {
+        if let Line::CellTook { at, call, cell, .. } = line
+            && let Some(since) = leavingSince.get(cell.as_str())
+            && *at > since + settings.leaving_grace
+        {
+            let late = (at - since) / 1_000;
+            broken(
+                breaches,
+                "leaving cells",
+                format!("{cell} got {call} {late} ms after it was shown leaving"),
+            );
+        }
+    }
+}
+
+/// Dispatches beyond each call's first: one in five calls plus sixty, for a function in ten seconds.
+fn check_extra_tries(lines: &[Line], breaches: &mut Vec<Breach>) {
+    let mut seenCalls = BTreeSet::new();
+    let mut firsts: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+    let mut extras: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+    for line in lines {
+        if let Line::CellTook { at, call, function, .. } = line {
+            let times = if seenCalls.insert(call.as_str()) { &mut firsts } else { &mut extras };
+            times.entry(function).or_default().push(*at);
+        }
+    }
+    for (function, mut extraTimes) in extras {
+        extraTimes.sort_unstable();
+        let callTimes = firsts.get(function).cloned().unwrap_or_default();
+        for windowStart in &extraTimes {
+            let within = |time: &&u64| **time >= *windowStart && **time < windowStart + 10_000_000;
+            let extraCount = extraTimes.iter().filter(within).count();
+            let callCount = callTimes.iter().filter(within).count();
+            if extraCount > callCount / 5 + 60 {
+                let seen = format!("{function}: {extraCount} extra tries beside {callCount} calls");
+                broken(breaches, "extra tries", seen);
+                break;
+            }
+        }
+    }
+}
+
+fn check_refusals(lines: &[Line], settings: &CheckSettings, breaches: &mut Vec<Breach>) {
+    if !settings.count_refusals {
+        return;
+    }
+    let ended = lines.iter().filter(|line| matches!(line, Line::CallEnded { .. })).count();
+    let refused =
+        lines.iter().filter(|line| matches!(line, Line::CallEnded { outcome: Outcome::NotRun, .. })).count();
+    if refused > settings.refusals_fixed + ended / 500 {
+        broken(breaches, "few refusals", format!("{refused} of {ended} proper calls were refused"));
+    }
+}
+
+/// A node's process never goes back a generation.
+fn check_generations(lines: &[Line], breaches: &mut Vec<Breach>) {
+    let mut held: BTreeMap<(&str, &str), (u64, u64)> = BTreeMap::new();
+    for line in lines {
+        if let Line::GenerationHeld { at, node, life, generation } = line {
+            let entry = held.entry((node, life)).or_insert((*at, *generation));
+            if entry.0 <= *at && entry.1 > *generation {
+                let seen = format!("{node} went from {} back to {generation}", entry.1);
+                broken(breaches, "no generation back", seen);
+            }
+            *entry = (*at, *generation);
+        }
+    }
+}
+
+/// Two acknowledged changes never share a generation, and every acknowledged change stands in what
+/// the nodes hold later; a refused one never does.
+fn check_changes(lines: &[Line], breaches: &mut Vec<Breach>) {
+    let mut accepted: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+    let mut refused = BTreeSet::new();
+    let mut byGeneration: BTreeMap<u64, &str> = BTreeMap::new();
+    for line in lines {
+        match line {
+            Line::ChangeAccepted { at, change, generation } => {
+                accepted.entry(change).or_insert((*at, *generation));
+                let first = byGeneration.entry(*generation).or_insert(change);
+                if *first != change {
+                    let seen = format!("{first} and {change} were both accepted as {generation}");
+                    broken(breaches, "one change a generation", seen);
+                }
+            }
+            Line::ChangeRefused { change, .. } => {
+                refused.insert(change.as_str());
+            }
+            _ => {}
+        }
+    }
+    for line in lines {
+        let Line::ChangesStand { node, generation, changes, .. } = line else { continue };
+        for (change, (_, acceptedAs)) in &accepted {
+            if acceptedAs <= generation && !changes.iter().any(|standing| standing == change) {
+                let seen =
+                    format!("{change}, accepted as {acceptedAs}, is missing at {node} in {generation}");
+                broken(breaches, "no acknowledged change lost", seen);
+            }
+        }
+        for standing in changes.iter().filter(|standing| refused.contains(standing.as_str())) {
+            let seen = format!("{standing} was refused and stands at {node}");
+            broken(breaches, "refused changes never stand", seen);
+        }
+    }
+}
+
+/// One node for each (function, steward epoch), among those that took it and those that acted.
+fn check_epochs(lines: &[Line], breaches: &mut Vec<Breach>) {
+    let mut holders: BTreeMap<(&str, u64), &str> = BTreeMap::new();
+    let mut newest: BTreeMap<&str, u64> = BTreeMap::new();
+    for line in lines {
+        let (Line::StewardTaken { node, function, epoch, .. }
+        | Line::StewardActed { node, function, epoch, .. }) = line
+        else {
+            continue;
+        };
+        let holder = holders.entry((function, *epoch)).or_insert(node);
+        if *holder != node {
+            let seen = format!("{holder} and {node} are both steward of {function} in epoch {epoch}");
+            broken(breaches, "one steward an epoch", seen);
+        }
+        if matches!(line, Line::StewardActed { .. }) {
+            let newestEpoch = newest.entry(function).or_default();
+            if *epoch < *newestEpoch {
+                let seen =
+                    format!("{node} acted for {function} in {epoch} after {newestEpoch} had begun to act");
+                broken(breaches, "one steward an epoch", seen);
+            }
+            *newestEpoch = (*newestEpoch).max(*epoch);
+        }
+    }
+}
+
+fn check_planned_stops(lines: &[Line], breaches: &mut Vec<Breach>) {
+    for line in lines {
+        if let Line::DroppedInPlannedStop { call, .. } = line {
+            broken(breaches, "planned stops drop nothing", format!("{call} was dropped"));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn sent(call: &str) -> Line {
+        Line::CallSent { at: 0, call: call.into(), function: "proof".into(), repeatable: false }
+    }
+
+    fn took(at: u64, call: &str, function: &str, ran: bool) -> Line {
+        Line::CellTook {
+            at,
+            call: call.into(),
+            function: function.into(),
+            cell: "c1".into(),
+            ran,
+            in_flight: 1,
+            limit: 2,
+        }
+    }
+
+    fn ended(call: &str, outcome: Outcome, isOwn: bool) -> Line {
+        Line::CallEnded { at: 9, call: call.into(), outcome, is_own: isOwn, latency: 9 }
+    }
+
+    fn sound_history() -> Vec<Line> {
+        let mut lines = vec![
+            sent("1"),
+            took(1, "1", "proof", true),
+            ended("1", Outcome::Ran, true),
+            Line::ChangeAccepted { at: 1, change: "a".into(), generation: 1 },
+            Line::ChangeRefused { at: 2, change: "b".into() },
+            Line::ChangesStand { at: 3, node: "n1".into(), generation: 1, changes: vec!["a".into()] },
+            Line::GenerationHeld { at: 3, node: "n1".into(), life: "x".into(), generation: 1 },
+            Line::StewardTaken { at: 1, node: "n1".into(), function: "proof".into(), epoch: 4 },
+            Line::StewardActed { at: 2, node: "n1".into(), function: "proof".into(), epoch: 4 },
+            Line::CellShownLeaving { at: 10, cell: "c1".into() },
+        ];
+        lines.extend((0..100).map(|number| sent(&format!("many-{number}"))));
+        lines
+    }
+
+    fn rules(doctored: Vec<Line>) -> BTreeSet<&'static str> {
+        let lines: Vec<Line> = sound_history().into_iter().chain(doctored).collect();
+        check_all(&lines, &CheckSettings::default()).into_iter().map(|breach| breach.rule).collect()
+    }
+
+    #[test]
+    fn every_checker_catches_its_planted_breach_and_no_other_fires() {
+        assert_eq!(rules(Vec::new()), BTreeSet::new());
+        let tookFrom = |count: u64, ran: bool| -> Vec<Line> {
+            (0..count).map(|number| took(20 + number, &format!("many-{number}"), "proof", ran)).collect()
+        };
+        let cases: Vec<(&str, Vec<Line>)> = vec![
+            ("no double run", vec![took(2, "1", "proof", true)]),
+            ("not run is true", vec![ended("1", Outcome::NotRun, false)]),
+            ("own whole answer", vec![ended("1", Outcome::Ran, false)]),
+            ("own whole answer", vec![ended("2", Outcome::Ran, true)]),
+            ("only allowed services", vec![took(2, "many-1", "other", true)]),
+            ("cell limits", tookFrom(13, false)),
+            ("leaving cells", vec![took(3_000_011, "many-1", "proof", true)]),
+            ("extra tries", (0..62).map(|_| took(6_000_000, "many-0", "late", true)).collect()),
+            ("few refusals", (0..6).map(|_| ended("many-1", Outcome::NotRun, false)).collect()),
+            (
+                "no generation back",
+                vec![Line::GenerationHeld { at: 4, node: "n1".into(), life: "x".into(), generation: 0 }],
+            ),
+            (
+                "one change a generation",
+                vec![Line::ChangeAccepted { at: 2, change: "c".into(), generation: 1 }],
+            ),
+            (
+                "no acknowledged change lost",
+                vec![Line::ChangesStand { at: 5, node: "n2".into(), generation: 2, changes: vec![] }],
+            ),
+            (
+                "refused changes never stand",
+                vec![Line::ChangesStand {
+                    at: 5,
+                    node: "n2".into(),
+                    generation: 1,
+                    changes: vec!["a".into(), "b".into()],
+                }],
+            ),
+            (
+                "one steward an epoch",
+                vec![Line::StewardActed { at: 3, node: "n2".into(), function: "proof".into(), epoch: 4 }],
+            ),
+            (
+                "one steward an epoch",
+                vec![Line::StewardActed { at: 3, node: "n2".into(), function: "proof".into(), epoch: 3 }],
+            ),
+            ("planned stops drop nothing", vec![Line::DroppedInPlannedStop { at: 3, call: "1".into() }]),
+        ];
+        for (rule, doctored) in cases {
+            assert!(rules(doctored).contains(rule), "{rule}");
+        }
+    }
+}
--- /dev/null
+++ b/packages/history_checks/src/lib.rs
@@ -0,0 +1,75 @@
+//! Histories checked after the fact: what callers, cells, nodes and operators saw, and the rules
+//! that must hold over it. Every checker is shown to fail on a doctored history.
+
+mod checkers;
+
+pub use checkers::{Breach, CheckSettings, check_all};
+
+use serde::{Deserialize, Serialize};
+use std::sync::Mutex;
+
+/// How a caller saw its call end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// A whole answer of a cell.
+    Ran,
+    /// Refused: it did not run.
+    NotRun,
+    /// Told to be of unknown fate.
+    Unknown,
+    /// The node never answered: killed, cut off, or too late.
+    NoAnswer,
+}
+
+/// One thing that somebody saw, at microseconds of the history's clock.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Line {
+    /// A caller sends a call.
+    CallSent { at: u64, call: String, function: String, repeatable: bool },
+    /// A caller's call ends; `is_own` when a `ran` answer is the call's own, whole.
+    CallEnded { at: u64, call: String, outcome: Outcome, is_own: bool, latency: u64 },
+    /// A call reached a cell; `ran` false when the cell turned it away.
+    CellTook { at: u64, call: String, function: String, cell: String, ran: bool, in_flight: u32, limit: u32 },
+    /// The platform began to show a cell leaving, or gone.
+    CellShownLeaving { at: u64, cell: String },
+    /// An operator's change was acknowledged under a generation.
+    ChangeAccepted { at: u64, change: String, generation: u64 },
+    /// An operator's change was refused.
+    ChangeRefused { at: u64, change: String },
+    /// A node holds a generation. `life` tells a node's processes apart.
+    GenerationHeld { at: u64, node: String, life: String, generation: u64 },
+    /// The document that holds at a node contains the marks of these changes.
+    ChangesStand { at: u64, node: String, generation: u64, changes: Vec<String> },
+    /// A node took a function under a steward epoch.
+    StewardTaken { at: u64, node: String, function: String, epoch: u64 },
+    /// A node acted as steward (a ticket, a start or a stop) under an epoch.
+    StewardActed { at: u64, node: String, function: String, epoch: u64 },
+    /// A call was dropped although its node was only stopped in a planned way.
+    DroppedInPlannedStop { at: u64, call: String },
+}
+
+/// A history that many threads append to. Example: `history.append(Line::CellShownLeaving { .. })`.
+#[derive(Debug, Default)]
+pub struct History {
+    lines: Mutex<Vec<Line>>,
+}
+
+impl History {
+    /// Appends a line. Example: `history.append(line)`.
+    pub fn append(&self, line: Line) {
+        match self.lines.lock() {
+            Ok(mut lines) => lines.push(line),
+            Err(poisoned) => poisoned.into_inner().push(line),
+        }
+    }
+
+    /// All lines so far. Example: `check_all(&history.lines(), &CheckSettings::default())`.
+    pub fn lines(&self) -> Vec<Line> {
+        match self.lines.lock() {
+            Ok(lines) => lines.clone(),
+            Err(poisoned) => poisoned.into_inner().clone(),
+        }
+    }
+}
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -20,6 +20,7 @@
 const START_TRIES: u32 = 4;
 const LIST_EVERY: Micros = Micros::from_millis(900);
 const LIST_PATIENCE: Micros = Micros::from_secs(3);
+const NO_ROOM_TOLD: Micros = Micros::from_secs(5);
 const UNSETTLED_POLL: Micros = Micros::from_millis(100);
 /// Until the first list is in, a new steward may not know of cells that run: it starts none.
 const ADOPTION_SPAN: Micros = Micros::from_millis(1_500);
@@ -55,6 +56,8 @@
     orphan_since: BTreeMap<String, Micros>,
     demand_told: (Micros, DemandNews),
     cells_sequence: u64,
+    no_room_told: BTreeMap<String, Micros>,
+    is_platform_silent: bool,
 }
 
 impl StewardPart {
@@ -81,6 +84,8 @@
             orphan_since: BTreeMap::new(),
             demand_told: (Micros(0), DemandNews { entries: List(Vec::new()) }),
             cells_sequence: 0,
+            no_room_told: BTreeMap::new(),
+            is_platform_silent: false,
         }
     }
 }
@@ -135,6 +140,7 @@
             }
         }
         self.stewards.deputies.retain(|function, _| configuration.functions.contains_key(function));
+        self.stewards.no_room_told.retain(|function, _| configuration.functions.contains_key(function));
         self.news.forget(|topic| {
             topic
                 .strip_prefix("cells/")
@@ -345,11 +351,18 @@
 
     pub(crate) fn list_failed(&mut self) {
         self.stewards.list_asked_at = None;
+        if !self.stewards.is_platform_silent {
+            self.stewards.is_platform_silent = true;
+            self.journal.append("platform_silent", json!({}), self.now);
+        }
     }
 
     pub(crate) fn listed(&mut self, workers: Vec<ListedWorker>, mut cells: Vec<ListedCell>) {
         let now = self.now;
         let Some(askedAt) = self.stewards.list_asked_at.take() else { return };
+        if std::mem::take(&mut self.stewards.is_platform_silent) {
+            self.journal.append("platform_answers", json!({}), now);
+        }
         let mut used: BTreeMap<String, u64> = BTreeMap::new();
         for cell in &cells {
             *used.entry(cell.worker.clone()).or_default() += cell.memory_mb;
@@ -616,7 +629,12 @@
     fn end_start(&mut self, start: &WaitingStart, outcome: StartOutcome) {
         let now = self.now;
         if outcome == StartOutcome::NoRoom {
-            self.journal.append("no_room", json!({"function": start.function}), now);
+            // Told once in a while, however often it is tried.
+            let told = self.stewards.no_room_told.get(&start.function);
+            if told.is_none_or(|toldAt| now >= *toldAt + NO_ROOM_TOLD) {
+                self.stewards.no_room_told.insert(start.function.clone(), now);
+                self.journal.append("no_room", json!({"function": start.function}), now);
+            }
         }
         if let Some(work) = self.stewards.works.get_mut(&start.function) {
             work.started(&start.start_id, outcome, now);
--- a/packages/platform_client/src/lib.rs
+++ b/packages/platform_client/src/lib.rs
@@ -80,7 +80,8 @@
         if answer.status() != StatusCode::OK {
             return None;
         }
-        let list: ListDocument = answer.json().limit(LIST_LIMIT).await.ok()?;
+        let body = answer.body().limit(LIST_LIMIT).await.ok()?;
+        let list: ListDocument = serde_json::from_slice(&body).ok()?;
         let workers = list
             .workers
             .into_iter()
@@ -110,10 +111,10 @@
         let sending = self.client.post(format!("{}/cells", self.base)).send_json(start);
         let Ok(mut answer) = sending.await else { return StartAnswer::Unknown };
         match answer.status() {
-            StatusCode::CREATED | StatusCode::OK => match answer.json().limit(ANSWER_LIMIT).await {
-                Ok(started) => StartAnswer::Started(started),
-                Err(_) => StartAnswer::Unknown,
-            },
+            StatusCode::CREATED | StatusCode::OK => {
+                let Ok(body) = answer.body().limit(ANSWER_LIMIT).await else { return StartAnswer::Unknown };
+                serde_json::from_slice(&body).map_or(StartAnswer::Unknown, StartAnswer::Started)
+            }
             StatusCode::CONFLICT => StartAnswer::NoRoom,
             StatusCode::TOO_MANY_REQUESTS => StartAnswer::Throttled,
             _ => StartAnswer::Unknown,
--- /dev/null
+++ b/packages/stand_ins/src/callers.rs
@@ -0,0 +1,263 @@
+use crate::{BEHAVE_HEADER, CALL_HEADER, micros_since};
+use awc::Client;
+use fastrand::Rng;
+use function_front::OUTCOME_HEADER;
+use history_checks::{History, Line, Outcome};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// A lane to call. Example: `Target { function: "proof".into(), path: "/proof".into(), weight: 9.0, .. }`.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// The function that its lane names.
+    pub function: String,
+    /// The path to call.
+    pub path: String,
+    /// Its part of all calls.
+    pub weight: f64,
+    /// Whether the lane is repeatable.
+    pub repeatable: bool,
+}
+
+/// How the callers call. Example: `CallerSettings { calls_per_second: 300.0, .. }`.
+#[derive(Clone, Debug)]
+pub struct CallerSettings {
+    /// Calls sent each second, whether or not earlier ones were answered.
+    pub calls_per_second: f64,
+    /// For how long.
+    pub span: Duration,
+    /// What is called.
+    pub targets: Vec<Target>,
+    /// The longest a caller waits.
+    pub patience: Duration,
+    /// Seeds the order of targets.
+    pub luck_seed: u64,
+    /// Retries sent at once after a refusal, as hasty callers do.
+    pub hasty_retries: u32,
+    /// The length of bodies.
+    pub body_length: usize,
+}
+
+/// What the callers saw, in short.
+#[derive(Clone, Debug, Default)]
+pub struct CallersReport {
+    /// Calls sent, retries included.
+    pub sent: u64,
+    /// Whole answers.
+    pub ran: u64,
+    /// Refused as not run.
+    pub not_run: u64,
+    /// Of unknown fate.
+    pub unknown: u64,
+    /// Never answered.
+    pub no_answer: u64,
+    /// Sorted latencies of whole answers, in microseconds.
+    pub latencies: Vec<u64>,
+    /// Reasons of refusals and unknowns with their counts.
+    pub reasons: Vec<(String, u64)>,
+}
+
+impl CallersReport {
+    /// A quantile of the latencies. Example: `report.quantile(0.99)`.
+    pub fn quantile(&self, part: f64) -> u64 {
+        let place = ((self.latencies.len() as f64 - 1.0) * part).max(0.0) as usize;
+        self.latencies.get(place).copied().unwrap_or(0)
+    }
+}
+
+/// Callers on a thread of their own. Example: `Callers::start(settings, nodes, history, began)`.
+pub struct Callers {
+    thread: std::thread::JoinHandle<CallersReport>,
+    nodes: Arc<Mutex<Vec<SocketAddr>>>,
+    ending: Arc<AtomicBool>,
+}
+
+static NEXT_CALL: AtomicU64 = AtomicU64::new(1);
+
+impl Callers {
+    /// Starts calling the nodes in turn. Example: `callers.finish().ran`.
+    pub fn start(
+        settings: CallerSettings,
+        nodes: Vec<SocketAddr>,
+        history: Arc<History>,
+        began: Instant,
+    ) -> std::io::Result<Callers> {
+        let nodes = Arc::new(Mutex::new(nodes));
+        let ending = Arc::new(AtomicBool::new(false));
+        let (sharedNodes, sharedEnding) = (nodes.clone(), ending.clone());
+        let thread = std::thread::Builder::new().name("callers".to_owned()).spawn(move || {
+            actix_rt::System::new().block_on(call_all(settings, sharedNodes, sharedEnding, history, began))
+        })?;
+        Ok(Callers { thread, nodes, ending })
+    }
+
+    /// The platform hands callers to these nodes from now on. Example: `callers.hand_to(nodes)`.
+    pub fn hand_to(&self, nodes: Vec<SocketAddr>) {
+        match self.nodes.lock() {
+            Ok(mut shared) => *shared = nodes,
+            Err(poisoned) => *poisoned.into_inner() = nodes,
+        }
+    }
+
+    /// Stops before the span is over. Example: `callers.end_early()`.
+    pub fn end_early(&self) {
+        self.ending.store(true, Ordering::Relaxed);
+    }
+
+    /// Waits for the end of the span and of all calls. Example: `let report = callers.finish();`.
+    pub fn finish(self) -> CallersReport {
+        self.thread.join().unwrap_or_default()
+    }
+}
+
+struct Shared {
+    client: Client,
+    history: Arc<History>,
+    began: Instant,
+    report: RefCell<CallersReport>,
+    settings: CallerSettings,
+    nodes: Arc<Mutex<Vec<SocketAddr>>>,
+}
+
+async fn call_all(
+    settings: CallerSettings,
+    nodes: Arc<Mutex<Vec<SocketAddr>>>,
+    ending: Arc<AtomicBool>,
+    history: Arc<History>,
+    began: Instant,
+) -> CallersReport {
+    let client =
+        Client::builder().timeout(settings.patience).disable_redirects().no_default_headers().finish();
+    let weightSum: f64 = settings.targets.iter().map(|target| target.weight).sum();
+    let mut dice = Rng::with_seed(settings.luck_seed);
+    let shared = Rc::new(Shared {
+        client,
+        history,
+        began,
+        report: RefCell::default(),
+        settings: settings.clone(),
+        nodes,
+    });
+    let mut calls = tokio::task::JoinSet::new();
+    let start = Instant::now();
+    let mut sentCount = 0u64;
+    let mut ticker = tokio::time::interval(Duration::from_millis(2));
+    while start.elapsed() < settings.span && !ending.load(Ordering::Relaxed) {
+        ticker.tick().await;
+        let dueCount = (start.elapsed().as_secs_f64() * settings.calls_per_second) as u64;
+        while sentCount < dueCount {
+            sentCount += 1;
+            let mut draw = dice.f64() * weightSum;
+            let picked = settings.targets.iter().find(|target| {
+                draw -= target.weight;
+                draw <= 0.0
+            });
+            let Some(target) = picked.or(settings.targets.last()).cloned() else { continue };
+            calls.spawn_local(call_patiently(shared.clone(), target, dice.u64(..)));
+        }
+        while calls.try_join_next().is_some() {}
+    }
+    while calls.join_next().await.is_some() {}
+    let mut report = shared.report.take();
+    report.latencies.sort_unstable();
+    report
+}
+
+async fn call_patiently(shared: Rc<Shared>, target: Target, luck: u64) {
+    let mut dice = Rng::with_seed(luck);
+    for _ in 0..=shared.settings.hasty_retries {
+        let outcome = call_once(&shared, &target, &mut dice).await;
+        if outcome != Outcome::NotRun {
+            return;
+        }
+    }
+}
+
+async fn call_once(shared: &Rc<Shared>, target: &Target, dice: &mut Rng) -> Outcome {
+    let nodes = match shared.nodes.lock() {
+        Ok(nodes) => nodes.clone(),
+        Err(poisoned) => poisoned.into_inner().clone(),
+    };
+    let Some(node) = dice.choice(nodes) else { return Outcome::NoAnswer };
+    let call = NEXT_CALL.fetch_add(1, Ordering::Relaxed).to_string();
+    let sentAt = micros_since(shared.began);
+    shared.history.append(Line::CallSent {
+        at: sentAt,
+        call: call.clone(),
+        function: target.function.clone(),
+        repeatable: target.repeatable,
+    });
+    let (outcome, isOwn, reason) = exchange(shared, target, node, &call).await;
+    let at = micros_since(shared.began);
+    let latency = at - sentAt;
+    shared.history.append(Line::CallEnded { at, call, outcome, is_own: isOwn, latency });
+    let mut report = shared.report.borrow_mut();
+    report.sent += 1;
+    match outcome {
+        Outcome::Ran => {
+            report.ran += 1;
+            report.latencies.push(latency);
+        }
+        Outcome::NotRun => report.not_run += 1,
+        Outcome::Unknown => report.unknown += 1,
+        Outcome::NoAnswer => report.no_answer += 1,
+    }
+    if !reason.is_empty() {
+        match report.reasons.iter_mut().find(|(known, _)| *known == reason) {
+            Some((_, count)) => *count += 1,
+            None => report.reasons.push((reason, 1)),
+        }
+    }
+    outcome
+}
+
+async fn exchange(
+    shared: &Rc<Shared>,
+    target: &Target,
+    node: SocketAddr,
+    call: &str,
+) -> (Outcome, bool, String) {
+    let url = format!("http://{node}{}", target.path);
+    let request = shared
+        .client
+        .post(url)
+        .insert_header((CALL_HEADER, call))
+        .insert_header((BEHAVE_HEADER, ""))
+        .force_close();
+    let sending = request.send_body(vec![b'b'; shared.settings.body_length]);
+    let mut answer = match sending.await {
+        Ok(answer) => answer,
+        Err(failure) => return (Outcome::NoAnswer, false, format!("no answer: {failure}")),
+    };
+    let told = answer.headers().get(OUTCOME_HEADER).and_then(|value| value.to_str().ok()).map(str::to_owned);
+    let toldLength: Option<usize> = answer
+        .headers()
+        .get("content-length")
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok());
+    let Ok(body) = answer.body().limit(64 * 1024 * 1024).await else {
+        return (Outcome::NoAnswer, false, "the answer broke off".to_owned());
+    };
+    if toldLength.is_some_and(|length| length != body.len()) {
+        return (Outcome::NoAnswer, false, "the answer was cut".to_owned());
+    }
+    let text = String::from_utf8_lossy(&body);
+    match told.as_deref() {
+        Some("ran") => {
+            let isOwn =
+                text.starts_with(&format!("{{\"call\":\"{call}\",")) && text.ends_with("\"end\":true}");
+            (Outcome::Ran, isOwn, String::new())
+        }
+        Some("not_run") => (Outcome::NotRun, false, format!("{} {}", answer.status(), strip_numbers(&text))),
+        Some("unknown") => (Outcome::Unknown, false, format!("{} {}", answer.status(), strip_numbers(&text))),
+        _ => (Outcome::NoAnswer, false, format!("{} without an outcome", answer.status())),
+    }
+}
+
+fn strip_numbers(text: &str) -> String {
+    text.chars().filter(|character| !character.is_ascii_digit()).collect()
+}
--- /dev/null
+++ b/packages/stand_ins/src/cell_stand_in.rs
@@ -0,0 +1,179 @@
+use crate::{BEHAVE_HEADER, CALL_HEADER, micros_since};
+use actix_codec::Framed;
+use actix_http::h1::{Codec, Message, MessageType};
+use actix_http::{HttpMessage, Request};
+use function_front::{CELL_HEADER, FUNCTION_HEADER};
+use futures_util::StreamExt;
+use history_checks::{History, Line};
+use serde::{Deserialize, Serialize};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+
+/// How a function's cells behave, known to the stand-in apart from any configuration.
+/// Example: `FunctionStandIn { boot_millis: 1500, calls_at_once: 4, work_millis: 60, .. }`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FunctionStandIn {
+    /// From the start to the first accepted connection.
+    pub boot_millis: u64,
+    /// More at once are turned away.
+    pub calls_at_once: u32,
+    /// How long a call takes.
+    pub work_millis: u64,
+    /// Shares of calls that end badly.
+    #[serde(default)]
+    pub misbehaviour: Misbehaviour,
+}
+
+/// Shares (0 to 1) of calls whose answer goes wrong after they ran.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Misbehaviour {
+    /// The connection ends without an answer.
+    pub lose: f64,
+    /// The answer is no HTTP.
+    pub garble: f64,
+    /// The answer ends before its length.
+    pub cut: f64,
+}
+
+pub(crate) struct CellStandIn {
+    pub id: String,
+    pub function: String,
+    pub behaviour: FunctionStandIn,
+    pub history: Arc<History>,
+    pub began: Instant,
+    pub in_flight: Cell<u32>,
+}
+
+/// Counts a call as in flight until dropped.
+struct InFlight(Rc<CellStandIn>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+impl CellStandIn {
+    pub(crate) async fn accept(self: Rc<CellStandIn>, listener: TcpListener) {
+        let mut connections = tokio::task::JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((stream, _)) = accepted else { continue };
+                    let _ = stream.set_nodelay(true);
+                    connections.spawn_local(self.clone().converse(stream));
+                }
+                Some(_) = connections.join_next() => {}
+            }
+        }
+    }
+
+    async fn converse(self: Rc<CellStandIn>, stream: TcpStream) {
+        let mut framed = Framed::new(stream, Codec::default());
+        let Some(Ok(Message::Item(request))) = framed.next().await else { return };
+        let hasBody = framed.codec_ref().message_type() != MessageType::None;
+        let mut bodyLength = 0;
+        if hasBody {
+            loop {
+                match framed.next().await {
+                    Some(Ok(Message::Chunk(Some(chunk)))) => bodyLength += chunk.len(),
+                    Some(Ok(Message::Chunk(None))) => break,
+                    _ => return,
+                }
+            }
+        }
+        let mut stream = framed.into_parts().io;
+        self.answer(&request, bodyLength, &mut stream).await;
+        let _ = stream.shutdown().await;
+    }
+
+    async fn answer(self: &Rc<CellStandIn>, request: &Request, bodyLength: usize, stream: &mut TcpStream) {
+        let named = |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
+        let isMeant = named(FUNCTION_HEADER) == Some(&self.function) && named(CELL_HEADER) == Some(&self.id);
+        if !isMeant {
+            let _ = stream.write_all(&answer_bytes("421 Misdirected Request", "", "not this cell")).await;
+            return;
+        }
+        let call = named(CALL_HEADER).unwrap_or_default().to_owned();
+        let inFlight = self.in_flight.get() + 1;
+        let limit = self.behaviour.calls_at_once;
+        let isRunning = inFlight <= limit;
+        self.history.append(Line::CellTook {
+            at: micros_since(self.began),
+            call: call.clone(),
+            function: self.function.clone(),
+            cell: self.id.clone(),
+            ran: isRunning,
+            in_flight: inFlight,
+            limit,
+        });
+        if !isRunning {
+            let extraHeader = "x-vanelane-outcome: not_run\r\n";
+            let _ = stream.write_all(&answer_bytes("503 Service Unavailable", extraHeader, "full")).await;
+            return;
+        }
+        self.in_flight.set(inFlight);
+        let _counted = InFlight(self.clone());
+        tokio::time::sleep(Duration::from_millis(self.behaviour.work_millis)).await;
+        let wholeBody = format!(
+            "{{\"call\":\"{call}\",\"cell\":\"{}\",\"body_length\":{bodyLength},\"end\":true}}",
+            self.id
+        );
+        let wholeAnswer = answer_bytes("200 OK", "content-type: application/json\r\n", &wholeBody);
+        let asked = named(BEHAVE_HEADER);
+        let bad = self.behaviour.misbehaviour;
+        let draw = fastrand::f64();
+        if asked == Some("lose") || draw < bad.lose {
+            return;
+        }
+        if asked == Some("garble") || draw < bad.lose + bad.garble {
+            let _ = stream.write_all(b"\x00\x17 no http \xff\xfe\r\n\r\n").await;
+            return;
+        }
+        if asked == Some("cut") || draw < bad.lose + bad.garble + bad.cut {
+            let _ = stream.write_all(&wholeAnswer[..wholeAnswer.len() - 5]).await;
+            return;
+        }
+        if asked == Some("cut_chunks") {
+            let begun = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+            let _ = stream.write_all(begun).await;
+            return;
+        }
+        if asked == Some("cut_long") {
+            let head = b"HTTP/1.1 200 OK\r\ncontent-length: 2000000\r\n\r\n";
+            let _ = stream.write_all(head).await;
+            let _ = stream.write_all(&vec![b'x'; 1_000_000]).await;
+            return;
+        }
+        if asked == Some("cut_long_chunks") {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").await;
+            for _ in 0..20 {
+                let _ = stream.write_all(b"10000\r\n").await;
+                let _ = stream.write_all(&vec![b'x'; 0x10000]).await;
+                let _ = stream.write_all(b"\r\n").await;
+            }
+            return;
+        }
+        if asked == Some("until_close") {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nwho knows where this ends").await;
+            return;
+        }
+        if asked == Some("stall") {
+            let _ = stream.write_all(&wholeAnswer[..20]).await;
+            std::future::pending::<()>().await;
+        }
+        let _ = stream.write_all(&wholeAnswer).await;
+    }
+}
+
+fn answer_bytes(status: &str, extraHeaders: &str, body: &str) -> Vec<u8> {
+    format!(
+        "HTTP/1.1 {status}\r\n{extraHeaders}content-length: {}\r\nconnection: close\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
--- /dev/null
+++ b/packages/stand_ins/src/lib.rs
@@ -0,0 +1,22 @@
+//! Stand-ins for what vanelane meets: the platform with its workers and cells, and the callers.
+//! They write what they saw into a history that `history_checks` judges.
+
+mod callers;
+mod cell_stand_in;
+mod platform_stand_in;
+
+pub use callers::{CallerSettings, Callers, CallersReport, Target};
+pub use cell_stand_in::{FunctionStandIn, Misbehaviour};
+pub use platform_stand_in::{PlatformSettings, PlatformStandIn};
+
+use std::time::Instant;
+
+/// The header by which callers name their call to cells.
+pub const CALL_HEADER: &str = "x-call-id";
+/// The header by which a test tells a cell how to behave: `lose`, `garble`, `cut`, `stall`.
+pub const BEHAVE_HEADER: &str = "x-stand-in";
+
+/// Microseconds since a shared beginning. Example: `micros_since(began)`.
+pub fn micros_since(began: Instant) -> u64 {
+    began.elapsed().as_micros() as u64
+}
--- /dev/null
+++ b/packages/stand_ins/src/platform_stand_in.rs
@@ -0,0 +1,394 @@
+use crate::cell_stand_in::{CellStandIn, FunctionStandIn};
+use crate::micros_since;
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, Method, Request, Response, StatusCode};
+use actix_server::Server;
+use futures_util::StreamExt;
+use history_checks::{History, Line};
+use platform_client::{CellDocument, ListDocument, StartDocument, StartedDocument, WorkerDocument};
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpSocket;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+
+/// What the platform stand-in is like. Example: `PlatformSettings::small()`.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// How many workers.
+    pub workers: usize,
+    /// Each worker's memory.
+    pub worker_memory_mb: u64,
+    /// Starts and stops taken each second.
+    pub acts_per_second: f64,
+    /// How late the list is.
+    pub list_late: Duration,
+    /// How the functions' cells behave; a function not named here cannot be started.
+    pub functions: BTreeMap<String, FunctionStandIn>,
+    /// How long a stopped cell still finishes its calls.
+    pub leave_within: Duration,
+}
+
+struct RunningCell {
+    document: CellDocument,
+    start_id: String,
+    port: u16,
+    task: AbortHandle,
+}
+
+struct PlatformState {
+    settings: PlatformSettings,
+    history: Arc<History>,
+    began: Instant,
+    workers: Vec<WorkerDocument>,
+    cells: BTreeMap<String, RunningCell>,
+    /// Lists of the past, newest last: the late one is served.
+    lists: VecDeque<(Instant, ListDocument)>,
+    shown_leaving: BTreeMap<String, ()>,
+    started: BTreeMap<String, StartedDocument>,
+    free_ports: VecDeque<u16>,
+    next_cell: u64,
+    tokens: f64,
+    filled_at: Instant,
+    throttled: u64,
+    starts: u64,
+    stops: u64,
+}
+
+/// A platform on a thread of its own. Example: `PlatformStandIn::start(settings, history, began)`.
+pub struct PlatformStandIn {
+    address: SocketAddr,
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+enum Command {
+    Http { method: Method, path: String, body: Vec<u8>, reply: oneshot::Sender<(StatusCode, String)> },
+    Drain(usize),
+    Crash(usize),
+    Counts(std::sync::mpsc::Sender<(u64, u64, u64)>),
+    End,
+}
+
+impl PlatformStandIn {
+    /// Starts the platform on a free port. Example: `platform.address()`.
+    pub fn start(
+        listen: SocketAddr,
+        settings: PlatformSettings,
+        history: Arc<History>,
+        began: Instant,
+    ) -> std::io::Result<PlatformStandIn> {
+        let listener = TcpListener::bind(listen)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let (commands, received) = mpsc::unbounded_channel();
+        let httpCommands = commands.clone();
+        std::thread::Builder::new().name("platform stand-in".to_owned()).spawn(move || {
+            actix_rt::System::new().block_on(run(listener, settings, history, began, httpCommands, received));
+        })?;
+        Ok(PlatformStandIn { address, commands })
+    }
+
+    /// Where it listens. Example: `platform.address().port() != 0`.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Drains a worker: its cells leave. Example: `platform.drain(0)`.
+    pub fn drain(&self, worker: usize) {
+        let _ = self.commands.send(Command::Drain(worker));
+    }
+
+    /// Crashes a worker with its cells. Example: `platform.crash(1)`.
+    pub fn crash(&self, worker: usize) {
+        let _ = self.commands.send(Command::Crash(worker));
+    }
+
+    /// Starts, stops and throttled acts so far. Example: `let (starts, ..) = platform.counts();`.
+    pub fn counts(&self) -> (u64, u64, u64) {
+        let (sender, receiver) = std::sync::mpsc::channel();
+        let _ = self.commands.send(Command::Counts(sender));
+        receiver.recv_timeout(Duration::from_secs(5)).unwrap_or_default()
+    }
+}
+
+impl Drop for PlatformStandIn {
+    fn drop(&mut self) {
+        let _ = self.commands.send(Command::End);
+    }
+}
+
+async fn run(
+    listener: TcpListener,
+    settings: PlatformSettings,
+    history: Arc<History>,
+    began: Instant,
+    httpCommands: mpsc::UnboundedSender<Command>,
+    mut received: mpsc::UnboundedReceiver<Command>,
+) {
+    let workers = (0..settings.workers)
+        .map(|number| WorkerDocument {
+            id: format!("worker-{number}"),
+            memory_mb: settings.worker_memory_mb,
+            state: "ready".to_owned(),
+        })
+        .collect();
+    let state = Rc::new(RefCell::new(PlatformState {
+        tokens: settings.acts_per_second,
+        settings,
+        history,
+        began,
+        workers,
+        cells: BTreeMap::new(),
+        lists: VecDeque::new(),
+        shown_leaving: BTreeMap::new(),
+        started: BTreeMap::new(),
+        free_ports: VecDeque::new(),
+        next_cell: 1,
+        filled_at: Instant::now(),
+        throttled: 0,
+        starts: 0,
+        stops: 0,
+    }));
+    let server = Server::build().workers(1).disable_signals().listen("platform", listener, move || {
+        let sender = httpCommands.clone();
+        HttpService::build()
+            .h1(move |mut request: Request| {
+                let sender = sender.clone();
+                async move {
+                    let mut body = Vec::new();
+                    let mut payload = request.take_payload();
+                    while let Some(Ok(chunk)) = payload.next().await {
+                        body.extend_from_slice(&chunk);
+                    }
+                    let (reply, answer) = oneshot::channel();
+                    let (method, path) = (request.method().clone(), request.path().to_owned());
+                    let _ = sender.send(Command::Http { method, path, body, reply });
+                    let silence = (StatusCode::INTERNAL_SERVER_ERROR, String::new());
+                    let (status, text) = answer.await.unwrap_or(silence);
+                    Ok::<_, std::convert::Infallible>(Response::with_body(status, BoxBody::new(text)))
+                }
+            })
+            .tcp()
+    });
+    let Ok(server) = server else { return };
+    let server = server.run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    let mut snapshots = tokio::time::interval(Duration::from_millis(50));
+    loop {
+        tokio::select! {
+            _ = snapshots.tick() => state.borrow_mut().take_snapshot(),
+            command = received.recv() => match command {
+                Some(Command::Drain(worker)) => state.borrow_mut().drain(worker),
+                Some(Command::Crash(worker)) => state.borrow_mut().crash(worker),
+                Some(Command::Counts(reply)) => {
+                    let _ = reply.send(state.borrow().counts());
+                }
+                Some(Command::Http { method, path, body, reply }) => {
+                    let _ = reply.send(answer(&state, &method, &path, &body));
+                }
+                Some(Command::End) | None => break,
+            },
+        }
+    }
+    handle.stop(false).await;
+}
+
+fn answer(
+    state: &Rc<RefCell<PlatformState>>,
+    method: &Method,
+    path: &str,
+    body: &[u8],
+) -> (StatusCode, String) {
+    match (method.as_str(), path, path.strip_prefix("/cells/")) {
+        ("GET", "/cells", _) => (StatusCode::OK, state.borrow().late_list()),
+        ("POST", "/cells", _) => match serde_json::from_slice::<StartDocument>(body) {
+            Ok(start) => start_cell(state, &start),
+            Err(failure) => (StatusCode::BAD_REQUEST, failure.to_string()),
+        },
+        ("DELETE", _, Some(cell)) => stop_cell(state, cell),
+        _ => (StatusCode::NOT_FOUND, String::new()),
+    }
+}
+
+fn start_cell(state: &Rc<RefCell<PlatformState>>, start: &StartDocument) -> (StatusCode, String) {
+    let mut platform = state.borrow_mut();
+    if let Some(started) = platform.started.get(&start.start_id) {
+        return (StatusCode::OK, json!(started).to_string());
+    }
+    if !platform.spend() {
+        return (StatusCode::TOO_MANY_REQUESTS, String::new());
+    }
+    let Some(behaviour) = platform.settings.functions.get(&start.function).cloned() else {
+        return (StatusCode::CONFLICT, json!({"reason": "no such function"}).to_string());
+    };
+    let worker = platform.workers.iter().find(|worker| worker.id == start.worker && worker.state == "ready");
+    let Some(workerMemory) = worker.map(|worker| worker.memory_mb) else {
+        return (StatusCode::CONFLICT, json!({"reason": "no such worker"}).to_string());
+    };
+    let usedMemory: u64 = platform
+        .cells
+        .values()
+        .filter(|cell| cell.document.worker == start.worker)
+        .map(|cell| cell.document.memory_mb)
+        .sum();
+    if usedMemory + start.memory_mb > workerMemory {
+        return (StatusCode::CONFLICT, json!({"reason": "no room"}).to_string());
+    }
+    // Freed addresses are used again first, as a platform may.
+    let reusedPort = platform.free_ports.pop_front();
+    let Some((socket, address)) = bind(reusedPort.unwrap_or(0)).or_else(|| bind(0)) else {
+        return (StatusCode::CONFLICT, json!({"reason": "no address"}).to_string());
+    };
+    let id = format!("cell-{}", platform.next_cell);
+    platform.next_cell += 1;
+    platform.starts += 1;
+    let boot = Duration::from_millis(behaviour.boot_millis);
+    let cell = Rc::new(CellStandIn {
+        id: id.clone(),
+        function: start.function.clone(),
+        behaviour,
+        history: platform.history.clone(),
+        began: platform.began,
+        in_flight: Cell::new(0),
+    });
+    // Bound but not listening yet: connections are refused while it boots.
+    let task = actix_rt::spawn(async move {
+        tokio::time::sleep(boot).await;
+        if let Ok(listener) = socket.listen(1_024) {
+            cell.accept(listener).await;
+        }
+    });
+    let document = CellDocument {
+        id: id.clone(),
+        function: start.function.clone(),
+        worker: start.worker.clone(),
+        address,
+        memory_mb: start.memory_mb,
+        state: "running".to_owned(),
+    };
+    let running = RunningCell {
+        document,
+        start_id: start.start_id.clone(),
+        port: address.port(),
+        task: task.abort_handle(),
+    };
+    platform.cells.insert(id.clone(), running);
+    let started = StartedDocument { cell: id, address };
+    platform.started.insert(start.start_id.clone(), started.clone());
+    (StatusCode::CREATED, json!(started).to_string())
+}
+
+fn bind(port: u16) -> Option<(TcpSocket, SocketAddr)> {
+    let socket = TcpSocket::new_v4().ok()?;
+    socket.set_reuseaddr(true).ok()?;
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], port))).ok()?;
+    let address = socket.local_addr().ok()?;
+    Some((socket, address))
+}
+
+fn stop_cell(state: &Rc<RefCell<PlatformState>>, cell: &str) -> (StatusCode, String) {
+    let mut platform = state.borrow_mut();
+    if !platform.cells.contains_key(cell) {
+        return (StatusCode::NOT_FOUND, String::new());
+    }
+    if !platform.spend() {
+        return (StatusCode::TOO_MANY_REQUESTS, String::new());
+    }
+    platform.stops += 1;
+    platform.leave(cell);
+    let (state, cell, within) = (state.clone(), cell.to_owned(), platform.settings.leave_within);
+    actix_rt::spawn(async move {
+        tokio::time::sleep(within).await;
+        state.borrow_mut().end(&cell);
+    });
+    (StatusCode::ACCEPTED, String::new())
+}
+
+impl PlatformState {
+    fn spend(&mut self) -> bool {
+        let passed = self.filled_at.elapsed().as_secs_f64();
+        self.filled_at = Instant::now();
+        let most = self.settings.acts_per_second;
+        self.tokens = (self.tokens + passed * most).min(most);
+        if self.tokens < 1.0 {
+            self.throttled += 1;
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    fn leave(&mut self, cell: &str) {
+        if let Some(running) = self.cells.get_mut(cell) {
+            running.document.state = "leaving".to_owned();
+        }
+    }
+
+    fn end(&mut self, cell: &str) {
+        let Some(running) = self.cells.remove(cell) else { return };
+        running.task.abort();
+        self.started.remove(&running.start_id);
+        self.free_ports.push_back(running.port);
+    }
+
+    fn drain(&mut self, worker: usize) {
+        let Some(drained) = self.workers.get_mut(worker) else { return };
+        drained.state = "draining".to_owned();
+        let workerId = drained.id.clone();
+        for cell in self.cells.values_mut().filter(|cell| cell.document.worker == workerId) {
+            cell.document.state = "leaving".to_owned();
+        }
+    }
+
+    fn crash(&mut self, worker: usize) {
+        let Some(crashed) = self.workers.get(worker) else { return };
+        let workerId = crashed.id.clone();
+        let lost: Vec<String> = self
+            .cells
+            .iter()
+            .filter(|(_, cell)| cell.document.worker == workerId)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for cell in lost {
+            self.end(&cell);
+        }
+        self.workers.remove(worker);
+    }
+
+    fn counts(&self) -> (u64, u64, u64) {
+        (self.starts, self.stops, self.throttled)
+    }
+
+    fn take_snapshot(&mut self) {
+        let list = ListDocument {
+            workers: self.workers.clone(),
+            cells: self.cells.values().map(|cell| cell.document.clone()).collect(),
+        };
+        self.lists.push_back((Instant::now(), list));
+        while self.lists.len() > 1 && self.lists[1].0.elapsed() >= self.settings.list_late {
+            self.lists.pop_front();
+        }
+        let Some((takenAt, shown)) = self.lists.front() else { return };
+        if takenAt.elapsed() < self.settings.list_late {
+            return;
+        }
+        for cell in shown.cells.iter().filter(|cell| cell.state == "leaving") {
+            if self.shown_leaving.insert(cell.id.clone(), ()).is_none() {
+                let at = micros_since(self.began);
+                self.history.append(Line::CellShownLeaving { at, cell: cell.id.clone() });
+            }
+        }
+    }
+
+    fn late_list(&self) -> String {
+        let late = self.lists.front().filter(|(takenAt, _)| takenAt.elapsed() >= self.settings.list_late);
+        let empty = ListDocument { workers: self.workers.clone(), cells: Vec::new() };
+        json!(late.map_or(&empty, |(_, list)| list)).to_string()
+    }
+}
