--- /dev/null
+++ b/packages/local_fleet/src/fleet.rs
@@ -0,0 +1,189 @@
+//! The nodes as processes: started, killed, stopped, frozen, and looked at through /proc.
+
+use std::fs::{self, File};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+pub const NODES: usize = 10;
+/// The first node of each zone holds a disk.
+pub const DISK_NODES: [usize; 3] = [0, 1, 2];
+
+/// How the nodes are set up besides their addresses.
+#[derive(Clone, Debug, Default)]
+pub struct NodeOptions {
+    pub times: Option<[u64; 3]>,
+    pub no_gate: bool,
+}
+
+pub struct FleetNode {
+    pub visitors: SocketAddr,
+    pub control: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+    /// CPU seconds of processes that are gone by now.
+    spent_cpu: f64,
+    last_cpu: f64,
+    /// The largest resident memory seen, in KiB.
+    pub peak_memory: u64,
+}
+
+pub struct Fleet {
+    pub nodes: Vec<FleetNode>,
+    program: PathBuf,
+}
+
+fn free_addresses(count: usize) -> std::io::Result<Vec<SocketAddr>> {
+    // All are held at once, so that none is handed out twice.
+    let listeners: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
+    listeners.iter().map(TcpListener::local_addr).collect()
+}
+
+impl Fleet {
+    pub fn prepare(
+        program: &Path,
+        folder: &Path,
+        platform: SocketAddr,
+        options: &NodeOptions,
+    ) -> std::io::Result<Fleet> {
+        let addresses = free_addresses(NODES * 3)?;
+        let seeds: Vec<String> =
+            DISK_NODES.iter().map(|number| format!("\"{}\"", addresses[number * 3 + 2])).collect();
+        let mut nodes = Vec::new();
+        for number in 0..NODES {
+            let name = format!("node-{number}");
+            let [visitors, control, colleagues] = [0, 1, 2].map(|place| addresses[number * 3 + place]);
+            let mut text = format!(
+                "zone = \"zone-{}\"\nvisitor_address = \"{visitors}\"\ncontrol_address = \"{control}\"\n\
+                 colleague_address = \"{colleagues}\"\nplatform_address = \"{platform}\"\nseeds = [{}]\n\
+                 worker_threads = 1\n",
+                number % 3,
+                seeds.join(", ")
+            );
+            if DISK_NODES.contains(&number) {
+                let data = folder.join(format!("data-{number}"));
+                text.push_str(&format!("data_folder = {:?}\n", data.display().to_string()));
+            }
+            if let Some([lease, poll, renewal]) = options.times {
+                text.push_str(&format!(
+                    "lease_millis = {lease}\npoll_millis = {poll}\nrenewal_millis = {renewal}\n"
+                ));
+            }
+            if options.no_gate {
+                text.push_str("gate = false\n");
+            }
+            let settings = folder.join(format!("{name}.toml"));
+            fs::write(&settings, text)?;
+            nodes.push(FleetNode {
+                visitors,
+                control,
+                settings,
+                log: folder.join(format!("{name}.log")),
+                child: None,
+                spent_cpu: 0.0,
+                last_cpu: 0.0,
+                peak_memory: 0,
+            });
+        }
+        Ok(Fleet { nodes, program: program.to_path_buf() })
+    }
+
+    pub fn start(&mut self, number: usize) -> std::io::Result<()> {
+        let node = &mut self.nodes[number];
+        let log = File::options().create(true).append(true).open(&node.log)?;
+        let child = Command::new(&self.program)
+            .arg("run")
+            .arg("--settings")
+            .arg(&node.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::from(log))
+            .spawn()?;
+        node.child = Some(child);
+        Ok(())
+    }
+
+    /// Ends the process with no notice, as a power cut would.
+    pub fn kill(&mut self, number: usize) {
+        self.nodes[number].look();
+        let node = &mut self.nodes[number];
+        if let Some(mut child) = node.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        node.spent_cpu += std::mem::take(&mut node.last_cpu);
+    }
+
+    /// Sends a signal by name to a node's process.
+    pub fn signal(&mut self, number: usize, name: &str) {
+        let Some(child) = &self.nodes[number].child else { return };
+        let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+    }
+
+    /// Waits for a stopping process; how long it took, or `None` if it had to be killed.
+    pub fn wait_gone(&mut self, number: usize, within: Duration) -> Option<Duration> {
+        let began = Instant::now();
+        while began.elapsed() < within {
+            let node = &mut self.nodes[number];
+            node.look();
+            let child = node.child.as_mut()?;
+            if let Ok(Some(_)) = child.try_wait() {
+                node.child = None;
+                node.spent_cpu += std::mem::take(&mut node.last_cpu);
+                return Some(began.elapsed());
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        self.kill(number);
+        None
+    }
+
+    pub fn is_running(&self, number: usize) -> bool {
+        self.nodes[number].child.is_some()
+    }
+
+    pub fn look_at_all(&mut self) {
+        self.nodes.iter_mut().for_each(FleetNode::look);
+    }
+
+    pub fn running_visitors(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().filter(|node| node.child.is_some()).map(|node| node.visitors).collect()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for number in 0..self.nodes.len() {
+            self.kill(number);
+        }
+    }
+}
+
+impl FleetNode {
+    /// Reads the process's CPU time and memory.
+    pub fn look(&mut self) {
+        let Some(child) = &self.child else { return };
+        let folder = PathBuf::from(format!("/proc/{}", child.id()));
+        if let Ok(stat) = fs::read_to_string(folder.join("stat"))
+            && let Some((_, fields)) = stat.rsplit_once(") ")
+        {
+            let ticks: u64 =
+                fields.split(' ').skip(11).take(2).filter_map(|field| field.parse::<u64>().ok()).sum();
+            self.last_cpu = ticks as f64 / 100.0;
+        }
+        if let Ok(status) = fs::read_to_string(folder.join("status")) {
+            let resident = status
+                .lines()
+                .find_map(|line| line.strip_prefix("VmHWM:"))
+                .and_then(|text| text.trim().trim_end_matches(" kB").parse().ok());
+            self.peak_memory = self.peak_memory.max(resident.unwrap_or(0));
+        }
+    }
+
+    pub fn cpu_seconds(&self) -> f64 {
+        self.spent_cpu + self.last_cpu
+    }
+}
--- a/packages/local_fleet/src/main.rs
+++ b/packages/local_fleet/src/main.rs
@@ -1,1 +1,45 @@
-fn main() {}
+//! A whole fleet on one machine: ten real nodes in three zones on loopback, the platform stand-in,
+//! callers at the brief's load, failures midway, and the checkers over what was seen.
+
+mod deployments;
+mod fleet;
+mod operator;
+mod scenarios;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+xflags::xflags! {
+    /// Runs a fleet of ten nodes on loopback and judges what it did.
+    cmd local-fleet {
+        /// The vanelane program; beside this one if not given.
+        optional --vanelane vanelane: PathBuf
+        /// tiszacimke or ledgerwick; tiszacimke if not given.
+        optional --deployment deployment: String
+        /// Seconds under load; 60 if not given.
+        optional --seconds seconds: u64
+        /// Calls a second; 300 if not given.
+        optional --calls-per-second calls_per_second: f64
+        /// What happens midway: quiet, kills, herd, restart-all, rolling, workers, freeze, crowd or changes;
+        /// kills if not given.
+        optional --scenario scenario: String
+        /// lease,poll,renewal in milliseconds; the nodes' defaults if not given.
+        optional --times times: String
+        /// Turns the balance gate off, to measure what it does.
+        optional --no-gate
+        /// Where logs, data and the history go; a fresh folder under the temporary one if not given.
+        optional --folder folder: PathBuf
+    }
+}
+
+fn main() -> ExitCode {
+    let commandLine = LocalFleet::from_env_or_exit();
+    match scenarios::run(&commandLine) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(reason) => {
+            eprintln!("local-fleet: {reason}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/packages/local_fleet/src/scenarios.rs
@@ -0,0 +1,428 @@
+//! What happens to the fleet, and what is reported of it.
+
+use crate::LocalFleet;
+use crate::deployments::{self, Deployment};
+use crate::fleet::{DISK_NODES, Fleet, NODES, NodeOptions};
+use crate::operator::Operator;
+use history_checks::{CheckSettings, History, Line, Outcome, check_all};
+use serde_json::{Value, json};
+use stand_ins::{CallerSettings, Callers, CallersReport, PlatformStandIn, micros_since};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const SCENARIOS: &[&str] =
+    &["quiet", "kills", "herd", "restart-all", "rolling", "workers", "freeze", "crowd", "changes"];
+
+struct Run {
+    fleet: Fleet,
+    operator: Operator,
+    platform: PlatformStandIn,
+    history: Arc<History>,
+    began: Instant,
+    deployment: Deployment,
+    notes: Vec<(String, Value)>,
+    changes: u64,
+}
+
+pub fn run(commandLine: &LocalFleet) -> Result<bool, String> {
+    let said = |failure: std::io::Error| failure.to_string();
+    let scenario = commandLine.scenario.clone().unwrap_or_else(|| "kills".to_owned());
+    if !SCENARIOS.contains(&scenario.as_str()) {
+        return Err(format!("--scenario is one of {}", SCENARIOS.join(", ")));
+    }
+    let deploymentName = commandLine.deployment.as_deref().unwrap_or("tiszacimke");
+    let deployment = deployments::find(deploymentName)
+        .ok_or_else(|| "--deployment is tiszacimke or ledgerwick".to_owned())?;
+    let options = NodeOptions {
+        times: match &commandLine.times {
+            None => None,
+            Some(text) => {
+                let numbers: Result<Vec<u64>, _> = text.split(',').map(str::parse).collect();
+                let times = numbers.ok().and_then(|numbers| <[u64; 3]>::try_from(numbers).ok());
+                Some(times.ok_or("--times is lease,poll,renewal in milliseconds")?)
+            }
+        },
+        no_gate: commandLine.no_gate,
+    };
+    let program = match &commandLine.vanelane {
+        Some(program) => program.clone(),
+        None => std::env::current_exe().map_err(said)?.with_file_name("vanelane"),
+    };
+    let folder = commandLine.folder.clone().unwrap_or_else(fresh_folder);
+    std::fs::create_dir_all(&folder).map_err(said)?;
+    let history = Arc::new(History::default());
+    let began = Instant::now();
+    let platform = PlatformStandIn::start(
+        "127.0.0.1:0".parse().map_err(|_| "an address")?,
+        deployment.platform(),
+        history.clone(),
+        began,
+    )
+    .map_err(said)?;
+    let fleet = Fleet::prepare(&program, &folder, platform.address(), &options).map_err(said)?;
+    let mut run = Run {
+        fleet,
+        operator: Operator::new(),
+        platform,
+        history,
+        began,
+        deployment,
+        notes: Vec::new(),
+        changes: 0,
+    };
+    let seconds = commandLine.seconds.unwrap_or(60);
+    let rate = commandLine.calls_per_second.unwrap_or(300.0);
+    let callers = run.play(&scenario, Duration::from_secs(seconds), rate)?;
+    run.report(&scenario, &callers, &folder)
+}
+
+fn fresh_folder() -> PathBuf {
+    std::env::temp_dir().join(format!("vanelane-fleet-{}", std::process::id()))
+}
+
+impl Run {
+    fn note(&mut self, name: &str, value: impl Into<Value>) {
+        self.notes.push((name.to_owned(), value.into()));
+    }
+
+    fn wait_until(
+        &self,
+        what: &str,
+        within: Duration,
+        holds: impl Fn(&Run) -> bool,
+    ) -> Result<Duration, String> {
+        let waitBegan = Instant::now();
+        while waitBegan.elapsed() < within {
+            if holds(self) {
+                return Ok(waitBegan.elapsed());
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        Err(format!("{what} did not come within {} s", within.as_secs()))
+    }
+
+    fn all_ready(&self) -> bool {
+        self.fleet
+            .nodes
+            .iter()
+            .enumerate()
+            .filter(|(number, _)| self.fleet.is_running(*number))
+            .all(|(_, node)| self.operator.get(node.control, "/ready").is_some())
+    }
+
+    fn all_held(&self) -> bool {
+        self.fleet.nodes.iter().enumerate().filter(|(number, _)| self.fleet.is_running(*number)).all(
+            |(_, node)| {
+                let status = self.operator.get_json(node.control, "/control/status");
+                status.is_some_and(|status| status["functions_without_steward"] == 0)
+            },
+        )
+    }
+
+    /// Sends a whole document and waits until every running node holds its generation.
+    fn change(&mut self, body: Value, at: usize) -> Result<(u64, Duration), String> {
+        self.changes += 1;
+        let mut line = body;
+        let changeId = format!("change-{}", self.changes);
+        line["change_id"] = json!(changeId);
+        let outcome = self
+            .operator
+            .change(self.fleet.nodes[at].control, &line)
+            .ok_or("the change stream did not answer")?;
+        let generation = outcome["generation"].as_u64().unwrap_or(0);
+        if outcome["outcome"] != "accepted" {
+            return Err(format!("the change was not accepted: {outcome}"));
+        }
+        let at = micros_since(self.began);
+        self.history.append(Line::ChangeAccepted { at, change: changeId, generation });
+        let spread = self.wait_until("the configuration", Duration::from_secs(20), |run| {
+            run.fleet.nodes.iter().enumerate().filter(|(number, _)| run.fleet.is_running(*number)).all(
+                |(_, node)| {
+                    let metrics = run.operator.metrics(node.control);
+                    metrics.get("generation").is_some_and(|held| *held >= generation)
+                },
+            )
+        })?;
+        Ok((generation, spread))
+    }
+
+    fn callers(&self, span: Duration, rate: f64, hasty: u32) -> Result<Callers, String> {
+        let settings = CallerSettings {
+            calls_per_second: rate,
+            span,
+            targets: self.deployment.targets(),
+            patience: Duration::from_secs(6),
+            luck_seed: 7,
+            hasty_retries: hasty,
+            body_length: 400,
+        };
+        Callers::start(settings, self.fleet.running_visitors(), self.history.clone(), self.began)
+            .map_err(|failure| failure.to_string())
+    }
+
+    fn play(&mut self, scenario: &str, span: Duration, rate: f64) -> Result<CallersReport, String> {
+        for number in 0..NODES {
+            self.fleet.start(number).map_err(|failure| failure.to_string())?;
+        }
+        let ready = self.wait_until("readiness", Duration::from_secs(60), Run::all_ready)?;
+        self.note("ready_ms", ready.as_millis() as u64);
+        let document = self.deployment.document();
+        let (_, spread) = self.change(json!({ "whole": document }), 4)?;
+        self.note("configuration_spread_ms", spread.as_millis() as u64);
+        let held = self.wait_until("stewards", Duration::from_secs(60), Run::all_held)?;
+        self.note("all_stewards_ms", held.as_millis() as u64);
+        let spread = self.steward_spread();
+        self.note("steward_spread_at_first", spread);
+
+        let hasty = if scenario == "crowd" { 3 } else { 0 };
+        let callers = self.callers(span, rate, hasty)?;
+        let part = |share: f64| span.mul_f64(share);
+        let loadBegan = Instant::now();
+        let until = |share: f64| {
+            while loadBegan.elapsed() < part(share) {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        };
+        match scenario {
+            "kills" => {
+                until(0.4);
+                self.kill(&callers, &[7]);
+                until(0.6);
+                self.kill(&callers, &[DISK_NODES[1]]);
+                until(0.8);
+                self.start_again(&callers, &[7, DISK_NODES[1]])?;
+            }
+            "herd" => {
+                until(0.4);
+                self.kill(&callers, &[0, 1, 2, 5, 8]);
+                until(0.5);
+                self.start_again(&callers, &[0, 1, 2, 5, 8])?;
+            }
+            "restart-all" => {
+                until(0.4);
+                let all: Vec<usize> = (0..NODES).collect();
+                self.kill(&callers, &all);
+                std::thread::sleep(Duration::from_secs(2));
+                self.start_again(&callers, &all)?;
+            }
+            "rolling" => {
+                for number in 0..NODES {
+                    until(0.1 + 0.08 * number as f64);
+                    self.stop_planned(&callers, number)?;
+                }
+            }
+            "workers" => {
+                until(0.3);
+                self.platform.drain(0);
+                until(0.5);
+                self.platform.crash(1);
+                until(0.7);
+                self.platform.drain(2);
+            }
+            "freeze" => {
+                until(0.4);
+                self.fleet.signal(6, "STOP");
+                self.fleet.signal(DISK_NODES[2], "STOP");
+                let others: Vec<usize> =
+                    (0..NODES).filter(|number| ![6, DISK_NODES[2]].contains(number)).collect();
+                callers.hand_to(others.iter().map(|number| self.fleet.nodes[*number].visitors).collect());
+                std::thread::sleep(Duration::from_secs(8));
+                self.fleet.signal(6, "CONT");
+                self.fleet.signal(DISK_NODES[2], "CONT");
+                std::thread::sleep(Duration::from_secs(1));
+                callers.hand_to(self.fleet.running_visitors());
+            }
+            "crowd" => {
+                until(0.4);
+                let crowd = self.callers(part(0.2), rate * 2.0, 3)?;
+                let crowdReport = crowd.finish();
+                self.note("crowd", callers_page(&crowdReport));
+            }
+            "changes" => {
+                for number in 1..=20 {
+                    until(0.1 + 0.04 * f64::from(number));
+                    let patience = 4_000 + number;
+                    let name = &self.deployment.functions()[0];
+                    let mut partial = json!({"lanes": {}});
+                    partial["lanes"][name] = json!({ "patience_millis": patience });
+                    let (_, spread) = self.change(json!({ "partial": partial }), number as usize % NODES)?;
+                    self.note(&format!("change_{number}_spread_ms"), spread.as_millis() as u64);
+                }
+            }
+            _ => {}
+        }
+        let report = callers.finish();
+        if self.wait_until("stewards at the end", Duration::from_secs(20), Run::all_held).is_err() {
+            self.note("stewards_missing_at_the_end", true);
+        }
+        Ok(report)
+    }
+
+    fn kill(&mut self, callers: &Callers, numbers: &[usize]) {
+        for number in numbers {
+            self.fleet.kill(*number);
+        }
+        callers.hand_to(self.fleet.running_visitors());
+    }
+
+    fn start_again(&mut self, callers: &Callers, numbers: &[usize]) -> Result<(), String> {
+        for number in numbers {
+            self.fleet.start(*number).map_err(|failure| failure.to_string())?;
+        }
+        let came = self.wait_until("readiness again", Duration::from_secs(30), Run::all_ready)?;
+        callers.hand_to(self.fleet.running_visitors());
+        self.note("ready_again_ms", came.as_millis() as u64);
+        let held = self.wait_until("stewards again", Duration::from_secs(30), Run::all_held)?;
+        self.note("stewards_again_ms", (came + held).as_millis() as u64);
+        Ok(())
+    }
+
+    /// The platform hands no more callers to the node, stops it, and starts it again.
+    fn stop_planned(&mut self, callers: &Callers, number: usize) -> Result<(), String> {
+        let others: Vec<_> = (0..NODES)
+            .filter(|other| *other != number && self.fleet.is_running(*other))
+            .map(|other| self.fleet.nodes[other].visitors)
+            .collect();
+        self.fleet.signal(number, "TERM");
+        std::thread::sleep(Duration::from_millis(100));
+        callers.hand_to(others);
+        match self.fleet.wait_gone(number, Duration::from_secs(10)) {
+            Some(took) => self.note(&format!("stop_{number}_ms"), took.as_millis() as u64),
+            None => return Err(format!("node {number} did not stop within ten seconds")),
+        }
+        self.fleet.start(number).map_err(|failure| failure.to_string())?;
+        self.wait_until("readiness again", Duration::from_secs(30), Run::all_ready)?;
+        callers.hand_to(self.fleet.running_visitors());
+        Ok(())
+    }
+
+    /// Steward counts of the running nodes and their standard deviation, as the paper tells it.
+    fn steward_spread(&self) -> Value {
+        let counts: Vec<usize> = self
+            .fleet
+            .nodes
+            .iter()
+            .enumerate()
+            .filter(|(number, _)| self.fleet.is_running(*number))
+            .filter_map(|(_, node)| self.operator.get_json(node.control, "/control/status"))
+            .map(|status| status["steward_of"].as_array().map_or(0, Vec::len))
+            .collect();
+        let mean = counts.iter().sum::<usize>() as f64 / counts.len().max(1) as f64;
+        let variance = counts.iter().map(|count| (*count as f64 - mean).powi(2)).sum::<f64>()
+            / counts.len().max(1) as f64;
+        json!({ "counts": counts, "standard_deviation": rounded(variance.sqrt()) })
+    }
+
+    fn report(&mut self, scenario: &str, callers: &CallersReport, folder: &Path) -> Result<bool, String> {
+        self.fleet.look_at_all();
+        let decisions = self.operator.decisions(self.fleet.nodes[0].control);
+        let mut waits: Vec<u64> = Vec::new();
+        let mut pastGate = 0;
+        let mut kinds: BTreeMap<String, u64> = BTreeMap::new();
+        for decision in &decisions {
+            *kinds.entry(decision["kind"].as_str().unwrap_or_default().to_owned()).or_default() += 1;
+            if decision["kind"] != "steward_taken" {
+                continue;
+            }
+            waits.push(decision["waited_micros"].as_u64().unwrap_or(0));
+            pastGate += u64::from(decision["past_gate"] == true);
+            self.history.append(Line::StewardTaken {
+                at: decision["at_micros"].as_u64().unwrap_or(0),
+                node: decision["node"].as_str().unwrap_or_default().to_owned(),
+                function: decision["function"].as_str().unwrap_or_default().to_owned(),
+                epoch: decision["steward_epoch"].as_u64().unwrap_or(0),
+            });
+        }
+        waits.sort_unstable();
+        let mut totals: BTreeMap<String, u64> = BTreeMap::new();
+        for node in &self.fleet.nodes {
+            for (name, value) in self.operator.metrics(node.control) {
+                *totals.entry(name).or_default() += value;
+            }
+        }
+        let total = |name: &str| totals.get(name).copied().unwrap_or(0);
+        let elapsed = self.began.elapsed().as_secs_f64();
+        let cpu: Vec<f64> = self.fleet.nodes.iter().map(|node| rounded(node.cpu_seconds())).collect();
+        let memory: Vec<u64> = self.fleet.nodes.iter().map(|node| node.peak_memory / 1_024).collect();
+        let cpuSum: f64 = cpu.iter().sum();
+        let (starts, stops, throttled) = self.platform.counts();
+        let lines = self.history.lines();
+        let settings = CheckSettings {
+            count_refusals: ["quiet", "kills", "rolling", "changes", "workers"].contains(&scenario),
+            ..CheckSettings::default()
+        };
+        let mut breaches = check_all(&lines, &settings);
+        breaches.truncate(20);
+        let dropped = lines
+            .iter()
+            .filter(|line| matches!(line, Line::CallEnded { outcome: Outcome::NoAnswer, .. }))
+            .count();
+        // With nothing killed or frozen no call may go without an answer.
+        let isGentle = ["quiet", "rolling", "workers", "changes", "crowd"].contains(&scenario);
+        let isSound = breaches.is_empty() && !(isGentle && dropped > 0);
+        let page = json!({
+            "scenario": scenario,
+            "deployment": self.deployment.name,
+            "notes": self.notes.iter().cloned().collect::<serde_json::Map<String, Value>>(),
+            "callers": callers_page(callers),
+            "ticket_mean_micros": total("calls_ticket_micros") / total("calls_tickets").max(1),
+            "extra_dispatches": total("calls_extra_dispatches"),
+            "turned_away": total("calls_turned_away"),
+            "deputy_tickets": total("deputy_tickets"),
+            "election": {
+                "takings": waits.len(),
+                "wait_ms_median": waits.get(waits.len() / 2).copied().unwrap_or(0) / 1_000,
+                "wait_ms_most": waits.last().copied().unwrap_or(0) / 1_000,
+                "past_gate": pastGate,
+                "gate_refusals": total("gate_refusals"),
+                "lost_races": total("lost_races"),
+            },
+            "steward_spread_at_the_end": self.steward_spread(),
+            "disk_groups_a_second": rounded(total("disk_groups") as f64 / elapsed),
+            "messages_a_second": rounded(total("messages_sent") as f64 / elapsed),
+            "cpu_seconds": cpu,
+            "cpu_seconds_a_thousand_calls": rounded(cpuSum * 1_000.0 / callers.sent.max(1) as f64),
+            "peak_memory_mb": memory,
+            "platform": { "starts": starts, "stops": stops, "throttled": throttled },
+            "decisions": kinds,
+            "breaches": breaches.iter().map(|breach| format!("{}: {}", breach.rule, breach.seen)).collect::<Vec<_>>(),
+            "sound": isSound,
+        });
+        let text = serde_json::to_string_pretty(&page).unwrap_or_default();
+        println!("{text}");
+        let said = |failure: std::io::Error| failure.to_string();
+        std::fs::write(folder.join("report.json"), &text).map_err(said)?;
+        let historyText: String = lines
+            .iter()
+            .filter_map(|line| serde_json::to_string(line).ok())
+            .map(|line| line + "\n")
+            .collect();
+        std::fs::write(folder.join("history.jsonl"), historyText).map_err(said)?;
+        let decisionText: String = decisions.iter().map(|decision| format!("{decision}\n")).collect();
+        std::fs::write(folder.join("decisions.jsonl"), decisionText).map_err(said)?;
+        eprintln!("history, decisions and logs: {}", folder.display());
+        Ok(isSound)
+    }
+}
+
+fn callers_page(report: &CallersReport) -> Value {
+    json!({
+        "sent": report.sent,
+        "ran": report.ran,
+        "not_run": report.not_run,
+        "unknown": report.unknown,
+        "no_answer": report.no_answer,
+        "latency_ms": {
+            "median": report.quantile(0.5) / 1_000,
+            "p99": report.quantile(0.99) / 1_000,
+            "most": report.quantile(1.0) / 1_000,
+        },
+        "reasons": report.reasons.iter().cloned().collect::<BTreeMap<String, u64>>(),
+    })
+}
+
+fn rounded(value: f64) -> f64 {
+    (value * 100.0).round() / 100.0
+}
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -388,7 +388,10 @@
         self.draining_since = Some(self.now);
         self.members.update_own(|own| own.draining = 1);
         self.journal.append("draining", json!({}), self.now);
-        self.release_stewards();
+        // A lone node has nobody to give its leases to: it stays steward until its calls are done.
+        if !self.serving_members().is_empty() {
+            self.release_stewards();
+        }
         // Colleagues hear it at once, not at the next probe.
         let told = Message::Probe { sequence: 0, target: 0, members: List(vec![self.members.own().clone()]) };
         let addresses: Vec<Address> = self.members.colleagues().map(|news| news.address).collect();
@@ -399,7 +402,8 @@
 
     fn tick_drain(&mut self) {
         let Some(drainingSince) = self.draining_since else { return };
-        let isOver = self.stewards.election.is_empty() || self.now >= drainingSince + DRAIN_SPAN;
+        let isAlone = self.serving_members().is_empty();
+        let isOver = isAlone || self.stewards.election.is_empty() || self.now >= drainingSince + DRAIN_SPAN;
         if isOver && !self.drained_told {
             self.drained_told = true;
             self.act(Act::Drained);
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -104,13 +104,13 @@
 impl Node {
     pub(crate) fn tick_stewards(&mut self) {
         let now = self.now;
-        let isUnsettled = self.stewards.election.is_unsettled(now);
+        let members = self.serving_members();
+        let isUnsettled = self.stewards.election.is_unsettled(&members, now);
         if now >= self.stewards.poll_due || (isUnsettled && self.stewards.unsettled_poll.due(now)) {
             let jitter = Micros(self.dice.u64(..self.settings.election.poll.0 / 10 + 1));
             self.stewards.poll_due = now + self.settings.election.poll - jitter;
             self.poll_records();
         }
-        let members = self.serving_members();
         let writes = self.stewards.election.tick(&members, now);
         self.send_leader_writes(writes);
         self.take_term_changes();
--- a/packages/steward_election/src/lib.rs
+++ b/packages/steward_election/src/lib.rs
@@ -166,12 +166,14 @@
         }
     }
 
-    /// Whether a poll should come soon rather than at the next interval: something is unheld.
-    /// Example: `if election.is_unsettled(now) { poll_event.hasten() }`.
-    pub fn is_unsettled(&self, now: Micros) -> bool {
-        self.functions
-            .iter()
-            .any(|function| self.holder(function, now).is_none() && !self.claims.contains_key(function))
+    /// Whether a poll should come soon rather than at the next interval: something is unheld, or held
+    /// by a node that is no serving member any more and may just have given it back.
+    /// Example: `if election.is_unsettled(&members, now) { poll_event.hasten() }`.
+    pub fn is_unsettled(&self, members: &[NodeId], now: Micros) -> bool {
+        self.functions.iter().any(|function| {
+            let isServed = self.holder(function, now).is_some_and(|(node, _)| members.contains(&node));
+            !isServed && !self.claims.contains_key(function)
+        })
     }
 
     /// Who holds the function by this node's observation, with the steward epoch.
@@ -556,7 +558,7 @@
             for millisecond in (fromMillis..toMillis).step_by(50) {
                 let now = Micros::from_millis(millisecond);
                 for node in self.nodes.iter_mut().filter(|node| !down.contains(&node.own)) {
-                    if millisecond % 500 == (node.own * 50) % 500 || node.is_unsettled(now) {
+                    if millisecond % 500 == (node.own * 50) % 500 || node.is_unsettled(&members, now) {
                         for (function, (version, record)) in &self.registers {
                             node.observe(function, *version, record.clone(), now);
                         }
