--- a/packages/local_fleet/src/operator.rs
+++ b/packages/local_fleet/src/operator.rs
@@ -48,9 +48,9 @@
     /// Sends one change line; its outcome line.
     pub fn change(&self, control: SocketAddr, line: &Value) -> Option<Value> {
         let request = self.client.post(format!("http://{control}/control/changes")).force_close();
-        let sending = request.send_body(line.to_string() + "\n");
+        let body = line.to_string() + "\n";
         self.system.block_on(async {
-            let mut answer = sending.await.ok()?;
+            let mut answer = request.send_body(body).await.ok()?;
             let body = answer.body().limit(16 * 1024 * 1024).await.ok()?;
             serde_json::from_slice(&body).ok()
         })
