--- a/packages/steward_election/src/lib.rs
+++ b/packages/steward_election/src/lib.rs
@@ -70,6 +70,8 @@
     record: Option<LeaderRecord>,
     observed_at: Micros,
     idle_polls: u32,
+    /// Hastened polls do not count as further ones: the fallback waits out whole intervals.
+    idle_poll_at: Micros,
 }
 
 #[derive(Clone, Debug)]
@@ -149,10 +151,16 @@
             Some(copy) if copy.version > version => {}
             Some(copy) if copy.version == version => {
                 let isHeld = copy.record.as_ref().is_some_and(|held| now < copy.observed_at + lease_of(held));
-                copy.idle_polls = if isHeld { 0 } else { copy.idle_polls + 1 };
+                if isHeld {
+                    copy.idle_polls = 0;
+                } else if now >= copy.idle_poll_at + self.settings.poll {
+                    copy.idle_polls += 1;
+                    copy.idle_poll_at = now;
+                }
             }
             _ => {
-                let copy = ObserverCopy { version, record, observed_at: now, idle_polls: 0 };
+                let copy =
+                    ObserverCopy { version, record, observed_at: now, idle_polls: 0, idle_poll_at: now };
                 self.copies.insert(function.to_owned(), copy);
             }
         }
@@ -438,7 +446,13 @@
         {
             if record.holder != self.own {
                 self.terms.remove(function);
-                let copy = ObserverCopy { version, record: None, observed_at: now, idle_polls: 0 };
+                let copy = ObserverCopy {
+                    version,
+                    record: None,
+                    observed_at: now,
+                    idle_polls: 0,
+                    idle_poll_at: now,
+                };
                 self.copies.insert(function.to_owned(), copy);
                 return;
             }
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -166,7 +166,7 @@
 const DOUBT_SPAN: Micros = Micros::from_millis(500);
 const TRIAL_BACKOFF: Micros = Micros::from_millis(150);
 const LIST_PATIENCE: Micros = Micros::from_secs(10);
-const STOP_REPEAT: Micros = Micros::from_secs(3);
+const STOP_REPEAT: Micros = Micros::from_secs(8);
 const ASK_FORGOTTEN: Micros = Micros::from_millis(1_500);
 const START_FORGOTTEN: Micros = Micros::from_secs(10);
 const REPLACE_AFTER_FAILURES: u32 = 6;
