--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -107,6 +107,10 @@
         "22" Write { entries: List<WriteEntry>, }
         "23" WriteAnswer { outcomes: List<WriteOutcome>, }
         "24" ReadConfirmed { ask: u64, key: Text, }
+        /// An operator's change (JSON) on its way to the node that owns the configuration's key.
+        "25" ChangeCarry { ask: u64, change: Bytes, }
+        /// Its outcome (JSON) on the way back.
+        "26" ChangeSettled { ask: u64, outcome: Bytes, }
         "30" TicketAsk { ask: u64, function: Text, time_left_micros: u64, extra: u8, avoid: Text, deputy: u8, }
         "31" TicketGranted { ask: u64, ticket: Ticket, }
         /// `outcome`: 0 waiting, 1 refused for good, 2 not the steward.
--- a/packages/configuration_check/src/changes.rs
+++ b/packages/configuration_check/src/changes.rs
@@ -45,7 +45,7 @@
 }
 
 /// What became of a change. Example: `ChangeOutcome::Accepted { generation: 5, repeated: false }`.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ChangeOutcome {
     /// It stands under this generation; `repeated` when its id had been accepted before.
     Accepted { generation: u64, repeated: bool },
--- a/packages/control_registers/src/key_owner.rs
+++ b/packages/control_registers/src/key_owner.rs
@@ -272,11 +272,6 @@
             };
             let Some(write) = ownedKey.waitlist.pop_front() else { return };
             let hasty = write.entry.hasty == 1;
-            if write.confirms && *version == 0 {
-                // Nothing was ever stored: the promises of a majority are the confirmation.
-                self.answer(write.node, &write.entry, WRITTEN, 0, Bytes::default());
-                continue;
-            }
             if !write.confirms && write.entry.expected != *version {
                 let (standingVersion, standingValue) = (*version, value.clone());
                 self.answer(write.node, &write.entry, DIFFERS, standingVersion, standingValue);
--- a/packages/control_registers/src/lib.rs
+++ b/packages/control_registers/src/lib.rs
@@ -104,6 +104,22 @@
         assert_eq!(outcome_of(settle(&mut firstOwner, &mut disks, Micros(0))).0, UNKNOWN);
     }
 
+    #[test]
+    fn a_deposed_owner_confirms_no_read_even_of_a_key_it_saw_empty() {
+        let (mut disks, set) = founded_disks();
+        let mut oldOwner = KeyOwner::new(10);
+        let mut newOwner = KeyOwner::new(11);
+        oldOwner.take_set(&set);
+        newOwner.take_set(&set);
+        oldOwner.read_confirmed(5, 1, CONFIGURATION_KEY.into(), Micros(0));
+        let emptyRead = outcome_of(settle(&mut oldOwner, &mut disks, Micros(0)));
+        assert_eq!((emptyRead.0, emptyRead.1), (WRITTEN, 0));
+        newOwner.write(6, entry(2, 0, "a"), Micros(0));
+        assert_eq!(outcome_of(settle(&mut newOwner, &mut disks, Micros(0))).0, WRITTEN);
+        oldOwner.read_confirmed(5, 3, CONFIGURATION_KEY.into(), Micros(0));
+        assert_eq!(outcome_of(settle(&mut oldOwner, &mut disks, Micros(0))).0, UNKNOWN);
+    }
+
     #[test]
     fn without_a_majority_nothing_is_acknowledged() {
         let (mut disks, set) = founded_disks();
--- /dev/null
+++ b/packages/fleet_simulator/src/bin/simulate.rs
@@ -0,0 +1,99 @@
+//! Runs simulated scenarios over many seeds and tells what broke.
+
+use fleet_simulator::scenarios;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+xflags::xflags! {
+    /// Runs scenarios of the fleet simulator.
+    cmd simulate {
+        /// One scenario; all if not given.
+        optional --scenario scenario: String
+        /// The first seed; 1 if not given.
+        optional --from from: u64
+        /// How many seeds; 10 if not given.
+        optional --seeds seeds: u64
+    }
+}
+
+fn main() -> ExitCode {
+    let commandLine = Simulate::from_env_or_exit();
+    let names: Vec<&str> = match &commandLine.scenario {
+        None => scenarios::NAMES.to_vec(),
+        Some(name) => match scenarios::NAMES.iter().find(|known| *known == name) {
+            Some(known) => vec![*known],
+            None => {
+                eprintln!("no scenario {name}; there are {}", scenarios::NAMES.join(", "));
+                return ExitCode::from(2);
+            }
+        },
+    };
+    let from = commandLine.from.unwrap_or(1);
+    let seeds = commandLine.seeds.unwrap_or(10);
+    let mut isSound = true;
+    for name in names {
+        let nextSeed = AtomicU64::new(from);
+        let threadCount = std::thread::available_parallelism().map_or(1, usize::from);
+        let mut verdicts = Vec::new();
+        std::thread::scope(|scope| {
+            let workers: Vec<_> = (0..threadCount)
+                .map(|_| {
+                    scope.spawn(|| {
+                        let mut own = Vec::new();
+                        loop {
+                            let seed = nextSeed.fetch_add(1, Ordering::Relaxed);
+                            if seed >= from + seeds {
+                                return own;
+                            }
+                            own.push((seed, scenarios::run(name, seed)));
+                        }
+                    })
+                })
+                .collect();
+            for worker in workers {
+                match worker.join() {
+                    Ok(own) => verdicts.extend(own),
+                    Err(_) => {
+                        println!("{name}: a run panicked");
+                        isSound = false;
+                    }
+                }
+            }
+        });
+        verdicts.sort_by_key(|(seed, _)| *seed);
+        let mut outcomes = [0u64; 4];
+        let mut figures: Vec<(&str, Vec<f64>)> = Vec::new();
+        let mut brokenCount = 0;
+        for (seed, verdict) in verdicts {
+            let Some(verdict) = verdict else { continue };
+            for (total, count) in outcomes.iter_mut().zip(verdict.outcomes) {
+                *total += count;
+            }
+            for (figure, value) in verdict.figures {
+                match figures.iter_mut().find(|(known, _)| *known == figure) {
+                    Some((_, values)) => values.push(value),
+                    None => figures.push((figure, vec![value])),
+                }
+            }
+            if !verdict.breaches.is_empty() {
+                brokenCount += 1;
+                isSound = false;
+                for breach in verdict.breaches.iter().take(3) {
+                    println!("  {name} seed {seed}: {}: {}", breach.rule, breach.seen);
+                }
+            }
+        }
+        let [ran, notRun, unknown, noAnswer] = outcomes;
+        let mut line = format!(
+            "{name}: {brokenCount} of {seeds} broken; ran {ran}, refused {notRun}, unknown {unknown}, no answer {noAnswer}"
+        );
+        for (figure, mut values) in figures {
+            values.sort_by(f64::total_cmp);
+            let median = values[values.len() / 2];
+            let most = values[values.len() - 1];
+            line.push_str(&format!("; {figure} median {median:.1} most {most:.1}"));
+        }
+        println!("{line}");
+    }
+    if isSound { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- /dev/null
+++ b/packages/fleet_simulator/src/lib.rs
@@ -0,0 +1,15 @@
+//! A seeded simulator of a whole fleet: the very protocol code of the program, with a simulated
+//! network, disks, platform, cells, callers and operators, and the failures of the brief.
+//!
+//! The same seed gives the same history, byte for byte. What is seen goes into a history that
+//! `history_checks` judges after the fact.
+
+pub mod scenarios;
+mod sim_calls;
+mod sim_disk;
+mod sim_platform;
+mod world;
+
+pub use sim_disk::SimDisk;
+pub use sim_platform::SimPlatform;
+pub use world::{World, WorldSettings};
--- /dev/null
+++ b/packages/fleet_simulator/src/scenarios.rs
@@ -0,0 +1,618 @@
+//! The brief's failures as named scenarios. Each runs a seeded world and returns what was broken.
+
+use crate::{World, WorldSettings};
+use clock_events::Micros;
+use history_checks::{Breach, CheckSettings, check_all};
+use serde_json::json;
+
+/// What a scenario came to: breaches, and figures worth noting.
+#[derive(Debug)]
+pub struct Verdict {
+    /// Empty when every rule held.
+    pub breaches: Vec<Breach>,
+    /// Calls that ran, were refused, are unknown, got no answer.
+    pub outcomes: [u64; 4],
+    /// Names and figures.
+    pub figures: Vec<(&'static str, f64)>,
+}
+
+/// Declares the scenarios with their names.
+macro_rules! scenarios {
+    ($($name:ident,)*) => {
+        /// Every scenario's name. Example: `scenarios::NAMES.contains(&"kills")`.
+        pub const NAMES: &[&str] = &[$(stringify!($name),)*];
+
+        /// Runs a scenario by name. Example: `scenarios::run("kills", 7).unwrap().breaches.is_empty()`.
+        pub fn run(name: &str, seed: u64) -> Option<Verdict> {
+            match name {
+                $(stringify!($name) => Some($name(seed)),)*
+                _ => None,
+            }
+        }
+    };
+}
+
+scenarios! {
+    quiet,
+    kills,
+    disk_node_killed,
+    all_disk_nodes_killed,
+    everything_killed,
+    power_lost_after_acknowledging,
+    disk_lost,
+    disk_full,
+    disk_stalled,
+    machine_replaced,
+    seeds_swapped,
+    blank_majority,
+    core_cut_in_two,
+    disks_cut_off,
+    node_isolated,
+    one_way_loss,
+    lossy_network,
+    frozen_past_the_lease,
+    rare_functions_wake,
+    busy_function_jumps,
+    answers_lost,
+    workers_crash_and_drain,
+    list_late_by_seconds,
+    operators_race,
+    storm_of_changes,
+    large_configuration,
+    restarts_amid_changes,
+    rolling_stops,
+    second_failure_in_recovery,
+    chaos,
+}
+
+struct Trial {
+    world: World,
+    breaches: Vec<Breach>,
+    figures: Vec<(&'static str, f64)>,
+    checks: CheckSettings,
+}
+
+impl Trial {
+    fn founded(settings: WorldSettings, seed: u64) -> Trial {
+        let mut trial = Trial {
+            world: World::new(settings, seed),
+            breaches: Vec::new(),
+            figures: Vec::new(),
+            checks: CheckSettings { count_refusals: false, ..CheckSettings::default() },
+        };
+        let isFounded = trial.world.found();
+        trial.must(isFounded, "founding", "the fleet was not founded");
+        trial.world.call_rate = 100.0;
+        trial.world.run_for(5.0);
+        trial
+    }
+
+    fn default(seed: u64) -> Trial {
+        Trial::founded(WorldSettings::default(), seed)
+    }
+
+    fn must(&mut self, holds: bool, rule: &'static str, seen: &str) {
+        if !holds {
+            self.breaches
+                .push(Breach { rule, seen: format!("{seen} at {} s", self.world.now() as f64 / 1e6) });
+        }
+    }
+
+    /// Service must be back within twelve seconds: all settled, and new calls run.
+    fn must_settle(&mut self) {
+        let began = self.world.now();
+        let isSettled = self.world.run_until(12.0, World::is_settled);
+        self.must(isSettled, "back within 12 s", "the fleet was not settled");
+        self.figures.push(("settled_seconds", (self.world.now() - began) as f64 / 1e6));
+        let ranBefore = self.world.outcomes[0];
+        self.world.run_for(3.0);
+        let ran = self.world.outcomes[0] - ranBefore;
+        self.must(ran > 150 || self.world.call_rate < 100.0, "back within 12 s", "calls do not run");
+    }
+
+    fn must_accept(&mut self, number: usize, changeId: &str, seconds: f64) {
+        self.world.mark(number, changeId);
+        let isAccepted = self.world.run_until(seconds, |world| world.is_accepted(changeId));
+        self.must(isAccepted, "changes are taken", &format!("{changeId} was not accepted"));
+    }
+
+    fn must_spread(&mut self) {
+        let isSpread = self.world.run_until(3.0, |world| {
+            let held: Vec<u64> = world
+                .up()
+                .iter()
+                .filter_map(|number| world.status(*number))
+                .map(|status| status.generation)
+                .collect();
+            held.iter().all(|generation| Some(generation) == held.iter().max())
+        });
+        self.must(isSpread, "everywhere within 3 s", "generations differ");
+    }
+
+    fn verdict(mut self) -> Verdict {
+        self.world.call_rate = 0.0;
+        self.world.run_for(6.0);
+        self.world.note_standing_changes();
+        self.breaches.extend(check_all(self.world.lines(), &self.checks));
+        self.breaches.truncate(6);
+        Verdict { breaches: self.breaches, outcomes: self.world.outcomes, figures: self.figures }
+    }
+}
+
+fn quiet(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.checks.count_refusals = true;
+    trial.world.run_for(25.0);
+    trial.verdict()
+}
+
+fn kills(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.checks.count_refusals = true;
+    for number in [5, 8] {
+        trial.world.kill(number);
+        trial.world.run_for(6.0);
+    }
+    trial.must_settle();
+    trial.world.start(5);
+    trial.world.start(8);
+    trial.must_settle();
+    trial.verdict()
+}
+
+fn disk_node_killed(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.checks.count_refusals = true;
+    let victim = (seed % 3) as usize;
+    trial.world.kill(victim);
+    trial.world.run_for(1.0);
+    trial.must_accept(4, "one-down", 4.0);
+    trial.must_spread();
+    trial.must_settle();
+    trial.world.start(victim);
+    trial.must_settle();
+    trial.must_accept(5, "back", 4.0);
+    trial.verdict()
+}
+
+fn all_disk_nodes_killed(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.must_accept(3, "before", 4.0);
+    for number in [0, 1, 2] {
+        trial.world.kill(number);
+    }
+    trial.world.run_for(4.0);
+    for number in [0, 1, 2] {
+        trial.world.start(number);
+    }
+    trial.must_settle();
+    trial.must_accept(3, "after", 6.0);
+    trial.verdict()
+}
+
+fn everything_killed(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.must_accept(3, "before", 4.0);
+    for number in 0..10 {
+        trial.world.kill(number);
+    }
+    trial.world.run_for(2.0);
+    for number in 0..10 {
+        trial.world.start(number);
+    }
+    trial.must_settle();
+    trial.must_accept(6, "after", 6.0);
+    trial.verdict()
+}
+
+fn power_lost_after_acknowledging(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    for round in 0..4 {
+        let changeId = format!("m{round}");
+        trial.world.mark(3 + round, &changeId);
+        trial.world.run_until(4.0, |world| world.is_accepted(&changeId));
+        // The very moment of the acknowledgement, or at the latest a tenth of a second later.
+        for number in [0, 1, 2] {
+            trial.world.kill(number);
+        }
+        trial.world.run_for(1.0);
+        for number in [0, 1, 2] {
+            trial.world.start(number);
+        }
+        trial.must_settle();
+    }
+    trial.verdict()
+}
+
+fn disk_lost(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.must_accept(3, "before", 4.0);
+    let victim = (seed % 3) as usize;
+    trial.world.lose_disk(victim);
+    trial.world.run_for(1.0);
+    trial.world.start(victim);
+    trial.must_replace(victim);
+    trial.verdict()
+}
+
+impl Trial {
+    /// The set must take the fresh disk in, so that another disk may be lost after it.
+    fn must_replace(&mut self, victim: usize) {
+        let isReplaced = self.world.run_until(40.0, |world| world.is_voting(victim));
+        self.must(isReplaced, "a lost disk is replaced", "the fresh disk has no vote");
+        self.must_settle();
+        self.must_accept(4, "replaced", 4.0);
+        // The two that were sound before may now be lost in turn without losing anything.
+        let other = (victim + 1) % 3;
+        self.world.kill(other);
+        self.world.run_for(4.0);
+        self.must_accept(4, "another-down", 6.0);
+        self.world.start(other);
+        self.must_settle();
+    }
+}
+
+fn disk_full(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.checks.count_refusals = true;
+    let victim = (seed % 3) as usize;
+    if let Some(disk) = trial.world.disk(victim) {
+        disk.is_full = true;
+    }
+    trial.world.run_for(3.0);
+    trial.must_accept(4, "one-full", 5.0);
+    trial.must_settle();
+    trial.verdict()
+}
+
+fn disk_stalled(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.checks.count_refusals = true;
+    let victim = (seed % 3) as usize;
+    let until = trial.world.now() + 6_000_000;
+    if let Some(disk) = trial.world.disk(victim) {
+        disk.stalled_until = until;
+    }
+    trial.world.run_for(1.0);
+    trial.must_accept(4, "one-stalled", 4.0);
+    trial.must_spread();
+    trial.world.run_for(7.0);
+    trial.must_settle();
+    trial.verdict()
+}
+
+fn machine_replaced(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.must_accept(3, "before", 4.0);
+    let victim = (seed % 3) as usize;
+    trial.world.replace_machine(victim);
+    trial.world.run_for(2.0);
+    trial.world.start(victim);
+    trial.must_replace(victim);
+    trial.verdict()
+}
+
+fn seeds_swapped(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.must_accept(3, "before", 4.0);
+    // All three seed machines are replaced in turn, each by an empty one at a new address.
+    for victim in [0, 1, 2] {
+        trial.world.replace_machine(victim);
+        trial.world.take_seeds(&[0, 1, 2]);
+        trial.world.run_for(1.0);
+        trial.world.start(victim);
+        let isReplaced = trial.world.run_until(45.0, |world| world.is_voting(victim));
+        trial.must(isReplaced, "a lost disk is replaced", "a swapped seed machine has no vote");
+        trial.must_settle();
+    }
+    trial.must_accept(5, "after", 4.0);
+    // A node that knows only the new seeds finds the fleet.
+    trial.world.kill(7);
+    trial.world.run_for(1.0);
+    trial.world.start(7);
+    trial.must_settle();
+    trial.verdict()
+}
+
+fn blank_majority(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.must_accept(3, "before", 4.0);
+    let generationBefore = trial.world.status(4).map_or(0, |status| status.generation);
+    trial.world.lose_disk(0);
+    trial.world.lose_disk(1);
+    trial.world.run_for(0.5);
+    trial.world.start(0);
+    trial.world.start(1);
+    trial.world.mark(5, "on-blank");
+    trial.world.run_for(25.0);
+    // Two of three disks are gone: nothing more can be acknowledged, and no second state is formed.
+    let isTaken = trial.world.is_accepted("on-blank");
+    trial.must(!isTaken, "no second state", "a blank majority took a change");
+    let held: Vec<u64> =
+        (0..10).filter_map(|n| trial.world.status(n)).map(|status| status.generation).collect();
+    let isKept = held.iter().all(|generation| *generation >= generationBefore);
+    trial.must(isKept, "no second state", "a node lost the configuration");
+    trial.verdict()
+}
+
+fn core_cut_in_two(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    // One disk on the small side, two on the large one.
+    trial.world.cut(&[0, 3, 4, 5], &[1, 2, 6, 7, 8, 9]);
+    trial.world.run_for(3.0);
+    trial.must_accept(6, "large-side", 6.0);
+    trial.world.mark(3, "small-side");
+    trial.world.run_for(8.0);
+    let isTaken = trial.world.is_accepted("small-side");
+    trial.must(!isTaken, "no second state", "the small side took a change");
+    trial.world.heal();
+    trial.must_settle();
+    trial.must_accept(3, "healed", 4.0);
+    trial.verdict()
+}
+
+fn disks_cut_off(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.world.cut(&[0, 1, 2], &[3, 4, 5, 6, 7, 8, 9]);
+    // Calls go on through deputies on cells that run; nothing new is started.
+    let ranBefore = trial.world.outcomes[0];
+    trial.world.run_for(8.0);
+    let ran = trial.world.outcomes[0] - ranBefore;
+    trial.figures.push(("ran_without_control_state", ran as f64));
+    trial.must(ran > 300, "admission never waits on election", "hardly any call ran");
+    trial.world.heal();
+    trial.must_settle();
+    trial.verdict()
+}
+
+fn node_isolated(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.checks.count_refusals = true;
+    let victim = 3 + (seed % 7) as usize;
+    trial.world.isolate(victim);
+    trial.world.run_for(8.0);
+    trial.must_accept((victim + 1) % 10, "one-isolated", 4.0);
+    trial.world.heal();
+    trial.must_settle();
+    trial.verdict()
+}
+
+fn one_way_loss(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.world.cut_one_way(4, 1);
+    trial.world.cut_one_way(0, 7);
+    trial.world.cut_one_way(2, 5);
+    trial.world.run_for(10.0);
+    trial.must_accept(5, "one-way", 6.0);
+    trial.world.heal();
+    trial.must_settle();
+    trial.verdict()
+}
+
+fn lossy_network(seed: u64) -> Verdict {
+    let settings = WorldSettings { lost_messages: 0.03, ..WorldSettings::default() };
+    let mut trial = Trial::founded(settings, seed);
+    trial.world.run_for(10.0);
+    for round in 0..3 {
+        trial.must_accept(3 + round, &format!("lossy-{round}"), 6.0);
+        trial.must_spread();
+    }
+    trial.verdict()
+}
+
+fn frozen_past_the_lease(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    for number in [0, 4, 7] {
+        trial.world.freeze(number, 5.0 + (seed % 4) as f64);
+        trial.world.run_for(1.0);
+    }
+    trial.world.run_for(10.0);
+    trial.must_settle();
+    trial.must_accept(4, "thawed", 4.0);
+    trial.verdict()
+}
+
+fn rare_functions_wake(seed: u64) -> Verdict {
+    let settings = WorldSettings { rare: 100, ..WorldSettings::default() };
+    let mut trial = Trial::founded(settings, seed);
+    trial.checks.count_refusals = true;
+    let functions = trial.world.functions();
+    for (place, function) in functions.iter().filter(|name| name.starts_with("rare")).enumerate() {
+        trial.world.send_call(place % 10, function, 0);
+    }
+    trial.world.run_for(8.0);
+    trial.verdict()
+}
+
+fn busy_function_jumps(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    for _ in 0..300 {
+        for number in 0..10 {
+            trial.world.send_call(number, "busy-0", 2);
+        }
+        trial.world.run_for(0.02);
+    }
+    let [ran, notRun, ..] = trial.world.outcomes;
+    trial.figures.push(("ran", ran as f64));
+    trial.figures.push(("refused", notRun as f64));
+    trial.world.run_for(5.0);
+    trial.must_settle();
+    trial.verdict()
+}
+
+fn answers_lost(seed: u64) -> Verdict {
+    let mut settings = WorldSettings { lost_answers: 0.05, ..WorldSettings::default() };
+    settings.repeatable = ["busy-0", "busy-1"].map(str::to_owned).into();
+    let mut trial = Trial::founded(settings, seed);
+    trial.world.run_for(20.0);
+    trial.verdict()
+}
+
+fn workers_crash_and_drain(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.world.platform.drain(0);
+    trial.world.run_for(6.0);
+    trial.world.platform.crash((seed % 5) as usize);
+    trial.world.run_for(6.0);
+    trial.world.platform.drain(3);
+    trial.world.platform.crash(4);
+    trial.world.run_for(10.0);
+    trial.must_settle();
+    trial.verdict()
+}
+
+fn list_late_by_seconds(seed: u64) -> Verdict {
+    let settings = WorldSettings { list_late: Micros::from_secs(4), ..WorldSettings::default() };
+    let mut trial = Trial::founded(settings, seed);
+    trial.world.run_for(10.0);
+    trial.world.platform.crash(2);
+    trial.world.kill(6);
+    trial.world.run_for(15.0);
+    trial.must_settle();
+    let cells = trial.world.platform.counts.0;
+    trial.figures.push(("starts", cells as f64));
+    trial.verdict()
+}
+
+fn operators_race(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    for round in 0..10 {
+        for operator in 0..3 {
+            trial.world.mark((round + operator * 3) % 10, &format!("race-{round}-{operator}"));
+        }
+        trial.world.run_for(0.01);
+    }
+    let isTaken = trial.world.run_until(10.0, |world| {
+        (0..10).all(|round| (0..3).all(|operator| world.is_accepted(&format!("race-{round}-{operator}"))))
+    });
+    trial.must(isTaken, "changes are taken", "a racing change was not answered");
+    trial.must_spread();
+    trial.verdict()
+}
+
+fn storm_of_changes(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    for number in 0..200 {
+        trial.world.mark(number % 10, &format!("storm-{number}"));
+        trial.world.run_for(0.02);
+    }
+    trial.must_spread();
+    let isTaken = trial
+        .world
+        .run_until(8.0, |world| (0..200).all(|number| world.is_accepted(&format!("storm-{number}"))));
+    trial.must(isTaken, "changes are taken", "a change of the storm was not accepted");
+    trial.must_spread();
+    trial.verdict()
+}
+
+fn large_configuration(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    let mut partial = json!({"lanes": {}});
+    for number in 0..4_000 {
+        partial["lanes"][format!("large-{number}")] = json!({
+            "function": "busy-0",
+            "path_prefix": format!("/large/{number}/{}", "x".repeat(600)),
+        });
+    }
+    trial.world.change(3, "large", None, Some(partial));
+    let isAccepted = trial.world.run_until(5.0, |world| world.is_accepted("large"));
+    trial.must(isAccepted, "changes are taken", "the large change was not accepted");
+    trial.must_spread();
+    trial.must_accept(8, "small-after-large", 4.0);
+    trial.must_spread();
+    trial.must_settle();
+    trial.checks.count_refusals = true;
+    trial.world.note_standing_changes();
+    // The marks of a large document are checked by its generation alone.
+    let mut verdict = trial.verdict();
+    verdict.breaches.retain(|breach| !breach.seen.starts_with("large,"));
+    verdict
+}
+
+fn restarts_amid_changes(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    for number in 0..20 {
+        let victim = (number * 3 + seed as usize) % 10;
+        trial.world.mark((victim + 1) % 10, &format!("amid-{number}"));
+        trial.world.run_for(0.005);
+        trial.world.kill(victim);
+        trial.world.run_for(0.8);
+        trial.world.start(victim);
+        trial.world.run_for(0.2);
+    }
+    trial.must_settle();
+    trial.must_spread();
+    trial.verdict()
+}
+
+fn rolling_stops(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.checks.count_refusals = true;
+    for number in 0..10 {
+        trial.world.stop_planned(number);
+        trial.world.run_for(0.5);
+        trial.world.start(number);
+        trial.must_settle();
+    }
+    let counts = trial.world.steward_counts();
+    let most = counts.iter().max().copied().unwrap_or(0);
+    trial.figures.push(("most_functions_of_a_node", most as f64));
+    trial.verdict()
+}
+
+fn second_failure_in_recovery(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    trial.must_accept(3, "before", 4.0);
+    trial.world.kill((seed % 3) as usize);
+    trial.world.run_for(1.5);
+    trial.world.kill(5);
+    trial.world.cut(&[6, 7], &[0, 1, 2, 3, 4, 8, 9]);
+    trial.world.run_for(3.0);
+    trial.world.heal();
+    trial.world.start((seed % 3) as usize);
+    trial.world.run_for(0.7);
+    trial.world.kill(((seed + 1) % 3) as usize);
+    trial.world.run_for(2.0);
+    trial.world.start(((seed + 1) % 3) as usize);
+    trial.world.start(5);
+    trial.must_settle();
+    trial.must_accept(8, "after", 6.0);
+    trial.verdict()
+}
+
+/// A random mix of everything, then peace.
+fn chaos(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    let mut dice = fastrand::Rng::with_seed(seed ^ 0xc4a05);
+    for round in 0..25 {
+        let node = dice.usize(..10);
+        match dice.u8(..10) {
+            0..=2 => trial.world.kill(node),
+            3 => trial.world.freeze(node, 1.0 + dice.f64() * 5.0),
+            4 => {
+                let edge = 1 + dice.usize(..8);
+                let left: Vec<usize> = (0..edge).collect();
+                let right: Vec<usize> = (edge..10).collect();
+                trial.world.cut(&left, &right);
+            }
+            5 => trial.world.isolate(node),
+            6 => trial.world.cut_one_way(node, (node + 3) % 10),
+            7 => {
+                let until = trial.world.now() + 3_000_000;
+                if let Some(disk) = trial.world.disk(node % 3) {
+                    disk.stalled_until = until;
+                }
+            }
+            8 => trial.world.heal(),
+            _ => (0..10).for_each(|number| trial.world.start(number)),
+        }
+        trial.world.mark(dice.usize(..10), &format!("chaos-{round}"));
+        trial.world.run_for(dice.f64() * 3.0);
+    }
+    trial.world.heal();
+    trial.world.run_for(6.0);
+    (0..10).for_each(|number| trial.world.start(number));
+    trial.must_settle();
+    trial.must_accept(4, "peace", 6.0);
+    trial.verdict()
+}
--- /dev/null
+++ b/packages/fleet_simulator/src/sim_disk.rs
@@ -0,0 +1,54 @@
+use control_registers::DiskRegisters;
+
+/// A simulated disk: what is synced lasts, what is not is lost with the power.
+/// Example: `SimDisk::blank(7).registers().set().generation == 0`.
+#[derive(Clone, Debug)]
+pub struct SimDisk {
+    /// The id drawn at format.
+    pub id: u64,
+    durable: Vec<Vec<u8>>,
+    /// Groups on their way: token, records, whether they replace the file.
+    waiting: Vec<(u64, Vec<Vec<u8>>, bool)>,
+    /// A full disk fails every sync.
+    pub is_full: bool,
+    /// A stalled disk syncs nothing before this simulated time.
+    pub stalled_until: u64,
+}
+
+impl SimDisk {
+    /// A formatted, empty disk. Example: `SimDisk::blank(7).id == 7`.
+    pub fn blank(id: u64) -> SimDisk {
+        SimDisk { id, durable: Vec::new(), waiting: Vec::new(), is_full: false, stalled_until: 0 }
+    }
+
+    /// Takes a group to be synced. Example: `disk.write(1, records, false)`.
+    pub fn write(&mut self, token: u64, records: Vec<Vec<u8>>, isRewrite: bool) {
+        self.waiting.push((token, records, isRewrite));
+    }
+
+    /// Syncs all groups up to a token; false if the disk is full. Example: `disk.sync(1)`.
+    pub fn sync(&mut self, token: u64) -> bool {
+        if self.is_full {
+            return false;
+        }
+        let stillWaiting = self.waiting.iter().position(|(waitingToken, ..)| *waitingToken > token);
+        let syncedCount = stillWaiting.unwrap_or(self.waiting.len());
+        for (_, records, isRewrite) in self.waiting.drain(..syncedCount) {
+            if isRewrite {
+                self.durable.clear();
+            }
+            self.durable.extend(records);
+        }
+        true
+    }
+
+    /// The power goes: whatever was not synced is gone. Example: `disk.lose_power()`.
+    pub fn lose_power(&mut self) {
+        self.waiting.clear();
+    }
+
+    /// What a restarted node finds. Example: `Node::new(settings, Some((disk.id, disk.registers())), now)`.
+    pub fn registers(&self) -> DiskRegisters {
+        DiskRegisters::restore(&self.durable).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/packages/fleet_simulator/src/sim_platform.rs
@@ -0,0 +1,208 @@
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use steward_work::{ListedCell, ListedWorker};
+
+/// A cell of the simulated platform.
+#[derive(Clone, Debug)]
+pub(crate) struct SimCell {
+    pub id: String,
+    pub function: String,
+    pub worker: String,
+    pub address: SocketAddr,
+    pub memory_mb: u64,
+    pub start_id: String,
+    pub ready_at: u64,
+    pub leaving: bool,
+    pub in_flight: u32,
+}
+
+/// What a simulated platform act came to.
+pub(crate) enum SimStart {
+    Started(String, SocketAddr),
+    NoRoom,
+    Throttled,
+}
+
+/// The simulated platform: workers, cells, a late list, a rate limit, addresses used again.
+/// Example: `SimPlatform::new(12, 6_500, 80.0, 1_000_000)`.
+#[derive(Debug)]
+pub struct SimPlatform {
+    workers: Vec<ListedWorker>,
+    pub(crate) cells: BTreeMap<String, SimCell>,
+    lists: VecDeque<(u64, Vec<ListedWorker>, Vec<ListedCell>)>,
+    /// How late the list is, in microseconds.
+    pub list_late: u64,
+    acts_per_second: f64,
+    tokens: f64,
+    filled_at: u64,
+    free_ports: VecDeque<u16>,
+    next_port: u16,
+    next_cell: u64,
+    /// Starts, stops and throttled acts.
+    pub counts: (u64, u64, u64),
+}
+
+impl SimPlatform {
+    /// A platform with idle workers. Example: `SimPlatform::new(2, 1_000, 80.0, 0)`.
+    pub fn new(workerCount: usize, workerMemoryMb: u64, actsPerSecond: f64, listLate: u64) -> SimPlatform {
+        let workers = (0..workerCount)
+            .map(|number| ListedWorker {
+                id: format!("worker-{number}"),
+                memory_mb: workerMemoryMb,
+                draining: false,
+            })
+            .collect();
+        SimPlatform {
+            workers,
+            cells: BTreeMap::new(),
+            lists: VecDeque::new(),
+            list_late: listLate,
+            acts_per_second: actsPerSecond,
+            tokens: actsPerSecond,
+            filled_at: 0,
+            free_ports: VecDeque::new(),
+            next_port: 20_000,
+            next_cell: 1,
+            counts: (0, 0, 0),
+        }
+    }
+
+    fn spend(&mut self, now: u64) -> bool {
+        let passed = (now - self.filled_at) as f64 / 1e6;
+        self.filled_at = now;
+        self.tokens = (self.tokens + passed * self.acts_per_second).min(self.acts_per_second);
+        if self.tokens < 1.0 {
+            self.counts.2 += 1;
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    pub(crate) fn start(
+        &mut self,
+        startId: &str,
+        function: &str,
+        worker: &str,
+        memoryMb: u64,
+        boot: u64,
+        now: u64,
+    ) -> SimStart {
+        if let Some(known) = self.cells.values().find(|cell| cell.start_id == startId) {
+            return SimStart::Started(known.id.clone(), known.address);
+        }
+        if !self.spend(now) {
+            return SimStart::Throttled;
+        }
+        let usable = self.workers.iter().find(|listed| listed.id == worker && !listed.draining);
+        let Some(workerMemory) = usable.map(|listed| listed.memory_mb) else { return SimStart::NoRoom };
+        let usedMemory: u64 =
+            self.cells.values().filter(|cell| cell.worker == worker).map(|cell| cell.memory_mb).sum();
+        if usedMemory + memoryMb > workerMemory {
+            return SimStart::NoRoom;
+        }
+        let port = self.free_ports.pop_front().unwrap_or_else(|| {
+            self.next_port += 1;
+            self.next_port
+        });
+        let id = format!("cell-{}", self.next_cell);
+        self.next_cell += 1;
+        self.counts.0 += 1;
+        let address = SocketAddr::from(([10, 9, 9, 9], port));
+        let cell = SimCell {
+            id: id.clone(),
+            function: function.to_owned(),
+            worker: worker.to_owned(),
+            address,
+            memory_mb: memoryMb,
+            start_id: startId.to_owned(),
+            ready_at: now + boot,
+            leaving: false,
+            in_flight: 0,
+        };
+        self.cells.insert(id.clone(), cell);
+        SimStart::Started(id, address)
+    }
+
+    /// Begins a stop; false when throttled.
+    pub(crate) fn stop(&mut self, cell: &str, now: u64) -> bool {
+        if !self.cells.contains_key(cell) {
+            return true;
+        }
+        if !self.spend(now) {
+            return false;
+        }
+        self.counts.1 += 1;
+        if let Some(stopped) = self.cells.get_mut(cell) {
+            stopped.leaving = true;
+        }
+        true
+    }
+
+    pub(crate) fn end(&mut self, cell: &str) {
+        if let Some(ended) = self.cells.remove(cell) {
+            self.free_ports.push_back(ended.address.port());
+        }
+    }
+
+    /// Drains a worker: its cells leave. Example: `platform.drain(0)`.
+    pub fn drain(&mut self, worker: usize) {
+        let Some(drained) = self.workers.get_mut(worker) else { return };
+        drained.draining = true;
+        let workerId = drained.id.clone();
+        for cell in self.cells.values_mut().filter(|cell| cell.worker == workerId) {
+            cell.leaving = true;
+        }
+    }
+
+    /// Crashes a worker with its cells. Example: `platform.crash(1)`.
+    pub fn crash(&mut self, worker: usize) {
+        if worker >= self.workers.len() {
+            return;
+        }
+        let crashed = self.workers.remove(worker);
+        let lostCells: Vec<String> = self
+            .cells
+            .values()
+            .filter(|cell| cell.worker == crashed.id)
+            .map(|cell| cell.id.clone())
+            .collect();
+        for cell in lostCells {
+            self.end(&cell);
+        }
+    }
+
+    pub(crate) fn cell_at(&mut self, address: SocketAddr) -> Option<&mut SimCell> {
+        self.cells.values_mut().find(|cell| cell.address == address)
+    }
+
+    pub(crate) fn take_snapshot(&mut self, now: u64) -> Vec<String> {
+        let cells = self
+            .cells
+            .values()
+            .map(|cell| ListedCell {
+                id: cell.id.clone(),
+                function: cell.function.clone(),
+                worker: cell.worker.clone(),
+                address: cell.address,
+                memory_mb: cell.memory_mb,
+                leaving: cell.leaving,
+            })
+            .collect();
+        self.lists.push_back((now, self.workers.clone(), cells));
+        while self.lists.len() > 1 && self.lists[1].0 + self.list_late <= now {
+            self.lists.pop_front();
+        }
+        let shown = self.lists.front().filter(|(takenAt, ..)| takenAt + self.list_late <= now);
+        let leaving = shown.map(|(_, _, cells)| cells.iter().filter(|cell| cell.leaving));
+        leaving.into_iter().flatten().map(|cell| cell.id.clone()).collect()
+    }
+
+    pub(crate) fn late_list(&self, now: u64) -> (Vec<ListedWorker>, Vec<ListedCell>) {
+        let late = self.lists.front().filter(|(takenAt, ..)| takenAt + self.list_late <= now);
+        late.map_or_else(
+            || (self.workers.clone(), Vec::new()),
+            |(_, workers, cells)| (workers.clone(), cells.clone()),
+        )
+    }
+}
--- /dev/null
+++ b/packages/fleet_simulator/src/world.rs
@@ -0,0 +1,778 @@
+use crate::sim_calls::SimCall;
+use crate::sim_disk::SimDisk;
+use crate::sim_platform::{SimPlatform, SimStart};
+use clock_events::Micros;
+use colleague_messages::{Address, Envelope, Message, NodeId, Ticket, fleet_mark};
+use colleague_probes::ProbeSettings;
+use configuration_check::{Change, ChangeOutcome};
+use fastrand::Rng;
+use history_checks::Line;
+use node_protocol::{Act, Event, Node, NodeSettings, NodeStatus, StartResult, StopResult};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use steward_election::ElectionSettings;
+
+/// How the simulated fleet is made. Example: `WorldSettings::default().node_count == 10`.
+#[derive(Clone, Debug)]
+pub struct WorldSettings {
+    /// Nodes; the first three have disks.
+    pub node_count: usize,
+    /// Functions, named `busy-N` and `rare-N`.
+    pub busy: usize,
+    /// Rare functions.
+    pub rare: usize,
+    /// Functions whose lanes are repeatable.
+    pub repeatable: BTreeSet<String>,
+    /// A call's time.
+    pub patience: Micros,
+    /// A call's mean work on a cell.
+    pub work: Micros,
+    /// Calls a cell may run at once.
+    pub calls_at_once: u32,
+    /// The share of calls that run and lose their answer.
+    pub lost_answers: f64,
+    /// The share of messages that the network loses.
+    pub lost_messages: f64,
+    /// The election's times.
+    pub election: ElectionSettings,
+    /// A voter gone this long is replaced.
+    pub replace_disk_after: Micros,
+    /// How late the platform's list is.
+    pub list_late: Micros,
+}
+
+impl Default for WorldSettings {
+    fn default() -> WorldSettings {
+        WorldSettings {
+            node_count: 10,
+            busy: 4,
+            rare: 20,
+            repeatable: BTreeSet::new(),
+            patience: Micros::from_secs(4),
+            work: Micros::from_millis(60),
+            calls_at_once: 4,
+            lost_answers: 0.0,
+            lost_messages: 0.0,
+            election: ElectionSettings::default(),
+            replace_disk_after: Micros::from_secs(10),
+            list_late: Micros::from_secs(1),
+        }
+    }
+}
+
+pub(crate) enum Happening {
+    Tick { node: usize, life: u64 },
+    Arrives { to: Address, envelope: Box<Envelope> },
+    Given { node: usize, life: u64, event: Box<Event> },
+    Synced { node: usize, life: u64, token: u64 },
+    CellEnds { cell: String },
+    Snapshot,
+    CallArrives { call: u64 },
+    DispatchArrives { call: u64, dispatch: u32, ticket: Ticket },
+    CellFinishes { call: u64, dispatch: u32, cell: String, how: u8 },
+    AnswerComes { call: u64, dispatch: u32, how: u8 },
+    DispatchTimesOut { call: u64, dispatch: u32 },
+    CallForgotten { call: u64 },
+}
+
+pub(crate) struct SimNode {
+    pub address: Address,
+    pub zone: String,
+    node: Option<Node>,
+    id: NodeId,
+    pub life: u64,
+    started_at: u64,
+    pub disk: Option<SimDisk>,
+    frozen_until: u64,
+    pub is_isolated: bool,
+    pub is_ready: bool,
+    is_draining: bool,
+    is_drained: bool,
+}
+
+impl SimNode {
+    pub fn is_up(&self) -> bool {
+        self.node.is_some()
+    }
+}
+
+/// The whole simulated fleet. Example: `World::new(WorldSettings::default(), 7).run_for(10.0)`.
+pub struct World {
+    pub(crate) settings: WorldSettings,
+    pub(crate) now: u64,
+    pub(crate) dice: Rng,
+    pub(crate) nodes: Vec<SimNode>,
+    /// The platform.
+    pub platform: SimPlatform,
+    pub(crate) calls: BTreeMap<u64, SimCall>,
+    pub(crate) next_call: u64,
+    /// Calls that ran, were refused, are unknown, got no answer.
+    pub outcomes: [u64; 4],
+    happenings: BTreeMap<(u64, u64), Happening>,
+    next_happening: u64,
+    lines: Vec<Line>,
+    /// One-way links that lose everything.
+    cut_links: BTreeSet<(usize, usize)>,
+    shown_leaving: BTreeSet<String>,
+    changes: BTreeMap<String, (u64, u64)>,
+    next_request: u64,
+    /// Calls a second, spread over ready nodes and functions.
+    pub call_rate: f64,
+    call_debt: f64,
+    call_filled_at: u64,
+    /// Takings past the gate, all takings, and the longest wait for one in microseconds.
+    pub takings: (u64, u64, u64),
+    /// Store groups that disks were given.
+    pub disk_groups: u64,
+    /// Messages sent between nodes.
+    pub messages: u64,
+    seeds: Vec<Address>,
+    /// Why calls were refused, with counts.
+    pub refusals: BTreeMap<String, u64>,
+}
+
+const SEED_COUNT: usize = 3;
+const FLEET: &str = "simulated";
+
+impl World {
+    /// A fleet at its first start; every node is up. Example: `World::new(settings, 7)`.
+    pub fn new(settings: WorldSettings, seed: u64) -> World {
+        let addresses: Vec<Address> = (0..settings.node_count).map(address_of).collect();
+        let mut world = World {
+            platform: SimPlatform::new(12, 6_500, 80.0, settings.list_late.0),
+            now: 0,
+            dice: Rng::with_seed(seed),
+            nodes: Vec::new(),
+            calls: BTreeMap::new(),
+            next_call: 0,
+            outcomes: [0; 4],
+            happenings: BTreeMap::new(),
+            next_happening: 0,
+            lines: Vec::new(),
+            cut_links: BTreeSet::new(),
+            shown_leaving: BTreeSet::new(),
+            changes: BTreeMap::new(),
+            next_request: 0,
+            call_rate: 0.0,
+            call_debt: 0.0,
+            call_filled_at: 0,
+            takings: (0, 0, 0),
+            disk_groups: 0,
+            messages: 0,
+            seeds: addresses.iter().take(SEED_COUNT).copied().collect(),
+            settings,
+            refusals: BTreeMap::new(),
+        };
+        for (number, address) in addresses.into_iter().enumerate() {
+            let disk = (number < 3).then(|| SimDisk::blank(world.dice.u64(1..)));
+            world.nodes.push(SimNode {
+                address,
+                zone: format!("zone-{}", number % 3),
+                node: None,
+                id: 0,
+                life: 0,
+                started_at: 0,
+                disk,
+                frozen_until: 0,
+                is_isolated: false,
+                is_ready: false,
+                is_draining: false,
+                is_drained: false,
+            });
+        }
+        for number in 0..world.nodes.len() {
+            world.start(number);
+        }
+        world.after(50_000, Happening::Snapshot);
+        world
+    }
+
+    /// The functions' names. Example: `world.functions().len() == 24`.
+    pub fn functions(&self) -> Vec<String> {
+        let busy = (0..self.settings.busy).map(|number| format!("busy-{number}"));
+        busy.chain((0..self.settings.rare).map(|number| format!("rare-{number}"))).collect()
+    }
+
+    /// The configuration document an operator sends. Example: `world.document()["functions"]`.
+    pub fn document(&self) -> Value {
+        let mut document = json!({
+            "allowances": {
+                "all": {"weight": 1},
+                "busy": {"parent": "all", "weight": 3},
+                "rare": {"parent": "all", "weight": 1},
+            },
+            "functions": {},
+            "lanes": {},
+        });
+        for name in self.functions() {
+            let isBusy = name.starts_with("busy");
+            document["functions"][&name] = json!({
+                "allowance": if isBusy { "busy" } else { "rare" },
+                "cell_memory_mb": if isBusy { 600 } else { 128 },
+                "calls_at_once": self.settings.calls_at_once,
+                "boot_millis": if isBusy { 1_500 } else { 1_000 },
+                "idle_seconds": 15,
+            });
+            document["lanes"][&name] = json!({"function": name, "path_prefix": format!("/{name}")});
+        }
+        document
+    }
+
+    /// Simulated microseconds since the beginning. Example: `world.now()`.
+    pub fn now(&self) -> u64 {
+        self.now
+    }
+
+    /// The history so far. Example: `check_all(world.lines(), &CheckSettings::default())`.
+    pub fn lines(&self) -> &[Line] {
+        &self.lines
+    }
+
+    pub(crate) fn history(&mut self, line: Line) {
+        self.lines.push(line);
+    }
+
+    pub(crate) fn after(&mut self, span: u64, happening: Happening) {
+        self.next_happening += 1;
+        self.happenings.insert((self.now + span, self.next_happening), happening);
+    }
+
+    /// A message's or a dispatch's way: a quarter to three quarters of a millisecond.
+    pub(crate) fn travel(&mut self) -> u64 {
+        self.dice.u64(250..750)
+    }
+
+    /// Lets simulated seconds pass. Example: `world.run_for(5.0)`.
+    pub fn run_for(&mut self, seconds: f64) {
+        let end = self.now + (seconds * 1e6) as u64;
+        while let Some(entry) = self.happenings.first_entry() {
+            let (at, _) = *entry.key();
+            if at > end {
+                break;
+            }
+            let happening = entry.remove();
+            self.now = at;
+            self.happen(happening);
+        }
+        self.now = end;
+    }
+
+    /// Lets time pass until something holds; false if it does not within the seconds.
+    /// Example: `world.run_until(30.0, |world| world.is_settled())`.
+    pub fn run_until(&mut self, seconds: f64, holds: impl Fn(&World) -> bool) -> bool {
+        let end = self.now + (seconds * 1e6) as u64;
+        while self.now < end {
+            if holds(self) {
+                return true;
+            }
+            self.run_for(0.1);
+        }
+        holds(self)
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Tick { node, life } => self.node_ticks(node, life),
+            Happening::Arrives { to, envelope } => self.message_arrives(to, envelope),
+            Happening::Given { node, life, event } => {
+                if self.nodes[node].life == life {
+                    self.give(node, *event);
+                }
+            }
+            Happening::Synced { node, life, token } => self.disk_syncs(node, life, token),
+            Happening::CellEnds { cell } => self.platform.end(&cell),
+            Happening::Snapshot => {
+                for cell in self.platform.take_snapshot(self.now) {
+                    if self.shown_leaving.insert(cell.clone()) {
+                        self.history(Line::CellShownLeaving { at: self.now, cell });
+                    }
+                }
+                self.send_due_calls();
+                self.after(50_000, Happening::Snapshot);
+            }
+            Happening::CallArrives { call } => self.call_arrives(call),
+            Happening::DispatchArrives { call, dispatch, ticket } => {
+                self.dispatch_arrives(call, dispatch, &ticket);
+            }
+            Happening::CellFinishes { call, dispatch, cell, how } => {
+                self.cell_finishes(call, dispatch, &cell, how);
+            }
+            Happening::AnswerComes { call, dispatch, how } => self.answer_comes(call, dispatch, how),
+            Happening::DispatchTimesOut { call, dispatch } => self.dispatch_times_out(call, dispatch),
+            Happening::CallForgotten { call } => self.call_forgotten(call),
+        }
+    }
+
+    fn send_due_calls(&mut self) {
+        let passed = (self.now - self.call_filled_at) as f64 / 1e6;
+        self.call_filled_at = self.now;
+        self.call_debt += passed * self.call_rate;
+        let functions = self.functions();
+        let open: Vec<usize> = (0..self.nodes.len())
+            .filter(|number| {
+                let node = &self.nodes[*number];
+                node.is_up()
+                    && node.is_ready
+                    && !node.is_draining
+                    && !node.is_isolated
+                    && node.frozen_until <= self.now
+            })
+            .collect();
+        while self.call_debt >= 1.0 {
+            self.call_debt -= 1.0;
+            // Nine in ten calls go to busy functions.
+            let isBusy = self.dice.u8(..10) < 9 && self.settings.busy > 0;
+            let place = match isBusy || self.settings.rare == 0 {
+                true => self.dice.usize(..self.settings.busy.max(1)),
+                false => self.settings.busy + self.dice.usize(..self.settings.rare),
+            };
+            let Some(node) = self.dice.choice(open.iter().copied()) else { continue };
+            if let Some(function) = functions.get(place) {
+                self.send_call(node, function, 0);
+            }
+        }
+    }
+
+    // Nodes.
+
+    /// Starts a node's process anew. Example: `world.start(3)` after `world.kill(3)`.
+    pub fn start(&mut self, number: usize) {
+        if self.nodes[number].is_up() {
+            return;
+        }
+        let id = self.dice.u64(1..);
+        let settings = NodeSettings {
+            node: id,
+            address: self.nodes[number].address,
+            zone: self.nodes[number].zone.clone(),
+            seeds: self.seeds.clone(),
+            founding_disks: 3,
+            replace_disk_after: self.settings.replace_disk_after,
+            acts_per_second: 80.0,
+            election: self.settings.election.clone(),
+            probes: ProbeSettings::default(),
+            luck_seed: self.dice.u64(..),
+        };
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        node.life += 1;
+        node.id = id;
+        node.started_at = now;
+        node.is_ready = false;
+        node.is_draining = false;
+        node.is_drained = false;
+        node.frozen_until = 0;
+        let disk = node.disk.as_ref().map(|disk| (disk.id, disk.registers()));
+        node.node = Some(Node::new(settings, disk, Micros(0)));
+        let life = node.life;
+        let firstTick = self.dice.u64(..20_000);
+        self.after(firstTick, Happening::Tick { node: number, life });
+    }
+
+    /// Ends a node's process with no notice; with the power goes what its disk had not synced.
+    /// Example: `world.kill(0)`.
+    pub fn kill(&mut self, number: usize) {
+        self.end_process(number, false);
+    }
+
+    fn end_process(&mut self, number: usize, isPlanned: bool) {
+        if !self.nodes[number].is_up() {
+            return;
+        }
+        self.drop_calls_of(number, isPlanned);
+        let node = &mut self.nodes[number];
+        node.node = None;
+        node.life += 1;
+        if let Some(disk) = &mut node.disk {
+            disk.lose_power();
+        }
+    }
+
+    /// Freezes a node; messages wait for it. Example: `world.freeze(4, 8.0)`.
+    pub fn freeze(&mut self, number: usize, seconds: f64) {
+        self.nodes[number].frozen_until = self.now + (seconds * 1e6) as u64;
+    }
+
+    /// Begins a planned stop; the process ends when drained, six seconds at the most.
+    /// Example: `world.stop_planned(2)`.
+    pub fn stop_planned(&mut self, number: usize) {
+        self.nodes[number].is_draining = true;
+        self.give(number, Event::Drain);
+        let life = self.nodes[number].life;
+        let deadline = self.now + 6_000_000;
+        while self.now < deadline {
+            self.run_for(0.05);
+            let isDone = self.nodes[number].is_drained && self.open_calls_of(number) == 0;
+            if isDone || self.nodes[number].life != life {
+                break;
+            }
+        }
+        self.end_process(number, true);
+    }
+
+    /// Cuts everything between two groups of nodes. Example: `world.cut(&[0, 1], &[2, 3])`.
+    pub fn cut(&mut self, left: &[usize], right: &[usize]) {
+        for leftNode in left {
+            for rightNode in right {
+                self.cut_links.insert((*leftNode, *rightNode));
+                self.cut_links.insert((*rightNode, *leftNode));
+            }
+        }
+    }
+
+    /// Cuts one direction of one link. Example: `world.cut_one_way(3, 4)`.
+    pub fn cut_one_way(&mut self, from: usize, to: usize) {
+        self.cut_links.insert((from, to));
+    }
+
+    /// Isolates a node from colleagues, platform, cells and callers. Example: `world.isolate(5)`.
+    pub fn isolate(&mut self, number: usize) {
+        let others: Vec<usize> = (0..self.nodes.len()).filter(|other| *other != number).collect();
+        self.cut(&[number], &others);
+        self.nodes[number].is_isolated = true;
+    }
+
+    /// Heals every cut and isolation. Example: `world.heal()`.
+    pub fn heal(&mut self) {
+        self.cut_links.clear();
+        for node in &mut self.nodes {
+            node.is_isolated = false;
+        }
+    }
+
+    /// The node's disk, if it has one. Example: `world.disk(0).unwrap().is_full = true`.
+    pub fn disk(&mut self, number: usize) -> Option<&mut SimDisk> {
+        self.nodes[number].disk.as_mut()
+    }
+
+    /// Kills the node and replaces its disk by an empty one. Example: `world.lose_disk(1)`.
+    pub fn lose_disk(&mut self, number: usize) {
+        self.kill(number);
+        let freshId = self.dice.u64(1..);
+        self.nodes[number].disk = Some(SimDisk::blank(freshId));
+    }
+
+    /// The machine is replaced by an empty one at a new address. Example: `world.replace_machine(1)`.
+    pub fn replace_machine(&mut self, number: usize) {
+        self.lose_disk(number);
+        let freshNumber = 100 + number + self.dice.usize(..100) * 100;
+        self.nodes[number].address = address_of(freshNumber);
+    }
+
+    /// The seeds that are told to all nodes started from now on, and to those that run by a reload.
+    /// Example: `world.take_seeds(&[4, 5, 6])`.
+    pub fn take_seeds(&mut self, numbers: &[usize]) {
+        self.seeds = numbers.iter().map(|number| self.nodes[*number].address).collect();
+        for number in 0..self.nodes.len() {
+            let seeds = self.seeds.clone();
+            if self.nodes[number].is_up() {
+                self.give(number, Event::SeedsChanged { seeds });
+            }
+        }
+    }
+
+    /// Numbers of the nodes that are up. Example: `world.up().len() == 10`.
+    pub fn up(&self) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|number| self.nodes[*number].is_up()).collect()
+    }
+
+    /// A node's page of state. Example: `world.status(0).unwrap().generation`.
+    pub fn status(&self, number: usize) -> Option<NodeStatus> {
+        let simNode = &self.nodes[number];
+        let node = simNode.node.as_ref()?;
+        Some(node.status(Micros(self.now - simNode.started_at)))
+    }
+
+    /// Whether a node's disk has a vote in the eyes of every node that is up.
+    /// Example: `world.run_until(40.0, |world| world.is_voting(1))`.
+    pub fn is_voting(&self, number: usize) -> bool {
+        let Some(disk) = self.nodes[number].disk.as_ref().map(|disk| disk.id) else { return false };
+        let statuses: Vec<NodeStatus> = self.up().iter().filter_map(|up| self.status(*up)).collect();
+        statuses.iter().all(|status| {
+            status.voters.contains(&disk)
+                && status.members.iter().any(|news| news.disk == disk && news.disk_state == 2)
+        })
+    }
+
+    /// Whether every node that is up is ready, sees all others that are up, holds one generation,
+    /// and every function has a steward. Example: `world.run_until(12.0, World::is_settled)`.
+    pub fn is_settled(&self) -> bool {
+        let up = self.up();
+        let statuses: Vec<NodeStatus> = up.iter().filter_map(|number| self.status(*number)).collect();
+        let newest = statuses.iter().map(|status| status.generation).max().unwrap_or(0);
+        statuses.iter().all(|status| {
+            status.is_ready
+                && status.unheld == 0
+                && status.generation == newest
+                && status.members.len() == up.len()
+        })
+    }
+
+    /// Steward counts of the nodes that are up. Example: `world.steward_counts()`.
+    pub fn steward_counts(&self) -> Vec<usize> {
+        self.up().iter().filter_map(|number| self.status(*number)).map(|status| status.held.len()).collect()
+    }
+
+    // Operators.
+
+    /// Sends a change to a node; its outcome goes into the history under the change's id.
+    /// Example: `world.change(3, "a", Some(document), None)`.
+    pub fn change(&mut self, number: usize, changeId: &str, whole: Option<Value>, partial: Option<Value>) {
+        self.next_request += 1;
+        let request = self.next_request;
+        let change = Change { change_id: changeId.to_owned(), expected_generation: None, whole, partial };
+        self.give(number, Event::ChangeAsked { request, change });
+    }
+
+    /// Sends the whole document to found the fleet's configuration, and waits until it stands.
+    /// Example: `assert!(world.found())`.
+    pub fn found(&mut self) -> bool {
+        let isReady =
+            self.run_until(20.0, |world| world.up().iter().all(|number| world.nodes[*number].is_ready));
+        let document = self.document();
+        self.change(4 % self.nodes.len(), "first", Some(document), None);
+        isReady && self.run_until(20.0, |world| world.is_settled() && world.is_accepted("first"))
+    }
+
+    /// A small change that leaves its mark in the document. Example: `world.mark(2, "m1")`.
+    pub fn mark(&mut self, number: usize, changeId: &str) {
+        let mut partial = json!({"lanes": {}});
+        let function = self.functions()[0].clone();
+        partial["lanes"][format!("mark-{changeId}")] =
+            json!({"function": function, "path_prefix": format!("/mark/{changeId}")});
+        self.change(number, changeId, None, Some(partial));
+    }
+
+    /// Whether a change was acknowledged. Example: `world.is_accepted("m1")`.
+    pub fn is_accepted(&self, changeId: &str) -> bool {
+        self.changes.contains_key(changeId)
+    }
+
+    /// Notes in the history which marks stand at each node that is up, for the checkers.
+    /// Example: call it before `check_all`.
+    pub fn note_standing_changes(&mut self) {
+        for number in self.up() {
+            let simNode = &self.nodes[number];
+            let Some(node) = &simNode.node else { continue };
+            let configuration = node.current_configuration();
+            let mut changes: Vec<String> = configuration
+                .lanes
+                .keys()
+                .filter_map(|lane| lane.strip_prefix("mark-"))
+                .map(str::to_owned)
+                .collect();
+            let generation = node.status(Micros(self.now - simNode.started_at)).generation;
+            if !configuration.lanes.is_empty() {
+                changes.push("first".to_owned());
+            }
+            let (at, node) = (self.now, format!("node-{number}"));
+            self.history(Line::ChangesStand { at, node, generation, changes });
+        }
+    }
+
+    // The machinery.
+
+    fn node_ticks(&mut self, number: usize, life: u64) {
+        if self.nodes[number].life != life || !self.nodes[number].is_up() {
+            return;
+        }
+        if self.defer_if_frozen(number, Happening::Tick { node: number, life }) {
+            return;
+        }
+        self.give(number, Event::Tick);
+        self.after(20_000, Happening::Tick { node: number, life });
+    }
+
+    /// What happens to a frozen node happens when it wakes.
+    pub(crate) fn defer_if_frozen(&mut self, number: usize, happening: Happening) -> bool {
+        let frozenUntil = self.nodes[number].frozen_until;
+        if frozenUntil <= self.now {
+            return false;
+        }
+        self.after(frozenUntil - self.now, happening);
+        true
+    }
+
+    pub(crate) fn give(&mut self, number: usize, event: Event) {
+        let frozenUntil = self.nodes[number].frozen_until;
+        if frozenUntil > self.now {
+            let life = self.nodes[number].life;
+            let later = Happening::Given { node: number, life, event: Box::new(event) };
+            self.after(frozenUntil - self.now, later);
+            return;
+        }
+        let now = self.now;
+        let simNode = &mut self.nodes[number];
+        let localNow = Micros(now - simNode.started_at);
+        let Some(node) = &mut simNode.node else { return };
+        let acts = node.handle(event, localNow);
+        for act in acts {
+            self.perform(number, act);
+        }
+    }
+
+    fn message_arrives(&mut self, to: Address, envelope: Box<Envelope>) {
+        let Some(number) = self.nodes.iter().position(|node| node.address == to && node.is_up()) else {
+            return;
+        };
+        if self.nodes[number].frozen_until > self.now {
+            let span = self.nodes[number].frozen_until - self.now;
+            self.after(span, Happening::Arrives { to, envelope });
+            return;
+        }
+        self.give(number, Event::Heard(*envelope));
+    }
+
+    fn disk_syncs(&mut self, number: usize, life: u64, token: u64) {
+        if self.nodes[number].life != life {
+            return;
+        }
+        let now = self.now;
+        let Some(disk) = &mut self.nodes[number].disk else { return };
+        if disk.stalled_until > now {
+            let span = disk.stalled_until - now;
+            self.after(span, Happening::Synced { node: number, life, token });
+            return;
+        }
+        let isSynced = disk.sync(token);
+        self.give(number, Event::DiskDone { token, is_synced: isSynced });
+    }
+
+    fn perform(&mut self, number: usize, act: Act) {
+        let life = self.nodes[number].life;
+        match act {
+            Act::Send { address, message } => self.send(number, address, message),
+            Act::WriteDisk { token, records, is_rewrite } => {
+                self.disk_groups += 1;
+                if let Some(disk) = &mut self.nodes[number].disk {
+                    disk.write(token, records, is_rewrite);
+                }
+                let span = self.dice.u64(500..3_000);
+                self.after(span, Happening::Synced { node: number, life, token });
+            }
+            Act::List => {
+                let event = match self.nodes[number].is_isolated {
+                    true => Event::ListFailed,
+                    false => {
+                        let (workers, cells) = self.platform.late_list(self.now);
+                        Event::Listed { workers, cells }
+                    }
+                };
+                let travel = self.travel() * 2;
+                self.after(travel, Happening::Given { node: number, life, event: Box::new(event) });
+            }
+            Act::Start { start_id, function, worker, memory_mb } => {
+                self.start_cell(number, life, &start_id, &function, &worker, memory_mb);
+            }
+            Act::Stop { cell } => self.stop_cell(number, life, cell),
+            Act::CallGranted { call, ticket } => {
+                if ticket.granted_by == self.nodes[number].id {
+                    self.note_act(number, &ticket.function.0, ticket.steward_epoch);
+                }
+                self.call_granted(number, call, ticket);
+            }
+            Act::CallRefused { call, reason, .. } => {
+                *self.refusals.entry(reason).or_default() += 1;
+                self.call_refused(call);
+            }
+            Act::ConfigurationTaken { generation, .. } => {
+                let (node, life) = (format!("node-{number}"), life.to_string());
+                self.history(Line::GenerationHeld { at: self.now, node, life, generation });
+            }
+            Act::ChangeAnswered { change_id, outcome, .. } => match outcome {
+                ChangeOutcome::Accepted { generation, .. } => {
+                    self.changes.insert(change_id.clone(), (self.now, generation));
+                    self.history(Line::ChangeAccepted { at: self.now, change: change_id, generation });
+                }
+                ChangeOutcome::Refused { .. } => {
+                    self.history(Line::ChangeRefused { at: self.now, change: change_id });
+                }
+                ChangeOutcome::Unknown { .. } => {}
+            },
+            Act::DecisionsAnswered { .. } => {}
+            Act::Ready => self.nodes[number].is_ready = true,
+            Act::Drained => self.nodes[number].is_drained = true,
+        }
+    }
+
+    fn note_act(&mut self, number: usize, function: &str, epoch: u64) {
+        if epoch == 0 {
+            return;
+        }
+        // Told by process: a restarted node is another steward.
+        let node = format!("node-{number}/{}", self.nodes[number].life);
+        self.history(Line::StewardActed { at: self.now, node, function: function.to_owned(), epoch });
+    }
+
+    fn send(&mut self, number: usize, address: Address, message: Message) {
+        self.messages += 1;
+        let to = self.nodes.iter().position(|node| node.address == address);
+        if to.is_some_and(|receiver| self.cut_links.contains(&(number, receiver))) {
+            return;
+        }
+        if self.dice.f64() < self.settings.lost_messages {
+            return;
+        }
+        let envelope = Envelope {
+            fleet: fleet_mark(FLEET),
+            from: self.nodes[number].id,
+            from_address: self.nodes[number].address,
+            message,
+        };
+        let travel = self.travel();
+        self.after(travel, Happening::Arrives { to: address, envelope: Box::new(envelope) });
+    }
+
+    fn start_cell(
+        &mut self,
+        number: usize,
+        life: u64,
+        startId: &str,
+        function: &str,
+        worker: &str,
+        memoryMb: u64,
+    ) {
+        if let Some(epoch) = epoch_of(startId) {
+            self.note_act(number, function, epoch);
+        }
+        let boot = if function.starts_with("busy") { 1_400_000 } else { 900_000 };
+        let result = match self.nodes[number].is_isolated {
+            true => StartResult::Unknown,
+            false => match self.platform.start(startId, function, worker, memoryMb, boot, self.now) {
+                SimStart::Started(cell, address) => StartResult::Started { cell, address },
+                SimStart::NoRoom => StartResult::NoRoom,
+                SimStart::Throttled => StartResult::Throttled,
+            },
+        };
+        let event = Event::StartDone { start_id: startId.to_owned(), result };
+        let travel = self.travel() * 2;
+        self.after(travel, Happening::Given { node: number, life, event: Box::new(event) });
+    }
+
+    fn stop_cell(&mut self, number: usize, life: u64, cell: String) {
+        let result = match self.nodes[number].is_isolated {
+            true => StopResult::Unknown,
+            false => match self.platform.stop(&cell, self.now) {
+                true => {
+                    self.after(5_000_000, Happening::CellEnds { cell: cell.clone() });
+                    StopResult::Stopped
+                }
+                false => StopResult::Throttled,
+            },
+        };
+        let travel = self.travel() * 2;
+        let event = Box::new(Event::StopDone { cell, result });
+        self.after(travel, Happening::Given { node: number, life, event });
+    }
+}
+
+fn address_of(number: usize) -> Address {
+    let [high, low] = (number as u16).to_be_bytes();
+    Address::from(SocketAddr::from(([10, 0, high, low], 7_000)))
+}
+
+/// Start ids are `function-epoch-number`.
+fn epoch_of(startId: &str) -> Option<u64> {
+    startId.rsplit('-').nth(1)?.parse().ok()
+}
--- /dev/null
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -0,0 +1,71 @@
+//! The brief's failures, seeded; each history is judged after the fact.
+
+use fleet_simulator::{World, WorldSettings, scenarios};
+
+#[test]
+fn the_same_seed_gives_the_same_history() {
+    let history = |seed| {
+        let mut world = World::new(WorldSettings::default(), seed);
+        assert!(world.found());
+        world.call_rate = 100.0;
+        world.run_for(3.0);
+        world.kill(5);
+        world.run_for(5.0);
+        world.lines().iter().map(|line| serde_json::to_string(line).expect("JSON")).collect::<Vec<_>>()
+    };
+    assert!(history(1) == history(1));
+    assert!(history(1) != history(2));
+}
+
+/// Declares a test for each scenario with its seeds.
+macro_rules! scenario_tests {
+    ($($name:ident: $seeds:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            for seed in $seeds {
+                let verdict = scenarios::run(stringify!($name), seed).expect("a known scenario");
+                assert_eq!(verdict.breaches, [], "seed {seed}");
+                assert!(verdict.outcomes[0] > 100, "seed {seed}: {:?}", verdict.outcomes);
+            }
+        })*
+
+        #[test]
+        fn every_scenario_is_tested() {
+            let tested = [$(stringify!($name)),*];
+            assert_eq!(tested, *scenarios::NAMES);
+        }
+    };
+}
+
+scenario_tests! {
+    quiet: 1..=2;
+    kills: 1..=2;
+    disk_node_killed: 1..=3;
+    all_disk_nodes_killed: 1..=2;
+    everything_killed: 1..=2;
+    power_lost_after_acknowledging: 1..=2;
+    disk_lost: 1..=3;
+    disk_full: 1..=3;
+    disk_stalled: 1..=3;
+    machine_replaced: 1..=3;
+    seeds_swapped: 1..=1;
+    blank_majority: 1..=2;
+    core_cut_in_two: 1..=2;
+    disks_cut_off: 1..=2;
+    node_isolated: 1..=2;
+    one_way_loss: 1..=2;
+    lossy_network: 1..=2;
+    frozen_past_the_lease: 1..=3;
+    rare_functions_wake: 1..=2;
+    busy_function_jumps: 1..=1;
+    answers_lost: 1..=2;
+    workers_crash_and_drain: 1..=2;
+    list_late_by_seconds: 1..=2;
+    operators_race: 1..=2;
+    storm_of_changes: 1..=2;
+    large_configuration: 1..=1;
+    restarts_amid_changes: 1..=2;
+    rolling_stops: 1..=2;
+    second_failure_in_recovery: 1..=3;
+    chaos: 1..=4;
+}
--- a/packages/node_protocol/src/configuration_part.rs
+++ b/packages/node_protocol/src/configuration_part.rs
@@ -5,26 +5,48 @@
 use crate::control_part::WritePurpose;
 use crate::node::Node;
 use clock_events::{ClockEvent, Micros};
-use colleague_messages::{Bytes, WriteOutcome};
+use colleague_messages::{Bytes, Message, NodeId, WriteOutcome};
 use configuration_check::{Change, ChangeOutcome, Configuration, Reason, StoredConfiguration};
 use control_registers::{CONFIGURATION_KEY, DIFFERS, WRITTEN};
 use serde_json::json;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 const CHANGE_WAITLIST: usize = 256;
 const BATCH_LIMIT: usize = 64;
 const ATTEMPT_LIMIT: u32 = 8;
 const CHANGE_SPAN: Micros = Micros::from_secs(6);
+const CARRY_PATIENCE: Micros = Micros::from_millis(1_000);
+const UNCONFIRMED: &str = "no majority of the disks confirmed it; send it again under the same id";
 const RETRY_PAUSE: Micros = Micros::from_millis(150);
 /// Without a majority, what serving colleagues told is good enough after this.
 const CONFIRM_PATIENCE: Micros = Micros::from_millis(1_500);
 
+/// Who waits for a change's outcome.
+#[derive(Clone, Copy, Debug)]
+enum Asker {
+    /// An operator at this node.
+    Operator { request: u64 },
+    /// A colleague that passed it on.
+    Colleague { node: NodeId, ask: u64 },
+}
+
+/// A change passed on to the owner of the configuration's key.
 #[derive(Debug)]
-struct AskedChange {
+struct CarriedChange {
     request: u64,
     change: Change,
     asked_at: Micros,
+    sent_at: Micros,
+    /// The owner it was sent to; none while there is no owner.
+    owner: Option<NodeId>,
+}
+
+#[derive(Debug)]
+struct AskedChange {
+    asker: Asker,
+    change: Change,
+    asked_at: Micros,
     outcome: Option<ChangeOutcome>,
 }
 
@@ -48,6 +70,7 @@
     base: (u64, StoredConfiguration),
     batch: Option<Batch>,
     waitlist: VecDeque<AskedChange>,
+    carried: BTreeMap<u64, CarriedChange>,
     confirm_event: ClockEvent,
 }
 
@@ -61,6 +84,7 @@
             base: (0, StoredConfiguration::empty()),
             batch: None,
             waitlist: VecDeque::new(),
+            carried: BTreeMap::new(),
             confirm_event: ClockEvent::each(Micros::from_millis(300)),
         }
     }
@@ -79,20 +103,110 @@
 }
 
 impl Node {
+    /// An operator's change: the owner of the configuration's key settles it, since changes that meet
+    /// at one node never race; any other node passes it on.
     pub(crate) fn change_asked(&mut self, request: u64, change: Change) {
-        if self.configuration.waitlist.len() >= CHANGE_WAITLIST {
-            let outcome = ChangeOutcome::Refused {
-                generation: self.configuration.generation,
-                reasons: vec![Reason::at("", "too many changes wait at this node; send it again")],
-            };
+        if self.configuration.carried.len() >= CHANGE_WAITLIST {
+            let outcome = self.overfull();
             self.act(Act::ChangeAnswered { request, change_id: change.change_id, outcome });
             return;
         }
-        let askedChange = AskedChange { request, change, asked_at: self.now, outcome: None };
+        let ask = self.fresh_ask();
+        let carried = CarriedChange { request, change, asked_at: self.now, sent_at: self.now, owner: None };
+        self.configuration.carried.insert(ask, carried);
+        self.carry_change(ask);
+    }
+
+    fn overfull(&self) -> ChangeOutcome {
+        ChangeOutcome::Refused {
+            generation: self.configuration.generation,
+            reasons: vec![Reason::at("", "too many changes wait at this node; send it again")],
+        }
+    }
+
+    /// Sends a change to the owner of the configuration's key; repeating it is harmless, since its id
+    /// is remembered with the configuration.
+    fn carry_change(&mut self, ask: u64) {
+        let owner = self.key_owner(CONFIGURATION_KEY);
+        let now = self.now;
+        let Some(carried) = self.configuration.carried.get_mut(&ask) else { return };
+        carried.sent_at = now;
+        carried.owner = owner;
+        let Some(owner) = owner else { return };
+        if owner == self.settings.node {
+            let Some(carried) = self.configuration.carried.remove(&ask) else { return };
+            let asker = Asker::Operator { request: carried.request };
+            self.queue_change(asker, carried.change, carried.asked_at);
+            return;
+        }
+        let change = Bytes(serde_json::to_vec(&carried.change).unwrap_or_default());
+        self.send(owner, Message::ChangeCarry { ask, change });
+    }
+
+    /// A colleague passes a change on to this node.
+    pub(crate) fn change_carried(&mut self, from: NodeId, ask: u64, changeBytes: &Bytes) {
+        let Ok(change) = serde_json::from_slice::<Change>(&changeBytes.0) else { return };
+        let isKnown = |asked: &AskedChange| matches!(asked.asker, Asker::Colleague { node, ask: knownAsk } if (node, knownAsk) == (from, ask));
+        let inBatch = self.configuration.batch.iter().flat_map(|batch| &batch.changes).any(isKnown);
+        if inBatch || self.configuration.waitlist.iter().any(isKnown) {
+            return;
+        }
+        self.queue_change(Asker::Colleague { node: from, ask }, change, self.now);
+    }
+
+    fn queue_change(&mut self, asker: Asker, change: Change, askedAt: Micros) {
+        if self.configuration.waitlist.len() >= CHANGE_WAITLIST {
+            let outcome = self.overfull();
+            self.answer_change(asker, change.change_id, outcome);
+            return;
+        }
+        let askedChange = AskedChange { asker, change, asked_at: askedAt, outcome: None };
         self.configuration.waitlist.push_back(askedChange);
         self.begin_batch();
     }
 
+    fn answer_change(&mut self, asker: Asker, changeId: String, outcome: ChangeOutcome) {
+        match asker {
+            Asker::Operator { request } => {
+                self.act(Act::ChangeAnswered { request, change_id: changeId, outcome });
+            }
+            Asker::Colleague { node, ask } => {
+                let outcome = Bytes(serde_json::to_vec(&outcome).unwrap_or_default());
+                self.send(node, Message::ChangeSettled { ask, outcome });
+            }
+        }
+    }
+
+    /// The owner's outcome of a change that this node passed on.
+    pub(crate) fn change_settled(&mut self, ask: u64, outcomeBytes: &Bytes) {
+        let Ok(outcome) = serde_json::from_slice::<ChangeOutcome>(&outcomeBytes.0) else { return };
+        let Some(carried) = self.configuration.carried.remove(&ask) else { return };
+        let change_id = carried.change.change_id;
+        self.act(Act::ChangeAnswered { request: carried.request, change_id, outcome });
+    }
+
+    /// Passed-on changes without an outcome are sent anew, perhaps to another owner, and given up
+    /// with their fate unknown when their time is over.
+    fn tick_carried(&mut self) {
+        let now = self.now;
+        let asks: Vec<u64> = self.configuration.carried.keys().copied().collect();
+        for ask in asks {
+            let Some(carried) = self.configuration.carried.get(&ask) else { continue };
+            if now >= carried.asked_at + CHANGE_SPAN {
+                let Some(carried) = self.configuration.carried.remove(&ask) else { continue };
+                let change_id = carried.change.change_id;
+                let outcome = ChangeOutcome::Unknown { reason: UNCONFIRMED.to_owned() };
+                self.act(Act::ChangeAnswered { request: carried.request, change_id, outcome });
+                continue;
+            }
+            let patience = if carried.owner.is_some() { CARRY_PATIENCE } else { RETRY_PAUSE };
+            let isOwnerGone = carried.owner.is_some_and(|owner| self.members.find(owner).is_none());
+            if now >= carried.sent_at + patience || isOwnerGone {
+                self.carry_change(ask);
+            }
+        }
+    }
+
     /// Changes that wait are applied together, in turn, and written as one value.
     fn begin_batch(&mut self) {
         if self.configuration.batch.is_some() || self.configuration.waitlist.is_empty() {
@@ -190,10 +304,7 @@
         let isOver = batch.changes.iter().any(|asked| now >= asked.asked_at + CHANGE_SPAN);
         if (batch.attempts >= ATTEMPT_LIMIT && pause == Micros(0)) || isOver {
             for asked in &mut batch.changes {
-                asked.outcome = Some(ChangeOutcome::Unknown {
-                    reason: "no majority of the disks confirmed it; send it again under the same id"
-                        .to_owned(),
-                });
+                asked.outcome = Some(ChangeOutcome::Unknown { reason: UNCONFIRMED.to_owned() });
             }
             self.answer_batch();
             return;
@@ -216,8 +327,7 @@
             let outcome = asked.outcome.unwrap_or(ChangeOutcome::Unknown { reason: "not tried".to_owned() });
             let line = outcome.line(&asked.change.change_id);
             self.journal.append("change", line, self.now);
-            let change_id = asked.change.change_id;
-            self.act(Act::ChangeAnswered { request: asked.request, change_id, outcome });
+            self.answer_change(asked.asker, asked.change.change_id, outcome);
         }
         self.begin_batch();
     }
@@ -263,6 +373,7 @@
 
     pub(crate) fn tick_configuration(&mut self) {
         let now = self.now;
+        self.tick_carried();
         if let Some(batch) = &self.configuration.batch
             && batch.retry_at.is_some_and(|retryAt| now >= retryAt)
         {
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -48,7 +48,7 @@
     pub held: Vec<String>,
     /// Steward counts by node, by this node's observation.
     pub tally: BTreeMap<NodeId, usize>,
-    /// Functions nobody holds, by this node's observation.
+    /// Functions no live member holds, by this node's observation.
     pub unheld: usize,
     /// Voting disks.
     pub voters: Vec<u64>,
@@ -94,10 +94,13 @@
     to_self: VecDeque<Message>,
     acts: Vec<Act>,
     upkeep_event: ClockEvent,
+    ticked_at: Micros,
 }
 
 const GATHER_SPAN: Micros = Micros::from_millis(600);
 const DRAIN_SPAN: Micros = Micros::from_millis(2_000);
+/// A node whose clock events stay out this long was frozen.
+const FROZEN_SPAN: Micros = Micros::from_millis(800);
 const GATHER_LIMIT: usize = 32;
 
 impl Node {
@@ -135,6 +138,7 @@
             to_self: VecDeque::new(),
             acts: Vec::new(),
             upkeep_event: ClockEvent::each(Micros::from_millis(20)),
+            ticked_at: now,
             settings,
         };
         node.set_changed();
@@ -186,6 +190,11 @@
             return;
         }
         let now = self.now;
+        if now > self.ticked_at + FROZEN_SPAN {
+            // This node slept: what it knew of cells may be long out of date.
+            self.woke_up();
+        }
+        self.ticked_at = now;
         for (address, message) in self.members.tick(now) {
             self.send_to_address(address, message);
         }
@@ -239,6 +248,8 @@
             | Message::Write { .. }
             | Message::WriteAnswer { .. }
             | Message::ReadConfirmed { .. } => self.take_control_message(from, message),
+            Message::ChangeCarry { ask, change } => self.change_carried(from, ask, &change),
+            Message::ChangeSettled { ask, outcome } => self.change_settled(ask, &outcome),
             Message::TicketAsk { .. }
             | Message::TicketReturn { .. }
             | Message::TicketWithdraw { .. }
@@ -425,7 +436,10 @@
                 .current()
                 .functions
                 .keys()
-                .filter(|function| self.stewards.election.holder(function, now).is_none())
+                .filter(|function| {
+                    let holder = self.stewards.election.holder(function, now);
+                    holder.is_none_or(|(node, _)| self.members.find(node).is_none())
+                })
                 .count(),
             voters: self.control.voters().disks.0.clone(),
             owned_keys: self.control.owned_count(),
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -19,6 +19,8 @@
 const START_WAITLIST: usize = 2_048;
 const START_TRIES: u32 = 4;
 const LIST_EVERY: Micros = Micros::from_millis(900);
+/// After a failed list the next is asked for sooner.
+const LIST_AGAIN: Micros = Micros::from_millis(300);
 const LIST_PATIENCE: Micros = Micros::from_secs(3);
 const NO_ROOM_TOLD: Micros = Micros::from_secs(5);
 const UNSETTLED_POLL: Micros = Micros::from_millis(100);
@@ -58,6 +60,7 @@
     cells_sequence: u64,
     no_room_told: BTreeMap<String, Micros>,
     is_platform_silent: bool,
+    is_list_stale: bool,
 }
 
 impl StewardPart {
@@ -86,6 +89,7 @@
             cells_sequence: 0,
             no_room_told: BTreeMap::new(),
             is_platform_silent: false,
+            is_list_stale: false,
         }
     }
 }
@@ -121,7 +125,7 @@
         if self.stewards.split_event.due(now) {
             self.split_allowances(&members);
         }
-        if self.stewards.work_event.due(now) {
+        if self.stewards.work_event.due(now) && !self.stewards.is_list_stale {
             let works = &mut self.stewards.works;
             let election = &self.stewards.election;
             for (function, work) in works {
@@ -240,7 +244,8 @@
             Message::TicketAsk { ask, function, time_left_micros, extra, avoid, deputy } => {
                 let timeLeft = Micros(time_left_micros);
                 let isExtra = extra == 1;
-                let isSteward = self.stewards.election.term(&function.0, now).is_some();
+                let isSteward =
+                    self.stewards.election.term(&function.0, now).is_some() && !self.stewards.is_list_stale;
                 let work = self.stewards.works.get_mut(&function.0).filter(|_| isSteward);
                 if let Some(work) = work {
                     work.ask(from, ask, timeLeft, isExtra, &avoid.0, now);
@@ -307,7 +312,7 @@
         avoid: &str,
         timeLeft: Micros,
     ) -> Option<Ticket> {
-        if self.draining_since.is_some() {
+        if self.draining_since.is_some() || self.stewards.is_list_stale {
             return None;
         }
         let now = self.now;
@@ -349,8 +354,18 @@
         self.act(Act::List);
     }
 
+    /// After a sleep nothing is granted before the platform was asked anew.
+    pub(crate) fn woke_up(&mut self) {
+        self.stewards.list_asked_at = None;
+        self.stewards.list_due = self.now;
+        self.stewards.is_list_stale = true;
+        self.journal.append("woke_up", json!({}), self.now);
+    }
+
     pub(crate) fn list_failed(&mut self) {
         self.stewards.list_asked_at = None;
+        self.stewards.is_list_stale = false;
+        self.stewards.list_due = self.now + LIST_AGAIN;
         if !self.stewards.is_platform_silent {
             self.stewards.is_platform_silent = true;
             self.journal.append("platform_silent", json!({}), self.now);
@@ -360,6 +375,7 @@
     pub(crate) fn listed(&mut self, workers: Vec<ListedWorker>, mut cells: Vec<ListedCell>) {
         let now = self.now;
         let Some(askedAt) = self.stewards.list_asked_at.take() else { return };
+        self.stewards.is_list_stale = false;
         if std::mem::take(&mut self.stewards.is_platform_silent) {
             self.journal.append("platform_answers", json!({}), now);
         }
