Stewards are given to lighter nodes after a roll; releases wait for open renewals

After a rolling restart or a kill the returned nodes held nothing (local_fleet kills: two of ten at 0, standard deviation 7.91), since the gate balances takings only. A node above the mean now gives an idle function to the lightest node, one in two to three seconds, by a conditional write that names it.

--- a/packages/fleet_simulator/src/scenarios.rs
+++ b/packages/fleet_simulator/src/scenarios.rs
@@ -554,12 +554,21 @@
         trial.world.start(number);
         trial.must_settle();
     }
-    let counts = trial.world.steward_counts();
-    let most = counts.iter().max().copied().unwrap_or(0);
-    trial.figures.push(("most_functions_of_a_node", most as f64));
+    trial.figures.push(("spread_at_once", deviation(&trial.world.steward_counts())));
+    trial.world.run_for(15.0);
+    let spread = deviation(&trial.world.steward_counts());
+    trial.figures.push(("spread_after_15_s", spread));
+    trial.must(spread <= 1.0, "stewards are spread", &format!("standard deviation {spread:.2}"));
     trial.verdict()
 }
 
+/// The paper's figure: the standard deviation of leaders over nodes.
+fn deviation(counts: &[usize]) -> f64 {
+    let mean = counts.iter().sum::<usize>() as f64 / counts.len().max(1) as f64;
+    let squares: f64 = counts.iter().map(|count| (*count as f64 - mean).powi(2)).sum();
+    (squares / counts.len().max(1) as f64).sqrt()
+}
+
 fn second_failure_in_recovery(seed: u64) -> Verdict {
     let mut trial = Trial::default(seed);
     trial.must_accept(3, "before", 4.0);
--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -5,7 +5,8 @@
 use crate::node::Node;
 use clock_events::{ClockEvent, Micros};
 use colleague_messages::{
-    Bytes, LeaderRecord, List, MemberNews, Message, NodeId, Text, WriteEntry, WriteOutcome, stable_hash,
+    Bytes, LeaderRecord, List, MemberNews, Message, NodeId, PolledRecord, Text, WriteEntry, WriteOutcome,
+    stable_hash,
 };
 use control_registers::{
     CONFIGURATION_KEY, DIFFERS, DISKS_KEY, DiskRegisters, KeyOwner, OwnerAct, VoterSet, WRITTEN, steward_key,
@@ -374,7 +375,15 @@
         let now = self.now;
         match flight.purpose {
             WritePurpose::Leader { function, record } => match outcome.outcome {
-                WRITTEN => self.stewards.election.written(&function, outcome.version, &record, now),
+                WRITTEN => {
+                    self.stewards.election.written(&function, outcome.version, &record, now);
+                    if ![0, self.settings.node].contains(&record.holder) {
+                        // The node it was given to need not wait for its next poll.
+                        let (key, version) = (outcome.key, outcome.version);
+                        let polled = PolledRecord { key, version, value: record.encode() };
+                        self.send(record.holder, Message::RecordsPolled { records: List(vec![polled]) });
+                    }
+                }
                 DIFFERS => {
                     let standing = LeaderRecord::decode(&outcome.value);
                     self.stewards.election.differs(&function, outcome.version, standing, now);
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -24,6 +24,9 @@
 const LIST_PATIENCE: Micros = Micros::from_secs(3);
 const NO_ROOM_TOLD: Micros = Micros::from_secs(5);
 const UNSETTLED_POLL: Micros = Micros::from_millis(100);
+const DEPUTY_LIST_AGE: Micros = Micros::from_millis(2_200);
+/// Between two functions that a node gives up for balance.
+const BALANCE_PAUSE: Micros = Micros::from_secs(2);
 /// Until the first list is in, a new steward may not know of cells that run: it starts none.
 const ADOPTION_SPAN: Micros = Micros::from_millis(1_500);
 
@@ -61,6 +64,9 @@
     no_room_told: BTreeMap<String, Micros>,
     is_platform_silent: bool,
     is_list_stale: bool,
+    /// When the newest list was asked for.
+    listed_at: Option<Micros>,
+    balance_due: Micros,
 }
 
 impl StewardPart {
@@ -90,6 +96,8 @@
             no_room_told: BTreeMap::new(),
             is_platform_silent: false,
             is_list_stale: false,
+            listed_at: None,
+            balance_due: Micros(0),
         }
     }
 }
@@ -118,6 +126,7 @@
         let writes = self.stewards.election.tick(&members, now);
         self.send_leader_writes(writes);
         self.take_term_changes();
+        self.balance(&members, isUnsettled);
         self.ask_list();
         if self.stewards.held_event.due(now) {
             self.ask_held();
@@ -136,6 +145,38 @@
         }
     }
 
+    /// The gate balances takings only; after machines come back the others still hold more than their
+    /// share. So a node above the mean now and then gives one function that no call uses to the
+    /// lightest node, as long as that has at least two fewer.
+    fn balance(&mut self, members: &[NodeId], isUnsettled: bool) {
+        let now = self.now;
+        if isUnsettled || self.draining_since.is_some() || now < self.stewards.balance_due {
+            return;
+        }
+        let jitter = Micros(self.dice.u64(..BALANCE_PAUSE.0 / 2));
+        self.stewards.balance_due = now + BALANCE_PAUSE + jitter;
+        if !self.settings.election.gate {
+            return;
+        }
+        let counts = self.stewards.election.tally(members, now);
+        let ownCount = self.stewards.election.own_count();
+        let total: usize = counts.values().sum();
+        let Some((lightest, fewest)) = counts.iter().min_by_key(|(_, count)| **count) else { return };
+        if ownCount * members.len() <= total || fewest + 2 > ownCount {
+            return;
+        }
+        let works = &self.stewards.works;
+        let idle = works.iter().find(|(_, work)| work.open_count() == 0 && work.waiting_count() == 0);
+        let Some(function) = idle.map(|(function, _)| function.clone()) else { return };
+        self.stewards.election.give_to(*lightest, &function);
+        self.journal.append(
+            "steward_given",
+            json!({"function": function, "to": format!("{lightest:016x}"), "own": ownCount, "theirs": fewest}),
+            now,
+        );
+        self.take_term_changes();
+    }
+
     pub(crate) fn configuration_changed(&mut self) {
         let configuration = self.configuration.current();
         for (function, work) in &mut self.stewards.works {
@@ -155,7 +196,9 @@
     }
 
     pub(crate) fn release_stewards(&mut self) {
-        let releases = self.stewards.election.release_all(self.now);
+        self.stewards.election.release_all();
+        let members = self.serving_members();
+        let releases = self.stewards.election.tick(&members, self.now);
         self.send_leader_writes(releases);
         self.take_term_changes();
     }
@@ -312,10 +355,12 @@
         avoid: &str,
         timeLeft: Micros,
     ) -> Option<Ticket> {
-        if self.draining_since.is_some() || self.stewards.is_list_stale {
+        let now = self.now;
+        // A deputy goes by the list alone: without a fresh one it may not know of cells that leave.
+        let hasFreshList = self.stewards.listed_at.is_some_and(|listedAt| now < listedAt + DEPUTY_LIST_AGE);
+        if self.draining_since.is_some() || self.stewards.is_list_stale || !hasFreshList {
             return None;
         }
-        let now = self.now;
         let callsAtOnce = self.configuration.current().functions.get(function)?.calls_at_once;
         let mut readyCells = self.known_ready(function);
         // What the list shows leaving or gone is not known to run any more.
@@ -376,6 +421,7 @@
         let now = self.now;
         let Some(askedAt) = self.stewards.list_asked_at.take() else { return };
         self.stewards.is_list_stale = false;
+        self.stewards.listed_at = Some(askedAt);
         if std::mem::take(&mut self.stewards.is_platform_silent) {
             self.journal.append("platform_answers", json!({}), now);
         }
--- a/packages/steward_election/src/lib.rs
+++ b/packages/steward_election/src/lib.rs
@@ -88,9 +88,13 @@
     record: LeaderRecord,
     /// When the last acknowledged write was sent: the term ends a lease after that.
     acknowledged_sent_at: Micros,
+    /// When the open write was sent last, for the patience with its answer.
     renewal_sent_at: Option<Micros>,
+    /// When the open write was sent first: if it stands, it may stand since then.
+    first_sent_at: Option<Micros>,
     renewal_due: Micros,
-    releasing: bool,
+    /// The term is being given to this node, zero for nobody; no act is done under it any more.
+    given_to: Option<NodeId>,
 }
 
 /// One node's part in all elections. Example: `Election::new(7, ElectionSettings::default())`.
@@ -101,6 +105,7 @@
     functions: BTreeSet<String>,
     copies: BTreeMap<String, ObserverCopy>,
     claims: BTreeMap<String, Claim>,
+    claim_count: u64,
     terms: BTreeMap<String, Term>,
     called: BTreeSet<String>,
     draining: bool,
@@ -122,6 +127,7 @@
             functions: BTreeSet::new(),
             copies: BTreeMap::new(),
             claims: BTreeMap::new(),
+            claim_count: 0,
             terms: BTreeMap::new(),
             called: BTreeSet::new(),
             draining: false,
@@ -203,7 +209,7 @@
     /// Example: `let Some(epoch) = election.term("proof", now) else { return };`.
     pub fn term(&self, function: &str, now: Micros) -> Option<u64> {
         let term = self.terms.get(function)?;
-        let stands = !term.releasing && now < term.acknowledged_sent_at + lease_of(&term.record);
+        let stands = term.given_to.is_none() && now < term.acknowledged_sent_at + lease_of(&term.record);
         stands.then_some(term.record.steward_epoch)
     }
 
@@ -250,30 +256,31 @@
         copy.record.as_ref().is_some_and(|record| record.holder == self.own)
     }
 
-    /// Stops claiming and gives every term back. Example: `let releases = election.release_all(now);`.
-    pub fn release_all(&mut self, now: Micros) -> Vec<RecordWrite> {
+    /// Stops claiming and gives every term back to nobody; the writes come with the next tick.
+    /// Example: `election.release_all(); let writes = election.tick(&members, now);`.
+    pub fn release_all(&mut self) {
         self.draining = true;
         let held: Vec<String> = self.terms.keys().cloned().collect();
-        held.into_iter().filter_map(|function| self.release(&function, now)).collect()
-    }
-
-    /// Gives one term back, at once and before its lease ends.
-    /// Example: `election.release("proof", now)`.
-    pub fn release(&mut self, function: &str, now: Micros) -> Option<RecordWrite> {
-        let term = self.terms.get_mut(function)?;
-        term.releasing = true;
-        term.renewal_sent_at = Some(now);
-        let record =
-            LeaderRecord { holder: 0, renew_count: term.record.renew_count + 1, ..term.record.clone() };
-        let stewardEpoch = term.record.steward_epoch;
-        let write =
-            RecordWrite { function: function.to_owned(), expected: term.version, record, hasty: true };
+        for function in held {
+            self.give_to(0, &function);
+        }
+    }
+
+    /// Gives one term to another node, which claims it as soon as it sees itself named; if it never
+    /// does, the lease runs out for everybody as ever. Nothing is done under the term from now on;
+    /// the write comes with a tick, after a renewal that is still open was answered.
+    /// Example: `election.give_to(9, "proof")`.
+    pub fn give_to(&mut self, node: NodeId, function: &str) {
+        let Some(term) = self.terms.get_mut(function) else { return };
+        if term.given_to.is_some() {
+            return;
+        }
+        term.given_to = Some(node);
         self.changes.push(TermChange::Lost {
             function: function.to_owned(),
-            steward_epoch: stewardEpoch,
+            steward_epoch: term.record.steward_epoch,
             why: "released",
         });
-        Some(write)
     }
 
     /// Whether all releases were answered. Example: `if election.is_empty() { exit }`.
@@ -304,8 +311,8 @@
         let changes = &mut self.changes;
         self.terms.retain(|function, term| {
             let isOver = now >= term.acknowledged_sent_at + lease_of(&term.record);
-            let isUnknown = !functions.contains(function) && !term.releasing;
-            if isOver && !term.releasing {
+            let isUnknown = !functions.contains(function) && term.given_to.is_none();
+            if isOver && term.given_to.is_none() {
                 changes.push(TermChange::Lost {
                     function: function.clone(),
                     steward_epoch: term.record.steward_epoch,
@@ -334,12 +341,14 @@
     fn renew(&mut self, now: Micros, writes: &mut Vec<RecordWrite>) {
         for (function, term) in &mut self.terms {
             let isWaiting = term.renewal_sent_at.is_some_and(|sentAt| now < sentAt + WRITE_PATIENCE);
-            if term.releasing || isWaiting || now < term.renewal_due {
+            if isWaiting || (term.given_to.is_none() && now < term.renewal_due) {
                 continue;
             }
             term.renewal_sent_at = Some(now);
+            term.first_sent_at.get_or_insert(now);
             term.renewal_due = now + self.settings.renewal;
             let record = LeaderRecord {
+                holder: term.given_to.unwrap_or(self.own),
                 renew_count: term.record.renew_count + 1,
                 lease_micros: self.settings.lease.0,
                 ..term.record.clone()
@@ -348,7 +357,7 @@
                 function: function.clone(),
                 expected: term.version,
                 record,
-                hasty: false,
+                hasty: term.given_to.is_some(),
             });
         }
     }
@@ -392,9 +401,12 @@
                 continue;
             }
             let Some(copy) = self.copies.get(&function) else { continue };
+            // Each claim's record differs from all before: a lost answer to an earlier one is never
+            // taken for the answer to this one, whose term would begin too late.
+            self.claim_count += 1;
             let record = LeaderRecord {
                 holder: self.own,
-                renew_count: 0,
+                renew_count: self.claim_count << 32,
                 lease_micros: self.settings.lease.0,
                 steward_epoch: copy.version + 1,
             };
@@ -446,17 +458,11 @@
         {
             if record.holder != self.own {
                 self.terms.remove(function);
-                let copy = ObserverCopy {
-                    version,
-                    record: None,
-                    observed_at: now,
-                    idle_polls: 0,
-                    idle_poll_at: now,
-                };
-                self.copies.insert(function.to_owned(), copy);
+                self.observe(function, version, Some(record.clone()), now);
                 return;
             }
-            if let Some(sentAt) = term.renewal_sent_at.take() {
+            term.renewal_sent_at = None;
+            if let Some(sentAt) = term.first_sent_at.take() {
                 term.acknowledged_sent_at = sentAt;
             }
             term.version = version;
@@ -477,8 +483,9 @@
             record: record.clone(),
             acknowledged_sent_at: claim.sent_at,
             renewal_sent_at: None,
+            first_sent_at: None,
             renewal_due: claim.sent_at + self.settings.renewal,
-            releasing: false,
+            given_to: None,
         };
         self.terms.insert(function.to_owned(), term);
         self.changes.push(TermChange::Taken {
@@ -504,7 +511,7 @@
             self.called.remove(function);
         }
         if let Some(term) = self.terms.remove(function)
-            && !term.releasing
+            && term.given_to.is_none()
         {
             self.changes.push(TermChange::Lost {
                 function: function.to_owned(),
@@ -522,7 +529,7 @@
         self.terms.get(function).is_some_and(|term| {
             standing.steward_epoch == term.record.steward_epoch
                 && standing.renew_count == term.record.renew_count + 1
-                && (standing.holder == self.own || term.releasing)
+                && (standing.holder == self.own || Some(standing.holder) == term.given_to)
         })
     }
 
@@ -531,9 +538,7 @@
     pub fn unanswered(&mut self, function: &str, now: Micros) {
         self.claims.remove(function);
         self.called.remove(function);
-        if let Some(term) = self.terms.get_mut(function)
-            && !term.releasing
-        {
+        if let Some(term) = self.terms.get_mut(function) {
             term.renewal_sent_at = None;
             term.renewal_due = now + Micros::from_millis(100);
         }
@@ -627,6 +632,56 @@
         assert!(node.term("function-0", leaseEnd).is_none());
     }
 
+    #[test]
+    fn a_term_given_to_another_node_is_taken_by_it_alone_under_a_higher_epoch() {
+        let mut bench = Bench::new(3, 1, ElectionSettings::default());
+        bench.run(0, 1_000, &[]);
+        let now = Micros::from_secs(1);
+        let giver = bench.nodes.iter().position(|node| node.own_count() == 1).expect("a steward");
+        let taker = (giver + 1) % 3;
+        let oldEpoch = bench.nodes[giver].term("function-0", now).expect("a term");
+        let takerNode = bench.nodes[taker].own;
+        bench.nodes[giver].give_to(takerNode, "function-0");
+        assert!(bench.nodes[giver].term("function-0", now).is_none(), "fenced before the write leaves");
+        bench.run(1_000, 2_500, &[]);
+        let newEpoch = bench.nodes[taker].term("function-0", Micros::from_millis(2_450)).expect("taken");
+        assert!(newEpoch > oldEpoch);
+    }
+
+    #[test]
+    fn a_renewal_whose_answer_was_lost_counts_from_its_first_sending() {
+        let mut node = Election::new(1, ElectionSettings::default());
+        node.take_functions(["f".to_owned()].into());
+        node.observe("f", 0, None, Micros(0));
+        let claim = node.tick(&[1], Micros(0)).remove(0);
+        node.written("f", 1, &claim.record, Micros(0));
+        let firstRenewal = node.tick(&[1], Micros::from_secs(1)).remove(0);
+        node.unanswered("f", Micros::from_millis(1_600));
+        let secondRenewal = node.tick(&[1], Micros::from_millis(1_800)).remove(0);
+        assert_eq!(firstRenewal.record, secondRenewal.record);
+        // The first one had been written all along; followers may have seen it since then.
+        node.differs("f", 2, Some(firstRenewal.record), Micros::from_millis(1_900));
+        assert!(node.term("f", Micros::from_millis(3_999)).is_some());
+        assert!(node.term("f", Micros::from_millis(4_000)).is_none());
+    }
+
+    #[test]
+    fn a_term_given_while_a_renewal_is_open_is_given_after_it() {
+        let mut node = Election::new(1, ElectionSettings::default());
+        node.take_functions(["f".to_owned()].into());
+        node.observe("f", 0, None, Micros(0));
+        let claim = node.tick(&[1], Micros(0)).remove(0);
+        node.written("f", 1, &claim.record, Micros(0));
+        let renewal = node.tick(&[1], Micros::from_secs(1)).remove(0);
+        node.release_all();
+        assert!(node.tick(&[1], Micros::from_millis(1_050)).is_empty());
+        node.written("f", 2, &renewal.record, Micros::from_millis(1_100));
+        let release = node.tick(&[1], Micros::from_millis(1_120)).remove(0);
+        assert_eq!((release.expected, release.record.holder), (2, 0));
+        node.written("f", 3, &release.record, Micros::from_millis(1_130));
+        assert!(node.is_empty());
+    }
+
     #[test]
     fn the_fallback_claims_when_the_least_loaded_never_does() {
         // Node 1 holds its share; node 2 is a member that never claims.
