Answers meant for an earlier process or an earlier read no longer count

Ruled out: lost syncs (tokens and lives traced), overfull waitlists. Now each store flight has a number that its answers repeat, and each message names the process it is meant for. The unit test fails with the number check taken out.

--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -69,8 +69,10 @@
         PromiseEntry { key: Text, epoch: Epoch, }
         /// `granted` 0 means `promised` is the higher epoch that stands.
         PromisedEntry { key: Text, granted: u8, promised: Epoch, stored_epoch: Epoch, version: u64, value: Bytes, }
-        StoreEntry { key: Text, epoch: Epoch, version: u64, value: Bytes, }
-        StoredEntry { key: Text, epoch: Epoch, version: u64, granted: u8, promised: Epoch, }
+        /// `flight` tells apart stores of the same version, so that a late answer to an earlier one
+        /// never counts for a later one.
+        StoreEntry { key: Text, epoch: Epoch, flight: u64, version: u64, value: Bytes, }
+        StoredEntry { key: Text, epoch: Epoch, flight: u64, version: u64, granted: u8, promised: Epoch, }
         PolledRecord { key: Text, version: u64, value: Bytes, }
         /// `hasty` 1 asks for a flush at once; renewals wait for the group.
         WriteEntry { ask: u64, key: Text, expected: u64, value: Bytes, hasty: u8, }
@@ -165,6 +167,9 @@
     pub from: NodeId,
     /// Where the sender listens.
     pub from_address: Address,
+    /// Which process it is meant for; zero for whichever listens at the address. What was meant for
+    /// the process that was here before must not be taken for an answer to this one.
+    pub to: NodeId,
     /// What it says.
     pub message: Message,
 }
@@ -285,6 +290,7 @@
             fleet: fleet_mark("blue"),
             from: 9,
             from_address: ownAddress,
+            to: 1,
             message: Message::Probe { sequence: 4, target: 1, members: List(vec![memberNews]) },
         }
     }
--- a/packages/control_registers/src/disk_registers.rs
+++ b/packages/control_registers/src/disk_registers.rs
@@ -161,6 +161,7 @@
             answers.push(StoredEntry {
                 key: entry.key.clone(),
                 epoch: entry.epoch.clone(),
+                flight: entry.flight,
                 version: entry.version,
                 granted: u8::from(granted),
                 promised,
--- a/packages/control_registers/src/key_owner.rs
+++ b/packages/control_registers/src/key_owner.rs
@@ -41,6 +41,7 @@
 
 #[derive(Debug)]
 struct StoreFlight {
+    number: u64,
     version: u64,
     value: Bytes,
     stored: BTreeSet<u64>,
@@ -70,6 +71,7 @@
 pub struct KeyOwner {
     own: NodeId,
     highest_counter: u64,
+    flight_count: u64,
     keys: BTreeMap<String, OwnedKey>,
     set: VoterSet,
     answers: Vec<OwnerAct>,
@@ -83,6 +85,7 @@
         KeyOwner {
             own,
             highest_counter: 0,
+            flight_count: 0,
             keys: BTreeMap::new(),
             set: VoterSet::default(),
             answers: Vec::new(),
@@ -214,7 +217,10 @@
                 continue;
             }
             let (_, version, value) = std::mem::replace(newest, (Epoch::none(), 0, Bytes::default()));
+            self.flight_count += 1;
+            let number = self.flight_count;
             let openingFlight = (version > 0).then(|| StoreFlight {
+                number,
                 version,
                 value: value.clone(),
                 stored: BTreeSet::new(),
@@ -245,7 +251,7 @@
                 }
                 continue;
             }
-            if openFlight.version != entry.version {
+            if openFlight.number != entry.flight {
                 continue;
             }
             openFlight.stored.insert(disk);
@@ -281,7 +287,9 @@
                 true => (*version, value.clone()),
                 false => (*version + 1, write.entry.value.clone()),
             };
+            self.flight_count += 1;
             *flight = Some(StoreFlight {
+                number: self.flight_count,
                 version: flightVersion,
                 value: flightValue,
                 stored: BTreeSet::new(),
@@ -337,6 +345,7 @@
                         let entry = StoreEntry {
                             key: key.as_str().into(),
                             epoch: ownedKey.epoch.clone(),
+                            flight: openFlight.number,
                             version: openFlight.version,
                             value: openFlight.value.clone(),
                         };
--- a/packages/control_registers/src/lib.rs
+++ b/packages/control_registers/src/lib.rs
@@ -120,6 +120,36 @@
         assert_eq!(outcome_of(settle(&mut oldOwner, &mut disks, Micros(0))).0, UNKNOWN);
     }
 
+    #[test]
+    fn late_answers_to_one_read_never_confirm_the_next() {
+        let (mut disks, set) = founded_disks();
+        let mut oldOwner = KeyOwner::new(10);
+        oldOwner.take_set(&set);
+        oldOwner.read_confirmed(5, 1, CONFIGURATION_KEY.into(), Micros(0));
+        settle(&mut oldOwner, &mut disks, Micros(0));
+        // The first read's stores are answered once more, late, after another owner took over.
+        oldOwner.read_confirmed(5, 2, CONFIGURATION_KEY.into(), Micros(0));
+        let mut lateAnswers = Vec::new();
+        for act in oldOwner.flush(Micros(0)) {
+            let OwnerAct::Store { disk, fleet_set, entries } = act else { continue };
+            let registers = disks.get_mut(&disk).expect("a disk");
+            lateAnswers.push((disk, registers.store(fleet_set, &entries).0));
+        }
+        for (disk, answers) in lateAnswers.clone() {
+            oldOwner.stored(disk, colleague_messages::List(answers), Micros(0));
+        }
+        oldOwner.flush(Micros(0));
+        let mut newOwner = KeyOwner::new(11);
+        newOwner.take_set(&set);
+        newOwner.write(6, entry(3, 0, "a"), Micros(0));
+        assert_eq!(outcome_of(settle(&mut newOwner, &mut disks, Micros(0))).0, WRITTEN);
+        oldOwner.read_confirmed(5, 4, CONFIGURATION_KEY.into(), Micros(0));
+        for (disk, answers) in lateAnswers {
+            oldOwner.stored(disk, colleague_messages::List(answers), Micros(0));
+        }
+        assert_eq!(outcome_of(settle(&mut oldOwner, &mut disks, Micros(0))).0, UNKNOWN);
+    }
+
     #[test]
     fn without_a_majority_nothing_is_acknowledged() {
         let (mut disks, set) = founded_disks();
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -642,7 +642,7 @@
     fn perform(&mut self, number: usize, act: Act) {
         let life = self.nodes[number].life;
         match act {
-            Act::Send { address, message } => self.send(number, address, message),
+            Act::Send { address, to, message } => self.send(number, address, to, message),
             Act::WriteDisk { token, records, is_rewrite } => {
                 self.disk_groups += 1;
                 if let Some(disk) = &mut self.nodes[number].disk {
@@ -705,7 +705,7 @@
         self.history(Line::StewardActed { at: self.now, node, function: function.to_owned(), epoch });
     }
 
-    fn send(&mut self, number: usize, address: Address, message: Message) {
+    fn send(&mut self, number: usize, address: Address, toNode: NodeId, message: Message) {
         self.messages += 1;
         let to = self.nodes.iter().position(|node| node.address == address);
         if to.is_some_and(|receiver| self.cut_links.contains(&(number, receiver))) {
@@ -718,6 +718,7 @@
             fleet: fleet_mark(FLEET),
             from: self.nodes[number].id,
             from_address: self.nodes[number].address,
+            to: toNode,
             message,
         };
         let travel = self.travel();
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -118,7 +118,7 @@
 #[derive(Clone, Debug)]
 pub enum Act {
     /// Send to a colleague; losing it is harmless.
-    Send { address: Address, message: Message },
+    Send { address: Address, to: NodeId, message: Message },
     /// Append the records and sync; a rewrite replaces the whole file instead.
     WriteDisk { token: u64, records: Vec<Vec<u8>>, is_rewrite: bool },
     /// Ask the platform for its list.
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -21,6 +21,8 @@
 pub struct NodeCounts {
     /// Messages taken from colleagues.
     pub messages_heard: u64,
+    /// Messages meant for another process, dropped.
+    pub messages_misdirected: u64,
     /// Messages handed to the network.
     pub messages_sent: u64,
     /// Groups of records given to the disk to sync.
@@ -213,6 +215,10 @@
 
     fn heard(&mut self, envelope: Envelope) {
         self.counts.messages_heard += 1;
+        if envelope.to != 0 && envelope.to != self.settings.node {
+            self.counts.messages_misdirected += 1;
+            return;
+        }
         self.take_message(envelope.from, envelope.from_address, envelope.message);
     }
 
@@ -304,15 +310,17 @@
             return;
         }
         let Some(address) = self.members.find(node).map(|news| news.address) else { return };
-        self.send_to_address(address, message);
+        self.counts.messages_sent += 1;
+        self.acts.push(Act::Send { address, to: node, message });
     }
 
+    /// Sends to whichever process listens at an address: probes find out who that is.
     pub(crate) fn send_to_address(&mut self, address: Address, message: Message) {
         if address == self.settings.address {
             return;
         }
         self.counts.messages_sent += 1;
-        self.acts.push(Act::Send { address, message });
+        self.acts.push(Act::Send { address, to: 0, message });
     }
 
     pub(crate) fn act(&mut self, act: Act) {
--- a/packages/vanelane/src/control_pages.rs
+++ b/packages/vanelane/src/control_pages.rs
@@ -240,6 +240,7 @@
         line("lost_races", status.election_counts.1);
         line("gates_passed_over", status.election_counts.2);
         line("messages_heard", status.counts.messages_heard);
+        line("messages_misdirected", status.counts.messages_misdirected);
         line("messages_sent", status.counts.messages_sent);
         line("disk_groups", status.counts.disk_groups);
         line("tickets_granted", status.counts.tickets_granted);
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -143,12 +143,13 @@
     /// Carries an act out; an act that failed at once comes back as an event.
     fn perform(&mut self, act: Act) -> Option<Event> {
         match act {
-            Act::Send { address, message } => {
+            Act::Send { address, to, message } => {
                 let name = message.name();
                 let envelope = Envelope {
                     fleet: self.fleet,
                     from: self.own_node,
                     from_address: self.own_address,
+                    to,
                     message,
                 };
                 match envelope.frame() {
