An owner that slept acquires its key anew when an asker has seen more

It answered every claim 'another version stands' from memory, so no quorum operation ever told it that it was deposed. Now an expected version above its own makes it acquire the key anew before it answers. The unit test fails without the change.

--- a/packages/control_registers/src/key_owner.rs
+++ b/packages/control_registers/src/key_owner.rs
@@ -37,6 +37,8 @@
     entry: WriteEntry,
     /// A confirmed read stores what stands and answers with it.
     confirms: bool,
+    /// The key was acquired anew on account of this write.
+    has_renewed: bool,
 }
 
 #[derive(Debug)]
@@ -150,7 +152,7 @@
             self.answer(node, &entry, NOT_OWNER, 0, Bytes::default());
             return;
         }
-        ownedKey.waitlist.push_back(WaitingWrite { node, entry, confirms });
+        ownedKey.waitlist.push_back(WaitingWrite { node, entry, confirms, has_renewed: false });
         self.next_flight(&key, now);
     }
 
@@ -276,7 +278,15 @@
             let Standing::Owned { version, value, flight: flight @ None } = &mut ownedKey.standing else {
                 return;
             };
-            let Some(write) = ownedKey.waitlist.pop_front() else { return };
+            let Some(mut write) = ownedKey.waitlist.pop_front() else { return };
+            if !write.confirms && write.entry.expected > *version && !write.has_renewed {
+                // The asker has seen a newer version: this node was deposed without noticing, perhaps
+                // in a sleep. It answers nothing more from memory and acquires the key anew.
+                write.has_renewed = true;
+                ownedKey.waitlist.push_front(write);
+                self.restart(key, now);
+                return;
+            }
             let hasty = write.entry.hasty == 1;
             if !write.confirms && write.entry.expected != *version {
                 let (standingVersion, standingValue) = (*version, value.clone());
--- a/packages/control_registers/src/lib.rs
+++ b/packages/control_registers/src/lib.rs
@@ -120,6 +120,26 @@
         assert_eq!(outcome_of(settle(&mut oldOwner, &mut disks, Micros(0))).0, UNKNOWN);
     }
 
+    #[test]
+    fn an_owner_that_slept_learns_from_an_asker_that_has_seen_more() {
+        let (mut disks, set) = founded_disks();
+        let mut sleeper = KeyOwner::new(10);
+        let mut other = KeyOwner::new(11);
+        sleeper.take_set(&set);
+        other.take_set(&set);
+        sleeper.write(5, entry(1, 0, "a"), Micros(0));
+        settle(&mut sleeper, &mut disks, Micros(0));
+        other.write(5, entry(2, 1, "b"), Micros(0));
+        settle(&mut other, &mut disks, Micros(0));
+        sleeper.write(5, entry(3, 2, "c"), Micros(0));
+        let outcome = outcome_of(settle(&mut sleeper, &mut disks, Micros(0)));
+        assert_eq!((outcome.0, outcome.1), (WRITTEN, 3));
+        // A version that nobody wrote is no reason to go on acquiring for ever.
+        sleeper.write(5, entry(4, 9, "d"), Micros(0));
+        let outcome = outcome_of(settle(&mut sleeper, &mut disks, Micros(0)));
+        assert_eq!((outcome.0, outcome.1), (DIFFERS, 3));
+    }
+
     #[test]
     fn late_answers_to_one_read_never_confirm_the_next() {
         let (mut disks, set) = founded_disks();
