--- /dev/null
+++ b/packages/vanelane/tests/one_node.rs
@@ -0,0 +1,238 @@
+//! A real node against real sockets: settings, the whole path, cells that misbehave, the planned stop.
+
+use history_checks::{CheckSettings, History, check_all};
+use stand_ins::{FunctionStandIn, Misbehaviour, PlatformSettings, PlatformStandIn};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+struct RunningNode {
+    child: Child,
+    visitors: SocketAddr,
+    control: SocketAddr,
+    folder: std::path::PathBuf,
+}
+
+impl Drop for RunningNode {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn vanelane() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_vanelane"))
+}
+
+fn platform(history: &Arc<History>) -> PlatformStandIn {
+    let behaviour = FunctionStandIn {
+        boot_millis: 100,
+        calls_at_once: 4,
+        work_millis: 5,
+        misbehaviour: Misbehaviour::default(),
+    };
+    let settings = PlatformSettings {
+        workers: 2,
+        worker_memory_mb: 2_000,
+        acts_per_second: 80.0,
+        list_late: Duration::from_millis(50),
+        functions: BTreeMap::from([("proof".to_owned(), behaviour.clone()), ("again".to_owned(), behaviour)]),
+        leave_within: Duration::from_millis(500),
+    };
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    PlatformStandIn::start(listen, settings, history.clone(), Instant::now()).expect("a platform")
+}
+
+/// Starts a lone node and waits for its own word that it is ready.
+fn start_node(name: &str, platform: SocketAddr) -> RunningNode {
+    let holders: Vec<TcpListener> =
+        (0..3).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+    let addresses: Vec<SocketAddr> =
+        holders.iter().map(|holder| holder.local_addr().expect("bound")).collect();
+    drop(holders);
+    let folder = std::env::temp_dir().join(format!("vanelane-test-{name}-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    let mut child = vanelane()
+        .args(["run", "--zone", "a", "--founding-disks", "1"])
+        .args(["--visitor-address", &addresses[0].to_string()])
+        .args(["--control-address", &addresses[1].to_string()])
+        .args(["--colleague-address", &addresses[2].to_string()])
+        .args(["--platform-address", &platform.to_string()])
+        .arg("--data-folder")
+        .arg(&folder)
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program");
+    let mut log = BufReader::new(child.stderr.take().expect("piped"));
+    let mut line = String::new();
+    while !line.contains("\"message\":\"ready\"") {
+        line.clear();
+        assert!(log.read_line(&mut line).expect("a log") > 0, "the node ended before it was ready");
+    }
+    // The rest of the log is read away, so that the node never waits on a full pipe.
+    std::thread::spawn(move || {
+        let _ = std::io::copy(&mut log, &mut std::io::sink());
+    });
+    RunningNode { child, visitors: addresses[0], control: addresses[1], folder }
+}
+
+/// One raw exchange; everything up to the end of the connection.
+fn exchange(address: SocketAddr, request: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    stream.set_read_timeout(Some(Duration::from_secs(60))).expect("a limit");
+    stream.write_all(request).expect("sent");
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    answer
+}
+
+fn call(node: &RunningNode, path: &str, headers: &str, body: &str) -> (u16, String) {
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nhost: here\r\nconnection: close\r\n{headers}content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    split(&exchange(node.visitors, request.as_bytes()))
+}
+
+fn split(answer: &[u8]) -> (u16, String) {
+    let text = String::from_utf8_lossy(answer).into_owned();
+    let status = text.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0);
+    (status, text)
+}
+
+fn change(node: &RunningNode, lines: &str) -> String {
+    let request = format!(
+        "POST /control/changes HTTP/1.1\r\nhost: here\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{lines}",
+        lines.len()
+    );
+    split(&exchange(node.control, request.as_bytes())).1
+}
+
+const WHOLE: &str = r#"{"change_id": "first", "whole": {
+    "allowances": {"all": {"weight": 1}},
+    "functions": {
+        "proof": {"allowance": "all", "cell_memory_mb": 300, "calls_at_once": 4, "boot_millis": 150},
+        "again": {"allowance": "all", "cell_memory_mb": 300, "calls_at_once": 4, "boot_millis": 150}},
+    "lanes": {
+        "proofs": {"function": "proof", "path_prefix": "/proof", "patience_millis": 20000},
+        "agains": {"function": "again", "path_prefix": "/again", "repeatable": true, "patience_millis": 20000}}}}"#;
+
+#[test]
+fn bad_settings_end_with_two_and_name_the_field() {
+    let output =
+        vanelane().args(["run", "--zone", "a", "--visitor-address", "nowhere"]).output().expect("run");
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(2), "{text}");
+    assert!(text.contains("setting visitor_address: nowhere is no IP address"), "{text}");
+    assert!(text.contains("setting platform_address: is missing"), "{text}");
+}
+
+#[test]
+fn a_lone_node_answers_holds_tells_the_truth_and_stops_without_dropping() {
+    let history = Arc::new(History::default());
+    let platform = platform(&history);
+    let mut node = start_node("whole", platform.address());
+
+    // Changes: bad lines are refused with reasons and change nothing; a repeated id applies once.
+    let outcomes = change(
+        &node,
+        &format!(
+            "not json\n{{\"change_id\": \"bad\", \"whole\": {{\"lanes\": 3}}}}\n{0}\n{0}\n",
+            WHOLE.replace('\n', " ")
+        ),
+    );
+    assert!(outcomes.contains("no change: "), "{outcomes}");
+    assert!(outcomes.contains("\"path\":\"/lanes\""), "{outcomes}");
+    assert!(outcomes.contains("\"outcome\":\"accepted\",\"repeated\":false"), "{outcomes}");
+    assert!(outcomes.contains("\"outcome\":\"accepted\",\"repeated\":true"), "{outcomes}");
+
+    // The first call is held while a cell boots.
+    let (status, text) = call(&node, "/proof/1", "x-call-id: c1\r\n", "hello");
+    assert_eq!(status, 200, "{text}");
+    assert!(text.contains("{\"call\":\"c1\"") && text.contains("\"body_length\":5"), "{text}");
+    assert!(text.contains("x-vanelane-outcome: ran"), "{text}");
+
+    // Cells that run a call and spoil the answer: told as unknown, dispatched once.
+    for behaviour in ["lose", "garble", "cut", "cut_chunks", "until_close"] {
+        let headers = format!("x-call-id: once-{behaviour}\r\nx-stand-in: {behaviour}\r\n");
+        let (status, text) = call(&node, "/proof/1", &headers, "x");
+        assert_eq!(status, 502, "{behaviour}: {text}");
+        assert!(text.contains("x-vanelane-outcome: unknown"), "{behaviour}: {text}");
+    }
+    // A stalled answer ends with the time left, as unknown.
+    let headers = "x-call-id: stalled\r\nx-stand-in: stall\r\nx-vanelane-time-left-ms: 3000\r\n";
+    let (status, text) = call(&node, "/proof/1", headers, "x");
+    assert_eq!(status, 504, "{text}");
+    assert!(text.contains("\"outcome\":\"unknown\""), "{text}");
+    // An answer longer than the buffer that is cut never ends cleanly.
+    let (status, text) = call(&node, "/proof/1", "x-call-id: long\r\nx-stand-in: cut_long\r\n", "x");
+    assert_eq!(status, 200);
+    assert!(text.contains("content-length: 2000000") && text.len() < 1_500_000, "{}", text.len());
+    let (status, text) = call(&node, "/proof/1", "x-call-id: chunks\r\nx-stand-in: cut_long_chunks\r\n", "x");
+    assert_eq!(status, 200);
+    assert!(text.contains("transfer-encoding: chunked") && !text.ends_with("0\r\n\r\n"));
+    // A repeatable lane tries again, within its limit, and still says unknown.
+    let (status, text) = call(&node, "/again/1", "x-call-id: again\r\nx-stand-in: lose\r\n", "x");
+    assert_eq!(status, 502, "{text}");
+
+    // Bad HTTP and calls that no lane takes.
+    assert_eq!(split(&exchange(node.visitors, b"GARBAGE\r\n\r\n")).0, 400);
+    let longHead = format!("GET /proof HTTP/1.1\r\nhost: h\r\nx-long: {}\r\n\r\n", "a".repeat(200_000));
+    assert_eq!(split(&exchange(node.visitors, longHead.as_bytes())).0, 431);
+    assert_eq!(call(&node, "/proof", "", &"x".repeat(5_000_000)).0, 413);
+    let (status, text) = call(&node, "/nowhere", "", "");
+    assert_eq!((status, text.contains("\"outcome\":\"not_run\"")), (404, true), "{text}");
+    assert_eq!(call(&node, "/proof/../control", "", "").0, 404);
+
+    let lines = history.lines();
+    let runs = |call: &str| {
+        let took = |line: &&history_checks::Line| matches!(line, history_checks::Line::CellTook { call: taken, ran: true, .. } if taken == call);
+        lines.iter().filter(took).count()
+    };
+    assert_eq!((runs("c1"), runs("once-lose"), runs("once-garble"), runs("stalled")), (1, 1, 1, 1));
+    assert!((2..=4).contains(&runs("again")), "{}", runs("again"));
+    let loose = CheckSettings { count_refusals: false, ..CheckSettings::default() };
+    let breaches: Vec<_> =
+        check_all(&lines, &loose).into_iter().filter(|breach| !breach.seen.starts_with("again")).collect();
+    assert_eq!(breaches, []);
+
+    // The planned stop drops no call that is under way.
+    let visitors = node.visitors;
+    let callers: Vec<_> = (0..4)
+        .map(|number| {
+            std::thread::spawn(move || {
+                let request = format!(
+                    "POST /proof/1 HTTP/1.1\r\nhost: h\r\nconnection: close\r\nx-call-id: last-{number}\r\ncontent-length: 1\r\n\r\nx"
+                );
+                split(&exchange(visitors, request.as_bytes())).0
+            })
+        })
+        .collect();
+    let pid = node.child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
+    let statuses: Vec<u16> = callers.into_iter().map(|caller| caller.join().expect("a caller")).collect();
+    assert_eq!(statuses, [200, 200, 200, 200]);
+    assert_eq!(node.child.wait().expect("ended").code(), Some(0));
+}
+
+#[test]
+fn a_second_process_on_one_data_folder_is_refused_with_the_reason() {
+    let history = Arc::new(History::default());
+    let platform = platform(&history);
+    let node = start_node("folder", platform.address());
+    let output = vanelane()
+        .args(["run", "--zone", "a", "--visitor-address", "127.0.0.1:0", "--control-address", "127.0.0.1:0"])
+        .args(["--colleague-address", "127.0.0.1:0", "--platform-address", &platform.address().to_string()])
+        .arg("--data-folder")
+        .arg(&node.folder)
+        .output()
+        .expect("run");
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(1), "{text}");
+    assert!(text.contains("another process holds the data folder"), "{text}");
+}
