--- /dev/null
+++ b/packages/day_replay/src/main.rs
@@ -0,0 +1,255 @@
+//! Replays a recorded day against a fleet at a chosen speed and compares outcomes with the record.
+
+use awc::Client;
+use awc::http::Method;
+use clock_events::{Micros, MonotonicClock};
+use function_front::{OUTCOME_HEADER, RecordedCall};
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io::BufRead;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+
+xflags::xflags! {
+    /// Replays a recorded day: JSON lines as a node with the setting `recording` writes them.
+    cmd vanelane-replay {
+        /// A node's visitor address; calls go to all given in turn.
+        repeated --to address: SocketAddr
+        /// How much faster than recorded; 1 if not given.
+        optional --speed speed: f64
+        /// Calls under way at the most; 1000 if not given.
+        optional --at-once at_once: usize
+        /// The recorded day; `-` reads standard input.
+        required file: PathBuf
+    }
+}
+
+const LINE_LIMIT: usize = 64 * 1024;
+const BODY_LIMIT: u64 = 64 * 1024 * 1024;
+const TOLD_BAD_LINES: usize = 100;
+
+fn main() -> ExitCode {
+    let commandLine = VanelaneReplay::from_env_or_exit();
+    let speed = commandLine.speed.unwrap_or(1.0);
+    if commandLine.to.is_empty() || !(speed > 0.0 && speed.is_finite()) {
+        eprintln!("vanelane_replay: name at least one --to address, and a --speed above 0");
+        return ExitCode::from(2);
+    }
+    let reader: Box<dyn BufRead> = match commandLine.file.to_str() {
+        Some("-") => Box::new(std::io::BufReader::new(std::io::stdin())),
+        _ => match std::fs::File::open(&commandLine.file) {
+            Ok(file) => Box::new(std::io::BufReader::new(file)),
+            Err(failure) => {
+                eprintln!("vanelane_replay: {}: {failure}", commandLine.file.display());
+                return ExitCode::from(2);
+            }
+        },
+    };
+    let atOnce = commandLine.at_once.unwrap_or(1_000).max(1);
+    let report = actix_rt::System::new().block_on(replay(reader, commandLine.to, speed, atOnce));
+    println!("{}", serde_json::to_string_pretty(&report.page()).unwrap_or_default());
+    if report.bad_lines == 0 && report.differing() == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// What came of a day, lane by lane.
+#[derive(Debug, Default)]
+struct ReplayReport {
+    replayed: u64,
+    bad_lines: u64,
+    /// The first bad lines: number and reason.
+    told_bad_lines: Vec<(u64, String)>,
+    /// Lane, recorded outcome, outcome now: how often.
+    outcomes: BTreeMap<(String, String, String), u64>,
+    recorded_latency: Vec<u64>,
+    latency: Vec<u64>,
+    /// The furthest a call was sent behind its time.
+    latest_micros: u64,
+}
+
+impl ReplayReport {
+    fn bad_line(&mut self, number: u64, reason: String) {
+        self.bad_lines += 1;
+        if self.told_bad_lines.len() < TOLD_BAD_LINES {
+            self.told_bad_lines.push((number, reason));
+        }
+    }
+
+    fn differing(&self) -> u64 {
+        self.outcomes.iter().filter(|((_, recorded, now), _)| recorded != now).map(|(_, count)| count).sum()
+    }
+
+    fn page(&self) -> Value {
+        let quantile = |values: &[u64], part: f64| {
+            let mut sortedValues = values.to_vec();
+            sortedValues.sort_unstable();
+            let place = ((sortedValues.len() as f64 - 1.0) * part).max(0.0) as usize;
+            sortedValues.get(place).copied().unwrap_or(0) / 1_000
+        };
+        let latencies =
+            |values: &[u64]| json!({"median": quantile(values, 0.5), "p99": quantile(values, 0.99)});
+        let outcomes: Vec<Value> = self
+            .outcomes
+            .iter()
+            .map(|((lane, recorded, now), count)| {
+                json!({"lane": lane, "recorded": recorded, "now": now, "count": count})
+            })
+            .collect();
+        let badLines: Vec<Value> = self
+            .told_bad_lines
+            .iter()
+            .map(|(number, reason)| json!({"line": number, "reason": reason}))
+            .collect();
+        json!({
+            "replayed": self.replayed,
+            "differing": self.differing(),
+            "bad_records": self.bad_lines,
+            "first_bad_records": badLines,
+            "outcomes": outcomes,
+            "recorded_latency_ms": latencies(&self.recorded_latency),
+            "latency_ms": latencies(&self.latency),
+            "sent_behind_time_ms": self.latest_micros / 1_000,
+        })
+    }
+}
+
+/// Reads one line's record; the reason names what is wrong.
+fn read_record(line: &[u8]) -> Result<RecordedCall, String> {
+    if line.len() > LINE_LIMIT {
+        return Err(format!("longer than {LINE_LIMIT} bytes"));
+    }
+    let call: RecordedCall = serde_json::from_slice(line).map_err(|failure| failure.to_string())?;
+    if !call.path.starts_with('/') || call.path.contains([' ', '\r', '\n']) {
+        return Err("path is no path".to_owned());
+    }
+    if Method::from_bytes(call.method.as_bytes()).is_err() {
+        return Err("method is no method".to_owned());
+    }
+    if !["ran", "not_run", "unknown"].contains(&call.outcome.as_str()) {
+        return Err("outcome is none of ran, not_run, unknown".to_owned());
+    }
+    if call.size > BODY_LIMIT {
+        return Err(format!("size is over {BODY_LIMIT}"));
+    }
+    Ok(call)
+}
+
+async fn replay(
+    mut reader: Box<dyn BufRead>,
+    nodes: Vec<SocketAddr>,
+    speed: f64,
+    atOnce: usize,
+) -> ReplayReport {
+    let report = Rc::new(RefCell::new(ReplayReport::default()));
+    let client =
+        Client::builder().timeout(Duration::from_secs(60)).disable_redirects().no_default_headers().finish();
+    let clock = MonotonicClock::start();
+    let mut firstAt = None;
+    let mut lineNumber = 0u64;
+    let mut calls = JoinSet::new();
+    let mut line = Vec::new();
+    loop {
+        line.clear();
+        match reader.read_until(b'\n', &mut line) {
+            Ok(0) => break,
+            Ok(_) => lineNumber += 1,
+            Err(failure) => {
+                report.borrow_mut().bad_line(lineNumber + 1, failure.to_string());
+                break;
+            }
+        }
+        if line.iter().all(u8::is_ascii_whitespace) {
+            continue;
+        }
+        let call = match read_record(&line) {
+            Ok(call) => call,
+            Err(reason) => {
+                report.borrow_mut().bad_line(lineNumber, reason);
+                continue;
+            }
+        };
+        let began = *firstAt.get_or_insert(call.at_micros);
+        let dueAt = Micros((call.at_micros.saturating_sub(began) as f64 / speed) as u64);
+        let pause = dueAt - clock.now();
+        if pause > Micros(0) {
+            tokio::time::sleep(pause.duration()).await;
+        }
+        while calls.len() >= atOnce {
+            calls.join_next().await;
+        }
+        while calls.try_join_next().is_some() {}
+        let behind = (clock.now() - dueAt).0;
+        let node = nodes[(lineNumber as usize) % nodes.len()];
+        {
+            let mut shared = report.borrow_mut();
+            shared.replayed += 1;
+            shared.latest_micros = shared.latest_micros.max(behind);
+        }
+        calls.spawn_local(send(client.clone(), node, call, report.clone(), clock));
+    }
+    while calls.join_next().await.is_some() {}
+    report.take()
+}
+
+async fn send(
+    client: Client,
+    node: SocketAddr,
+    call: RecordedCall,
+    report: Rc<RefCell<ReplayReport>>,
+    clock: MonotonicClock,
+) {
+    let sentAt = clock.now();
+    let method = Method::from_bytes(call.method.as_bytes()).unwrap_or(Method::GET);
+    let request = client.request(method, format!("http://{node}{}", call.path)).force_close();
+    let outcome = match request.send_body(vec![b'r'; call.size as usize]).await {
+        Err(_) => "no_answer".to_owned(),
+        Ok(mut answer) => {
+            let told = answer.headers().get(OUTCOME_HEADER).and_then(|value| value.to_str().ok());
+            let told = told.unwrap_or("no_answer").to_owned();
+            match answer.body().limit(BODY_LIMIT as usize).await {
+                Ok(_) => told,
+                Err(_) => "no_answer".to_owned(),
+            }
+        }
+    };
+    let mut shared = report.borrow_mut();
+    if outcome == "ran" {
+        shared.latency.push((clock.now() - sentAt).0);
+    }
+    if call.outcome == "ran" {
+        shared.recorded_latency.push(call.latency_micros);
+    }
+    *shared.outcomes.entry((call.lane, call.outcome, outcome)).or_default() += 1;
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn bad_records_are_named_by_line_and_counted() {
+        let sound = r#"{"at_micros":1,"lane":"a","method":"POST","path":"/a","size":1,"status":200,"outcome":"ran","latency_micros":5}"#;
+        let day =
+            format!("{}\nnot json\n\n{}\n", sound.replace("\"ran\"", "\"maybe\""), sound.replace("/a", "a"));
+        let reader = Box::new(std::io::Cursor::new(day));
+        let nodes = vec![SocketAddr::from(([127, 0, 0, 1], 9))];
+        let report = actix_rt::System::new().block_on(replay(reader, nodes, 1.0, 1));
+        let lines: Vec<u64> = report.told_bad_lines.iter().map(|(number, _)| *number).collect();
+        assert_eq!((report.bad_lines, lines, report.replayed), (3, vec![1, 2, 4], 0));
+        assert!(read_record(sound.as_bytes()).is_ok());
+    }
+
+    #[test]
+    fn no_line_makes_the_reader_panic() {
+        arbtest::arbtest(|source| {
+            let line: Vec<u8> = source.arbitrary()?;
+            let _ = read_record(&line);
+            Ok(())
+        })
+        .seed(0x5eed_0004_0000_0040);
+    }
+}
--- a/packages/fleet_simulator/tests/scenarios.rs
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -69,3 +69,27 @@
     second_failure_in_recovery: 1..=3;
     chaos: 1..=4;
 }
+
+/// Clocks that jump can only matter where somebody reads them.
+#[test]
+fn no_package_reads_a_wall_clock() {
+    fn search(folder: &std::path::Path, found: &mut Vec<String>) {
+        for entry in std::fs::read_dir(folder).expect("a folder").flatten() {
+            let path = entry.path();
+            if path.is_dir() {
+                search(&path, found);
+                continue;
+            }
+            let text = std::fs::read_to_string(&path).unwrap_or_default();
+            if text.contains(concat!("System", "Time")) || text.contains(concat!("Utc", "::now")) {
+                found.push(path.display().to_string());
+            }
+        }
+    }
+    let packages = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let mut found = Vec::new();
+    for package in std::fs::read_dir(packages).expect("packages").flatten() {
+        search(&package.path().join("src"), &mut found);
+    }
+    assert_eq!(found, Vec::<String>::new());
+}
--- a/packages/function_front/src/front.rs
+++ b/packages/function_front/src/front.rs
@@ -3,6 +3,7 @@
     AnswerRest, CellAnswer, DispatchCall, DispatchOutcome, DispatchSettings, dispatch, end_to_end,
 };
 use crate::lane_table::{LaneRow, LaneTable};
+use crate::recording::{RecordedCall, Recorder};
 use crate::{OUTCOME_HEADER, TIME_LEFT_HEADER};
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::header::{self, HeaderValue};
@@ -124,6 +125,7 @@
     memory_used: AtomicUsize,
     calls_open: AtomicUsize,
     draining: AtomicBool,
+    recorder: Option<Recorder>,
     /// Counts for metrics.
     pub counts: FrontCounts,
 }
@@ -213,10 +215,21 @@
             memory_used: AtomicUsize::new(0),
             calls_open: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
+            recorder: None,
             counts: FrontCounts::default(),
         }
     }
 
+    /// Records every call from now on. Example: `front.record_with(Recorder::start(path, limit)?)`.
+    pub fn record_with(&mut self, recorder: Recorder) {
+        self.recorder = Some(recorder);
+    }
+
+    /// Records lost because the disk was slower than the calls. Example: `front.records_dropped()`.
+    pub fn records_dropped(&self) -> u64 {
+        self.recorder.as_ref().map_or(0, Recorder::dropped)
+    }
+
     /// Swaps in a newer generation's lanes; calls under way keep the row they matched.
     /// Example: `front.take_configuration(4, &configuration)`.
     pub fn take_configuration(&self, generation: u64, configuration: &Configuration) {
@@ -243,11 +256,25 @@
         self.counts.received.fetch_add(1, Ordering::Relaxed);
         let openBefore = self.calls_open.fetch_add(1, Ordering::Relaxed);
         let mut held = Held { front: self.clone(), bytes: 0 };
+        let mut recorded = self.recorder.as_ref().map(|_| begun_record(&request, self.clock.now()));
         let mut chart = CallChart::begin();
+        if let Some(record) = &mut recorded {
+            let lanes = self.lanes.load();
+            let host = request.headers().get(header::HOST).and_then(|value| value.to_str().ok());
+            let lane = lanes.find(request.method().as_str(), host, request.path());
+            record.lane = lane.map(|row| row.name.clone()).unwrap_or_default();
+        }
         let mut answer = match self.clone().walk(request, &mut chart, &mut held, openBefore).await {
             Ok(cellAnswer) => self.answered(cellAnswer, held),
             Err(refusal) => self.refused(&chart, refusal),
         };
+        if let (Some(recorder), Some(mut record)) = (&self.recorder, recorded) {
+            let outcome = answer.headers().get(OUTCOME_HEADER).and_then(|value| value.to_str().ok());
+            record.outcome = outcome.unwrap_or_default().to_owned();
+            record.status = answer.status().as_u16();
+            record.latency_micros = (self.clock.now() - Micros(record.at_micros)).0;
+            recorder.record(record);
+        }
         if self.draining.load(Ordering::Relaxed) {
             answer.head_mut().set_connection_type(actix_http::ConnectionType::Close);
         }
@@ -537,6 +564,20 @@
     }
 }
 
+fn begun_record(request: &Request, now: Micros) -> RecordedCall {
+    let told = request.headers().get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    RecordedCall {
+        at_micros: now.0,
+        lane: String::new(),
+        method: request.method().to_string(),
+        path: request.path().to_owned(),
+        size: told.and_then(|text| text.parse().ok()).unwrap_or(0),
+        status: 0,
+        outcome: String::new(),
+        latency_micros: 0,
+    }
+}
+
 fn outcome_header() -> header::HeaderName {
     header::HeaderName::from_static(OUTCOME_HEADER)
 }
--- a/packages/function_front/src/lib.rs
+++ b/packages/function_front/src/lib.rs
@@ -7,11 +7,13 @@
 mod cell_dispatch;
 mod front;
 mod lane_table;
+mod recording;
 
 pub use call_chart::{CallChart, CallState};
 pub use cell_dispatch::{CellAnswer, DispatchCall, DispatchOutcome, DispatchSettings, dispatch};
 pub use front::{Front, FrontAnswer, FrontCounts, FrontLink, FrontSettings, TicketAnswer};
 pub use lane_table::{LaneRow, LaneTable};
+pub use recording::{RecordedCall, Recorder};
 
 /// The header that says how the call ended: `ran`, `not_run` or `unknown`.
 pub const OUTCOME_HEADER: &str = "x-vanelane-outcome";
--- a/packages/vanelane/src/control_pages.rs
+++ b/packages/vanelane/src/control_pages.rs
@@ -231,6 +231,7 @@
             line(&format!("calls_{name}"), value);
         }
         line("calls_open", self.front.open_calls() as u64);
+        line("records_dropped", self.front.records_dropped());
         line("generation", status.generation);
         line("members", status.members.len() as u64);
         line("steward_of", status.held.len() as u64);
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -11,7 +11,7 @@
 use clock_events::{Micros, MonotonicClock};
 use colleague_messages::{Address, fleet_mark};
 use control_registers::DiskRegisters;
-use function_front::{Front, FrontSettings};
+use function_front::{Front, FrontSettings, Recorder};
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Root};
 use log4rs::encode::json::JsonEncoder;
@@ -89,7 +89,13 @@
         calls_limit: settings.calls_limit,
         ..FrontSettings::default()
     };
-    let front = Arc::new(Front::new(frontSettings, linkSender));
+    let mut front = Front::new(frontSettings, linkSender);
+    if let Some(path) = &settings.recording {
+        let recorder = Recorder::start(path, settings.recording_limit_bytes)
+            .map_err(|failure| format!("setting recording: {}: {failure}", path.display()))?;
+        front.record_with(recorder);
+    }
+    let front = Arc::new(front);
     let flags = Arc::new(NodeFlags::default());
     let frames = Arc::new(FrameCounts::default());
     let fleet = fleet_mark(&settings.fleet);
--- a/packages/vanelane/src/settings.rs
+++ b/packages/vanelane/src/settings.rs
@@ -34,6 +34,8 @@
     body_limit_bytes: u64,
     memory_limit_bytes: u64,
     calls_limit: u64,
+    recording: PathBuf,
+    recording_limit_bytes: u64,
     log_level: String,
 }
 
@@ -59,6 +61,8 @@
     pub body_limit_bytes: usize,
     pub memory_limit_bytes: usize,
     pub calls_limit: usize,
+    pub recording: Option<PathBuf>,
+    pub recording_limit_bytes: u64,
     pub log_level: log::LevelFilter,
 }
 
@@ -228,6 +232,14 @@
             64 * 1024 * 1024 * 1024,
         ) as usize,
         calls_limit: checker.number("calls_limit", file.calls_limit, 1_000, 1, 1_000_000) as usize,
+        recording: file.recording,
+        recording_limit_bytes: checker.number(
+            "recording_limit_bytes",
+            file.recording_limit_bytes,
+            1024 * 1024 * 1024,
+            1_024,
+            u64::MAX,
+        ),
         log_level: logLevel,
     };
     if checker.reasons.is_empty() { Ok(settings) } else { Err(checker.reasons) }
