Visitors that go away end no dispatch; an overloaded node turns new calls away early

A dropped visitor used to end its dispatch and return the ticket while the cell still ran the call: the cell then got more than it may run, and three such visitors in a row made a sound cell doubted. The dispatch is now a task of its own that returns the ticket when the cell is done. A node whose clock events run 0.8 s late refuses new calls at once with a time to come back.

--- a/packages/function_front/src/front.rs
+++ b/packages/function_front/src/front.rs
@@ -31,6 +31,8 @@
     pub memory_limit: usize,
     /// Calls under way at once.
     pub calls_limit: usize,
+    /// Lateness of the node's clock events past which new calls are turned away.
+    pub lag_limit: Micros,
     /// Dispatches of one call, the first included.
     pub dispatch_limit: u32,
     /// Limits of one dispatch.
@@ -43,6 +45,7 @@
             body_limit: 4 * 1024 * 1024,
             memory_limit: 96 * 1024 * 1024,
             calls_limit: 1_000,
+            lag_limit: Micros::from_millis(800),
             dispatch_limit: 4,
             dispatch: DispatchSettings::default(),
         }
@@ -125,6 +128,7 @@
     memory_used: AtomicUsize,
     calls_open: AtomicUsize,
     draining: AtomicBool,
+    lag_micros: AtomicU64,
     recorder: Option<Recorder>,
     /// Counts for metrics.
     pub counts: FrontCounts,
@@ -159,6 +163,8 @@
     front: Arc<Front>,
     ticket: Option<Ticket>,
     began_at: Micros,
+    /// How it went if nobody says otherwise.
+    how: u8,
 }
 
 impl TicketGuard {
@@ -172,7 +178,7 @@
 
 impl Drop for TicketGuard {
     fn drop(&mut self) {
-        self.done(UNKNOWN);
+        self.done(self.how);
     }
 }
 
@@ -215,11 +221,19 @@
             memory_used: AtomicUsize::new(0),
             calls_open: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
+            lag_micros: AtomicU64::new(0),
             recorder: None,
             counts: FrontCounts::default(),
         }
     }
 
+    /// Tells how late the node's own clock events run: past a limit the machine has more to do than
+    /// it can, and new calls are turned away before they take any more of it.
+    /// Example: `front.tell_lag(Micros::from_millis(3))` at each tick.
+    pub fn tell_lag(&self, lag: Micros) {
+        self.lag_micros.store(lag.0, Ordering::Relaxed);
+    }
+
     /// Records every call from now on. Example: `front.record_with(Recorder::start(path, limit)?)`.
     pub fn record_with(&mut self, recorder: Recorder) {
         self.recorder = Some(recorder);
@@ -292,9 +306,10 @@
             chart.give_up();
             refusal
         };
-        if openBefore >= self.settings.calls_limit {
-            let refusal =
-                Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "too many calls", Some(Micros::from_secs(1)));
+        let isLate = self.lag_micros.load(Ordering::Relaxed) > self.settings.lag_limit.0;
+        if isLate || openBefore >= self.settings.calls_limit {
+            let reason = if isLate { "the node is overloaded" } else { "too many calls" };
+            let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason, Some(Micros::from_secs(1)));
             return Err(refuse(chart, refusal));
         }
         let lanes = self.lanes.load_full();
@@ -389,8 +404,12 @@
                 }
             };
             let began = self.clock.now();
-            let mut guard =
-                TicketGuard { front: self.clone(), ticket: Some(ticket.clone()), began_at: began };
+            let mut guard = TicketGuard {
+                front: self.clone(),
+                ticket: Some(ticket.clone()),
+                began_at: began,
+                how: UNKNOWN,
+            };
             if began >= endsAt {
                 guard.done(UNUSED);
                 chart.give_up();
@@ -407,8 +426,22 @@
                 time_left: timeLeft,
                 ..dispatchCall.clone()
             };
-            let dispatching = dispatch(attempt, &self.settings.dispatch);
-            let outcome = tokio::time::timeout(timeLeft.duration(), dispatching).await;
+            // A task of its own: a visitor that goes away ends neither the dispatch nor the count of
+            // what the cell is running.
+            let dispatchSettings = self.settings.dispatch.clone();
+            let dispatching = actix_rt::spawn(async move {
+                let dispatched = dispatch(attempt, &dispatchSettings);
+                let outcome = tokio::time::timeout(timeLeft.duration(), dispatched).await;
+                if let Ok(DispatchOutcome::Answered(cellAnswer)) = &outcome {
+                    guard.how = if cellAnswer.rest.is_none() { RAN } else { UNUSED };
+                }
+                (outcome, guard)
+            });
+            let Ok((outcome, mut guard)) = dispatching.await else {
+                chart.lost_track();
+                chart.give_up();
+                return Err(Refusal::new(StatusCode::BAD_GATEWAY, "the dispatch broke down", None));
+            };
             match outcome {
                 Err(_) => {
                     guard.done(UNKNOWN);
--- a/packages/local_fleet/src/fleet.rs
+++ b/packages/local_fleet/src/fleet.rs
@@ -22,6 +22,7 @@
     pub control: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
+    data: PathBuf,
     child: Option<Child>,
     /// CPU seconds of processes that are gone by now.
     spent_cpu: f64,
@@ -82,6 +83,7 @@
                 control,
                 settings,
                 log: folder.join(format!("{name}.log")),
+                data: folder.join(format!("data-{number}")),
                 child: None,
                 spent_cpu: 0.0,
                 last_cpu: 0.0,
@@ -117,6 +119,11 @@
         node.spent_cpu += std::mem::take(&mut node.last_cpu);
     }
 
+    /// Empties a stopped node's data folder, as a machine replaced by an empty one.
+    pub fn wipe_data(&mut self, number: usize) -> std::io::Result<()> {
+        fs::remove_dir_all(&self.nodes[number].data)
+    }
+
     /// Sends a signal by name to a node's process.
     pub fn signal(&mut self, number: usize, name: &str) {
         let Some(child) = &self.nodes[number].child else { return };
--- a/packages/local_fleet/src/scenarios.rs
+++ b/packages/local_fleet/src/scenarios.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 const SCENARIOS: &[&str] =
-    &["quiet", "kills", "herd", "restart-all", "rolling", "workers", "freeze", "crowd", "changes"];
+    &["quiet", "kills", "herd", "restart-all", "rolling", "workers", "freeze", "crowd", "replace", "changes"];
 
 struct Run {
     fleet: Fleet,
@@ -240,6 +240,27 @@
                 let crowdReport = crowd.finish();
                 self.note("crowd", callers_page(&crowdReport));
             }
+            "replace" => {
+                until(0.2);
+                let lost = DISK_NODES[1];
+                self.kill(&callers, &[lost]);
+                self.fleet.wipe_data(lost).map_err(|failure| failure.to_string())?;
+                self.start_again(&callers, &[lost])?;
+                let control = self.fleet.nodes[lost].control;
+                let taken = self.wait_until("the vote", Duration::from_secs(60), |run| {
+                    let status = run.operator.get_json(control, "/control/status");
+                    status.is_some_and(|status| votes(&status))
+                })?;
+                self.note("empty_disk_votes_after_ms", taken.as_millis() as u64);
+                // Another disk machine may now be lost, and changes are still taken.
+                self.kill(&callers, &[DISK_NODES[0]]);
+                let name = self.deployment.functions()[0].clone();
+                let mut partial = json!({"lanes": {}});
+                partial["lanes"][name] = json!({ "patience_millis": 4_001 });
+                let (_, spread) = self.change(json!({ "partial": partial }), 5)?;
+                self.note("change_with_another_disk_down_ms", spread.as_millis() as u64);
+                self.start_again(&callers, &[DISK_NODES[0]])?;
+            }
             "changes" => {
                 for number in 1..=20 {
                     until(0.1 + 0.04 * f64::from(number));
@@ -407,6 +428,13 @@
     }
 }
 
+/// Whether the node that tells its status has a voting disk.
+fn votes(status: &Value) -> bool {
+    let isOwn = |member: &&Value| member["node"] == status["node"];
+    let own = status["members"].as_array().and_then(|members| members.iter().find(isOwn));
+    own.is_some_and(|own| own["disk"] == "voting")
+}
+
 fn callers_page(report: &CallersReport) -> Value {
     json!({
         "sent": report.sent,
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -70,10 +70,16 @@
     ) -> Result<(), Report<ChildFailure>> {
         let mut ticker = tokio::time::interval(TICK);
         ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut tickedAt = self.clock.now();
         loop {
             tokio::select! {
                 biased;
-                _ = ticker.tick() => self.handle(Event::Tick),
+                _ = ticker.tick() => {
+                    let now = self.clock.now();
+                    self.front.tell_lag(now - tickedAt - Micros::from_millis(TICK.as_millis() as u64));
+                    tickedAt = now;
+                    self.handle(Event::Tick);
+                }
                 event = inbox.recv() => match event {
                     Some(event) => self.take(event),
                     None => return Ok(()),
--- a/packages/vanelane/src/settings.rs
+++ b/packages/vanelane/src/settings.rs
@@ -170,6 +170,10 @@
         let reason = "must be an address that colleagues can reach, not a wildcard".to_owned();
         checker.reasons.push(("colleague_address", reason));
     }
+    if colleagueAddress.port() == 0 && !checker.reasons.iter().any(|(f, _)| *f == "colleague_address") {
+        let reason = "must name its port: it is told to colleagues as it stands".to_owned();
+        checker.reasons.push(("colleague_address", reason));
+    }
     let givenSeeds = file.seeds.unwrap_or_default();
     if givenSeeds.len() > 3 {
         checker.reasons.push(("seeds", format!("{} seeds are given, three are the most", givenSeeds.len())));
--- a/packages/vanelane/tests/one_node.rs
+++ b/packages/vanelane/tests/one_node.rs
@@ -225,9 +225,17 @@
     let history = Arc::new(History::default());
     let platform = platform(&history);
     let node = start_node("folder", platform.address());
+    let holder = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let free = holder.local_addr().expect("bound");
+    drop(holder);
     let output = vanelane()
         .args(["run", "--zone", "a", "--visitor-address", "127.0.0.1:0", "--control-address", "127.0.0.1:0"])
-        .args(["--colleague-address", "127.0.0.1:0", "--platform-address", &platform.address().to_string()])
+        .args([
+            "--colleague-address",
+            &free.to_string(),
+            "--platform-address",
+            &platform.address().to_string(),
+        ])
         .arg("--data-folder")
         .arg(&node.folder)
         .output()
