--- a/packages/day_replay/src/main.rs
+++ b/packages/day_replay/src/main.rs
@@ -1,7 +1,7 @@
 //! Replays a recorded day against a fleet at a chosen speed and compares outcomes with the record.
 
-use awc::Client;
 use awc::http::Method;
+use awc::{Client, Connector};
 use clock_events::{Micros, MonotonicClock};
 use function_front::{OUTCOME_HEADER, RecordedCall};
 use serde_json::{Value, json};
@@ -145,8 +145,12 @@
     atOnce: usize,
 ) -> ReplayReport {
     let report = Rc::new(RefCell::new(ReplayReport::default()));
-    let client =
-        Client::builder().timeout(Duration::from_secs(60)).disable_redirects().no_default_headers().finish();
+    let client = Client::builder()
+        .connector(Connector::new().limit(0).timeout(Duration::from_secs(60)))
+        .timeout(Duration::from_secs(60))
+        .disable_redirects()
+        .no_default_headers()
+        .finish();
     let clock = MonotonicClock::start();
     let mut firstAt = None;
     let mut lineNumber = 0u64;
--- a/packages/stand_ins/src/callers.rs
+++ b/packages/stand_ins/src/callers.rs
@@ -1,5 +1,5 @@
 use crate::{BEHAVE_HEADER, CALL_HEADER, micros_since};
-use awc::Client;
+use awc::{Client, Connector};
 use fastrand::Rng;
 use function_front::OUTCOME_HEADER;
 use history_checks::{History, Line, Outcome};
@@ -130,8 +130,13 @@
     history: Arc<History>,
     began: Instant,
 ) -> CallersReport {
-    let client =
-        Client::builder().timeout(settings.patience).disable_redirects().no_default_headers().finish();
+    // Without the connector's own limit: a hundred held calls must not hold back the others.
+    let client = Client::builder()
+        .connector(Connector::new().limit(0).timeout(settings.patience))
+        .timeout(settings.patience)
+        .disable_redirects()
+        .no_default_headers()
+        .finish();
     let weightSum: f64 = settings.targets.iter().map(|target| target.weight).sum();
     let mut dice = Rng::with_seed(settings.luck_seed);
     let shared = Rc::new(Shared {
