--- a/packages/steward_work/src/deputy_work.rs
+++ b/packages/steward_work/src/deputy_work.rs
@@ -40,7 +40,7 @@
             return None;
         }
         let inFlight = |cell: &str| self.open.values().filter(|(openCell, _)| openCell == cell).count();
-        let limit = (callsAtOnce as usize / 2).max(1);
+        let limit = (callsAtOnce as usize / 4).max(1);
         let (_, pickedCell) = readyCells
             .iter()
             .filter(|cell| cell.id != avoid)
