--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -318,6 +318,8 @@
             if let Ok(envelope) = decode_payload(&headBytes, &payloadBytes) {
                 assert!(envelope.frame().is_some());
             }
+            let _ = DemandNews::from_bytes((&payloadBytes, 0));
+            let _ = CellsNews::from_bytes((&payloadBytes, 0));
             LeaderRecord::decode(&Bytes(payloadBytes));
             Ok(())
         })
--- a/packages/control_registers/src/lib.rs
+++ b/packages/control_registers/src/lib.rs
@@ -200,6 +200,17 @@
         assert_eq!(answers[0].granted, 0);
     }
 
+    #[test]
+    fn no_bytes_make_the_register_decoders_panic() {
+        arbtest::arbtest(|source| {
+            let foreignBytes: Vec<u8> = source.arbitrary()?;
+            VoterSet::decode(&Bytes(foreignBytes.clone()));
+            DiskRegisters::restore(&[foreignBytes]);
+            Ok(())
+        })
+        .seed(0x5eed_0005_0000_0040);
+    }
+
     #[test]
     fn a_lost_disk_is_replaced_and_an_outdated_set_is_refused() {
         let (mut disks, set) = founded_disks();
--- a/packages/day_replay/src/main.rs
+++ b/packages/day_replay/src/main.rs
@@ -24,7 +24,7 @@
         optional --speed speed: f64
         /// Calls under way at the most; 1000 if not given.
         optional --at-once at_once: usize
-        /// The recorded day; `-` reads standard input.
+        /// The recorded day; /dev/stdin reads standard input.
         required file: PathBuf
     }
 }
@@ -40,15 +40,12 @@
         eprintln!("vanelane_replay: name at least one --to address, and a --speed above 0");
         return ExitCode::from(2);
     }
-    let reader: Box<dyn BufRead> = match commandLine.file.to_str() {
-        Some("-") => Box::new(std::io::BufReader::new(std::io::stdin())),
-        _ => match std::fs::File::open(&commandLine.file) {
-            Ok(file) => Box::new(std::io::BufReader::new(file)),
-            Err(failure) => {
-                eprintln!("vanelane_replay: {}: {failure}", commandLine.file.display());
-                return ExitCode::from(2);
-            }
-        },
+    let reader: Box<dyn BufRead> = match std::fs::File::open(&commandLine.file) {
+        Ok(file) => Box::new(std::io::BufReader::new(file)),
+        Err(failure) => {
+            eprintln!("vanelane_replay: {}: {failure}", commandLine.file.display());
+            return ExitCode::from(2);
+        }
     };
     let atOnce = commandLine.at_once.unwrap_or(1_000).max(1);
     let report = actix_rt::System::new().block_on(replay(reader, commandLine.to, speed, atOnce));
--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -582,7 +582,9 @@
             .iter()
             .filter(|news| [DISK_BLANK, DISK_SPARE].contains(&news.disk_state) && news.draining == 0)
             .map(|news| news.disk)
-            .find(|disk| !set.disks.0.contains(disk));
+            // The lowest, so that owners that follow one another pick the same.
+            .filter(|disk| !set.disks.0.contains(disk))
+            .min();
         let Some(spareDisk) = spareDisk else { return };
         let Some(jointSet) = set.begin_change(lostDisk, spareDisk) else { return };
         self.write_disks(&jointSet);
--- a/packages/record_file/src/lib.rs
+++ b/packages/record_file/src/lib.rs
@@ -317,6 +317,13 @@
         fs::write(&filePath, &damagedBytes).expect("damage");
         assert_eq!(failure_of(RecordFile::open(&folder, 7)), RecordFailure::Damaged(HEAD_LENGTH as u64));
         assert_eq!(failure_of(RecordFile::open(&folder, 8)), RecordFailure::OtherFleet);
+        let mut newerHead = head_bytes(7, firstDisk);
+        newerHead[8] = 2;
+        newerHead.truncate(28);
+        let checksum = crc32fast::hash(&newerHead).to_le_bytes();
+        newerHead.extend_from_slice(&checksum);
+        fs::write(&filePath, &newerHead).expect("a newer file");
+        assert_eq!(failure_of(RecordFile::open(&folder, 7)), RecordFailure::NewerFormat);
         let _ = fs::remove_dir_all(&folder);
     }
 
--- a/packages/vanelane/src/command_line.rs
+++ b/packages/vanelane/src/command_line.rs
@@ -48,7 +48,7 @@
             optional --whole-as change_id: String
             /// Only against this generation; with --whole-as.
             optional --expected-generation generation: u64
-            /// The file; `-` reads standard input.
+            /// The file; /dev/stdin reads standard input.
             required file: PathBuf
         }
         /// Prints the decision stream as JSON lines.
--- a/packages/vanelane/src/operator_commands.rs
+++ b/packages/vanelane/src/operator_commands.rs
@@ -4,7 +4,7 @@
 use awc::Client;
 use futures_util::StreamExt;
 use serde_json::{Value, json};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
@@ -30,17 +30,8 @@
     ExitCode::SUCCESS
 }
 
-fn read_file(path: &Path) -> Result<Vec<u8>, std::io::Error> {
-    if path == Path::new("-") {
-        let mut bytes = Vec::new();
-        std::io::stdin().lock().read_to_end(&mut bytes)?;
-        return Ok(bytes);
-    }
-    std::fs::read(path)
-}
-
 pub fn check_configuration(path: &Path) -> ExitCode {
-    let bytes = match read_file(path) {
+    let bytes = match std::fs::read(path) {
         Ok(bytes) => bytes,
         Err(failure) => return complain(format!("{}: {failure}", path.display()), BAD_USE),
     };
@@ -75,7 +66,7 @@
 }
 
 pub fn change(change: Change) -> ExitCode {
-    let bytes = match read_file(&change.file) {
+    let bytes = match std::fs::read(&change.file) {
         Ok(bytes) => bytes,
         Err(failure) => return complain(format!("{}: {failure}", change.file.display()), BAD_USE),
     };
