--- a/packages/control_registers/src/key_owner.rs
+++ b/packages/control_registers/src/key_owner.rs
@@ -18,6 +18,8 @@
 const RESEND_AFTER: Micros = Micros::from_millis(250);
 const GIVE_UP_AFTER: Micros = Micros::from_millis(2_000);
 const WAITLIST_LIMIT: usize = 64;
+/// Four thousand functions may be configured; more keys than this are nobody's mistake but a fault.
+const KEYS_LIMIT: usize = 16_384;
 const GROUP_AFTER: Micros = Micros::from_millis(200);
 
 /// What the owner wants done.
@@ -158,7 +160,7 @@
 
     /// Starts to own a key. Example: a poll for a key nobody owns calls `owner.acquire(key, now)`.
     pub fn acquire(&mut self, key: &str, now: Micros) {
-        if self.keys.contains_key(key) || self.set.generation == 0 {
+        if self.keys.contains_key(key) || self.set.generation == 0 || self.keys.len() >= KEYS_LIMIT {
             return;
         }
         self.highest_counter += 1;
--- a/packages/steward_work/src/deputy_work.rs
+++ b/packages/steward_work/src/deputy_work.rs
@@ -82,3 +82,34 @@
         self.open.len()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::RAN;
+    use std::net::SocketAddr;
+
+    #[test]
+    fn a_deputy_grants_a_quarter_and_backs_off_on_the_first_turn_away() {
+        let address = SocketAddr::from(([127, 0, 0, 1], 9_000));
+        let readyCells = [ReadyCell { id: "c1".to_owned(), address }];
+        let mut deputy = DeputyWork::default();
+        let grant = |deputy: &mut DeputyWork, id: u64, isExtra: bool, now: Micros| {
+            deputy.grant(7, id, "f", &readyCells, 8, isExtra, "", now + Micros::from_secs(4), now)
+        };
+        let first = grant(&mut deputy, 1, false, Micros(0)).expect("room");
+        assert_eq!((first.steward_epoch, first.cell.0.as_str()), (0, "c1"));
+        assert!(grant(&mut deputy, 2, false, Micros(0)).is_some());
+        assert!(grant(&mut deputy, 3, false, Micros(0)).is_none(), "two of eight are a quarter");
+        deputy.returned(1, TURNED_AWAY, Micros(0));
+        assert!(grant(&mut deputy, 4, false, Micros(1)).is_none(), "backed off");
+        assert!(grant(&mut deputy, 4, false, BACK_OFF).is_some());
+        for ticketId in 10..20 {
+            deputy.returned(4, RAN, BACK_OFF);
+            deputy.returned(ticketId - 1, RAN, BACK_OFF);
+            let isGranted = grant(&mut deputy, ticketId, true, BACK_OFF).is_some();
+            assert_eq!(isGranted, ticketId < 10 + u64::from(EXTRA_PART), "extra ticket {ticketId}");
+        }
+        assert!(grant(&mut deputy, 30, false, Micros::from_secs(60)).is_some(), "lost tickets run out");
+    }
+}
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -27,6 +27,7 @@
     Decisions { after: Vec<(NodeId, u64)>, most: u32, reply: oneshot::Sender<DecisionsReply> },
     Status { reply: oneshot::Sender<NodeStatus> },
     Configuration { reply: oneshot::Sender<Vec<u8>> },
+    PlatformMoved { address: std::net::SocketAddr },
     Drain,
 }
 
@@ -113,6 +114,7 @@
             ShellEvent::Configuration { reply } => {
                 let _ = reply.send(self.node.stored_configuration());
             }
+            ShellEvent::PlatformMoved { address } => self.platform = PlatformClient::new(address),
             ShellEvent::Drain => {
                 self.flags.draining.store(true, Ordering::Relaxed);
                 self.front.drain();
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -299,7 +299,7 @@
     Ok(())
 }
 
-/// Seeds and the log level take effect at once; what cannot change while running is named.
+/// Seeds, the platform's address and the log level take effect at once; what cannot is named.
 async fn reload(run: &Run, inbox: &mpsc::Sender<ShellEvent>, logHandle: &log4rs::Handle) {
     let settings = match settings::read(run) {
         Ok(settings) => settings,
@@ -312,6 +312,7 @@
     };
     let seeds = settings.seeds.iter().map(|seed| Address::from(*seed)).collect();
     let _ = inbox.send(ShellEvent::Protocol(Event::SeedsChanged { seeds })).await;
+    let _ = inbox.send(ShellEvent::PlatformMoved { address: settings.platform_address }).await;
     let console =
         ConsoleAppender::builder().target(Target::Stderr).encoder(Box::new(JsonEncoder::new())).build();
     let logging = log4rs::Config::builder()
@@ -320,5 +321,7 @@
     if let Ok(logging) = logging {
         logHandle.set_config(logging);
     }
-    log::info!("settings reloaded: seeds and log_level hold now; other settings hold from the next start");
+    log::info!(
+        "settings reloaded: seeds, platform_address and log_level hold now, the others from the next start"
+    );
 }
--- a/packages/vanelane/tests/one_node.rs
+++ b/packages/vanelane/tests/one_node.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Barrier};
 use std::time::{Duration, Instant};
 
 struct RunningNode {
@@ -203,16 +203,25 @@
 
     // The planned stop drops no call that is under way.
     let visitors = node.visitors;
+    let allSent = Arc::new(Barrier::new(5));
     let callers: Vec<_> = (0..4)
         .map(|number| {
+            let allSent = allSent.clone();
             std::thread::spawn(move || {
                 let request = format!(
                     "POST /proof/1 HTTP/1.1\r\nhost: h\r\nconnection: close\r\nx-call-id: last-{number}\r\ncontent-length: 1\r\n\r\nx"
                 );
-                split(&exchange(visitors, request.as_bytes())).0
+                let mut stream = TcpStream::connect(visitors).expect("a connection");
+                stream.set_read_timeout(Some(Duration::from_secs(60))).expect("a limit");
+                stream.write_all(request.as_bytes()).expect("sent");
+                allSent.wait();
+                let mut answer = Vec::new();
+                let _ = stream.read_to_end(&mut answer);
+                split(&answer).0
             })
         })
         .collect();
+    allSent.wait();
     let pid = node.child.id().to_string();
     assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
     let statuses: Vec<u16> = callers.into_iter().map(|caller| caller.join().expect("a caller")).collect();
