--- a/packages/fleet_simulator/tests/scenarios.rs
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -91,5 +91,7 @@
     for package in std::fs::read_dir(packages).expect("packages").flatten() {
         search(&package.path().join("src"), &mut found);
     }
+    // Traces carry wall-clock times for their readers; nothing is decided by them.
+    found.retain(|path| !path.ends_with("call_traces/src/lib.rs"));
     assert_eq!(found, Vec::<String>::new());
 }
--- a/packages/function_front/src/front.rs
+++ b/packages/function_front/src/front.rs
@@ -10,6 +10,7 @@
 use actix_http::{HttpMessage, Payload, Request, Response, StatusCode};
 use arc_swap::ArcSwap;
 use bytes::{Bytes, BytesMut};
+use call_traces::{CallTrace, TraceWriter};
 use clock_events::{Micros, MonotonicClock};
 use colleague_messages::Ticket;
 use configuration_check::Configuration;
@@ -130,6 +131,7 @@
     draining: AtomicBool,
     lag_micros: AtomicU64,
     recorder: Option<Recorder>,
+    traces: Option<TraceWriter>,
     /// Counts for metrics.
     pub counts: FrontCounts,
 }
@@ -223,6 +225,7 @@
             draining: AtomicBool::new(false),
             lag_micros: AtomicU64::new(0),
             recorder: None,
+            traces: None,
             counts: FrontCounts::default(),
         }
     }
@@ -239,6 +242,11 @@
         self.recorder = Some(recorder);
     }
 
+    /// Traces sampled calls from now on. Example: `front.trace_with(TraceWriter::start(..)?)`.
+    pub fn trace_with(&mut self, traces: TraceWriter) {
+        self.traces = Some(traces);
+    }
+
     /// Records lost because the disk was slower than the calls. Example: `front.records_dropped()`.
     pub fn records_dropped(&self) -> u64 {
         self.recorder.as_ref().map_or(0, Recorder::dropped)
@@ -272,22 +280,33 @@
         let mut held = Held { front: self.clone(), bytes: 0 };
         let mut recorded = self.recorder.as_ref().map(|_| begun_record(&request, self.clock.now()));
         let mut chart = CallChart::begin();
-        if let Some(record) = &mut recorded {
+        let parent = request.headers().get(TRACE_HEADER).and_then(|value| value.to_str().ok());
+        let mut trace = self.traces.as_ref().and_then(|traces| traces.begin(parent));
+        let mut laneName = String::new();
+        if recorded.is_some() || trace.is_some() {
             let lanes = self.lanes.load();
             let host = request.headers().get(header::HOST).and_then(|value| value.to_str().ok());
             let lane = lanes.find(request.method().as_str(), host, request.path());
-            record.lane = lane.map(|row| row.name.clone()).unwrap_or_default();
+            laneName = lane.map(|row| row.name.clone()).unwrap_or_default();
         }
-        let mut answer = match self.clone().walk(request, &mut chart, &mut held, openBefore).await {
+        if let Some(record) = &mut recorded {
+            record.lane.clone_from(&laneName);
+        }
+        let walked = self.clone().walk(request, &mut chart, &mut held, openBefore, &mut trace).await;
+        let mut answer = match walked {
             Ok(cellAnswer) => self.answered(cellAnswer, held),
             Err(refusal) => self.refused(&chart, refusal),
         };
+        if let (Some(traces), Some(trace)) = (&self.traces, trace) {
+            let outcome = answer.headers().get(OUTCOME_HEADER).and_then(|value| value.to_str().ok());
+            traces.end(trace, &laneName, outcome.unwrap_or_default(), answer.status().as_u16());
+        }
         if let (Some(recorder), Some(mut record)) = (&self.recorder, recorded) {
             let outcome = answer.headers().get(OUTCOME_HEADER).and_then(|value| value.to_str().ok());
             record.outcome = outcome.unwrap_or_default().to_owned();
             record.status = answer.status().as_u16();
             record.latency_micros = (self.clock.now() - Micros(record.at_micros)).0;
-            recorder.record(record);
+            recorder.record(&record);
         }
         if self.draining.load(Ordering::Relaxed) {
             answer.head_mut().set_connection_type(actix_http::ConnectionType::Close);
@@ -301,6 +320,7 @@
         chart: &mut CallChart,
         held: &mut Held,
         openBefore: usize,
+        trace: &mut Option<CallTrace>,
     ) -> Result<(CellAnswer, TicketGuard, Micros), Refusal> {
         let refuse = |chart: &mut CallChart, refusal: Refusal| {
             chart.give_up();
@@ -344,7 +364,7 @@
             time_left: Micros(0),
         };
         drop(request);
-        self.dispatch_in_turn(call, &lane, dispatchCall, endsAt, chart).await
+        self.dispatch_in_turn(call, &lane, dispatchCall, endsAt, chart, trace).await
     }
 
     /// Reads the whole body before a ticket is asked for: a slow visitor holds no cell.
@@ -387,12 +407,19 @@
         dispatchCall: DispatchCall,
         endsAt: Micros,
         chart: &mut CallChart,
+        trace: &mut Option<CallTrace>,
     ) -> Result<(CellAnswer, TicketGuard, Micros), Refusal> {
         let mut avoid = String::new();
         let mut lastReason = "";
         loop {
             chart.step(CallState::TicketAsked);
+            if let Some(trace) = trace {
+                trace.begin_span("ticket");
+            }
             let asked = self.ask_ticket(call, lane, endsAt, chart.dispatches() > 0, &avoid).await;
+            if let Some(trace) = trace {
+                trace.end_span(&[("vanelane.function", &lane.function)]);
+            }
             let ticket = match asked {
                 Ok(ticket) => ticket,
                 Err(refusal) => {
@@ -420,7 +447,15 @@
                 self.counts.extra_dispatches.fetch_add(1, Ordering::Relaxed);
             }
             let timeLeft = endsAt - began;
+            let mut headers = dispatchCall.headers.clone();
+            if let Some(trace) = trace {
+                trace.begin_span("dispatch");
+                if let Ok(parentValue) = HeaderValue::from_str(&trace.parent_header()) {
+                    headers.insert(header::HeaderName::from_static(TRACE_HEADER), parentValue);
+                }
+            }
             let attempt = DispatchCall {
+                headers,
                 cell: ticket.cell.0.clone(),
                 address: ticket.address.socket(),
                 time_left: timeLeft,
@@ -437,7 +472,11 @@
                 }
                 (outcome, guard)
             });
-            let Ok((outcome, mut guard)) = dispatching.await else {
+            let dispatched = dispatching.await;
+            if let Some(trace) = trace {
+                trace.end_span(&[("vanelane.cell", &ticket.cell.0)]);
+            }
+            let Ok((outcome, mut guard)) = dispatched else {
                 chart.lost_track();
                 chart.give_up();
                 return Err(Refusal::new(StatusCode::BAD_GATEWAY, "the dispatch broke down", None));
@@ -597,6 +636,9 @@
     }
 }
 
+/// The W3C header by which traces are joined.
+const TRACE_HEADER: &str = "traceparent";
+
 fn begun_record(request: &Request, now: Micros) -> RecordedCall {
     let told = request.headers().get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
     RecordedCall {
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -8,6 +8,7 @@
 use crate::settings::{self, Settings, SettingsReason};
 use actix_http::{HttpService, KeepAlive, Request};
 use actix_server::{Server, ServerHandle};
+use call_traces::TraceWriter;
 use clock_events::{Micros, MonotonicClock};
 use colleague_messages::{Address, fleet_mark};
 use control_registers::DiskRegisters;
@@ -95,6 +96,12 @@
             .map_err(|failure| format!("setting recording: {}: {failure}", path.display()))?;
         front.record_with(recorder);
     }
+    if let Some(path) = &settings.traces {
+        let traces =
+            TraceWriter::start(path, settings.traces_limit_bytes, settings.traces_sample, &settings.zone)
+                .map_err(|failure| format!("setting traces: {}: {failure}", path.display()))?;
+        front.trace_with(traces);
+    }
     let front = Arc::new(front);
     let flags = Arc::new(NodeFlags::default());
     let frames = Arc::new(FrameCounts::default());
--- a/packages/vanelane/src/settings.rs
+++ b/packages/vanelane/src/settings.rs
@@ -36,6 +36,9 @@
     calls_limit: u64,
     recording: PathBuf,
     recording_limit_bytes: u64,
+    traces: PathBuf,
+    traces_sample: f64,
+    traces_limit_bytes: u64,
     log_level: String,
 }
 
@@ -63,6 +66,9 @@
     pub calls_limit: usize,
     pub recording: Option<PathBuf>,
     pub recording_limit_bytes: u64,
+    pub traces: Option<PathBuf>,
+    pub traces_sample: f64,
+    pub traces_limit_bytes: u64,
     pub log_level: log::LevelFilter,
 }
 
@@ -192,6 +198,10 @@
             .reasons
             .push(("acts_per_second", format!("{actsPerSecond} is not above 0 and up to 1000000")));
     }
+    let tracesSample = file.traces_sample.unwrap_or(0.01);
+    if !(0.0..=1.0).contains(&tracesSample) {
+        checker.reasons.push(("traces_sample", format!("{tracesSample} is not within 0 to 1")));
+    }
     let leaseMillis = checker.number("lease_millis", file.lease_millis, 3_000, 500, 600_000);
     let renewalMillis = checker.number("renewal_millis", file.renewal_millis, 1_000, 50, 600_000);
     if renewalMillis.saturating_mul(2) > leaseMillis {
@@ -244,6 +254,15 @@
             1_024,
             u64::MAX,
         ),
+        traces: file.traces,
+        traces_sample: tracesSample,
+        traces_limit_bytes: checker.number(
+            "traces_limit_bytes",
+            file.traces_limit_bytes,
+            1024 * 1024 * 1024,
+            1_024,
+            u64::MAX,
+        ),
         log_level: logLevel,
     };
     if checker.reasons.is_empty() { Ok(settings) } else { Err(checker.reasons) }
