A new steward keeps the cells it finds for one idle span and refuses nobody before its first list

Ruled out: the wait for a steward (0.12 s). Adopted cells now count as needed for one idle span, and before the first list nobody is shed.

--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -159,6 +159,8 @@
     peak: (u32, u32),
     peak_turned_at: Micros,
     no_room_until: Micros,
+    /// No list is in yet: cells may run that are not known.
+    is_adopting: bool,
     mean_latency: Micros,
     acts: Vec<WorkAct>,
 }
@@ -207,6 +209,7 @@
             peak: (0, 0),
             peak_turned_at: now,
             no_room_until: Micros(0),
+            is_adopting: false,
             mean_latency: Micros::from_millis(50),
             acts: Vec::new(),
         }
@@ -226,6 +229,7 @@
     /// Example: `work.hold_starts(now + Micros::from_secs(1))`.
     pub fn hold_starts(&mut self, until: Micros) {
         self.no_room_until = until;
+        self.is_adopting = true;
     }
 
     /// How many cells the allowance lets this function have. Example: `work.allow_cells(3)`.
@@ -475,6 +479,14 @@
             };
             self.cells.insert(listedCell.id.clone(), adoptedCell);
             readyChanged = true;
+            // The steward before kept these cells for calls that this one has not seen: they count as
+            // needed for one idle span.
+            let usableCount = self.usable_cells().count() as u32;
+            self.peak.0 = self.peak.0.max(usableCount * self.settings.calls_at_once);
+        }
+        // From now on it is known which cells run.
+        if std::mem::take(&mut self.is_adopting) {
+            self.no_room_until = Micros(0);
         }
         let isListed = |id: &str| listedCells.iter().any(|listedCell| listedCell.id == id);
         let cellCount = self.cells.len();
@@ -626,7 +638,8 @@
 
     /// Who cannot be served in time is told so at once, with when to come back.
     fn shed(&mut self, now: Micros) {
-        if self.waitlist.is_empty() {
+        let isAdopting = self.is_adopting && now < self.no_room_until;
+        if self.waitlist.is_empty() || isAdopting {
             return;
         }
         let usableCount = self.usable_cells().count() as u64;
@@ -885,6 +898,46 @@
         assert_eq!(work.cell_count(), 0);
     }
 
+    #[test]
+    fn a_new_steward_keeps_the_cells_it_finds_for_one_idle_span() {
+        let listed = |id: &str| ListedCell {
+            id: id.to_owned(),
+            function: "proof".to_owned(),
+            worker: "w1".to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+            memory_mb: 1,
+            leaving: false,
+        };
+        let stops = |work: &mut FunctionWork| {
+            work.take_acts().iter().filter(|act| matches!(act, WorkAct::Stop { .. })).count()
+        };
+        let mut work = work();
+        let found = [listed("c1"), listed("c2"), listed("c3")];
+        let known = ["c1".to_owned(), "c2".to_owned(), "c3".to_owned()];
+        work.listed(&found, &known, Micros(0), Micros(0));
+        for second in 0..9 {
+            work.tick(Micros::from_secs(second));
+        }
+        assert_eq!((stops(&mut work), work.ready_cells().len()), (0, 3));
+        for second in 9..30 {
+            work.tick(Micros::from_secs(second));
+        }
+        assert!(stops(&mut work) >= 3 && work.ready_cells().is_empty(), "not called for an idle span");
+        // Before the first list nobody is refused for want of cells.
+        let mut fresh = FunctionWork::new("proof", 7, 13, settings(), Vec::new(), Micros(0));
+        fresh.hold_starts(Micros::from_secs(2));
+        fresh.ask(9, 1, Micros::from_millis(500), false, "", Micros(0));
+        fresh.tick(Micros::from_millis(100));
+        assert!(
+            !fresh
+                .take_acts()
+                .iter()
+                .any(|act| matches!(act, WorkAct::HoldBack { held_back_as: HeldBackAs::Refused, .. }))
+        );
+        fresh.listed(&found, &known, Micros::from_millis(200), Micros::from_millis(200));
+        assert_eq!(grants(&mut fresh).len(), 1);
+    }
+
     #[test]
     fn a_late_first_call_teaches_no_long_boot_and_surplus_cells_that_do_not_run_go_first() {
         assert_eq!(learn_boot(Micros(1_000), Micros(9_000), RAN), Micros(995));
