Read again: twins made one piece, dead code taken out

The lane of a call, the logging set-up, the pages of JSON lines and the simulator's open ticket were each written twice and now stand once; recordings and traces thereby name the lane by the same host as the call path. Both arms after sending a body did the same.

--- a/packages/clock_events/src/lib.rs
+++ b/packages/clock_events/src/lib.rs
@@ -88,11 +88,6 @@
         self.due_at = now + self.interval;
         true
     }
-
-    /// Makes the event due now. Example: `event.hasten()` before an election that calls wait on.
-    pub fn hasten(&mut self) {
-        self.due_at = Micros(0);
-    }
 }
 
 #[cfg(test)]
--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -98,10 +98,10 @@
         "1" Probe { sequence: u64, target: NodeId, members: List<MemberNews>, }
         "2" ProbeAnswer { sequence: u64, members: List<MemberNews>, }
         "3" ProbeFor { sequence: u64, target: NodeId, target_address: Address, }
-        "10" Promise { batch: u64, fleet_set: u64, entries: List<PromiseEntry>, }
-        "11" Promised { batch: u64, disk: u64, entries: List<PromisedEntry>, }
-        "12" Store { batch: u64, fleet_set: u64, entries: List<StoreEntry>, }
-        "13" Stored { batch: u64, disk: u64, entries: List<StoredEntry>, }
+        "10" Promise { fleet_set: u64, entries: List<PromiseEntry>, }
+        "11" Promised { disk: u64, entries: List<PromisedEntry>, }
+        "12" Store { fleet_set: u64, entries: List<StoreEntry>, }
+        "13" Stored { disk: u64, entries: List<StoredEntry>, }
         "14" Found { set: u64, disks: List<u64>, }
         "15" FoundAnswer { set: u64, disk: u64, accepted: u8, }
         "20" RecordsPoll { keys: List<Text>, }
--- a/packages/colleague_probes/src/lib.rs
+++ b/packages/colleague_probes/src/lib.rs
@@ -151,13 +151,6 @@
         self.members.get(&node).map(|member| &member.news).filter(|news| news.state != GONE)
     }
 
-    /// How long a node has been gone, if it is remembered as gone.
-    /// Example: `members.gone_for(node, now) > Some(Micros::from_secs(30))`.
-    pub fn gone_for(&self, node: NodeId, now: Micros) -> Option<Micros> {
-        let member = self.members.get(&node)?;
-        (member.news.state == GONE).then(|| now - member.state_since)
-    }
-
     /// Every remembered entry, the gone ones too. Example: `members.remembered().count()`.
     pub fn remembered(&self) -> impl Iterator<Item = &MemberNews> {
         self.members.values().map(|member| &member.news)
--- a/packages/control_registers/src/key_owner.rs
+++ b/packages/control_registers/src/key_owner.rs
@@ -80,7 +80,6 @@
     set: VoterSet,
     answers: Vec<OwnerAct>,
     group_due: Option<Micros>,
-    store_group_count: u64,
 }
 
 impl KeyOwner {
@@ -94,7 +93,6 @@
             set: VoterSet::default(),
             answers: Vec::new(),
             group_due: None,
-            store_group_count: 0,
         }
     }
 
@@ -116,11 +114,6 @@
         self.keys.len()
     }
 
-    /// Groups of stores sent so far, for measuring group commit. Example: `owner.store_group_count()`.
-    pub fn store_group_count(&self) -> u64 {
-        self.store_group_count
-    }
-
     /// Lets go of all keys that `keeps` refuses: the hand-over to another disk node.
     /// Example: `owner.keep_only(|key| choice(key) == own)`.
     pub fn keep_only(&mut self, keeps: impl Fn(&str) -> bool) {
@@ -368,7 +361,6 @@
             }
         }
         let fleetSet = self.set.generation;
-        self.store_group_count += u64::from(!storeGroups.is_empty());
         let mut acts = std::mem::take(&mut self.answers);
         acts.extend(promiseGroups.into_iter().map(|(disk, entries)| OwnerAct::Promise {
             disk,
--- a/packages/fleet_simulator/src/sim_calls.rs
+++ b/packages/fleet_simulator/src/sim_calls.rs
@@ -183,17 +183,22 @@
         self.after(travel, Happening::AnswerComes { call, dispatch, how });
     }
 
+    /// The ticket of a call's dispatch, if that is still the one under way.
+    fn take_ticket(&mut self, call: u64, dispatch: u32) -> Option<(Ticket, u64)> {
+        let simCall = self.calls.get_mut(&call)?;
+        let isUnderWay =
+            simCall.chart.state() == CallState::Dispatched && simCall.chart.dispatches() == dispatch;
+        if isUnderWay { simCall.ticket.take() } else { None }
+    }
+
     pub(crate) fn answer_comes(&mut self, call: u64, dispatch: u32, how: u8) {
         let Some(node) = self.front_of(call) else { return };
         if self.defer_if_frozen(node, Happening::AnswerComes { call, dispatch, how }) {
             return;
         }
         let now = self.now;
+        let Some((ticket, sentAt)) = self.take_ticket(call, dispatch) else { return };
         let Some(simCall) = self.calls.get_mut(&call) else { return };
-        if simCall.chart.state() != CallState::Dispatched || simCall.chart.dispatches() != dispatch {
-            return;
-        }
-        let Some((ticket, sentAt)) = simCall.ticket.take() else { return };
         let (repeatable, avoid) = (simCall.repeatable, ticket.cell.0.clone());
         if how == RAN {
             simCall.chart.step(CallState::Answered);
@@ -222,11 +227,8 @@
             return;
         }
         let now = self.now;
+        let Some((ticket, sentAt)) = self.take_ticket(call, dispatch) else { return };
         let Some(simCall) = self.calls.get_mut(&call) else { return };
-        if simCall.chart.state() != CallState::Dispatched || simCall.chart.dispatches() != dispatch {
-            return;
-        }
-        let Some((ticket, sentAt)) = simCall.ticket.take() else { return };
         simCall.chart.lost_track();
         simCall.chart.give_up();
         self.end_call(call, Outcome::Unknown);
--- a/packages/function_front/src/cell_dispatch.rs
+++ b/packages/function_front/src/cell_dispatch.rs
@@ -103,9 +103,9 @@
     if framed.send(Message::Item((RequestHeadType::from(head), bodySize))).await.is_err() {
         return DispatchOutcome::Unknown("the connection broke while sending");
     }
-    if !body.is_empty() && framed.send(Message::Chunk(Some(body))).await.is_err() {
+    if !body.is_empty() {
         // A cell may answer before it read the whole body; its answer still counts if it is whole.
-        return read_answer(framed, isHead, settings).await;
+        let _ = framed.send(Message::Chunk(Some(body))).await;
     }
     read_answer(framed, isHead, settings).await
 }
--- a/packages/function_front/src/front.rs
+++ b/packages/function_front/src/front.rs
@@ -285,9 +285,7 @@
         let mut laneName = String::new();
         if recorded.is_some() || trace.is_some() {
             let lanes = self.lanes.load();
-            let host = request.headers().get(header::HOST).and_then(|value| value.to_str().ok());
-            let lane = lanes.find(request.method().as_str(), host, request.path());
-            laneName = lane.map(|row| row.name.clone()).unwrap_or_default();
+            laneName = lane_of(&lanes, &request).map(|row| row.name.clone()).unwrap_or_default();
         }
         if let Some(record) = &mut recorded {
             record.lane.clone_from(&laneName);
@@ -333,9 +331,7 @@
             return Err(refuse(chart, refusal));
         }
         let lanes = self.lanes.load_full();
-        let hostValue = request.headers().get(header::HOST).and_then(|value| value.to_str().ok());
-        let host = hostValue.or_else(|| request.uri().host());
-        let Some(lane) = lanes.find(request.method().as_str(), host, request.path()).cloned() else {
+        let Some(lane) = lane_of(&lanes, &request).cloned() else {
             self.counts.no_lane.fetch_add(1, Ordering::Relaxed);
             return Err(refuse(chart, Refusal::new(StatusCode::NOT_FOUND, "no lane takes this call", None)));
         };
@@ -653,6 +649,13 @@
     }
 }
 
+/// The lane that takes a call.
+fn lane_of<'lanes>(lanes: &'lanes LaneTable, request: &Request) -> Option<&'lanes LaneRow> {
+    let hostValue = request.headers().get(header::HOST).and_then(|value| value.to_str().ok());
+    let host = hostValue.or_else(|| request.uri().host());
+    lanes.find(request.method().as_str(), host, request.path())
+}
+
 fn outcome_header() -> header::HeaderName {
     header::HeaderName::from_static(OUTCOME_HEADER)
 }
--- a/packages/history_checks/src/checkers.rs
+++ b/packages/history_checks/src/checkers.rs
@@ -21,8 +21,6 @@
     pub refusals_fixed: usize,
     /// Whether refusals are counted at all: runs that overload on purpose do not.
     pub count_refusals: bool,
-    /// Microseconds within which a generation must hold on every node that lives.
-    pub spread_within: u64,
 }
 
 impl Default for CheckSettings {
@@ -32,7 +30,6 @@
             leaving_grace: 3_000_000,
             refusals_fixed: 5,
             count_refusals: true,
-            spread_within: 3_000_000,
         }
     }
 }
--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -256,20 +256,20 @@
     pub(crate) fn take_control_message(&mut self, from: NodeId, message: Message) {
         let now = self.now;
         match message {
-            Message::Promise { batch, fleet_set, entries } => {
+            Message::Promise { fleet_set, entries } => {
                 let Some(disk) = self.control.sound_disk() else { return };
                 let (answers, records) = disk.registers.promise(fleet_set, &entries);
                 let diskId = disk.id;
-                let answer = Message::Promised { batch, disk: diskId, entries: List(answers) };
+                let answer = Message::Promised { disk: diskId, entries: List(answers) };
                 self.write_then_answer(records, from, answer);
             }
-            Message::Store { batch, fleet_set, entries } => {
+            Message::Store { fleet_set, entries } => {
                 let Some(disk) = self.control.sound_disk() else { return };
                 let setBefore = disk.registers.set().generation;
                 let (answers, records) = disk.registers.store(fleet_set, &entries);
                 let diskId = disk.id;
                 let isNewSet = disk.registers.set().generation > setBefore;
-                let answer = Message::Stored { batch, disk: diskId, entries: List(answers) };
+                let answer = Message::Stored { disk: diskId, entries: List(answers) };
                 self.write_then_answer(records, from, answer);
                 if isNewSet {
                     self.set_changed();
@@ -672,12 +672,12 @@
             match act {
                 OwnerAct::Promise { disk, fleet_set, entries } => {
                     if let Some(node) = self.node_of_disk(disk) {
-                        self.send(node, Message::Promise { batch: 0, fleet_set, entries });
+                        self.send(node, Message::Promise { fleet_set, entries });
                     }
                 }
                 OwnerAct::Store { disk, fleet_set, entries } => {
                     if let Some(node) = self.node_of_disk(disk) {
-                        self.send(node, Message::Store { batch: 0, fleet_set, entries });
+                        self.send(node, Message::Store { fleet_set, entries });
                     }
                 }
                 OwnerAct::Answer { node, outcome } => answerGroups.entry(node).or_default().push(outcome),
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -710,7 +710,7 @@
         match result {
             StartResult::Started { cell, address } => {
                 self.stewards.rate.accepted();
-                self.end_start(&start, StartOutcome::Started { cell, address, worker });
+                self.end_start(&start, StartOutcome::Started { cell, address });
             }
             StartResult::NoRoom => {
                 let configuration = self.configuration.current();
--- a/packages/stand_ins/src/platform_stand_in.rs
+++ b/packages/stand_ins/src/platform_stand_in.rs
@@ -8,7 +8,7 @@
 use platform_client::{CellDocument, ListDocument, StartDocument, StartedDocument, WorkerDocument};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -49,7 +49,7 @@
     cells: BTreeMap<String, RunningCell>,
     /// Lists of the past, newest last: the late one is served.
     lists: VecDeque<(Instant, ListDocument)>,
-    shown_leaving: BTreeMap<String, ()>,
+    shown_leaving: BTreeSet<String>,
     started: BTreeMap<String, StartedDocument>,
     free_ports: VecDeque<u16>,
     next_cell: u64,
@@ -145,7 +145,7 @@
         workers,
         cells: BTreeMap::new(),
         lists: VecDeque::new(),
-        shown_leaving: BTreeMap::new(),
+        shown_leaving: BTreeSet::new(),
         started: BTreeMap::new(),
         free_ports: VecDeque::new(),
         next_cell: 1,
@@ -379,7 +379,7 @@
             return;
         }
         for cell in shown.cells.iter().filter(|cell| cell.state == "leaving") {
-            if self.shown_leaving.insert(cell.id.clone(), ()).is_none() {
+            if self.shown_leaving.insert(cell.id.clone()) {
                 let at = micros_since(self.began);
                 self.history.append(Line::CellShownLeaving { at, cell: cell.id.clone() });
             }
--- a/packages/steward_work/src/deputy_work.rs
+++ b/packages/steward_work/src/deputy_work.rs
@@ -76,11 +76,6 @@
             self.backed_off_until = now + BACK_OFF;
         }
     }
-
-    /// Tickets that are out. Example: `deputy.open_count() == 0`.
-    pub fn open_count(&self) -> usize {
-        self.open.len()
-    }
 }
 
 #[cfg(test)]
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -51,7 +51,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum StartOutcome {
     /// The platform made the cell.
-    Started { cell: String, address: SocketAddr, worker: String },
+    Started { cell: String, address: SocketAddr },
     /// No worker has room, or the act was throttled: the start is wanted no more for now.
     NoRoom,
 }
@@ -100,7 +100,6 @@
 #[derive(Clone, Debug)]
 struct Cell {
     address: SocketAddr,
-    worker: String,
     phase: Phase,
     in_flight: u32,
     booted_from: Option<Micros>,
@@ -467,7 +466,6 @@
             };
             let adoptedCell = Cell {
                 address: listedCell.address,
-                worker: listedCell.worker.clone(),
                 phase,
                 in_flight: inFlight,
                 booted_from: None,
@@ -508,10 +506,9 @@
             return;
         }
         match outcome {
-            StartOutcome::Started { cell, address, worker } => {
+            StartOutcome::Started { cell, address } => {
                 let startedCell = Cell {
                     address,
-                    worker,
                     phase: Phase::Unproven { trial_at: now + self.learnt_boot },
                     in_flight: 0,
                     booted_from: Some(now),
@@ -720,11 +717,6 @@
             }
         }
     }
-
-    /// The worker that runs a cell. Example: `work.worker_of("c1")`.
-    pub fn worker_of(&self, cell: &str) -> Option<&str> {
-        self.cells.get(cell).map(|found| found.worker.as_str())
-    }
 }
 
 /// A cell that runs after some time shows that booting takes no longer, however late it was first
@@ -807,7 +799,7 @@
 
     fn started(cell: &str) -> StartOutcome {
         let address = SocketAddr::from(([127, 0, 0, 1], 9000));
-        StartOutcome::Started { cell: cell.to_owned(), address, worker: "w1".to_owned() }
+        StartOutcome::Started { cell: cell.to_owned(), address }
     }
 
     fn grants(work: &mut FunctionWork) -> Vec<(u64, Ticket)> {
--- a/packages/vanelane/src/control_pages.rs
+++ b/packages/vanelane/src/control_pages.rs
@@ -9,7 +9,7 @@
 use colleague_messages::NodeId;
 use configuration_check::{Change, ChangeOutcome, DOCUMENT_LIMIT, Reason, StoredConfiguration};
 use function_front::Front;
-use futures_util::StreamExt;
+use futures_util::{Stream, StreamExt};
 use serde_json::{Value, json};
 use std::fmt::Write;
 use std::sync::Arc;
@@ -42,6 +42,13 @@
     page(status, "application/json", document.to_string() + "\n")
 }
 
+/// A page whose JSON lines leave as they come.
+fn line_page(lines: impl Stream<Item = Result<Bytes, std::io::Error>> + 'static) -> Page {
+    let mut answer = Response::with_body(StatusCode::OK, BoxBody::new(BodyStream::new(Box::pin(lines))));
+    answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/x-ndjson"));
+    answer
+}
+
 impl ControlPages {
     pub async fn answer(self, mut request: Request) -> Page {
         let path = request.path().to_owned();
@@ -98,10 +105,7 @@
             let outcomeBytes = Bytes::from(outcomeLine.to_string() + "\n");
             Some((Ok::<Bytes, std::io::Error>(outcomeBytes), (pages, reader)))
         });
-        let mut answer =
-            Response::with_body(StatusCode::OK, BoxBody::new(BodyStream::new(Box::pin(outcomes))));
-        answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/x-ndjson"));
-        answer
+        line_page(outcomes)
     }
 
     async fn change(&self, line: &[u8]) -> Value {
@@ -165,9 +169,7 @@
             let isKept = chunk.as_ref().is_ok_and(|bytes| !bytes.is_empty());
             std::future::ready(isKept)
         });
-        let mut answer = Response::with_body(StatusCode::OK, BoxBody::new(BodyStream::new(Box::pin(filled))));
-        answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/x-ndjson"));
-        answer
+        line_page(filled)
     }
 
     async fn status(&self) -> Page {
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -53,11 +53,7 @@
         println!("settings are sound");
         return ExitCode::SUCCESS;
     }
-    let console =
-        ConsoleAppender::builder().target(Target::Stderr).encoder(Box::new(JsonEncoder::new())).build();
-    let logging = log4rs::Config::builder()
-        .appender(Appender::builder().build("stderr", Box::new(console)))
-        .build(Root::builder().appender("stderr").build(settings.log_level));
+    let logging = logging_config(settings.log_level);
     let logHandle = match logging.map(log4rs::init_config) {
         Ok(Ok(handle)) => handle,
         _ => {
@@ -74,6 +70,15 @@
     }
 }
 
+/// JSON lines on standard error.
+fn logging_config(level: log::LevelFilter) -> Result<log4rs::Config, log4rs::config::runtime::ConfigErrors> {
+    let console =
+        ConsoleAppender::builder().target(Target::Stderr).encoder(Box::new(JsonEncoder::new())).build();
+    log4rs::Config::builder()
+        .appender(Appender::builder().build("stderr", Box::new(console)))
+        .build(Root::builder().appender("stderr").build(level))
+}
+
 fn listen_on(field: &str, address: std::net::SocketAddr) -> Result<TcpListener, String> {
     let listener =
         TcpListener::bind(address).map_err(|failure| format!("setting {field}: {address}: {failure}"))?;
@@ -320,11 +325,7 @@
     let seeds = settings.seeds.iter().map(|seed| Address::from(*seed)).collect();
     let _ = inbox.send(ShellEvent::Protocol(Event::SeedsChanged { seeds })).await;
     let _ = inbox.send(ShellEvent::PlatformMoved { address: settings.platform_address }).await;
-    let console =
-        ConsoleAppender::builder().target(Target::Stderr).encoder(Box::new(JsonEncoder::new())).build();
-    let logging = log4rs::Config::builder()
-        .appender(Appender::builder().build("stderr", Box::new(console)))
-        .build(Root::builder().appender("stderr").build(settings.log_level));
+    let logging = logging_config(settings.log_level);
     if let Ok(logging) = logging {
         logHandle.set_config(logging);
     }
