--- a/packages/call_traces/src/lib.rs
+++ b/packages/call_traces/src/lib.rs
@@ -50,7 +50,7 @@
 /// Example: `parse_parent("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01").is_some()`.
 pub fn parse_parent(header: &str) -> Option<(Vec<u8>, Vec<u8>)> {
     let parts: Vec<&str> = header.split('-').collect();
-    let [_, traceText, parentText, _] = parts[..] else { return None };
+    let [_, trace_text, parent_text, _] = parts[..] else { return None };
     let unhex = |text: &str, length: usize| -> Option<Vec<u8>> {
         if text.len() != length * 2 || !text.is_ascii() {
             return None;
@@ -59,34 +59,34 @@
             (0..length).map(|place| u8::from_str_radix(&text[place * 2..place * 2 + 2], 16).ok()).collect();
         bytes.filter(|found| found.iter().any(|byte| *byte != 0))
     };
-    Some((unhex(traceText, 16)?, unhex(parentText, 8)?))
+    Some((unhex(trace_text, 16)?, unhex(parent_text, 8)?))
 }
 
 impl TraceWriter {
     /// Appends to a file until it has so many bytes; `sample` is the share of calls traced.
     /// Example: `TraceWriter::start(path, 1 << 30, 0.01, "zone-a")`.
-    pub fn start(path: &Path, mostBytes: u64, sample: f64, zone: &str) -> std::io::Result<TraceWriter> {
-        Ok(TraceWriter { file: LineFile::start(path, mostBytes)?, sample, zone: zone.to_owned() })
+    pub fn start(path: &Path, most_bytes: u64, sample: f64, zone: &str) -> std::io::Result<TraceWriter> {
+        Ok(TraceWriter { file: LineFile::start(path, most_bytes)?, sample, zone: zone.to_owned() })
     }
 
     /// Begins a trace if the call is drawn, under the visitor's `traceparent` if it has one.
     /// Example: `let trace = writer.begin(Some(header));`.
-    pub fn begin(&self, parentHeader: Option<&str>) -> Option<CallTrace> {
+    pub fn begin(&self, parent_header: Option<&str>) -> Option<CallTrace> {
         if fastrand::f64() >= self.sample {
             return None;
         }
-        let parent = parentHeader.and_then(parse_parent);
-        let (traceId, parentId) = parent.unwrap_or_else(|| (fresh_id(16), Vec::new()));
+        let parent = parent_header.and_then(parse_parent);
+        let (trace_id, parent_id) = parent.unwrap_or_else(|| (fresh_id(16), Vec::new()));
         let root = Span {
-            trace_id: traceId.clone(),
+            trace_id: trace_id.clone(),
             span_id: fresh_id(8),
-            parent_span_id: parentId,
+            parent_span_id: parent_id,
             name: "call".to_owned(),
             kind: SERVER_SPAN,
             start_time_unix_nano: nanos_now(),
             ..Span::default()
         };
-        Some(CallTrace { trace_id: traceId, root, spans: Vec::new() })
+        Some(CallTrace { trace_id, root, spans: Vec::new() })
     }
 
     /// Ends a call's trace and writes it. Example: `writer.end(trace, "proofs", "ran", 200)`.
@@ -157,36 +157,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_trace_joins_its_visitors_and_is_written_in_the_json_form() {
-        let path = std::env::temp_dir().join(format!("vanelane-traces-{}", std::process::id()));
-        let _ = std::fs::remove_file(&path);
-        let writer = TraceWriter::start(&path, 1 << 20, 1.0, "a").expect("a file");
-        let parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
-        let mut trace = writer.begin(Some(parent)).expect("drawn");
-        trace.begin_span("dispatch");
-        assert!(trace.parent_header().starts_with("00-0af7651916cd43dd8448eb211c80319c-"));
-        trace.end_span(&[("vanelane.cell", "c1")]);
-        writer.end(trace, "proofs", "unknown", 502);
-        let TraceWriter { file, .. } = writer;
-        drop(file);
-        // The writer's thread flushes when its last sender is gone.
-        let mut text = String::new();
-        while !text.ends_with('\n') {
-            text = std::fs::read_to_string(&path).expect("a file");
-            std::thread::yield_now();
-        }
-        let document: serde_json::Value = serde_json::from_str(&text).expect("JSON");
-        let spans = &document["resourceSpans"][0]["scopeSpans"][0]["spans"];
-        assert_eq!(spans[0]["traceId"], "0af7651916cd43dd8448eb211c80319c");
-        assert_eq!(spans[0]["parentSpanId"], "b7ad6b7169203331");
-        assert_eq!(spans[1]["parentSpanId"], spans[0]["spanId"]);
-        assert_eq!(spans[1]["attributes"][0]["value"]["stringValue"], "c1");
-        let _ = std::fs::remove_file(&path);
-        assert_eq!(parse_parent("00-00000000000000000000000000000000-b7ad6b7169203331-01"), None);
-        assert_eq!(parse_parent("zz"), None);
-    }
-}
+mod tests;
--- a/packages/call_traces/src/line_file.rs
+++ b/packages/call_traces/src/line_file.rs
@@ -17,14 +17,14 @@
 
 impl LineFile {
     /// Appends to a file until it has so many bytes. Example: `LineFile::start(path, 1 << 30)`.
-    pub fn start(path: &Path, mostBytes: u64) -> std::io::Result<LineFile> {
+    pub fn start(path: &Path, most_bytes: u64) -> std::io::Result<LineFile> {
         let file = std::fs::OpenOptions::new().create(true).append(true).open(path)?;
         let length = file.metadata()?.len();
         let (sender, receiver) = sync_channel(WAITLIST);
         let dropped = Arc::new(AtomicU64::new(0));
-        let countedDropped = dropped.clone();
+        let counted_dropped = dropped.clone();
         std::thread::Builder::new().name("line file".to_owned()).spawn(move || {
-            write_all(BufWriter::new(file), &receiver, mostBytes.saturating_sub(length), &countedDropped);
+            write_all(BufWriter::new(file), &receiver, most_bytes.saturating_sub(length), &counted_dropped);
         })?;
         Ok(LineFile { sender, dropped })
     }
@@ -45,23 +45,23 @@
 fn write_all(
     mut writer: BufWriter<std::fs::File>,
     receiver: &Receiver<Vec<u8>>,
-    mut bytesLeft: u64,
+    mut bytes_left: u64,
     dropped: &AtomicU64,
 ) {
-    let mut isFull = false;
+    let mut is_full = false;
     loop {
         match receiver.recv_timeout(Duration::from_secs(1)) {
             Ok(mut line) => {
                 line.push(b'\n');
-                if isFull || line.len() as u64 > bytesLeft || writer.write_all(&line).is_err() {
-                    if !isFull {
+                if is_full || line.len() as u64 > bytes_left || writer.write_all(&line).is_err() {
+                    if !is_full {
                         log::warn!("a line file is full or its disk fails: nothing more is written to it");
                     }
-                    isFull = true;
+                    is_full = true;
                     dropped.fetch_add(1, Ordering::Relaxed);
                     continue;
                 }
-                bytesLeft -= line.len() as u64;
+                bytes_left -= line.len() as u64;
             }
             Err(RecvTimeoutError::Timeout) => {
                 let _ = writer.flush();
--- a/packages/clock_events/src/lib.rs
+++ b/packages/clock_events/src/lib.rs
@@ -11,13 +11,13 @@
 
 impl Micros {
     /// A span of milliseconds. Example: `Micros::from_millis(3).0 == 3_000`.
-    pub const fn from_millis(millisecondCount: u64) -> Micros {
-        Micros(millisecondCount * 1_000)
+    pub const fn from_millis(millisecond_count: u64) -> Micros {
+        Micros(millisecond_count * 1_000)
     }
 
     /// A span of seconds. Example: `Micros::from_secs(3).0 == 3_000_000`.
-    pub const fn from_secs(secondCount: u64) -> Micros {
-        Micros(secondCount * 1_000_000)
+    pub const fn from_secs(second_count: u64) -> Micros {
+        Micros(second_count * 1_000_000)
     }
 
     /// The span as a library duration. Example: `Micros(5).duration() == Duration::from_micros(5)`.
@@ -33,16 +33,16 @@
 
 impl Add for Micros {
     type Output = Micros;
-    fn add(self, addedSpan: Micros) -> Micros {
-        Micros(self.0.saturating_add(addedSpan.0))
+    fn add(self, added_span: Micros) -> Micros {
+        Micros(self.0.saturating_add(added_span.0))
     }
 }
 
 /// Subtraction stops at zero: a time left never wraps.
 impl Sub for Micros {
     type Output = Micros;
-    fn sub(self, takenSpan: Micros) -> Micros {
-        Micros(self.0.saturating_sub(takenSpan.0))
+    fn sub(self, taken_span: Micros) -> Micros {
+        Micros(self.0.saturating_sub(taken_span.0))
     }
 }
 
@@ -91,16 +91,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_clock_event_does_not_catch_up_after_a_freeze() {
-        let mut probeEvent = ClockEvent::each(Micros(10));
-        assert!(probeEvent.due(Micros(0)));
-        assert!(!probeEvent.due(Micros(9)));
-        assert!(probeEvent.due(Micros(1_000)));
-        assert!(!probeEvent.due(Micros(1_001)));
-        assert_eq!(Micros(3) - Micros(5), Micros(0));
-    }
-}
+mod tests;
--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -26,12 +26,12 @@
 /// Declares message parts and the one enum of messages, all with the same derives.
 macro_rules! messages {
     (
-        parts { $($(#[$partNote:meta])* $part:ident { $($(#[$partFieldNote:meta])* $partField:ident: $partType:ty,)* })* }
+        parts { $($(#[$part_note:meta])* $part:ident { $($(#[$part_field_note:meta])* $part_field:ident: $part_type:ty,)* })* }
         messages { $($(#[$note:meta])* $id:literal $name:ident { $($field:ident: $type:ty,)* })* }
     ) => {
-        $($(#[$partNote])*
+        $($(#[$part_note])*
         #[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
-        pub struct $part { $($(#[$partFieldNote])* pub $partField: $partType,)* })*
+        pub struct $part { $($(#[$part_field_note])* pub $part_field: $part_type,)* })*
 
         /// Every message between colleagues. Example: `Message::Probe { sequence: 1, .. }`.
         #[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
@@ -151,8 +151,8 @@
     }
 
     /// Reads register bytes; empty or foreign bytes are no record. Example: `LeaderRecord::decode(&Bytes::default()) == None`.
-    pub fn decode(recordBytes: &Bytes) -> Option<LeaderRecord> {
-        LeaderRecord::from_bytes((&recordBytes.0, 0)).ok().map(|(_, leaderRecord)| leaderRecord)
+    pub fn decode(record_bytes: &Bytes) -> Option<LeaderRecord> {
+        LeaderRecord::from_bytes((&record_bytes.0, 0)).ok().map(|(_, leader_record)| leader_record)
     }
 }
 
@@ -188,19 +188,19 @@
 }
 
 /// The mark that tells fleets apart. Example: `fleet_mark("blue") != fleet_mark("green")`.
-pub fn fleet_mark(fleetName: &str) -> u64 {
-    stable_hash(fleetName.as_bytes())
+pub fn fleet_mark(fleet_name: &str) -> u64 {
+    stable_hash(fleet_name.as_bytes())
 }
 
 /// A hash that is the same in every process (FNV-1a with a final mix), for rendezvous and digests.
 ///
 /// Example: `stable_hash(b"a") == stable_hash(b"a")`.
-pub fn stable_hash(hashedBytes: &[u8]) -> u64 {
-    let mut runningHash = 0xcbf2_9ce4_8422_2325u64;
-    for byte in hashedBytes {
-        runningHash = (runningHash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+pub fn stable_hash(hashed_bytes: &[u8]) -> u64 {
+    let mut running_hash = 0xcbf2_9ce4_8422_2325u64;
+    for byte in hashed_bytes {
+        running_hash = (running_hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
     }
-    mix(runningHash)
+    mix(running_hash)
 }
 
 /// The weight of one node for one name: the highest weight is the rendezvous choice.
@@ -210,8 +210,8 @@
     mix(stable_hash(name.as_bytes()) ^ mix(node))
 }
 
-fn mix(mixedValue: u64) -> u64 {
-    let mut value = mixedValue.wrapping_add(0x9e37_79b9_7f4a_7c15);
+fn mix(mixed_value: u64) -> u64 {
+    let mut value = mixed_value.wrapping_add(0x9e37_79b9_7f4a_7c15);
     value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     value ^ (value >> 31)
@@ -222,107 +222,54 @@
     ///
     /// Example: `decode_frame(&envelope.frame().unwrap()).unwrap() == envelope`.
     pub fn frame(&self) -> Option<Vec<u8>> {
-        let payloadBytes = self.to_bytes().ok()?;
-        if payloadBytes.len() > FRAME_LIMIT {
+        let payload_bytes = self.to_bytes().ok()?;
+        if payload_bytes.len() > FRAME_LIMIT {
             return None;
         }
-        let mut frameBytes = Vec::with_capacity(FRAME_HEAD + payloadBytes.len());
-        frameBytes.extend_from_slice(&FRAME_MARK.to_le_bytes());
-        frameBytes.extend_from_slice(&(payloadBytes.len() as u32).to_le_bytes());
-        frameBytes.extend_from_slice(&crc32fast::hash(&payloadBytes).to_le_bytes());
-        frameBytes.extend_from_slice(&payloadBytes);
-        Some(frameBytes)
+        let mut frame_bytes = Vec::with_capacity(FRAME_HEAD + payload_bytes.len());
+        frame_bytes.extend_from_slice(&FRAME_MARK.to_le_bytes());
+        frame_bytes.extend_from_slice(&(payload_bytes.len() as u32).to_le_bytes());
+        frame_bytes.extend_from_slice(&crc32fast::hash(&payload_bytes).to_le_bytes());
+        frame_bytes.extend_from_slice(&payload_bytes);
+        Some(frame_bytes)
     }
 }
 
 /// The payload length that a frame's head announces. Example: `frame_length(&frame[..12]) == Ok(n)`.
-pub fn frame_length(headBytes: &[u8; FRAME_HEAD]) -> Result<usize, FrameError> {
-    if headBytes[0..4] != FRAME_MARK.to_le_bytes() {
+pub fn frame_length(head_bytes: &[u8; FRAME_HEAD]) -> Result<usize, FrameError> {
+    if head_bytes[0..4] != FRAME_MARK.to_le_bytes() {
         return Err(FrameError::Foreign);
     }
-    let payloadLength = u32::from_le_bytes([headBytes[4], headBytes[5], headBytes[6], headBytes[7]]) as usize;
-    if payloadLength > FRAME_LIMIT {
+    let payload_length =
+        u32::from_le_bytes([head_bytes[4], head_bytes[5], head_bytes[6], head_bytes[7]]) as usize;
+    if payload_length > FRAME_LIMIT {
         return Err(FrameError::TooLong);
     }
-    Ok(payloadLength)
+    Ok(payload_length)
 }
 
 /// Reads a payload against its frame head. Example: `decode_payload(&head, &payload)?.message`.
-pub fn decode_payload(headBytes: &[u8; FRAME_HEAD], payloadBytes: &[u8]) -> Result<Envelope, FrameError> {
-    let wantedChecksum = [headBytes[8], headBytes[9], headBytes[10], headBytes[11]];
-    if crc32fast::hash(payloadBytes).to_le_bytes() != wantedChecksum {
+pub fn decode_payload(head_bytes: &[u8; FRAME_HEAD], payload_bytes: &[u8]) -> Result<Envelope, FrameError> {
+    let wanted_checksum = [head_bytes[8], head_bytes[9], head_bytes[10], head_bytes[11]];
+    if crc32fast::hash(payload_bytes).to_le_bytes() != wanted_checksum {
         return Err(FrameError::Checksum);
     }
-    match Envelope::from_bytes((payloadBytes, 0)) {
+    match Envelope::from_bytes((payload_bytes, 0)) {
         Ok((([], _), envelope)) => Ok(envelope),
         _ => Err(FrameError::Malformed),
     }
 }
 
 /// Reads one whole frame. Example: `decode_frame(b"GET / HTTP/1.1") == Err(FrameError::Foreign)`.
-pub fn decode_frame(frameBytes: &[u8]) -> Result<Envelope, FrameError> {
-    let Some((headBytes, payloadBytes)) = frameBytes.split_first_chunk::<FRAME_HEAD>() else {
+pub fn decode_frame(frame_bytes: &[u8]) -> Result<Envelope, FrameError> {
+    let Some((head_bytes, payload_bytes)) = frame_bytes.split_first_chunk::<FRAME_HEAD>() else {
         return Err(FrameError::Malformed);
     };
-    if frame_length(headBytes)? != payloadBytes.len() {
+    if frame_length(head_bytes)? != payload_bytes.len() {
         return Err(FrameError::Malformed);
     }
-    decode_payload(headBytes, payloadBytes)
+    decode_payload(head_bytes, payload_bytes)
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn example_envelope() -> Envelope {
-        let ownAddress = Address::from(std::net::SocketAddr::from(([127, 0, 0, 1], 7000)));
-        let memberNews = MemberNews {
-            node: 9,
-            address: ownAddress,
-            zone: "a".into(),
-            incarnation: 3,
-            state: 1,
-            disk: 5,
-            disk_state: 2,
-            draining: 0,
-        };
-        Envelope {
-            fleet: fleet_mark("blue"),
-            from: 9,
-            from_address: ownAddress,
-            to: 1,
-            message: Message::Probe { sequence: 4, target: 1, members: List(vec![memberNews]) },
-        }
-    }
-
-    #[test]
-    fn frames_come_back_whole_and_any_damage_is_refused() {
-        let sentEnvelope = example_envelope();
-        let sentFrame = sentEnvelope.frame().expect("an example frame is short");
-        assert_eq!(decode_frame(&sentFrame), Ok(sentEnvelope));
-        for damagedPlace in 0..sentFrame.len() {
-            let mut damagedFrame = sentFrame.clone();
-            damagedFrame[damagedPlace] ^= 0x10;
-            assert!(decode_frame(&damagedFrame).is_err(), "byte {damagedPlace}");
-        }
-    }
-
-    #[test]
-    fn no_bytes_make_the_decoder_panic_or_reserve_much() {
-        arbtest::arbtest(|source| {
-            let payloadBytes: Vec<u8> = source.arbitrary()?;
-            let mut headBytes = [0u8; FRAME_HEAD];
-            headBytes[0..4].copy_from_slice(&FRAME_MARK.to_le_bytes());
-            headBytes[4..8].copy_from_slice(&(payloadBytes.len() as u32).to_le_bytes());
-            headBytes[8..12].copy_from_slice(&crc32fast::hash(&payloadBytes).to_le_bytes());
-            if let Ok(envelope) = decode_payload(&headBytes, &payloadBytes) {
-                assert!(envelope.frame().is_some());
-            }
-            let _ = DemandNews::from_bytes((&payloadBytes, 0));
-            let _ = CellsNews::from_bytes((&payloadBytes, 0));
-            LeaderRecord::decode(&Bytes(payloadBytes));
-            Ok(())
-        })
-        .seed(0x5eed_0001_0000_0040);
-    }
-}
+mod tests;
--- a/packages/colleague_messages/src/parts.rs
+++ b/packages/colleague_messages/src/parts.rs
@@ -33,99 +33,99 @@
 }
 
 impl From<SocketAddr> for Address {
-    fn from(socketAddress: SocketAddr) -> Address {
-        let mappedIp = match socketAddress.ip() {
-            IpAddr::V4(shortIp) => shortIp.to_ipv6_mapped(),
-            IpAddr::V6(longIp) => longIp,
+    fn from(socket_address: SocketAddr) -> Address {
+        let mapped_ip = match socket_address.ip() {
+            IpAddr::V4(short_ip) => short_ip.to_ipv6_mapped(),
+            IpAddr::V6(long_ip) => long_ip,
         };
-        Address { ip: mappedIp.octets(), port: socketAddress.port() }
+        Address { ip: mapped_ip.octets(), port: socket_address.port() }
     }
 }
 
 impl From<&str> for Text {
-    fn from(sourceText: &str) -> Text {
-        Text(sourceText.to_owned())
+    fn from(source_text: &str) -> Text {
+        Text(source_text.to_owned())
     }
 }
 
 impl From<String> for Text {
-    fn from(sourceText: String) -> Text {
-        Text(sourceText)
+    fn from(source_text: String) -> Text {
+        Text(source_text)
     }
 }
 
 impl From<Vec<u8>> for Bytes {
-    fn from(sourceBytes: Vec<u8>) -> Bytes {
-        Bytes(sourceBytes)
+    fn from(source_bytes: Vec<u8>) -> Bytes {
+        Bytes(source_bytes)
     }
 }
 
 impl<T> FromIterator<T> for List<T> {
-    fn from_iter<I: IntoIterator<Item = T>>(sourceItems: I) -> List<T> {
-        List(sourceItems.into_iter().collect())
+    fn from_iter<I: IntoIterator<Item = T>>(source_items: I) -> List<T> {
+        List(source_items.into_iter().collect())
     }
 }
 
 impl<'a> DekuReader<'a, ()> for Bytes {
     fn from_reader_with_ctx<R: Read + Seek>(
-        byteReader: &mut Reader<R>,
+        byte_reader: &mut Reader<R>,
         _context: (),
     ) -> Result<Bytes, DekuError> {
-        let mut remainingCount = u32::from_reader_with_ctx(byteReader, ())? as usize;
-        let mut readBytes = Vec::new();
+        let mut remaining_count = u32::from_reader_with_ctx(byte_reader, ())? as usize;
+        let mut read_bytes = Vec::new();
         // Read in steps, so that a lying count never reserves more than the frame really holds.
-        while remainingCount > 0 {
-            let stepCount = remainingCount.min(65_536);
-            let stepStart = readBytes.len();
-            readBytes.resize(stepStart + stepCount, 0);
-            byteReader.read_bytes(stepCount, &mut readBytes[stepStart..], Default::default())?;
-            remainingCount -= stepCount;
+        while remaining_count > 0 {
+            let step_count = remaining_count.min(65_536);
+            let step_start = read_bytes.len();
+            read_bytes.resize(step_start + step_count, 0);
+            byte_reader.read_bytes(step_count, &mut read_bytes[step_start..], Default::default())?;
+            remaining_count -= step_count;
         }
-        Ok(Bytes(readBytes))
+        Ok(Bytes(read_bytes))
     }
 }
 
 impl DekuWriter<()> for Bytes {
-    fn to_writer<W: Write + Seek>(&self, byteWriter: &mut Writer<W>, _context: ()) -> Result<(), DekuError> {
-        (self.0.len() as u32).to_writer(byteWriter, ())?;
-        byteWriter.write_bytes(&self.0)
+    fn to_writer<W: Write + Seek>(&self, byte_writer: &mut Writer<W>, _context: ()) -> Result<(), DekuError> {
+        (self.0.len() as u32).to_writer(byte_writer, ())?;
+        byte_writer.write_bytes(&self.0)
     }
 }
 
 impl<'a> DekuReader<'a, ()> for Text {
     fn from_reader_with_ctx<R: Read + Seek>(
-        byteReader: &mut Reader<R>,
+        byte_reader: &mut Reader<R>,
         context: (),
     ) -> Result<Text, DekuError> {
-        let readBytes = Bytes::from_reader_with_ctx(byteReader, context)?;
-        String::from_utf8(readBytes.0).map(Text).map_err(|_| DekuError::Parse("text is not UTF-8"))
+        let read_bytes = Bytes::from_reader_with_ctx(byte_reader, context)?;
+        String::from_utf8(read_bytes.0).map(Text).map_err(|_| DekuError::Parse("text is not UTF-8"))
     }
 }
 
 impl DekuWriter<()> for Text {
-    fn to_writer<W: Write + Seek>(&self, byteWriter: &mut Writer<W>, _context: ()) -> Result<(), DekuError> {
-        (self.0.len() as u32).to_writer(byteWriter, ())?;
-        byteWriter.write_bytes(self.0.as_bytes())
+    fn to_writer<W: Write + Seek>(&self, byte_writer: &mut Writer<W>, _context: ()) -> Result<(), DekuError> {
+        (self.0.len() as u32).to_writer(byte_writer, ())?;
+        byte_writer.write_bytes(self.0.as_bytes())
     }
 }
 
 impl<'a, T: DekuReader<'a, ()>> DekuReader<'a, ()> for List<T> {
     fn from_reader_with_ctx<R: Read + Seek>(
-        byteReader: &mut Reader<R>,
+        byte_reader: &mut Reader<R>,
         _context: (),
     ) -> Result<List<T>, DekuError> {
-        let itemCount = u32::from_reader_with_ctx(byteReader, ())?;
-        let mut readItems = Vec::new();
-        for _ in 0..itemCount {
-            readItems.push(T::from_reader_with_ctx(byteReader, ())?);
+        let item_count = u32::from_reader_with_ctx(byte_reader, ())?;
+        let mut read_items = Vec::new();
+        for _ in 0..item_count {
+            read_items.push(T::from_reader_with_ctx(byte_reader, ())?);
         }
-        Ok(List(readItems))
+        Ok(List(read_items))
     }
 }
 
 impl<T: DekuWriter<()>> DekuWriter<()> for List<T> {
-    fn to_writer<W: Write + Seek>(&self, byteWriter: &mut Writer<W>, _context: ()) -> Result<(), DekuError> {
-        (self.0.len() as u32).to_writer(byteWriter, ())?;
-        self.0.iter().try_for_each(|item| item.to_writer(byteWriter, ()))
+    fn to_writer<W: Write + Seek>(&self, byte_writer: &mut Writer<W>, _context: ()) -> Result<(), DekuError> {
+        (self.0.len() as u32).to_writer(byte_writer, ())?;
+        self.0.iter().try_for_each(|item| item.to_writer(byte_writer, ()))
     }
 }
--- /dev/null
+++ b/packages/colleague_messages/src/tests.rs
@@ -0,0 +1,53 @@
+use super::*;
+
+fn example_envelope() -> Envelope {
+    let own_address = Address::from(std::net::SocketAddr::from(([127, 0, 0, 1], 7000)));
+    let member_news = MemberNews {
+        node: 9,
+        address: own_address,
+        zone: "a".into(),
+        incarnation: 3,
+        state: 1,
+        disk: 5,
+        disk_state: 2,
+        draining: 0,
+    };
+    Envelope {
+        fleet: fleet_mark("blue"),
+        from: 9,
+        from_address: own_address,
+        to: 1,
+        message: Message::Probe { sequence: 4, target: 1, members: List(vec![member_news]) },
+    }
+}
+
+#[test]
+fn frames_come_back_whole_and_any_damage_is_refused() {
+    let sent_envelope = example_envelope();
+    let sent_frame = sent_envelope.frame().expect("an example frame is short");
+    assert_eq!(decode_frame(&sent_frame), Ok(sent_envelope));
+    for damaged_place in 0..sent_frame.len() {
+        let mut damaged_frame = sent_frame.clone();
+        damaged_frame[damaged_place] ^= 0x10;
+        assert!(decode_frame(&damaged_frame).is_err(), "byte {damaged_place}");
+    }
+}
+
+#[test]
+fn no_bytes_make_the_decoder_panic_or_reserve_much() {
+    arbtest::arbtest(|source| {
+        let payload_bytes: Vec<u8> = source.arbitrary()?;
+        let mut head_bytes = [0u8; FRAME_HEAD];
+        head_bytes[0..4].copy_from_slice(&FRAME_MARK.to_le_bytes());
+        head_bytes[4..8].copy_from_slice(&(payload_bytes.len() as u32).to_le_bytes());
+        head_bytes[8..12].copy_from_slice(&crc32fast::hash(&payload_bytes).to_le_bytes());
+        if let Ok(envelope) = decode_payload(&head_bytes, &payload_bytes) {
+            assert!(envelope.frame().is_some());
+        }
+        let _ = DemandNews::from_bytes((&payload_bytes, 0));
+        let _ = CellsNews::from_bytes((&payload_bytes, 0));
+        LeaderRecord::decode(&Bytes(payload_bytes));
+        Ok(())
+    })
+    .seed(0x5eed_0001_0000_0040);
+}
--- a/packages/colleague_probes/src/lib.rs
+++ b/packages/colleague_probes/src/lib.rs
@@ -95,10 +95,10 @@
 impl Members {
     /// A view that knows only itself and its seeds.
     /// Example: `Members::new(own, seeds, settings, 7).live().len() == 1`.
-    pub fn new(own: MemberNews, seeds: Vec<Address>, settings: ProbeSettings, luckSeed: u64) -> Members {
-        let ownAddress = own.address;
+    pub fn new(own: MemberNews, seeds: Vec<Address>, settings: ProbeSettings, luck_seed: u64) -> Members {
+        let own_address = own.address;
         Members {
-            seeds: seeds.into_iter().filter(|seed| *seed != ownAddress).collect(),
+            seeds: seeds.into_iter().filter(|seed| *seed != own_address).collect(),
             probe_event: ClockEvent::each(settings.interval),
             heal_event: ClockEvent::each(Micros(settings.interval.0 * 2)),
             own,
@@ -110,7 +110,7 @@
             next_sequence: 0,
             last_tick: Micros(0),
             changes: Vec::new(),
-            dice: Rng::with_seed(luckSeed),
+            dice: Rng::with_seed(luck_seed),
         }
     }
 
@@ -122,9 +122,9 @@
     /// Changes what this node says of itself; colleagues take it for its higher incarnation.
     /// Example: `members.update_own(|own| own.draining = 1)`.
     pub fn update_own(&mut self, change: impl FnOnce(&mut MemberNews)) {
-        let previousOwn = self.own.clone();
+        let previous_own = self.own.clone();
         change(&mut self.own);
-        if self.own != previousOwn {
+        if self.own != previous_own {
             self.own.incarnation += 1;
         }
     }
@@ -132,10 +132,10 @@
     /// All members believed alive, this node included, by rising id.
     /// Example: `members.live().len()` is the paper's N.
     pub fn live(&self) -> Vec<&MemberNews> {
-        let mut liveMembers: Vec<&MemberNews> = self.colleagues().collect();
-        liveMembers.push(&self.own);
-        liveMembers.sort_by_key(|news| news.node);
-        liveMembers
+        let mut live_members: Vec<&MemberNews> = self.colleagues().collect();
+        live_members.push(&self.own);
+        live_members.sort_by_key(|news| news.node);
+        live_members
     }
 
     /// The colleagues believed alive. Example: `members.colleagues().count()`.
@@ -180,9 +180,9 @@
     /// Probes what is due and lets suspicions run out. Example: `members.tick(now)`.
     pub fn tick(&mut self, now: Micros) -> Vec<Outgoing> {
         let mut outgoing = Vec::new();
-        let wasFrozen = now > self.last_tick + self.settings.suspicion;
+        let was_frozen = now > self.last_tick + self.settings.suspicion;
         self.last_tick = now;
-        if wasFrozen {
+        if was_frozen {
             // Whoever was frozen itself has no ground to doubt others.
             self.pending = None;
             for member in self.members.values_mut().filter(|member| member.news.state == SUSPECTED) {
@@ -205,21 +205,21 @@
     pub fn received(
         &mut self,
         from: NodeId,
-        fromAddress: Address,
+        from_address: Address,
         message: Message,
         now: Micros,
     ) -> Vec<Outgoing> {
         if from == self.own.node {
             return Vec::new();
         }
-        self.displace(from, fromAddress, now);
+        self.displace(from, from_address, now);
         match message {
             Message::Probe { sequence, target, members } => {
                 self.merge(members, now);
                 // A probe meant for the process that was here before is answered all the same: the
                 // answer shows the asker who listens here now.
                 let _ = target;
-                vec![(fromAddress, Message::ProbeAnswer { sequence, members: self.told() })]
+                vec![(from_address, Message::ProbeAnswer { sequence, members: self.told() })]
             }
             Message::ProbeAnswer { sequence, members } => {
                 self.merge(members, now);
@@ -231,12 +231,15 @@
                 vec![(relay.requester, relayed)]
             }
             Message::ProbeFor { sequence, target, target_address } => {
-                let ownSequence = self.sequence();
-                self.relays.insert(ownSequence, Relay { requester: fromAddress, sequence });
+                let own_sequence = self.sequence();
+                self.relays.insert(own_sequence, Relay { requester: from_address, sequence });
                 while self.relays.len() > TOLD_LIMIT {
                     self.relays.pop_first();
                 }
-                vec![(target_address, Message::Probe { sequence: ownSequence, target, members: self.told() })]
+                vec![(
+                    target_address,
+                    Message::Probe { sequence: own_sequence, target, members: self.told() },
+                )]
             }
             _ => Vec::new(),
         }
@@ -248,9 +251,9 @@
     }
 
     /// Another process speaks from this address: the one known there before is gone.
-    fn displace(&mut self, from: NodeId, fromAddress: Address, now: Micros) {
+    fn displace(&mut self, from: NodeId, from_address: Address, now: Micros) {
         for (node, member) in &mut self.members {
-            if *node != from && member.news.address == fromAddress && member.news.state != GONE {
+            if *node != from && member.news.address == from_address && member.news.state != GONE {
                 member.news.state = GONE;
                 member.state_since = now;
                 self.changes.push(MemberChange::Gone(*node));
@@ -260,17 +263,18 @@
 
     /// What is told with every probe: this node first, then colleagues, in a small fleet all of them.
     fn told(&mut self) -> List<MemberNews> {
-        let mut toldNews: Vec<MemberNews> = self.members.values().map(|member| member.news.clone()).collect();
-        if toldNews.len() >= TOLD_LIMIT {
-            self.dice.shuffle(&mut toldNews);
-            toldNews.truncate(TOLD_LIMIT - 1);
+        let mut told_news: Vec<MemberNews> =
+            self.members.values().map(|member| member.news.clone()).collect();
+        if told_news.len() >= TOLD_LIMIT {
+            self.dice.shuffle(&mut told_news);
+            told_news.truncate(TOLD_LIMIT - 1);
         }
-        toldNews.insert(0, self.own.clone());
-        List(toldNews)
+        told_news.insert(0, self.own.clone());
+        List(told_news)
     }
 
-    fn merge(&mut self, toldMembers: List<MemberNews>, now: Micros) {
-        for news in toldMembers.0.into_iter().take(TOLD_LIMIT) {
+    fn merge(&mut self, told_members: List<MemberNews>, now: Micros) {
+        for news in told_members.0.into_iter().take(TOLD_LIMIT) {
             self.merge_one(news, now);
         }
     }
@@ -291,8 +295,8 @@
             self.members.insert(news.node, Member { news, state_since: now });
             return;
         };
-        let isNewer = (news.incarnation, news.state) > (member.news.incarnation, member.news.state);
-        if !isNewer {
+        let is_newer = (news.incarnation, news.state) > (member.news.incarnation, member.news.state);
+        if !is_newer {
             return;
         }
         if news.state == GONE && member.news.state != GONE {
@@ -315,17 +319,18 @@
         };
         if !pending.asked_others && now >= pending.sent_at + self.settings.answer_within {
             pending.asked_others = true;
-            let (sequence, suspectNode, suspectAddress) =
+            let (sequence, suspect_node, suspect_address) =
                 (pending.sequence, pending.target, target.news.address);
             let mut helpers: Vec<Address> = self
                 .members
                 .values()
-                .filter(|member| member.news.state == ALIVE && member.news.node != suspectNode)
+                .filter(|member| member.news.state == ALIVE && member.news.node != suspect_node)
                 .map(|member| member.news.address)
                 .collect();
             self.dice.shuffle(&mut helpers);
             outgoing.extend(helpers.into_iter().take(3).map(|helper| {
-                let ask = Message::ProbeFor { sequence, target: suspectNode, target_address: suspectAddress };
+                let ask =
+                    Message::ProbeFor { sequence, target: suspect_node, target_address: suspect_address };
                 (helper, ask)
             }));
             return;
@@ -347,8 +352,9 @@
                 self.changes.push(MemberChange::Gone(*node));
             }
         }
-        let rememberGone = self.settings.remember_gone;
-        self.members.retain(|_, member| member.news.state != GONE || now < member.state_since + rememberGone);
+        let remember_gone = self.settings.remember_gone;
+        self.members
+            .retain(|_, member| member.news.state != GONE || now < member.state_since + remember_gone);
     }
 
     fn probe_next(&mut self, now: Micros, outgoing: &mut Vec<Outgoing>) {
@@ -360,116 +366,36 @@
             self.dice.shuffle(&mut self.rotation);
         }
         while let Some(target) = self.rotation.pop() {
-            let Some(targetAddress) = self.find(target).map(|news| news.address) else { continue };
+            let Some(target_address) = self.find(target).map(|news| news.address) else { continue };
             let sequence = self.sequence();
             self.pending = Some(PendingProbe { target, sequence, sent_at: now, asked_others: false });
-            outgoing.push((targetAddress, Message::Probe { sequence, target, members: self.told() }));
+            outgoing.push((target_address, Message::Probe { sequence, target, members: self.told() }));
             return;
         }
     }
 
     /// One probe to a seed that is no live member or to a removed member.
     fn probe_lost(&mut self, outgoing: &mut Vec<Outgoing>) {
-        let liveAddresses: Vec<Address> = self.colleagues().map(|news| news.address).collect();
-        let mut lostAddresses: Vec<Address> = self
+        let live_addresses: Vec<Address> = self.colleagues().map(|news| news.address).collect();
+        let mut lost_addresses: Vec<Address> = self
             .seeds
             .iter()
             .copied()
             .chain(self.members.values().map(|member| member.news.address))
-            .filter(|address| !liveAddresses.contains(address))
+            .filter(|address| !live_addresses.contains(address))
             .collect();
-        lostAddresses.sort();
-        lostAddresses.dedup();
-        let probedAddresses = match liveAddresses.is_empty() {
-            true => lostAddresses,
-            false => self.dice.choice(lostAddresses).into_iter().collect(),
+        lost_addresses.sort();
+        lost_addresses.dedup();
+        let probed_addresses = match live_addresses.is_empty() {
+            true => lost_addresses,
+            false => self.dice.choice(lost_addresses).into_iter().collect(),
         };
-        for lostAddress in probedAddresses {
+        for lost_address in probed_addresses {
             let sequence = self.sequence();
-            outgoing.push((lostAddress, Message::Probe { sequence, target: 0, members: self.told() }));
+            outgoing.push((lost_address, Message::Probe { sequence, target: 0, members: self.told() }));
         }
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::collections::BTreeSet;
-    use std::net::SocketAddr;
-
-    fn news(node: NodeId) -> MemberNews {
-        MemberNews {
-            node,
-            address: Address::from(SocketAddr::from(([127, 0, 0, 1], node as u16))),
-            zone: "a".into(),
-            incarnation: 1,
-            state: ALIVE,
-            disk: 0,
-            disk_state: 0,
-            draining: 0,
-        }
-    }
-
-    /// Runs the fleet in steps of 50 ms; links for which `cut` holds lose everything.
-    fn run(fleet: &mut [Members], fromMillis: u64, toMillis: u64, cut: impl Fn(NodeId, NodeId) -> bool) {
-        for millisecond in (fromMillis..toMillis).step_by(50) {
-            let now = Micros::from_millis(millisecond);
-            let mut waiting: Vec<(NodeId, Outgoing)> = Vec::new();
-            for members in fleet.iter_mut() {
-                let sender = members.own().node;
-                waiting.extend(members.tick(now).into_iter().map(|sent| (sender, sent)));
-            }
-            while let Some((sender, (address, message))) = waiting.pop() {
-                let senderAddress = news(sender).address;
-                let Some(receiver) = fleet.iter_mut().find(|members| members.own().address == address) else {
-                    continue;
-                };
-                let receiverNode = receiver.own().node;
-                if cut(sender, receiverNode) {
-                    continue;
-                }
-                let answers = receiver.received(sender, senderAddress, message, now);
-                waiting.extend(answers.into_iter().map(|sent| (receiverNode, sent)));
-            }
-        }
-    }
-
-    fn seen(members: &Members) -> BTreeSet<NodeId> {
-        members.live().iter().map(|news| news.node).collect()
-    }
-
-    #[test]
-    fn a_cut_is_seen_by_both_sides_and_heals_and_one_bad_link_harms_nobody() {
-        let mut fleet: Vec<Members> = (1..=10)
-            .map(|node| Members::new(news(node), vec![news(1).address], ProbeSettings::default(), node))
-            .collect();
-        let everyone: BTreeSet<NodeId> = (1..=10).collect();
-        run(&mut fleet, 0, 8_000, |_, _| false);
-        assert!(fleet.iter().all(|members| seen(members) == everyone));
-        // A single link that loses everything one way is covered by second opinions.
-        run(&mut fleet, 8_000, 20_000, |sender, receiver| (sender, receiver) == (2, 3));
-        assert!(fleet.iter().all(|members| seen(members) == everyone));
-        run(&mut fleet, 20_000, 30_000, |sender, receiver| (sender <= 4) != (receiver <= 4));
-        assert!(
-            fleet.iter().all(|members| seen(members).len() == if members.own().node <= 4 { 4 } else { 6 })
-        );
-        run(&mut fleet, 30_000, 40_000, |_, _| false);
-        assert!(fleet.iter().all(|members| seen(members) == everyone));
-    }
-
-    #[test]
-    fn a_restarted_process_displaces_the_one_before_at_its_address() {
-        let mut fleet: Vec<Members> = (1..=3)
-            .map(|node| Members::new(news(node), vec![news(1).address], ProbeSettings::default(), node))
-            .collect();
-        run(&mut fleet, 0, 5_000, |_, _| false);
-        let reborn = MemberNews { node: 77, ..news(3) };
-        let displacing = Message::Probe { sequence: 1, target: 0, members: List(vec![reborn.clone()]) };
-        fleet[0].received(77, reborn.address, displacing, Micros::from_secs(5));
-        assert_eq!(seen(&fleet[0]), BTreeSet::from([1, 2, 77]));
-        assert_eq!(
-            fleet[0].take_changes().last_chunk::<2>(),
-            Some(&[MemberChange::Gone(3), MemberChange::Joined(77)])
-        );
-    }
-}
+mod tests;
--- /dev/null
+++ b/packages/colleague_probes/src/tests.rs
@@ -0,0 +1,77 @@
+use super::*;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+fn news(node: NodeId) -> MemberNews {
+    MemberNews {
+        node,
+        address: Address::from(SocketAddr::from(([127, 0, 0, 1], node as u16))),
+        zone: "a".into(),
+        incarnation: 1,
+        state: ALIVE,
+        disk: 0,
+        disk_state: 0,
+        draining: 0,
+    }
+}
+
+/// Runs the fleet in steps of 50 ms; links for which `cut` holds lose everything.
+fn run(fleet: &mut [Members], from_millis: u64, to_millis: u64, cut: impl Fn(NodeId, NodeId) -> bool) {
+    for millisecond in (from_millis..to_millis).step_by(50) {
+        let now = Micros::from_millis(millisecond);
+        let mut waiting: Vec<(NodeId, Outgoing)> = Vec::new();
+        for members in fleet.iter_mut() {
+            let sender = members.own().node;
+            waiting.extend(members.tick(now).into_iter().map(|sent| (sender, sent)));
+        }
+        while let Some((sender, (address, message))) = waiting.pop() {
+            let sender_address = news(sender).address;
+            let Some(receiver) = fleet.iter_mut().find(|members| members.own().address == address) else {
+                continue;
+            };
+            let receiver_node = receiver.own().node;
+            if cut(sender, receiver_node) {
+                continue;
+            }
+            let answers = receiver.received(sender, sender_address, message, now);
+            waiting.extend(answers.into_iter().map(|sent| (receiver_node, sent)));
+        }
+    }
+}
+
+fn seen(members: &Members) -> BTreeSet<NodeId> {
+    members.live().iter().map(|news| news.node).collect()
+}
+
+#[test]
+fn a_cut_is_seen_by_both_sides_and_heals_and_one_bad_link_harms_nobody() {
+    let mut fleet: Vec<Members> = (1..=10)
+        .map(|node| Members::new(news(node), vec![news(1).address], ProbeSettings::default(), node))
+        .collect();
+    let everyone: BTreeSet<NodeId> = (1..=10).collect();
+    run(&mut fleet, 0, 8_000, |_, _| false);
+    assert!(fleet.iter().all(|members| seen(members) == everyone));
+    // A single link that loses everything one way is covered by second opinions.
+    run(&mut fleet, 8_000, 20_000, |sender, receiver| (sender, receiver) == (2, 3));
+    assert!(fleet.iter().all(|members| seen(members) == everyone));
+    run(&mut fleet, 20_000, 30_000, |sender, receiver| (sender <= 4) != (receiver <= 4));
+    assert!(fleet.iter().all(|members| seen(members).len() == if members.own().node <= 4 { 4 } else { 6 }));
+    run(&mut fleet, 30_000, 40_000, |_, _| false);
+    assert!(fleet.iter().all(|members| seen(members) == everyone));
+}
+
+#[test]
+fn a_restarted_process_displaces_the_one_before_at_its_address() {
+    let mut fleet: Vec<Members> = (1..=3)
+        .map(|node| Members::new(news(node), vec![news(1).address], ProbeSettings::default(), node))
+        .collect();
+    run(&mut fleet, 0, 5_000, |_, _| false);
+    let reborn = MemberNews { node: 77, ..news(3) };
+    let displacing = Message::Probe { sequence: 1, target: 0, members: List(vec![reborn.clone()]) };
+    fleet[0].received(77, reborn.address, displacing, Micros::from_secs(5));
+    assert_eq!(seen(&fleet[0]), BTreeSet::from([1, 2, 77]));
+    assert_eq!(
+        fleet[0].take_changes().last_chunk::<2>(),
+        Some(&[MemberChange::Gone(3), MemberChange::Joined(77)])
+    );
+}
--- a/packages/configuration_check/src/changes.rs
+++ b/packages/configuration_check/src/changes.rs
@@ -58,16 +58,16 @@
 impl ChangeOutcome {
     /// The outcome line of the change stream.
     /// Example: `{"change_id":"a1","outcome":"accepted","generation":5,"repeated":false}`.
-    pub fn line(&self, changeId: &str) -> Value {
+    pub fn line(&self, change_id: &str) -> Value {
         match self {
             ChangeOutcome::Accepted { generation, repeated } => json!({
-                "change_id": changeId, "outcome": "accepted", "generation": generation, "repeated": repeated
+                "change_id": change_id, "outcome": "accepted", "generation": generation, "repeated": repeated
             }),
             ChangeOutcome::Refused { generation, reasons } => json!({
-                "change_id": changeId, "outcome": "refused", "generation": generation, "reasons": reasons
+                "change_id": change_id, "outcome": "refused", "generation": generation, "reasons": reasons
             }),
             ChangeOutcome::Unknown { reason } => {
-                json!({ "change_id": changeId, "outcome": "unknown", "reason": reason })
+                json!({ "change_id": change_id, "outcome": "unknown", "reason": reason })
             }
         }
     }
@@ -90,11 +90,11 @@
 
     /// Reads the register's bytes; no bytes are the empty configuration.
     /// Example: `StoredConfiguration::decode(b"").unwrap().generation == 0`.
-    pub fn decode(storedBytes: &[u8]) -> Option<StoredConfiguration> {
-        if storedBytes.is_empty() {
+    pub fn decode(stored_bytes: &[u8]) -> Option<StoredConfiguration> {
+        if stored_bytes.is_empty() {
             return Some(StoredConfiguration::empty());
         }
-        serde_json::from_slice(storedBytes).ok()
+        serde_json::from_slice(stored_bytes).ok()
     }
 
     /// The checked document. Example: `stored.checked().unwrap().lanes.len()`.
@@ -120,13 +120,13 @@
         if change.change_id.is_empty() || change.change_id.len() > CHANGE_ID_LIMIT {
             reasons.push(Reason::at("/change_id", format!("must have 1 to {CHANGE_ID_LIMIT} bytes")));
         }
-        if let Some(expectedGeneration) = change.expected_generation
-            && expectedGeneration != self.generation
+        if let Some(expected_generation) = change.expected_generation
+            && expected_generation != self.generation
         {
-            let reason = format!("generation {} stands, not {expectedGeneration}", self.generation);
+            let reason = format!("generation {} stands, not {expected_generation}", self.generation);
             reasons.push(Reason::at("/expected_generation", reason));
         }
-        let nextDocument = match (&change.whole, &change.partial) {
+        let next_document = match (&change.whole, &change.partial) {
             (Some(whole), None) => whole.clone(),
             (None, Some(partial)) => merged(&self.document, partial),
             _ => {
@@ -137,80 +137,36 @@
         if !reasons.is_empty() {
             return refused(reasons);
         }
-        if nextDocument.to_string().len() > DOCUMENT_LIMIT {
+        if next_document.to_string().len() > DOCUMENT_LIMIT {
             return refused(vec![Reason::at("", format!("the document is over {DOCUMENT_LIMIT} bytes"))]);
         }
-        if let Err(checkReasons) = check(&nextDocument) {
-            return refused(checkReasons);
+        if let Err(check_reasons) = check(&next_document) {
+            return refused(check_reasons);
         }
         self.generation += 1;
-        self.document = nextDocument;
+        self.document = next_document;
         self.recent
             .push(RememberedChange { change_id: change.change_id.clone(), generation: self.generation });
-        let surplusCount = self.recent.len().saturating_sub(REMEMBERED_CHANGES);
-        self.recent.drain(..surplusCount);
+        let surplus_count = self.recent.len().saturating_sub(REMEMBERED_CHANGES);
+        self.recent.drain(..surplus_count);
         ChangeOutcome::Accepted { generation: self.generation, repeated: false }
     }
 }
 
 /// JSON merge patch (RFC 7396).
 fn merged(standing: &Value, partial: &Value) -> Value {
-    let Value::Object(partialFields) = partial else { return partial.clone() };
-    let mut mergedFields = standing.as_object().cloned().unwrap_or_default();
-    for (name, partialValue) in partialFields {
-        if partialValue.is_null() {
-            mergedFields.remove(name);
+    let Value::Object(partial_fields) = partial else { return partial.clone() };
+    let mut merged_fields = standing.as_object().cloned().unwrap_or_default();
+    for (name, partial_value) in partial_fields {
+        if partial_value.is_null() {
+            merged_fields.remove(name);
             continue;
         }
-        let standingValue = mergedFields.get(name).cloned().unwrap_or(Value::Null);
-        mergedFields.insert(name.clone(), merged(&standingValue, partialValue));
+        let standing_value = merged_fields.get(name).cloned().unwrap_or(Value::Null);
+        merged_fields.insert(name.clone(), merged(&standing_value, partial_value));
     }
-    Value::Object(mergedFields)
+    Value::Object(merged_fields)
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::tests::small_document;
-
-    fn change(changeId: &str, expected: Option<u64>, whole: Option<Value>, partial: Option<Value>) -> Change {
-        Change { change_id: changeId.to_owned(), expected_generation: expected, whole, partial }
-    }
-
-    #[test]
-    fn changes_apply_whole_once_and_in_turn() {
-        let mut stored = StoredConfiguration::empty();
-        let first = change("a", Some(0), Some(small_document()), None);
-        assert_eq!(stored.apply(&first), ChangeOutcome::Accepted { generation: 1, repeated: false });
-        assert_eq!(stored.apply(&first), ChangeOutcome::Accepted { generation: 1, repeated: true });
-        let beforeRefusals = stored.clone();
-        let late = change("b", Some(0), None, Some(json!({})));
-        assert!(matches!(stored.apply(&late), ChangeOutcome::Refused { generation: 1, .. }));
-        let dangling = change("c", None, None, Some(json!({ "functions": { "proof": null } })));
-        assert!(matches!(stored.apply(&dangling), ChangeOutcome::Refused { .. }));
-        let neither = change("d", None, None, None);
-        assert!(matches!(stored.apply(&neither), ChangeOutcome::Refused { .. }));
-        assert_eq!(stored, beforeRefusals);
-        let partial = change("e", None, None, Some(json!({ "lanes": { "proofs": { "repeatable": true } } })));
-        assert_eq!(stored.apply(&partial), ChangeOutcome::Accepted { generation: 2, repeated: false });
-        assert!(stored.checked().expect("a checked document").lanes["proofs"].repeatable);
-        assert_eq!(StoredConfiguration::decode(&stored.encode()), Some(stored));
-    }
-
-    #[test]
-    fn no_line_of_the_change_stream_makes_the_reader_panic() {
-        arbtest::arbtest(|source| {
-            let line: String = source.arbitrary()?;
-            if let Ok(foundChange) = serde_json::from_str::<Change>(&line) {
-                StoredConfiguration::empty().apply(&foundChange);
-            }
-            let partialLine = format!("{{\"change_id\":\"x\",\"partial\":{line}}}");
-            if let Ok(foundChange) = serde_json::from_str::<Change>(&partialLine) {
-                StoredConfiguration::empty().apply(&foundChange);
-            }
-            StoredConfiguration::decode(line.as_bytes());
-            Ok(())
-        })
-        .seed(0x5eed_0003_0000_0040);
-    }
-}
+mod tests;
--- a/packages/configuration_check/src/lib.rs
+++ b/packages/configuration_check/src/lib.rs
@@ -38,10 +38,10 @@
 
 /// Declares a part of the document, with serde derives and defaults.
 macro_rules! document_parts {
-    ($($(#[$note:meta])* $part:ident { $($(#[$fieldNote:meta])* $field:ident: $type:ty,)* })*) => {
+    ($($(#[$note:meta])* $part:ident { $($(#[$field_note:meta])* $field:ident: $type:ty,)* })*) => {
         $($(#[$note])*
         #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-        pub struct $part { $($(#[$fieldNote])* pub $field: $type,)* })*
+        pub struct $part { $($(#[$field_note])* pub $field: $type,)* })*
     };
 }
 
@@ -135,8 +135,8 @@
 }
 
 static VALIDATOR: LazyLock<Result<jsonschema::Validator, String>> = LazyLock::new(|| {
-    let schemaValue: Value = serde_json::from_str(SCHEMA).map_err(|failure| failure.to_string())?;
-    jsonschema::validator_for(&schemaValue).map_err(|failure| failure.to_string())
+    let schema_value: Value = serde_json::from_str(SCHEMA).map_err(|failure| failure.to_string())?;
+    jsonschema::validator_for(&schema_value).map_err(|failure| failure.to_string())
 });
 
 /// Checks a document by schema and meaning; every reason comes with its path.
@@ -146,13 +146,13 @@
         Ok(validator) => validator,
         Err(failure) => return Err(vec![Reason::at("", format!("the shipped schema: {failure}"))]),
     };
-    let schemaReasons: Vec<Reason> = validator
+    let schema_reasons: Vec<Reason> = validator
         .iter_errors(document)
         .take(REASON_LIMIT)
         .map(|failure| Reason::at(failure.instance_path().to_string(), failure.to_string()))
         .collect();
-    if !schemaReasons.is_empty() {
-        return Err(schemaReasons);
+    if !schema_reasons.is_empty() {
+        return Err(schema_reasons);
     }
     let configuration = match Configuration::deserialize(document) {
         Ok(configuration) => configuration,
@@ -191,22 +191,22 @@
                 reasons.push(Reason::at(format!("{place}/{field}"), "the floor is above the ceiling"));
             }
         }
-        let childFloors = |floor: fn(&Allowance) -> Option<f64>| -> f64 {
+        let child_floors = |floor: fn(&Allowance) -> Option<f64>| -> f64 {
             let children =
                 configuration.allowances.values().filter(|child| child.parent.as_ref() == Some(name));
             children.filter_map(floor).sum()
         };
-        let floorSums = [
-            ("memory_ceiling_mb", childFloors(|child| child.memory_floor_mb), allowance.memory_ceiling_mb),
+        let floor_sums = [
+            ("memory_ceiling_mb", child_floors(|child| child.memory_floor_mb), allowance.memory_ceiling_mb),
             (
                 "starts_ceiling_per_second",
-                childFloors(|child| child.starts_floor_per_second),
+                child_floors(|child| child.starts_floor_per_second),
                 allowance.starts_ceiling_per_second,
             ),
         ];
-        for (field, floorSum, ceiling) in floorSums {
-            if ceiling.is_some_and(|high| floorSum > high) {
-                let reason = format!("the children's floors add up to {floorSum}, above this ceiling");
+        for (field, floor_sum, ceiling) in floor_sums {
+            if ceiling.is_some_and(|high| floor_sum > high) {
+                let reason = format!("the children's floors add up to {floor_sum}, above this ceiling");
                 reasons.push(Reason::at(format!("{place}/{field}"), reason));
             }
         }
@@ -214,13 +214,13 @@
 }
 
 fn is_circular(configuration: &Configuration, start: &str) -> bool {
-    let mut seenNames = BTreeSet::new();
-    let mut currentName = start;
-    while seenNames.insert(currentName) {
-        let parentName =
-            configuration.allowances.get(currentName).and_then(|allowance| allowance.parent.as_deref());
-        let Some(parentName) = parentName else { return false };
-        currentName = parentName;
+    let mut seen_names = BTreeSet::new();
+    let mut current_name = start;
+    while seen_names.insert(current_name) {
+        let parent_name =
+            configuration.allowances.get(current_name).and_then(|allowance| allowance.parent.as_deref());
+        let Some(parent_name) = parent_name else { return false };
+        current_name = parent_name;
     }
     true
 }
@@ -245,22 +245,22 @@
 }
 
 fn check_lanes(configuration: &Configuration, reasons: &mut Vec<Reason>) {
-    let mut takenPlaces: BTreeMap<(Option<&str>, &str, &str), &str> = BTreeMap::new();
+    let mut taken_places: BTreeMap<(Option<&str>, &str, &str), &str> = BTreeMap::new();
     for (name, lane) in &configuration.lanes {
         let place = format!("/lanes/{name}");
         if !configuration.functions.contains_key(&lane.function) {
             let reason = format!("no function named {}", lane.function);
             reasons.push(Reason::at(format!("{place}/function"), reason));
         }
-        let trimmedPrefix = lane.path_prefix.trim_end_matches('/');
+        let trimmed_prefix = lane.path_prefix.trim_end_matches('/');
         let methods: Vec<&str> = match lane.methods.is_empty() {
             true => vec!["any"],
             false => lane.methods.iter().map(String::as_str).collect(),
         };
         for method in methods {
-            let key = (lane.host.as_deref(), trimmedPrefix, method);
-            if let Some(otherName) = takenPlaces.insert(key, name) {
-                let reason = format!("lane {otherName} takes the same calls");
+            let key = (lane.host.as_deref(), trimmed_prefix, method);
+            if let Some(other_name) = taken_places.insert(key, name) {
+                let reason = format!("lane {other_name} takes the same calls");
                 reasons.push(Reason::at(format!("{place}/path_prefix"), reason));
                 break;
             }
@@ -269,51 +269,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use serde_json::json;
-
-    pub(crate) fn small_document() -> Value {
-        json!({
-            "allowances": { "all": { "weight": 1 }, "busy": { "parent": "all", "weight": 3 } },
-            "functions": { "proof": { "allowance": "busy", "cell_memory_mb": 600, "calls_at_once": 4 } },
-            "lanes": { "proofs": { "function": "proof", "path_prefix": "/proof" } }
-        })
-    }
-
-    fn paths(document: &Value) -> Vec<String> {
-        check(document).expect_err("a refused document").into_iter().map(|reason| reason.path).collect()
-    }
-
-    #[test]
-    fn every_reason_is_told_with_its_path() {
-        assert!(check(&small_document()).is_ok());
-        let mut badShape = small_document();
-        badShape["allowances"]["all"]["weight"] = json!(0);
-        badShape["lanes"]["proofs"]["path_prefix"] = json!("proof");
-        badShape["surprise"] = json!(1);
-        let badPaths = paths(&badShape);
-        for wantedPath in ["/allowances/all/weight", "/lanes/proofs/path_prefix", ""] {
-            assert!(badPaths.contains(&wantedPath.to_owned()), "{wantedPath} in {badPaths:?}");
-        }
-        let mut badMeaning = small_document();
-        badMeaning["allowances"]["all"]["parent"] = json!("busy");
-        badMeaning["functions"]["other"] =
-            json!({ "allowance": "none", "cell_memory_mb": 1, "calls_at_once": 1 });
-        badMeaning["lanes"]["twin"] = json!({ "function": "ghost", "path_prefix": "/proof/" });
-        assert_eq!(
-            paths(&badMeaning),
-            [
-                "/allowances/all/parent",
-                "/allowances/busy/parent",
-                "/functions/other/allowance",
-                "/lanes/twin/function",
-                "/lanes/twin/path_prefix"
-            ]
-        );
-        let mut badFloors = small_document();
-        badFloors["allowances"]["all"]["memory_ceiling_mb"] = json!(100);
-        badFloors["allowances"]["busy"]["memory_floor_mb"] = json!(200);
-        assert_eq!(paths(&badFloors), ["/allowances/all/memory_ceiling_mb"]);
-    }
-}
+mod tests;
--- a/packages/control_registers/src/disk_registers.rs
+++ b/packages/control_registers/src/disk_registers.rs
@@ -41,30 +41,30 @@
     /// Folds the record file's records; `None` when one of them is not a register record.
     /// Example: `DiskRegisters::restore(&records).unwrap().set().generation`.
     pub fn restore(records: &[Vec<u8>]) -> Option<DiskRegisters> {
-        let mut restoredRegisters = DiskRegisters::default();
+        let mut restored_registers = DiskRegisters::default();
         for record in records {
-            let (_, diskRecord) = DiskRecord::from_bytes((record, 0)).ok()?;
-            restoredRegisters.apply(diskRecord);
+            let (_, disk_record) = DiskRecord::from_bytes((record, 0)).ok()?;
+            restored_registers.apply(disk_record);
         }
-        Some(restoredRegisters)
+        Some(restored_registers)
     }
 
-    fn apply(&mut self, diskRecord: DiskRecord) {
-        let register = self.registers.entry(diskRecord.key.0.clone()).or_default();
-        if diskRecord.epoch.rank() > register.promised.rank() {
-            register.promised = diskRecord.epoch.clone();
+    fn apply(&mut self, disk_record: DiskRecord) {
+        let register = self.registers.entry(disk_record.key.0.clone()).or_default();
+        if disk_record.epoch.rank() > register.promised.rank() {
+            register.promised = disk_record.epoch.clone();
         }
-        if diskRecord.kind == 0 {
+        if disk_record.kind == 0 {
             return;
         }
-        register.epoch = diskRecord.epoch;
-        register.version = diskRecord.version;
-        register.value = diskRecord.value;
-        if diskRecord.key.0 == DISKS_KEY
-            && let Some(storedSet) = VoterSet::decode(&register.value)
-            && storedSet.generation > self.set.generation
+        register.epoch = disk_record.epoch;
+        register.version = disk_record.version;
+        register.value = disk_record.value;
+        if disk_record.key.0 == DISKS_KEY
+            && let Some(stored_set) = VoterSet::decode(&register.value)
+            && stored_set.generation > self.set.generation
         {
-            self.set = storedSet;
+            self.set = stored_set;
         }
     }
 
@@ -88,43 +88,43 @@
     ///
     /// A disk takes one founding set in its life, so two halves can never found two states.
     /// Example: `blank.found(&VoterSet::founding(&[1, 2, 3])).is_some()`.
-    pub fn found(&mut self, foundingSet: &VoterSet) -> Option<Vec<Vec<u8>>> {
-        if self.set == *foundingSet {
+    pub fn found(&mut self, founding_set: &VoterSet) -> Option<Vec<Vec<u8>>> {
+        if self.set == *founding_set {
             return Some(Vec::new());
         }
-        if self.set.generation != 0 || foundingSet.generation != 1 {
+        if self.set.generation != 0 || founding_set.generation != 1 {
             return None;
         }
-        let diskRecord = DiskRecord {
+        let disk_record = DiskRecord {
             kind: 1,
             key: DISKS_KEY.into(),
             epoch: Epoch { counter: 1, owner: 0 },
             version: 1,
-            value: foundingSet.encode(),
+            value: founding_set.encode(),
         };
-        let recordBytes = diskRecord.to_bytes().unwrap_or_default();
-        self.apply(diskRecord);
-        Some(vec![recordBytes])
+        let record_bytes = disk_record.to_bytes().unwrap_or_default();
+        self.apply(disk_record);
+        Some(vec![record_bytes])
     }
 
     /// Promises each key to the epoch unless a higher one stands or the sender's set is outdated.
     /// Example: `registers.promise(set.generation, &entries)`.
-    pub fn promise(&mut self, senderSet: u64, entries: &List<PromiseEntry>) -> Answered<PromisedEntry> {
+    pub fn promise(&mut self, sender_set: u64, entries: &List<PromiseEntry>) -> Answered<PromisedEntry> {
         let mut answers = Vec::new();
         let mut records = Vec::new();
         for entry in &entries.0 {
             let standing = self.registers.get(&entry.key.0).cloned().unwrap_or_default();
-            let granted = senderSet >= self.set.generation && entry.epoch.rank() >= standing.promised.rank();
+            let granted = sender_set >= self.set.generation && entry.epoch.rank() >= standing.promised.rank();
             if granted && entry.epoch.rank() > standing.promised.rank() {
-                let diskRecord = DiskRecord {
+                let disk_record = DiskRecord {
                     kind: 0,
                     key: entry.key.clone(),
                     epoch: entry.epoch.clone(),
                     version: 0,
                     value: Bytes::default(),
                 };
-                records.push(diskRecord.to_bytes().unwrap_or_default());
-                self.apply(diskRecord);
+                records.push(disk_record.to_bytes().unwrap_or_default());
+                self.apply(disk_record);
             }
             answers.push(PromisedEntry {
                 key: entry.key.clone(),
@@ -140,23 +140,23 @@
 
     /// Stores each value unless a higher epoch was promised or the sender's set is outdated.
     /// Example: `registers.store(set.generation, &entries)`.
-    pub fn store(&mut self, senderSet: u64, entries: &List<StoreEntry>) -> Answered<StoredEntry> {
+    pub fn store(&mut self, sender_set: u64, entries: &List<StoreEntry>) -> Answered<StoredEntry> {
         let mut answers = Vec::new();
         let mut records = Vec::new();
         for entry in &entries.0 {
             let promised =
                 self.registers.get(&entry.key.0).map_or(Epoch::none(), |standing| standing.promised.clone());
-            let granted = senderSet >= self.set.generation && entry.epoch.rank() >= promised.rank();
+            let granted = sender_set >= self.set.generation && entry.epoch.rank() >= promised.rank();
             if granted && !self.already_stored(entry) {
-                let diskRecord = DiskRecord {
+                let disk_record = DiskRecord {
                     kind: 1,
                     key: entry.key.clone(),
                     epoch: entry.epoch.clone(),
                     version: entry.version,
                     value: entry.value.clone(),
                 };
-                records.push(diskRecord.to_bytes().unwrap_or_default());
-                self.apply(diskRecord);
+                records.push(disk_record.to_bytes().unwrap_or_default());
+                self.apply(disk_record);
             }
             answers.push(StoredEntry {
                 key: entry.key.clone(),
--- a/packages/control_registers/src/key_owner.rs
+++ b/packages/control_registers/src/key_owner.rs
@@ -98,13 +98,13 @@
 
     /// Tells which disks vote; a newer set makes every key start over under a higher epoch.
     /// Example: `owner.take_set(registers.set())`.
-    pub fn take_set(&mut self, knownSet: &VoterSet) {
-        if knownSet.generation <= self.set.generation {
+    pub fn take_set(&mut self, known_set: &VoterSet) {
+        if known_set.generation <= self.set.generation {
             return;
         }
-        self.set = knownSet.clone();
-        let ownedKeys: Vec<String> = self.keys.keys().cloned().collect();
-        for key in ownedKeys {
+        self.set = known_set.clone();
+        let owned_keys: Vec<String> = self.keys.keys().cloned().collect();
+        for key in owned_keys {
             self.lose(&key);
         }
     }
@@ -117,8 +117,8 @@
     /// Lets go of all keys that `keeps` refuses: the hand-over to another disk node.
     /// Example: `owner.keep_only(|key| choice(key) == own)`.
     pub fn keep_only(&mut self, keeps: impl Fn(&str) -> bool) {
-        let lostKeys: Vec<String> = self.keys.keys().filter(|key| !keeps(key)).cloned().collect();
-        for key in lostKeys {
+        let lost_keys: Vec<String> = self.keys.keys().filter(|key| !keeps(key)).cloned().collect();
+        for key in lost_keys {
             self.lose(&key);
         }
     }
@@ -139,15 +139,15 @@
     fn wait(&mut self, node: NodeId, entry: WriteEntry, confirms: bool, now: Micros) {
         let key = entry.key.0.clone();
         self.acquire(&key, now);
-        let Some(ownedKey) = self.keys.get_mut(&key) else {
+        let Some(owned_key) = self.keys.get_mut(&key) else {
             self.answer(node, &entry, NOT_OWNER, 0, Bytes::default());
             return;
         };
-        if ownedKey.waitlist.len() >= WAITLIST_LIMIT {
+        if owned_key.waitlist.len() >= WAITLIST_LIMIT {
             self.answer(node, &entry, NOT_OWNER, 0, Bytes::default());
             return;
         }
-        ownedKey.waitlist.push_back(WaitingWrite { node, entry, confirms, has_renewed: false });
+        owned_key.waitlist.push_back(WaitingWrite { node, entry, confirms, has_renewed: false });
         self.next_flight(&key, now);
     }
 
@@ -157,7 +157,7 @@
             return;
         }
         self.highest_counter += 1;
-        let ownedKey = OwnedKey {
+        let owned_key = OwnedKey {
             epoch: Epoch { counter: self.highest_counter, owner: self.own },
             standing: Standing::Acquiring {
                 promised: BTreeSet::new(),
@@ -167,25 +167,25 @@
             waitlist: VecDeque::new(),
             begun_at: now,
         };
-        self.keys.insert(key.to_owned(), ownedKey);
+        self.keys.insert(key.to_owned(), owned_key);
     }
 
     /// The records of owned keys, as followers poll them; unknown keys begin to be acquired.
     /// Example: `owner.poll(&["steward/proof".into()], now)`.
-    pub fn poll(&mut self, polledKeys: &[Text], now: Micros) -> Vec<PolledRecord> {
+    pub fn poll(&mut self, polled_keys: &[Text], now: Micros) -> Vec<PolledRecord> {
         let mut records = Vec::new();
-        for polledKey in polledKeys {
-            self.acquire(&polledKey.0, now);
+        for polled_key in polled_keys {
+            self.acquire(&polled_key.0, now);
             let Some(OwnedKey { standing: Standing::Owned { version, value, flight }, .. }) =
-                self.keys.get(&polledKey.0)
+                self.keys.get(&polled_key.0)
             else {
                 continue;
             };
             // Before the opening store stands on a majority, what was read may still be lost.
-            if flight.as_ref().is_some_and(|openFlight| openFlight.write.is_none()) {
+            if flight.as_ref().is_some_and(|open_flight| open_flight.write.is_none()) {
                 continue;
             }
-            records.push(PolledRecord { key: polledKey.clone(), version: *version, value: value.clone() });
+            records.push(PolledRecord { key: polled_key.clone(), version: *version, value: value.clone() });
         }
         records
     }
@@ -195,15 +195,15 @@
         for entry in entries.0 {
             let key = entry.key.0;
             self.highest_counter = self.highest_counter.max(entry.promised.counter);
-            let Some(ownedKey) = self.keys.get_mut(&key) else { continue };
-            let Standing::Acquiring { promised, newest, .. } = &mut ownedKey.standing else { continue };
+            let Some(owned_key) = self.keys.get_mut(&key) else { continue };
+            let Standing::Acquiring { promised, newest, .. } = &mut owned_key.standing else { continue };
             if entry.granted == 0 {
-                if entry.promised.rank() > ownedKey.epoch.rank() {
+                if entry.promised.rank() > owned_key.epoch.rank() {
                     self.restart(&key, now);
                 }
                 continue;
             }
-            if entry.promised != ownedKey.epoch {
+            if entry.promised != owned_key.epoch {
                 continue;
             }
             if (entry.stored_epoch.rank(), entry.version) > (newest.0.rank(), newest.1) {
@@ -216,7 +216,7 @@
             let (_, version, value) = std::mem::replace(newest, (Epoch::none(), 0, Bytes::default()));
             self.flight_count += 1;
             let number = self.flight_count;
-            let openingFlight = (version > 0).then(|| StoreFlight {
+            let opening_flight = (version > 0).then(|| StoreFlight {
                 number,
                 version,
                 value: value.clone(),
@@ -226,7 +226,7 @@
                 begun_at: now,
                 hasty: true,
             });
-            ownedKey.standing = Standing::Owned { version, value, flight: openingFlight };
+            owned_key.standing = Standing::Owned { version, value, flight: opening_flight };
             self.next_flight(&key, now);
         }
     }
@@ -236,32 +236,32 @@
         for entry in entries.0 {
             let key = entry.key.0;
             self.highest_counter = self.highest_counter.max(entry.promised.counter);
-            let Some(ownedKey) = self.keys.get_mut(&key) else { continue };
-            if entry.epoch != ownedKey.epoch {
+            let Some(owned_key) = self.keys.get_mut(&key) else { continue };
+            if entry.epoch != owned_key.epoch {
                 continue;
             }
-            let Standing::Owned { version, value, flight } = &mut ownedKey.standing else { continue };
-            let Some(openFlight) = flight else { continue };
+            let Standing::Owned { version, value, flight } = &mut owned_key.standing else { continue };
+            let Some(open_flight) = flight else { continue };
             if entry.granted == 0 {
-                if entry.promised.rank() > ownedKey.epoch.rank() {
+                if entry.promised.rank() > owned_key.epoch.rank() {
                     self.lose(&key);
                 }
                 continue;
             }
-            if openFlight.number != entry.flight {
+            if open_flight.number != entry.flight {
                 continue;
             }
-            openFlight.stored.insert(disk);
-            if !self.set.quorum(&openFlight.stored) {
+            open_flight.stored.insert(disk);
+            if !self.set.quorum(&open_flight.stored) {
                 continue;
             }
-            *version = openFlight.version;
-            *value = std::mem::take(&mut openFlight.value);
-            let finishedWrite = flight.take().and_then(|doneFlight| doneFlight.write);
-            let (doneVersion, doneValue) = (*version, value.clone());
-            if let Some(write) = finishedWrite {
-                let answeredValue = if write.confirms { doneValue } else { Bytes::default() };
-                self.answer(write.node, &write.entry, WRITTEN, doneVersion, answeredValue);
+            *version = open_flight.version;
+            *value = std::mem::take(&mut open_flight.value);
+            let finished_write = flight.take().and_then(|done_flight| done_flight.write);
+            let (done_version, done_value) = (*version, value.clone());
+            if let Some(write) = finished_write {
+                let answered_value = if write.confirms { done_value } else { Bytes::default() };
+                self.answer(write.node, &write.entry, WRITTEN, done_version, answered_value);
             }
             self.next_flight(&key, now);
         }
@@ -269,34 +269,34 @@
 
     /// Puts the next fitting write of a key in flight and answers those whose condition fails.
     fn next_flight(&mut self, key: &str, now: Micros) {
-        while let Some(ownedKey) = self.keys.get_mut(key) {
-            let Standing::Owned { version, value, flight: flight @ None } = &mut ownedKey.standing else {
+        while let Some(owned_key) = self.keys.get_mut(key) {
+            let Standing::Owned { version, value, flight: flight @ None } = &mut owned_key.standing else {
                 return;
             };
-            let Some(mut write) = ownedKey.waitlist.pop_front() else { return };
+            let Some(mut write) = owned_key.waitlist.pop_front() else { return };
             if !write.confirms && write.entry.expected > *version && !write.has_renewed {
                 // The asker has seen a newer version: this node was deposed without noticing, perhaps
                 // in a sleep. It answers nothing more from memory and acquires the key anew.
                 write.has_renewed = true;
-                ownedKey.waitlist.push_front(write);
+                owned_key.waitlist.push_front(write);
                 self.restart(key, now);
                 return;
             }
             let hasty = write.entry.hasty == 1;
             if !write.confirms && write.entry.expected != *version {
-                let (standingVersion, standingValue) = (*version, value.clone());
-                self.answer(write.node, &write.entry, DIFFERS, standingVersion, standingValue);
+                let (standing_version, standing_value) = (*version, value.clone());
+                self.answer(write.node, &write.entry, DIFFERS, standing_version, standing_value);
                 continue;
             }
-            let (flightVersion, flightValue) = match write.confirms {
+            let (flight_version, flight_value) = match write.confirms {
                 true => (*version, value.clone()),
                 false => (*version + 1, write.entry.value.clone()),
             };
             self.flight_count += 1;
             *flight = Some(StoreFlight {
                 number: self.flight_count,
-                version: flightVersion,
-                value: flightValue,
+                version: flight_version,
+                value: flight_value,
                 stored: BTreeSet::new(),
                 write: Some(write),
                 sent_at: None,
@@ -312,64 +312,64 @@
     /// Example: `for act in owner.flush(now) { carry(act) }`.
     pub fn flush(&mut self, now: Micros) -> Vec<OwnerAct> {
         self.give_up(now);
-        let resendDue = |sentAt: Option<Micros>| sentAt.is_none_or(|sent| now >= sent + RESEND_AFTER);
-        let mut hastyCount = 0;
-        let mut patientCount = 0;
-        for ownedKey in self.keys.values() {
-            match &ownedKey.standing {
-                Standing::Acquiring { sent_at, .. } if resendDue(*sent_at) => hastyCount += 1,
-                Standing::Owned { flight: Some(openFlight), .. } if resendDue(openFlight.sent_at) => {
-                    match openFlight.hasty || openFlight.sent_at.is_some() {
-                        true => hastyCount += 1,
-                        false => patientCount += 1,
+        let resend_due = |sent_at: Option<Micros>| sent_at.is_none_or(|sent| now >= sent + RESEND_AFTER);
+        let mut hasty_count = 0;
+        let mut patient_count = 0;
+        for owned_key in self.keys.values() {
+            match &owned_key.standing {
+                Standing::Acquiring { sent_at, .. } if resend_due(*sent_at) => hasty_count += 1,
+                Standing::Owned { flight: Some(open_flight), .. } if resend_due(open_flight.sent_at) => {
+                    match open_flight.hasty || open_flight.sent_at.is_some() {
+                        true => hasty_count += 1,
+                        false => patient_count += 1,
                     }
                 }
                 _ => {}
             }
         }
-        let groupDue = patientCount > 0 && *self.group_due.get_or_insert(now + GROUP_AFTER) <= now;
-        if hastyCount == 0 && !groupDue {
+        let group_due = patient_count > 0 && *self.group_due.get_or_insert(now + GROUP_AFTER) <= now;
+        if hasty_count == 0 && !group_due {
             return std::mem::take(&mut self.answers);
         }
         self.group_due = None;
-        let mut promiseGroups: BTreeMap<u64, Vec<PromiseEntry>> = BTreeMap::new();
-        let mut storeGroups: BTreeMap<u64, Vec<StoreEntry>> = BTreeMap::new();
+        let mut promise_groups: BTreeMap<u64, Vec<PromiseEntry>> = BTreeMap::new();
+        let mut store_groups: BTreeMap<u64, Vec<StoreEntry>> = BTreeMap::new();
         let voters = self.set.all();
-        for (key, ownedKey) in &mut self.keys {
-            match &mut ownedKey.standing {
-                Standing::Acquiring { promised, sent_at, .. } if resendDue(*sent_at) => {
+        for (key, owned_key) in &mut self.keys {
+            match &mut owned_key.standing {
+                Standing::Acquiring { promised, sent_at, .. } if resend_due(*sent_at) => {
                     *sent_at = Some(now);
                     for disk in voters.difference(promised) {
-                        let entry = PromiseEntry { key: key.as_str().into(), epoch: ownedKey.epoch.clone() };
-                        promiseGroups.entry(*disk).or_default().push(entry);
+                        let entry = PromiseEntry { key: key.as_str().into(), epoch: owned_key.epoch.clone() };
+                        promise_groups.entry(*disk).or_default().push(entry);
                     }
                 }
-                Standing::Owned { flight: Some(openFlight), .. } if resendDue(openFlight.sent_at) => {
-                    openFlight.sent_at = Some(now);
-                    for disk in voters.difference(&openFlight.stored) {
+                Standing::Owned { flight: Some(open_flight), .. } if resend_due(open_flight.sent_at) => {
+                    open_flight.sent_at = Some(now);
+                    for disk in voters.difference(&open_flight.stored) {
                         let entry = StoreEntry {
                             key: key.as_str().into(),
-                            epoch: ownedKey.epoch.clone(),
-                            flight: openFlight.number,
-                            version: openFlight.version,
-                            value: openFlight.value.clone(),
+                            epoch: owned_key.epoch.clone(),
+                            flight: open_flight.number,
+                            version: open_flight.version,
+                            value: open_flight.value.clone(),
                         };
-                        storeGroups.entry(*disk).or_default().push(entry);
+                        store_groups.entry(*disk).or_default().push(entry);
                     }
                 }
                 _ => {}
             }
         }
-        let fleetSet = self.set.generation;
+        let fleet_set = self.set.generation;
         let mut acts = std::mem::take(&mut self.answers);
-        acts.extend(promiseGroups.into_iter().map(|(disk, entries)| OwnerAct::Promise {
+        acts.extend(promise_groups.into_iter().map(|(disk, entries)| OwnerAct::Promise {
             disk,
-            fleet_set: fleetSet,
+            fleet_set,
             entries: List(entries),
         }));
-        acts.extend(storeGroups.into_iter().map(|(disk, entries)| OwnerAct::Store {
+        acts.extend(store_groups.into_iter().map(|(disk, entries)| OwnerAct::Store {
             disk,
-            fleet_set: fleetSet,
+            fleet_set,
             entries: List(entries),
         }));
         acts
@@ -377,44 +377,45 @@
 
     /// Answers what waited too long: writes in flight are of unknown fate, the others did not happen.
     fn give_up(&mut self, now: Micros) {
-        let stuckKeys: Vec<String> = self
+        let stuck_keys: Vec<String> = self
             .keys
             .iter()
-            .filter(|(_, ownedKey)| match &ownedKey.standing {
-                Standing::Acquiring { .. } => now >= ownedKey.begun_at + GIVE_UP_AFTER,
-                Standing::Owned { flight: Some(openFlight), .. } => {
-                    now >= openFlight.begun_at + GIVE_UP_AFTER
+            .filter(|(_, owned_key)| match &owned_key.standing {
+                Standing::Acquiring { .. } => now >= owned_key.begun_at + GIVE_UP_AFTER,
+                Standing::Owned { flight: Some(open_flight), .. } => {
+                    now >= open_flight.begun_at + GIVE_UP_AFTER
                 }
                 Standing::Owned { .. } => false,
             })
             .map(|(key, _)| key.clone())
             .collect();
-        for key in stuckKeys {
+        for key in stuck_keys {
             self.lose(&key);
         }
     }
 
     fn restart(&mut self, key: &str, now: Micros) {
-        let waitlist = self.keys.remove(key).map(|ownedKey| ownedKey.waitlist).unwrap_or_default();
+        let waitlist = self.keys.remove(key).map(|owned_key| owned_key.waitlist).unwrap_or_default();
         self.acquire(key, now);
-        if let Some(ownedKey) = self.keys.get_mut(key) {
-            ownedKey.waitlist = waitlist;
+        if let Some(owned_key) = self.keys.get_mut(key) {
+            owned_key.waitlist = waitlist;
         }
     }
 
     fn lose(&mut self, key: &str) {
-        let Some(lostKey) = self.keys.remove(key) else { return };
-        if let Standing::Owned { flight: Some(StoreFlight { write: Some(write), .. }), .. } = lostKey.standing
+        let Some(lost_key) = self.keys.remove(key) else { return };
+        if let Standing::Owned { flight: Some(StoreFlight { write: Some(write), .. }), .. } =
+            lost_key.standing
         {
             self.answer(write.node, &write.entry, UNKNOWN, 0, Bytes::default());
         }
-        for write in lostKey.waitlist {
+        for write in lost_key.waitlist {
             self.answer(write.node, &write.entry, NOT_OWNER, 0, Bytes::default());
         }
     }
 
     fn answer(&mut self, node: NodeId, entry: &WriteEntry, outcome: u8, version: u64, value: Bytes) {
-        let writeOutcome = WriteOutcome { ask: entry.ask, key: entry.key.clone(), outcome, version, value };
-        self.answers.push(OwnerAct::Answer { node, outcome: writeOutcome });
+        let write_outcome = WriteOutcome { ask: entry.ask, key: entry.key.clone(), outcome, version, value };
+        self.answers.push(OwnerAct::Answer { node, outcome: write_outcome });
     }
 }
--- /dev/null
+++ b/packages/control_registers/src/tests.rs
@@ -0,0 +1,213 @@
+use super::*;
+use clock_events::Micros;
+use colleague_messages::{Bytes, WriteEntry, WriteOutcome};
+use std::collections::BTreeMap;
+
+/// Disks that answer at once; a disk out of the map is down.
+type Disks = BTreeMap<u64, DiskRegisters>;
+
+fn founded_disks() -> (Disks, VoterSet) {
+    let set = VoterSet::founding(&[1, 2, 3]);
+    let mut disks = Disks::new();
+    for disk in [1, 2, 3] {
+        disks.entry(disk).or_default().found(&set).expect("a blank disk takes the first set");
+    }
+    (disks, set)
+}
+
+fn settle(owner: &mut KeyOwner, disks: &mut Disks, now: Micros) -> Vec<WriteOutcome> {
+    let mut outcomes = Vec::new();
+    loop {
+        let acts = owner.flush(now);
+        if acts.is_empty() {
+            return outcomes;
+        }
+        for act in acts {
+            match act {
+                OwnerAct::Promise { disk, fleet_set, entries } => {
+                    let Some(registers) = disks.get_mut(&disk) else { continue };
+                    let (answers, _) = registers.promise(fleet_set, &entries);
+                    owner.promised(disk, colleague_messages::List(answers), now);
+                }
+                OwnerAct::Store { disk, fleet_set, entries } => {
+                    let Some(registers) = disks.get_mut(&disk) else { continue };
+                    let (answers, _) = registers.store(fleet_set, &entries);
+                    owner.stored(disk, colleague_messages::List(answers), now);
+                }
+                OwnerAct::Answer { outcome, .. } => outcomes.push(outcome),
+            }
+        }
+    }
+}
+
+fn entry(ask: u64, expected: u64, value: &str) -> WriteEntry {
+    WriteEntry {
+        ask,
+        key: CONFIGURATION_KEY.into(),
+        expected,
+        value: Bytes(value.as_bytes().to_vec()),
+        hasty: 1,
+    }
+}
+
+fn outcome_of(outcomes: Vec<WriteOutcome>) -> (u8, u64, String) {
+    let [outcome] = &outcomes[..] else { panic!("one outcome, not {outcomes:?}") };
+    (outcome.outcome, outcome.version, String::from_utf8_lossy(&outcome.value.0).into_owned())
+}
+
+#[test]
+fn one_writer_wins_and_a_deposed_owner_fails_by_itself() {
+    let (mut disks, set) = founded_disks();
+    let mut first_owner = KeyOwner::new(10);
+    let mut second_owner = KeyOwner::new(11);
+    first_owner.take_set(&set);
+    second_owner.take_set(&set);
+    first_owner.write(5, entry(1, 0, "a"), Micros(0));
+    assert_eq!(outcome_of(settle(&mut first_owner, &mut disks, Micros(0))).0, WRITTEN);
+    first_owner.write(5, entry(2, 0, "late"), Micros(0));
+    let refused = outcome_of(settle(&mut first_owner, &mut disks, Micros(0)));
+    assert_eq!(refused, (DIFFERS, 1, "a".to_owned()));
+    // The other owner takes over with one disk down and sees what was acknowledged.
+    disks.remove(&1);
+    second_owner.read_confirmed(6, 3, CONFIGURATION_KEY.into(), Micros(0));
+    assert_eq!(outcome_of(settle(&mut second_owner, &mut disks, Micros(0))), (WRITTEN, 1, "a".to_owned()));
+    second_owner.write(6, entry(4, 1, "b"), Micros(0));
+    assert_eq!(outcome_of(settle(&mut second_owner, &mut disks, Micros(0))).0, WRITTEN);
+    first_owner.write(5, entry(5, 1, "c"), Micros(0));
+    assert_eq!(outcome_of(settle(&mut first_owner, &mut disks, Micros(0))).0, UNKNOWN);
+}
+
+#[test]
+fn a_deposed_owner_confirms_no_read_even_of_a_key_it_saw_empty() {
+    let (mut disks, set) = founded_disks();
+    let mut old_owner = KeyOwner::new(10);
+    let mut new_owner = KeyOwner::new(11);
+    old_owner.take_set(&set);
+    new_owner.take_set(&set);
+    old_owner.read_confirmed(5, 1, CONFIGURATION_KEY.into(), Micros(0));
+    let empty_read = outcome_of(settle(&mut old_owner, &mut disks, Micros(0)));
+    assert_eq!((empty_read.0, empty_read.1), (WRITTEN, 0));
+    new_owner.write(6, entry(2, 0, "a"), Micros(0));
+    assert_eq!(outcome_of(settle(&mut new_owner, &mut disks, Micros(0))).0, WRITTEN);
+    old_owner.read_confirmed(5, 3, CONFIGURATION_KEY.into(), Micros(0));
+    assert_eq!(outcome_of(settle(&mut old_owner, &mut disks, Micros(0))).0, UNKNOWN);
+}
+
+#[test]
+fn an_owner_that_slept_learns_from_an_asker_that_has_seen_more() {
+    let (mut disks, set) = founded_disks();
+    let mut sleeper = KeyOwner::new(10);
+    let mut other = KeyOwner::new(11);
+    sleeper.take_set(&set);
+    other.take_set(&set);
+    sleeper.write(5, entry(1, 0, "a"), Micros(0));
+    settle(&mut sleeper, &mut disks, Micros(0));
+    other.write(5, entry(2, 1, "b"), Micros(0));
+    settle(&mut other, &mut disks, Micros(0));
+    sleeper.write(5, entry(3, 2, "c"), Micros(0));
+    let outcome = outcome_of(settle(&mut sleeper, &mut disks, Micros(0)));
+    assert_eq!((outcome.0, outcome.1), (WRITTEN, 3));
+    // A version that nobody wrote is no reason to go on acquiring for ever.
+    sleeper.write(5, entry(4, 9, "d"), Micros(0));
+    let outcome = outcome_of(settle(&mut sleeper, &mut disks, Micros(0)));
+    assert_eq!((outcome.0, outcome.1), (DIFFERS, 3));
+}
+
+#[test]
+fn late_answers_to_one_read_never_confirm_the_next() {
+    let (mut disks, set) = founded_disks();
+    let mut old_owner = KeyOwner::new(10);
+    old_owner.take_set(&set);
+    old_owner.read_confirmed(5, 1, CONFIGURATION_KEY.into(), Micros(0));
+    settle(&mut old_owner, &mut disks, Micros(0));
+    // The first read's stores are answered once more, late, after another owner took over.
+    old_owner.read_confirmed(5, 2, CONFIGURATION_KEY.into(), Micros(0));
+    let mut late_answers = Vec::new();
+    for act in old_owner.flush(Micros(0)) {
+        let OwnerAct::Store { disk, fleet_set, entries } = act else { continue };
+        let registers = disks.get_mut(&disk).expect("a disk");
+        late_answers.push((disk, registers.store(fleet_set, &entries).0));
+    }
+    for (disk, answers) in late_answers.clone() {
+        old_owner.stored(disk, colleague_messages::List(answers), Micros(0));
+    }
+    old_owner.flush(Micros(0));
+    let mut new_owner = KeyOwner::new(11);
+    new_owner.take_set(&set);
+    new_owner.write(6, entry(3, 0, "a"), Micros(0));
+    assert_eq!(outcome_of(settle(&mut new_owner, &mut disks, Micros(0))).0, WRITTEN);
+    old_owner.read_confirmed(5, 4, CONFIGURATION_KEY.into(), Micros(0));
+    for (disk, answers) in late_answers {
+        old_owner.stored(disk, colleague_messages::List(answers), Micros(0));
+    }
+    assert_eq!(outcome_of(settle(&mut old_owner, &mut disks, Micros(0))).0, UNKNOWN);
+}
+
+#[test]
+fn without_a_majority_nothing_is_acknowledged() {
+    let (mut disks, set) = founded_disks();
+    disks.remove(&1);
+    disks.remove(&2);
+    let mut owner = KeyOwner::new(10);
+    owner.take_set(&set);
+    owner.write(5, entry(1, 0, "a"), Micros(0));
+    assert!(settle(&mut owner, &mut disks, Micros(0)).is_empty());
+    let refused = outcome_of(settle(&mut owner, &mut disks, Micros::from_secs(3)));
+    assert_eq!(refused.0, NOT_OWNER);
+}
+
+#[test]
+fn a_restored_disk_keeps_promises_and_values_through_a_rewrite() {
+    let (mut disks, set) = founded_disks();
+    let mut owner = KeyOwner::new(10);
+    owner.take_set(&set);
+    owner.write(5, entry(1, 0, "a"), Micros(0));
+    settle(&mut owner, &mut disks, Micros(0));
+    let restored = DiskRegisters::restore(&disks[&2].live_records()).expect("own records");
+    assert_eq!(restored.set(), &set);
+    assert_eq!(restored.stored(CONFIGURATION_KEY), disks[&2].stored(CONFIGURATION_KEY));
+    let low_epoch = colleague_messages::Epoch { counter: 0, owner: 99 };
+    let low_entry = colleague_messages::PromiseEntry { key: CONFIGURATION_KEY.into(), epoch: low_epoch };
+    let mut restored = restored;
+    let (answers, _) = restored.promise(1, &colleague_messages::List(vec![low_entry]));
+    assert_eq!(answers[0].granted, 0);
+}
+
+#[test]
+fn no_bytes_make_the_register_decoders_panic() {
+    arbtest::arbtest(|source| {
+        let foreign_bytes: Vec<u8> = source.arbitrary()?;
+        VoterSet::decode(&Bytes(foreign_bytes.clone()));
+        DiskRegisters::restore(&[foreign_bytes]);
+        Ok(())
+    })
+    .seed(0x5eed_0005_0000_0040);
+}
+
+#[test]
+fn a_lost_disk_is_replaced_and_an_outdated_set_is_refused() {
+    let (mut disks, set) = founded_disks();
+    let mut old_owner = KeyOwner::new(10);
+    old_owner.take_set(&set);
+    old_owner.write(5, entry(1, 0, "a"), Micros(0));
+    settle(&mut old_owner, &mut disks, Micros(0));
+    disks.remove(&3);
+    disks.insert(9, DiskRegisters::default());
+    let joint_set = set.begin_change(3, 9).expect("no change under way");
+    let mut changer = KeyOwner::new(11);
+    changer.take_set(&set);
+    let write = |ask, expected, value| WriteEntry { ask, key: DISKS_KEY.into(), expected, value, hasty: 1 };
+    changer.write(7, write(1, 1, joint_set.encode()), Micros(0));
+    assert_eq!(outcome_of(settle(&mut changer, &mut disks, Micros(0))).0, WRITTEN);
+    // Under the joint set every key is stored anew, the fresh disk included.
+    changer.take_set(&joint_set);
+    changer.read_confirmed(7, 2, CONFIGURATION_KEY.into(), Micros(0));
+    assert_eq!(outcome_of(settle(&mut changer, &mut disks, Micros(0))).2, "a");
+    let final_set = joint_set.end_change().expect("a change is under way");
+    changer.write(7, write(3, 2, final_set.encode()), Micros(0));
+    assert_eq!(outcome_of(settle(&mut changer, &mut disks, Micros(0))).0, WRITTEN);
+    assert_eq!(disks[&9].set(), &final_set);
+    // The old owner, still under the founding set, can no longer reach a majority.
+    old_owner.write(5, entry(9, 1, "stale"), Micros(0));
+    assert_eq!(outcome_of(settle(&mut old_owner, &mut disks, Micros(0))).0, UNKNOWN);
+}
--- a/packages/control_registers/src/voter_set.rs
+++ b/packages/control_registers/src/voter_set.rs
@@ -65,7 +65,7 @@
     }
 
     /// Reads register bytes. Example: `VoterSet::decode(&Bytes::default()) == None`.
-    pub fn decode(setBytes: &Bytes) -> Option<VoterSet> {
-        VoterSet::from_bytes((&setBytes.0, 0)).ok().map(|(_, voterSet)| voterSet)
+    pub fn decode(set_bytes: &Bytes) -> Option<VoterSet> {
+        VoterSet::from_bytes((&set_bytes.0, 0)).ok().map(|(_, voter_set)| voter_set)
     }
 }
--- a/packages/day_replay/src/main.rs
+++ b/packages/day_replay/src/main.rs
@@ -34,21 +34,21 @@
 const TOLD_BAD_LINES: usize = 100;
 
 fn main() -> ExitCode {
-    let commandLine = VanelaneReplay::from_env_or_exit();
-    let speed = commandLine.speed.unwrap_or(1.0);
-    if commandLine.to.is_empty() || !(speed > 0.0 && speed.is_finite()) {
+    let command_line = VanelaneReplay::from_env_or_exit();
+    let speed = command_line.speed.unwrap_or(1.0);
+    if command_line.to.is_empty() || !(speed > 0.0 && speed.is_finite()) {
         eprintln!("vanelane_replay: name at least one --to address, and a --speed above 0");
         return ExitCode::from(2);
     }
-    let reader: Box<dyn BufRead> = match std::fs::File::open(&commandLine.file) {
+    let reader: Box<dyn BufRead> = match std::fs::File::open(&command_line.file) {
         Ok(file) => Box::new(std::io::BufReader::new(file)),
         Err(failure) => {
-            eprintln!("vanelane_replay: {}: {failure}", commandLine.file.display());
+            eprintln!("vanelane_replay: {}: {failure}", command_line.file.display());
             return ExitCode::from(2);
         }
     };
-    let atOnce = commandLine.at_once.unwrap_or(1_000).max(1);
-    let report = actix_rt::System::new().block_on(replay(reader, commandLine.to, speed, atOnce));
+    let at_once = command_line.at_once.unwrap_or(1_000).max(1);
+    let report = actix_rt::System::new().block_on(replay(reader, command_line.to, speed, at_once));
     println!("{}", serde_json::to_string_pretty(&report.page()).unwrap_or_default());
     if report.bad_lines == 0 && report.differing() == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
@@ -82,10 +82,10 @@
 
     fn page(&self) -> Value {
         let quantile = |values: &[u64], part: f64| {
-            let mut sortedValues = values.to_vec();
-            sortedValues.sort_unstable();
-            let place = ((sortedValues.len() as f64 - 1.0) * part).max(0.0) as usize;
-            sortedValues.get(place).copied().unwrap_or(0) / 1_000
+            let mut sorted_values = values.to_vec();
+            sorted_values.sort_unstable();
+            let place = ((sorted_values.len() as f64 - 1.0) * part).max(0.0) as usize;
+            sorted_values.get(place).copied().unwrap_or(0) / 1_000
         };
         let latencies =
             |values: &[u64]| json!({"median": quantile(values, 0.5), "p99": quantile(values, 0.99)});
@@ -96,7 +96,7 @@
                 json!({"lane": lane, "recorded": recorded, "now": now, "count": count})
             })
             .collect();
-        let badLines: Vec<Value> = self
+        let bad_lines: Vec<Value> = self
             .told_bad_lines
             .iter()
             .map(|(number, reason)| json!({"line": number, "reason": reason}))
@@ -105,7 +105,7 @@
             "replayed": self.replayed,
             "differing": self.differing(),
             "bad_records": self.bad_lines,
-            "first_bad_records": badLines,
+            "first_bad_records": bad_lines,
             "outcomes": outcomes,
             "recorded_latency_ms": latencies(&self.recorded_latency),
             "latency_ms": latencies(&self.latency),
@@ -139,7 +139,7 @@
     mut reader: Box<dyn BufRead>,
     nodes: Vec<SocketAddr>,
     speed: f64,
-    atOnce: usize,
+    at_once: usize,
 ) -> ReplayReport {
     let report = Rc::new(RefCell::new(ReplayReport::default()));
     let client = Client::builder()
@@ -149,17 +149,17 @@
         .no_default_headers()
         .finish();
     let clock = MonotonicClock::start();
-    let mut firstAt = None;
-    let mut lineNumber = 0u64;
+    let mut first_at = None;
+    let mut line_number = 0u64;
     let mut calls = JoinSet::new();
     let mut line = Vec::new();
     loop {
         line.clear();
         match reader.read_until(b'\n', &mut line) {
             Ok(0) => break,
-            Ok(_) => lineNumber += 1,
+            Ok(_) => line_number += 1,
             Err(failure) => {
-                report.borrow_mut().bad_line(lineNumber + 1, failure.to_string());
+                report.borrow_mut().bad_line(line_number + 1, failure.to_string());
                 break;
             }
         }
@@ -169,22 +169,22 @@
         let call = match read_record(&line) {
             Ok(call) => call,
             Err(reason) => {
-                report.borrow_mut().bad_line(lineNumber, reason);
+                report.borrow_mut().bad_line(line_number, reason);
                 continue;
             }
         };
-        let began = *firstAt.get_or_insert(call.at_micros);
-        let dueAt = Micros((call.at_micros.saturating_sub(began) as f64 / speed) as u64);
-        let pause = dueAt - clock.now();
+        let began = *first_at.get_or_insert(call.at_micros);
+        let due_at = Micros((call.at_micros.saturating_sub(began) as f64 / speed) as u64);
+        let pause = due_at - clock.now();
         if pause > Micros(0) {
             tokio::time::sleep(pause.duration()).await;
         }
-        while calls.len() >= atOnce {
+        while calls.len() >= at_once {
             calls.join_next().await;
         }
         while calls.try_join_next().is_some() {}
-        let behind = (clock.now() - dueAt).0;
-        let node = nodes[(lineNumber as usize) % nodes.len()];
+        let behind = (clock.now() - due_at).0;
+        let node = nodes[(line_number as usize) % nodes.len()];
         {
             let mut shared = report.borrow_mut();
             shared.replayed += 1;
@@ -203,7 +203,7 @@
     report: Rc<RefCell<ReplayReport>>,
     clock: MonotonicClock,
 ) {
-    let sentAt = clock.now();
+    let sent_at = clock.now();
     let method = Method::from_bytes(call.method.as_bytes()).unwrap_or(Method::GET);
     let request = client.request(method, format!("http://{node}{}", call.path)).force_close();
     let outcome = match request.send_body(vec![b'r'; call.size as usize]).await {
@@ -219,7 +219,7 @@
     };
     let mut shared = report.borrow_mut();
     if outcome == "ran" {
-        shared.latency.push((clock.now() - sentAt).0);
+        shared.latency.push((clock.now() - sent_at).0);
     }
     if call.outcome == "ran" {
         shared.recorded_latency.push(call.latency_micros);
@@ -228,29 +228,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn bad_records_are_named_by_line_and_counted() {
-        let sound = r#"{"at_micros":1,"lane":"a","method":"POST","path":"/a","size":1,"status":200,"outcome":"ran","latency_micros":5}"#;
-        let day =
-            format!("{}\nnot json\n\n{}\n", sound.replace("\"ran\"", "\"maybe\""), sound.replace("/a", "a"));
-        let reader = Box::new(std::io::Cursor::new(day));
-        let nodes = vec![SocketAddr::from(([127, 0, 0, 1], 9))];
-        let report = actix_rt::System::new().block_on(replay(reader, nodes, 1.0, 1));
-        let lines: Vec<u64> = report.told_bad_lines.iter().map(|(number, _)| *number).collect();
-        assert_eq!((report.bad_lines, lines, report.replayed), (3, vec![1, 2, 4], 0));
-        assert!(read_record(sound.as_bytes()).is_ok());
-    }
-
-    #[test]
-    fn no_line_makes_the_reader_panic() {
-        arbtest::arbtest(|source| {
-            let line: Vec<u8> = source.arbitrary()?;
-            let _ = read_record(&line);
-            Ok(())
-        })
-        .seed(0x5eed_0004_0000_0040);
-    }
-}
+mod tests;
--- /dev/null
+++ b/packages/day_replay/src/tests.rs
@@ -0,0 +1,24 @@
+use super::*;
+
+#[test]
+fn bad_records_are_named_by_line_and_counted() {
+    let sound = r#"{"at_micros":1,"lane":"a","method":"POST","path":"/a","size":1,"status":200,"outcome":"ran","latency_micros":5}"#;
+    let day =
+        format!("{}\nnot json\n\n{}\n", sound.replace("\"ran\"", "\"maybe\""), sound.replace("/a", "a"));
+    let reader = Box::new(std::io::Cursor::new(day));
+    let nodes = vec![SocketAddr::from(([127, 0, 0, 1], 9))];
+    let report = actix_rt::System::new().block_on(replay(reader, nodes, 1.0, 1));
+    let lines: Vec<u64> = report.told_bad_lines.iter().map(|(number, _)| *number).collect();
+    assert_eq!((report.bad_lines, lines, report.replayed), (3, vec![1, 2, 4], 0));
+    assert!(read_record(sound.as_bytes()).is_ok());
+}
+
+#[test]
+fn no_line_makes_the_reader_panic() {
+    arbtest::arbtest(|source| {
+        let line: Vec<u8> = source.arbitrary()?;
+        let _ = read_record(&line);
+        Ok(())
+    })
+    .seed(0x5eed_0004_0000_0040);
+}
--- a/packages/fleet_simulator/src/allowance_scenarios.rs
+++ b/packages/fleet_simulator/src/allowance_scenarios.rs
@@ -40,8 +40,8 @@
         functions.iter().filter(|name| prefixes.iter().any(|prefix| name.starts_with(prefix))).collect();
     for step in 0..(seconds * 10.0) as usize {
         for (place, function) in hungry.iter().enumerate() {
-            let callCount = if function.starts_with("busy") { 4 } else { 2 };
-            for call in 0..callCount {
+            let call_count = if function.starts_with("busy") { 4 } else { 2 };
+            for call in 0..call_count {
                 trial.world.send_call((step + place + call) % 10, function, 0);
             }
         }
@@ -49,16 +49,16 @@
     }
 }
 
-fn must_share(trial: &mut Trial, busyShare: f64, rareShare: f64) {
+fn must_share(trial: &mut Trial, busy_share: f64, rare_share: f64) {
     let (busy, rare) =
         (trial.world.platform.memory_of("busy") as f64, trial.world.platform.memory_of("rare") as f64);
     trial.figures.push(("busy_mb", busy));
     trial.figures.push(("rare_mb", rare));
     // Whole cells, and workers whose last rest fits none: each group within a tenth of everything.
     let slack = MEMORY_MB / 10.0;
-    let seen = format!("busy {busy} MB of {busyShare}, rare {rare} MB of {rareShare}");
+    let seen = format!("busy {busy} MB of {busy_share}, rare {rare} MB of {rare_share}");
     trial.must(
-        (busy - busyShare).abs() <= slack && (rare - rareShare).abs() <= slack,
+        (busy - busy_share).abs() <= slack && (rare - rare_share).abs() <= slack,
         "allowances hold",
         &seen,
     );
@@ -113,7 +113,7 @@
     let took = answered.map(|at| (at - began) as f64 / 1e6);
     trial.figures.push(("lone_start_seconds", took.unwrap_or(9.0)));
     // The boot, the work of up to 1.2 s, and half a second for the rest.
-    let isInTime = took.is_some_and(|seconds| seconds <= 0.9 + 1.2 + 0.5);
-    trial.must(isInTime, "a lone start waits for nobody", &format!("{lone} took {took:?} s"));
+    let is_in_time = took.is_some_and(|seconds| seconds <= 0.9 + 1.2 + 0.5);
+    trial.must(is_in_time, "a lone start waits for nobody", &format!("{lone} took {took:?} s"));
     trial.verdict()
 }
--- a/packages/fleet_simulator/src/bin/simulate.rs
+++ b/packages/fleet_simulator/src/bin/simulate.rs
@@ -21,8 +21,8 @@
 }
 
 fn main() -> ExitCode {
-    let commandLine = Simulate::from_env_or_exit();
-    let names: Vec<&str> = match &commandLine.scenario {
+    let command_line = Simulate::from_env_or_exit();
+    let names: Vec<&str> = match &command_line.scenario {
         None => scenarios::NAMES.to_vec(),
         Some(name) => match scenarios::NAMES.iter().find(|known| *known == name) {
             Some(known) => vec![*known],
@@ -32,10 +32,10 @@
             }
         },
     };
-    let from = commandLine.from.unwrap_or(1);
-    let seeds = commandLine.seeds.unwrap_or(10);
-    let mut isSound = true;
-    if let Some(path) = &commandLine.history {
+    let from = command_line.from.unwrap_or(1);
+    let seeds = command_line.seeds.unwrap_or(10);
+    let mut is_sound = true;
+    if let Some(path) = &command_line.history {
         let Some(verdict) = names.first().and_then(|name| scenarios::run(name, from)) else {
             return ExitCode::from(2);
         };
@@ -46,16 +46,16 @@
         }
     }
     for name in names {
-        let nextSeed = AtomicU64::new(from);
-        let threadCount = std::thread::available_parallelism().map_or(1, usize::from);
+        let next_seed = AtomicU64::new(from);
+        let thread_count = std::thread::available_parallelism().map_or(1, usize::from);
         let mut verdicts = Vec::new();
         std::thread::scope(|scope| {
-            let workers: Vec<_> = (0..threadCount)
+            let workers: Vec<_> = (0..thread_count)
                 .map(|_| {
                     scope.spawn(|| {
                         let mut own = Vec::new();
                         loop {
-                            let seed = nextSeed.fetch_add(1, Ordering::Relaxed);
+                            let seed = next_seed.fetch_add(1, Ordering::Relaxed);
                             if seed >= from + seeds {
                                 return own;
                             }
@@ -69,7 +69,7 @@
                     Ok(own) => verdicts.extend(own),
                     Err(_) => {
                         println!("{name}: a run panicked");
-                        isSound = false;
+                        is_sound = false;
                     }
                 }
             }
@@ -78,7 +78,7 @@
         let mut outcomes = [0u64; 4];
         let mut figures: Vec<(&str, Vec<f64>)> = Vec::new();
         let mut refusals: BTreeMap<String, u64> = BTreeMap::new();
-        let mut brokenCount = 0;
+        let mut broken_count = 0;
         for (seed, verdict) in verdicts {
             let Some(verdict) = verdict else { continue };
             for (total, count) in outcomes.iter_mut().zip(verdict.outcomes) {
@@ -94,16 +94,16 @@
                 }
             }
             if !verdict.breaches.is_empty() {
-                brokenCount += 1;
-                isSound = false;
+                broken_count += 1;
+                is_sound = false;
                 for breach in verdict.breaches.iter().take(3) {
                     println!("  {name} seed {seed}: {}: {}", breach.rule, breach.seen);
                 }
             }
         }
-        let [ran, notRun, unknown, noAnswer] = outcomes;
+        let [ran, not_run, unknown, no_answer] = outcomes;
         let mut line = format!(
-            "{name}: {brokenCount} of {seeds} broken; ran {ran}, refused {notRun}, unknown {unknown}, no answer {noAnswer}"
+            "{name}: {broken_count} of {seeds} broken; ran {ran}, refused {not_run}, unknown {unknown}, no answer {no_answer}"
         );
         for (figure, mut values) in figures {
             values.sort_by(f64::total_cmp);
@@ -116,5 +116,5 @@
             println!("    {count} refused: {reason}");
         }
     }
-    if isSound { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    if is_sound { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/packages/fleet_simulator/src/disk_scenarios.rs
+++ b/packages/fleet_simulator/src/disk_scenarios.rs
@@ -5,9 +5,9 @@
 use clock_events::Micros;
 use fastrand::Rng;
 
-fn fill(trial: &mut Trial, number: usize, isFull: bool) {
+fn fill(trial: &mut Trial, number: usize, is_full: bool) {
     if let Some(disk) = trial.world.disk(number) {
-        disk.is_full = isFull;
+        disk.is_full = is_full;
     }
 }
 
@@ -35,8 +35,8 @@
     }
     trial.world.mark(4, "none-can-take-it");
     trial.world.run_for(2.0 + (seed % 4) as f64);
-    let isTaken = trial.world.is_accepted("none-can-take-it");
-    trial.must(!isTaken, "no acknowledged change lost", "a change was taken without a majority");
+    let is_taken = trial.world.is_accepted("none-can-take-it");
+    trial.must(!is_taken, "no acknowledged change lost", "a change was taken without a majority");
     for victim in victims {
         fill(&mut trial, victim, false);
     }
@@ -102,8 +102,8 @@
     }
     // Six faults on end: refusals are told as a figure.
     trial.checks.count_refusals = false;
-    let isWhole = trial.world.run_until(40.0, World::has_whole_set);
-    trial.must(isWhole, "a lost disk is replaced", "the voter set is not whole");
+    let is_whole = trial.world.run_until(40.0, World::has_whole_set);
+    trial.must(is_whole, "a lost disk is replaced", "the voter set is not whole");
     trial.must_settle();
     trial.must_accept(7, "after", 6.0);
     trial.verdict()
--- a/packages/fleet_simulator/src/lane_scenarios.rs
+++ b/packages/fleet_simulator/src/lane_scenarios.rs
@@ -7,7 +7,7 @@
 use serde_json::{Value, json};
 
 /// A partial change at one function: its lane moved, its lane removed, both removed, or put back.
-fn drawn_change(trial: &Trial, dice: &mut Rng, changeId: &str) -> Value {
+fn drawn_change(trial: &Trial, dice: &mut Rng, change_id: &str) -> Value {
     let whole = trial.world.document();
     let functions = trial.world.functions();
     // The first function keeps the lanes that mark changes.
@@ -23,8 +23,8 @@
         2 => {
             // Whatever lane leads to the function goes with it.
             for lane in functions.iter().skip(1) {
-                let isLeading = trial.world.lane_of(lane).as_ref() == Some(name);
-                if isLeading || lane == name {
+                let is_leading = trial.world.lane_of(lane).as_ref() == Some(name);
+                if is_leading || lane == name {
                     partial["lanes"][lane] = Value::Null;
                 }
             }
@@ -35,8 +35,8 @@
             partial["lanes"][name] = whole["lanes"][name].clone();
         }
     }
-    partial["lanes"][format!("mark-{changeId}")] =
-        json!({"function": functions[0], "path_prefix": format!("/mark/{changeId}")});
+    partial["lanes"][format!("mark-{change_id}")] =
+        json!({"function": functions[0], "path_prefix": format!("/mark/{change_id}")});
     partial
 }
 
@@ -44,13 +44,13 @@
     // By now every change that was sent has its answer.
     trial.world.run_for(6.5);
     let mut whole = trial.world.document();
-    for changeId in trial.world.accepted_marks() {
-        whole["lanes"][format!("mark-{changeId}")] =
-            json!({"function": trial.world.functions()[0], "path_prefix": format!("/mark/{changeId}")});
+    for change_id in trial.world.accepted_marks() {
+        whole["lanes"][format!("mark-{change_id}")] =
+            json!({"function": trial.world.functions()[0], "path_prefix": format!("/mark/{change_id}")});
     }
     trial.world.change(3, "back", Some(whole), None);
-    let isAccepted = trial.world.run_until(6.0, |world| world.is_accepted("back"));
-    trial.must(isAccepted, "changes are taken", "putting all back was not accepted");
+    let is_accepted = trial.world.run_until(6.0, |world| world.is_accepted("back"));
+    trial.must(is_accepted, "changes are taken", "putting all back was not accepted");
     trial.must_spread();
     trial.must_settle();
 }
@@ -63,10 +63,10 @@
     trial.world.call_rate = 40.0;
     let mut dice = Rng::with_seed(seed ^ 0x1a4e);
     for round in 0..16 {
-        let changeId = format!("move-{round}");
-        let partial = drawn_change(&trial, &mut dice, &changeId);
+        let change_id = format!("move-{round}");
+        let partial = drawn_change(&trial, &mut dice, &change_id);
         let node = dice.usize(..10);
-        trial.world.change(node, &changeId, None, Some(partial));
+        trial.world.change(node, &change_id, None, Some(partial));
         trial.world.run_for(dice.f64() * 4.0);
         trial.must_spread();
     }
@@ -80,7 +80,7 @@
     trial.world.call_rate = 200.0;
     let mut dice = Rng::with_seed(seed ^ 0x51ee9);
     for round in 0..10 {
-        let changeId = format!("asleep-{round}");
+        let change_id = format!("asleep-{round}");
         let victim = dice.usize(..10);
         match dice.u8(..3) {
             0 => trial.world.freeze(victim, 1.5 + dice.f64() * 3.5),
@@ -88,8 +88,8 @@
             _ => trial.world.kill(victim),
         }
         trial.world.run_for(dice.f64() * 0.5);
-        let partial = drawn_change(&trial, &mut dice, &changeId);
-        trial.world.change((victim + 1) % 10, &changeId, None, Some(partial));
+        let partial = drawn_change(&trial, &mut dice, &change_id);
+        trial.world.change((victim + 1) % 10, &change_id, None, Some(partial));
         trial.world.run_for(3.0 + dice.f64() * 2.0);
         trial.world.heal();
         trial.world.start(victim);
--- a/packages/fleet_simulator/src/machine_scenarios.rs
+++ b/packages/fleet_simulator/src/machine_scenarios.rs
@@ -9,7 +9,7 @@
     let mut trial = Trial::founded(WorldSettings { idle_seconds: 3, ..WorldSettings::default() }, seed);
     let mut dice = Rng::with_seed(seed ^ 0xf4ee);
     let moments = [FreezeIn::Start, FreezeIn::Stop, FreezeIn::Grant, FreezeIn::Store, FreezeIn::Sync];
-    let mut frozenCount = 0;
+    let mut frozen_count = 0;
     for round in 0..6 {
         let moment = moments[dice.usize(..moments.len())];
         trial.world.freeze_in = Some((moment, 0.5 + dice.f64() * 5.5));
@@ -23,10 +23,10 @@
         }
         trial.world.mark(dice.usize(..10), &format!("frozen-{round}"));
         trial.world.run_for(1.0 + dice.f64() * 6.0);
-        frozenCount += u32::from(trial.world.freeze_in.take().is_none());
+        frozen_count += u32::from(trial.world.freeze_in.take().is_none());
     }
-    trial.figures.push(("frozen", f64::from(frozenCount)));
-    trial.must(frozenCount > 0, "the failure came about", "no node was frozen in an act");
+    trial.figures.push(("frozen", f64::from(frozen_count)));
+    trial.must(frozen_count > 0, "the failure came about", "no node was frozen in an act");
     // A crowd meets deputies alone until the frozen steward's lease is over: told as a figure.
     trial.checks.count_refusals = false;
     trial.world.run_for(6.0);
@@ -55,9 +55,9 @@
 /// 8 busy and 150 rare functions, 300 calls/s, twelve workers of one deployment or the other; a node
 /// and a disk node are killed and started again.
 pub(crate) fn full_size(seed: u64) -> Verdict {
-    let workerMemory = if seed.is_multiple_of(2) { 6_500 } else { 5_300 };
+    let worker_memory = if seed.is_multiple_of(2) { 6_500 } else { 5_300 };
     let settings =
-        WorldSettings { busy: 8, rare: 150, workers: (12, workerMemory), ..WorldSettings::default() };
+        WorldSettings { busy: 8, rare: 150, workers: (12, worker_memory), ..WorldSettings::default() };
     let mut trial = Trial::founded(settings, seed);
     trial.world.call_rate = 300.0;
     trial.world.run_for(8.0);
--- a/packages/fleet_simulator/src/scenarios.rs
+++ b/packages/fleet_simulator/src/scenarios.rs
@@ -106,8 +106,8 @@
             figures: Vec::new(),
             checks: CheckSettings::default(),
         };
-        let isFounded = trial.world.found();
-        trial.must(isFounded, "founding", "the fleet was not founded");
+        let is_founded = trial.world.found();
+        trial.must(is_founded, "founding", "the fleet was not founded");
         trial.world.call_rate = 100.0;
         trial.world.run_for(5.0);
         trial
@@ -128,8 +128,8 @@
     /// settled, and after the twelve seconds every function answers a probe at every node.
     pub(crate) fn must_settle(&mut self) {
         let began = self.world.now();
-        let isSettled = self.world.run_until(12.0, World::is_settled);
-        self.must(isSettled, "back within 12 s", "the fleet was not settled");
+        let is_settled = self.world.run_until(12.0, World::is_settled);
+        self.must(is_settled, "back within 12 s", "the fleet was not settled");
         self.figures.push(("settled_seconds", (self.world.now() - began) as f64 / 1e6));
         // At best at once, and by the twelfth second for sure.
         let mut probes = self.world.send_probes();
@@ -145,14 +145,14 @@
         self.must(silent.is_empty(), "back within 12 s", &seen);
     }
 
-    pub(crate) fn must_accept(&mut self, number: usize, changeId: &str, seconds: f64) {
-        self.world.mark(number, changeId);
-        let isAccepted = self.world.run_until(seconds, |world| world.is_accepted(changeId));
-        self.must(isAccepted, "changes are taken", &format!("{changeId} was not accepted"));
+    pub(crate) fn must_accept(&mut self, number: usize, change_id: &str, seconds: f64) {
+        self.world.mark(number, change_id);
+        let is_accepted = self.world.run_until(seconds, |world| world.is_accepted(change_id));
+        self.must(is_accepted, "changes are taken", &format!("{change_id} was not accepted"));
     }
 
     pub(crate) fn must_spread(&mut self) {
-        let isSpread = self.world.run_until(3.0, |world| {
+        let is_spread = self.world.run_until(3.0, |world| {
             let held: Vec<u64> = world
                 .up()
                 .iter()
@@ -161,7 +161,7 @@
                 .collect();
             held.iter().all(|generation| Some(generation) == held.iter().max())
         });
-        self.must(isSpread, "everywhere within 3 s", "generations differ");
+        self.must(is_spread, "everywhere within 3 s", "generations differ");
     }
 
     pub(crate) fn verdict(mut self) -> Verdict {
@@ -248,11 +248,11 @@
     // A handful for each of four herds.
     trial.checks.refusals_fixed = 20;
     for round in 0..4 {
-        let changeId = format!("m{round}");
-        trial.world.mark(3 + round, &changeId);
+        let change_id = format!("m{round}");
+        trial.world.mark(3 + round, &change_id);
         // The very moment of the acknowledgement, give or take a fifth of a millisecond.
         for _ in 0..20_000 {
-            if trial.world.is_accepted(&changeId) {
+            if trial.world.is_accepted(&change_id) {
                 break;
             }
             trial.world.run_for(0.000_2);
@@ -283,8 +283,8 @@
 impl Trial {
     /// The set must take the fresh disk in, so that another disk may be lost after it.
     fn must_replace(&mut self, victim: usize) {
-        let isReplaced = self.world.run_until(40.0, |world| world.is_voting(victim));
-        self.must(isReplaced, "a lost disk is replaced", "the fresh disk has no vote");
+        let is_replaced = self.world.run_until(40.0, |world| world.is_voting(victim));
+        self.must(is_replaced, "a lost disk is replaced", "the fresh disk has no vote");
         self.must_settle();
         self.must_accept(4, "replaced", 4.0);
         // The two that were sound before may now be lost in turn without losing anything.
@@ -349,8 +349,8 @@
         trial.world.take_seeds(&[0, 1, 2]);
         trial.world.run_for(1.0);
         trial.world.start(victim);
-        let isReplaced = trial.world.run_until(45.0, |world| world.is_voting(victim));
-        trial.must(isReplaced, "a lost disk is replaced", "a swapped seed machine has no vote");
+        let is_replaced = trial.world.run_until(45.0, |world| world.is_voting(victim));
+        trial.must(is_replaced, "a lost disk is replaced", "a swapped seed machine has no vote");
         trial.must_settle();
     }
     trial.must_accept(5, "after", 4.0);
@@ -365,7 +365,7 @@
 fn blank_majority(seed: u64) -> Verdict {
     let mut trial = Trial::default(seed);
     trial.must_accept(3, "before", 4.0);
-    let generationBefore = trial.world.status(4).map_or(0, |status| status.generation);
+    let generation_before = trial.world.status(4).map_or(0, |status| status.generation);
     trial.world.lose_disk(0);
     trial.world.lose_disk(1);
     trial.world.run_for(0.5);
@@ -374,12 +374,12 @@
     trial.world.mark(5, "on-blank");
     trial.world.run_for(25.0);
     // Two of three disks are gone: nothing more can be acknowledged, and no second state is formed.
-    let isTaken = trial.world.is_accepted("on-blank");
-    trial.must(!isTaken, "no second state", "a blank majority took a change");
+    let is_taken = trial.world.is_accepted("on-blank");
+    trial.must(!is_taken, "no second state", "a blank majority took a change");
     let held: Vec<u64> =
         (0..10).filter_map(|n| trial.world.status(n)).map(|status| status.generation).collect();
-    let isKept = held.iter().all(|generation| *generation >= generationBefore);
-    trial.must(isKept, "no second state", "a node lost the configuration");
+    let is_kept = held.iter().all(|generation| *generation >= generation_before);
+    trial.must(is_kept, "no second state", "a node lost the configuration");
     // With two of three disks goes what was acknowledged a moment ago; that is no fall-back of a node.
     trial.checks.fall_back_within = u64::MAX / 2;
     trial.verdict()
@@ -393,8 +393,8 @@
     trial.must_accept(6, "large-side", 6.0);
     trial.world.mark(3, "small-side");
     trial.world.run_for(8.0);
-    let isTaken = trial.world.is_accepted("small-side");
-    trial.must(!isTaken, "no second state", "the small side took a change");
+    let is_taken = trial.world.is_accepted("small-side");
+    trial.must(!is_taken, "no second state", "the small side took a change");
     trial.world.heal();
     trial.must_settle();
     trial.must_accept(3, "healed", 4.0);
@@ -424,9 +424,9 @@
     let mut trial = Trial::default(seed);
     trial.world.cut(&[0, 1, 2], &[3, 4, 5, 6, 7, 8, 9]);
     // Calls go on through deputies on cells that run; nothing new is started.
-    let ranBefore = trial.world.outcomes[0];
+    let ran_before = trial.world.outcomes[0];
     trial.world.run_for(8.0);
-    let ran = trial.world.outcomes[0] - ranBefore;
+    let ran = trial.world.outcomes[0] - ran_before;
     trial.figures.push(("ran_without_control_state", ran as f64));
     trial.must(ran > 300, "admission never waits on election", "hardly any call ran");
     trial.world.heal();
@@ -499,9 +499,9 @@
         }
         trial.world.run_for(0.02);
     }
-    let [ran, notRun, ..] = trial.world.outcomes;
+    let [ran, not_run, ..] = trial.world.outcomes;
     trial.figures.push(("ran", ran as f64));
-    trial.figures.push(("refused", notRun as f64));
+    trial.figures.push(("refused", not_run as f64));
     trial.world.run_for(5.0);
     trial.must_settle();
     trial.verdict()
@@ -563,10 +563,10 @@
         }
         trial.world.run_for(0.01);
     }
-    let isTaken = trial.world.run_until(10.0, |world| {
+    let is_taken = trial.world.run_until(10.0, |world| {
         (0..10).all(|round| (0..3).all(|operator| world.is_accepted(&format!("race-{round}-{operator}"))))
     });
-    trial.must(isTaken, "changes are taken", "a racing change was not answered");
+    trial.must(is_taken, "changes are taken", "a racing change was not answered");
     trial.must_spread();
     trial.verdict()
 }
@@ -578,10 +578,10 @@
         trial.world.run_for(0.02);
     }
     trial.must_spread();
-    let isTaken = trial
+    let is_taken = trial
         .world
         .run_until(8.0, |world| (0..200).all(|number| world.is_accepted(&format!("storm-{number}"))));
-    trial.must(isTaken, "changes are taken", "a change of the storm was not accepted");
+    trial.must(is_taken, "changes are taken", "a change of the storm was not accepted");
     trial.must_spread();
     trial.verdict()
 }
@@ -596,8 +596,8 @@
         });
     }
     trial.world.change(3, "large", None, Some(partial));
-    let isAccepted = trial.world.run_until(5.0, |world| world.is_accepted("large"));
-    trial.must(isAccepted, "changes are taken", "the large change was not accepted");
+    let is_accepted = trial.world.run_until(5.0, |world| world.is_accepted("large"));
+    trial.must(is_accepted, "changes are taken", "the large change was not accepted");
     trial.must_spread();
     trial.must_accept(8, "small-after-large", 4.0);
     trial.must_spread();
--- a/packages/fleet_simulator/src/sim_calls.rs
+++ b/packages/fleet_simulator/src/sim_calls.rs
@@ -26,9 +26,9 @@
 }
 
 impl World {
-    /// A caller sends a call to a node, to the path of a function's name; `hastyRetries` are sent at
+    /// A caller sends a call to a node, to the path of a function's name; `hasty_retries` are sent at
     /// once after refusals. Example: `world.send_call(3, "proof", 0)`.
-    pub fn send_call(&mut self, node: usize, name: &str, hastyRetries: u32) {
+    pub fn send_call(&mut self, node: usize, name: &str, hasty_retries: u32) {
         self.next_call += 1;
         let call = self.next_call;
         let repeatable = self.settings.repeatable.contains(name);
@@ -41,7 +41,7 @@
             repeatable,
         });
         let patience = self.settings.patience.0;
-        let simCall = SimCall {
+        let sim_call = SimCall {
             node,
             life: self.nodes[node].life,
             path,
@@ -51,11 +51,11 @@
             ends_at: self.now + patience,
             chart: CallChart::begin(),
             ticket: None,
-            retries_left: hastyRetries,
+            retries_left: hasty_retries,
         };
-        self.calls.insert(call, simCall);
-        let isReached = self.nodes[node].is_up() && !self.nodes[node].is_isolated;
-        if !isReached {
+        self.calls.insert(call, sim_call);
+        let is_reached = self.nodes[node].is_up() && !self.nodes[node].is_isolated;
+        if !is_reached {
             self.end_call(call, Outcome::NoAnswer);
             return;
         }
@@ -65,9 +65,9 @@
 
     /// The node that has a call, if that process still lives.
     fn front_of(&self, call: u64) -> Option<usize> {
-        let simCall = self.calls.get(&call)?;
-        let node = &self.nodes[simCall.node];
-        (node.is_up() && node.life == simCall.life).then_some(simCall.node)
+        let sim_call = self.calls.get(&call)?;
+        let node = &self.nodes[sim_call.node];
+        (node.is_up() && node.life == sim_call.life).then_some(sim_call.node)
     }
 
     pub(crate) fn call_arrives(&mut self, call: u64) {
@@ -75,10 +75,10 @@
         if self.defer_if_frozen(node, Happening::CallArrives { call }) {
             return;
         }
-        let isReady = self.nodes[node].is_ready;
+        let is_ready = self.nodes[node].is_ready;
         let function = self.function_of(node, call);
         self.history(Line::CallReached { at: self.now, call: call.to_string() });
-        if isReady {
+        if is_ready {
             self.history(Line::CallMatched {
                 at: self.now,
                 call: call.to_string(),
@@ -86,19 +86,19 @@
                 generation: self.nodes[node].lanes.generation,
             });
         }
-        let Some(simCall) = self.calls.get_mut(&call) else { return };
-        let Some(function) = function.filter(|_| isReady) else {
+        let Some(sim_call) = self.calls.get_mut(&call) else { return };
+        let Some(function) = function.filter(|_| is_ready) else {
             self.refuse_without_lane(call);
             return;
         };
-        simCall.chart.step(CallState::Matched);
-        simCall.function = function;
+        sim_call.chart.step(CallState::Matched);
+        sim_call.function = function;
         self.ask_for_ticket(call, String::new());
     }
 
     fn refuse_without_lane(&mut self, call: u64) {
-        if let Some(simCall) = self.calls.get_mut(&call) {
-            simCall.chart.give_up();
+        if let Some(sim_call) = self.calls.get_mut(&call) {
+            sim_call.chart.give_up();
         }
         *self.refusals.entry("no lane takes this call".to_owned()).or_default() += 1;
         self.end_call(call, Outcome::NotRun);
@@ -112,51 +112,50 @@
 
     fn ask_for_ticket(&mut self, call: u64, avoid: String) {
         let now = self.now;
-        let Some(simCall) = self.calls.get_mut(&call) else { return };
-        simCall.chart.step(CallState::TicketAsked);
+        let Some(sim_call) = self.calls.get_mut(&call) else { return };
+        sim_call.chart.step(CallState::TicketAsked);
         let event = Event::CallAsks {
             call,
-            function: simCall.function.clone(),
-            time_left: Micros(simCall.ends_at.saturating_sub(now)),
-            dispatches: simCall.chart.dispatches(),
+            function: sim_call.function.clone(),
+            time_left: Micros(sim_call.ends_at.saturating_sub(now)),
+            dispatches: sim_call.chart.dispatches(),
             avoid,
         };
-        let node = simCall.node;
+        let node = sim_call.node;
         self.give(node, event);
     }
 
     pub(crate) fn call_granted(&mut self, node: usize, call: u64, ticket: Ticket) {
         let now = self.now;
-        let isOpen = self
-            .calls
-            .get(&call)
-            .is_some_and(|simCall| simCall.chart.state() == CallState::TicketAsked && simCall.node == node);
-        if !isOpen || self.front_of(call).is_none() {
+        let is_open = self.calls.get(&call).is_some_and(|sim_call| {
+            sim_call.chart.state() == CallState::TicketAsked && sim_call.node == node
+        });
+        if !is_open || self.front_of(call).is_none() {
             self.give(node, Event::TicketDone { ticket, how: UNUSED, latency: Micros(0) });
             return;
         }
-        let isIsolated = self.nodes[node].is_isolated;
+        let is_isolated = self.nodes[node].is_isolated;
         let travel = self.travel();
         let meant = self.function_of(node, call);
-        let Some(simCall) = self.calls.get_mut(&call) else { return };
-        let isStillMeant = meant.as_ref() == Some(&simCall.function);
-        let step = simCall.chart.ticket_came(now < simCall.ends_at, isStillMeant);
+        let Some(sim_call) = self.calls.get_mut(&call) else { return };
+        let is_still_meant = meant.as_ref() == Some(&sim_call.function);
+        let step = sim_call.chart.ticket_came(now < sim_call.ends_at, is_still_meant);
         if step != NextStep::Dispatch {
             self.give(node, Event::TicketDone { ticket, how: UNUSED, latency: Micros(0) });
             self.go_on(call, step, String::new());
             return;
         }
-        simCall.ticket = Some((ticket.clone(), now));
-        let dispatch = simCall.chart.dispatches();
-        let timeLeft = simCall.ends_at.saturating_sub(now);
-        if isIsolated {
+        sim_call.ticket = Some((ticket.clone(), now));
+        let dispatch = sim_call.chart.dispatches();
+        let time_left = sim_call.ends_at.saturating_sub(now);
+        if is_isolated {
             let end = DispatchEnd::NotRun;
             self.after(CONNECT_WITHIN, Happening::AnswerComes { call, dispatch, end });
         } else {
             self.after(travel, Happening::DispatchArrives { call, dispatch, ticket });
         }
         let end = DispatchEnd::TimedOut;
-        self.after(timeLeft, Happening::AnswerComes { call, dispatch, end });
+        self.after(time_left, Happening::AnswerComes { call, dispatch, end });
     }
 
     /// The walk over the chart goes on as the shared decisions say.
@@ -176,29 +175,29 @@
                     node: format!("node-{node}"),
                     generation: self.nodes[node].lanes.generation,
                 });
-                let Some(simCall) = self.calls.get_mut(&call) else { return };
+                let Some(sim_call) = self.calls.get_mut(&call) else { return };
                 let Some(function) = function else {
                     self.refuse_without_lane(call);
                     return;
                 };
-                simCall.function = function;
+                sim_call.function = function;
                 self.ask_for_ticket(call, String::new());
             }
         }
     }
 
-    pub(crate) fn call_refused(&mut self, call: u64, isMissing: bool) {
+    pub(crate) fn call_refused(&mut self, call: u64, is_missing: bool) {
         let now = self.now;
         let Some(node) = self.front_of(call) else { return };
         let meant = self.function_of(node, call);
-        let Some(simCall) = self.calls.get_mut(&call) else { return };
-        if simCall.chart.state() != CallState::TicketAsked {
+        let Some(sim_call) = self.calls.get_mut(&call) else { return };
+        if sim_call.chart.state() != CallState::TicketAsked {
             return;
         }
-        let isElsewhere = isMissing && meant.as_ref() != Some(&simCall.function);
-        let step = match isElsewhere {
-            true => simCall.chart.ticket_came(now < simCall.ends_at, false),
-            false => NextStep::GiveUp(simCall.chart.give_up()),
+        let is_elsewhere = is_missing && meant.as_ref() != Some(&sim_call.function);
+        let step = match is_elsewhere {
+            true => sim_call.chart.ticket_came(now < sim_call.ends_at, false),
+            false => NextStep::GiveUp(sim_call.chart.give_up()),
         };
         self.go_on(call, step, String::new());
     }
@@ -219,27 +218,27 @@
             self.after(travel, Happening::AnswerComes { call, dispatch, end: DispatchEnd::NotRun });
             return;
         }
-        let isRunning = cell.in_flight < limit;
-        let (cellId, function, inFlight) = (cell.id.clone(), cell.function.clone(), cell.in_flight + 1);
-        if isRunning {
+        let is_running = cell.in_flight < limit;
+        let (cell_id, function, in_flight) = (cell.id.clone(), cell.function.clone(), cell.in_flight + 1);
+        if is_running {
             cell.in_flight += 1;
         }
         self.history(Line::CellTook {
             at: now,
             call: call.to_string(),
             function,
-            cell: cellId.clone(),
-            ran: isRunning,
-            in_flight: inFlight,
+            cell: cell_id.clone(),
+            ran: is_running,
+            in_flight,
             limit,
         });
-        if !isRunning {
+        if !is_running {
             self.after(travel, Happening::AnswerComes { call, dispatch, end: DispatchEnd::TurnedAway });
             return;
         }
         let end = if misbehaves { DispatchEnd::Unknown } else { DispatchEnd::Answered };
-        let workSpan = work / 2 + self.dice.u64(..work + 1);
-        self.after(workSpan, Happening::CellFinishes { call, dispatch, cell: cellId, end });
+        let work_span = work / 2 + self.dice.u64(..work + 1);
+        self.after(work_span, Happening::CellFinishes { call, dispatch, cell: cell_id, end });
     }
 
     pub(crate) fn cell_finishes(&mut self, call: u64, dispatch: u32, cell: &str, end: DispatchEnd) {
@@ -255,10 +254,10 @@
 
     /// The ticket of a call's dispatch, if that is still the one under way.
     fn take_ticket(&mut self, call: u64, dispatch: u32) -> Option<(Ticket, u64)> {
-        let simCall = self.calls.get_mut(&call)?;
-        let isUnderWay =
-            simCall.chart.state() == CallState::Dispatched && simCall.chart.dispatches() == dispatch;
-        if isUnderWay { simCall.ticket.take() } else { None }
+        let sim_call = self.calls.get_mut(&call)?;
+        let is_under_way =
+            sim_call.chart.state() == CallState::Dispatched && sim_call.chart.dispatches() == dispatch;
+        if is_under_way { sim_call.ticket.take() } else { None }
     }
 
     pub(crate) fn answer_comes(&mut self, call: u64, dispatch: u32, end: DispatchEnd) {
@@ -267,11 +266,11 @@
             return;
         }
         let now = self.now;
-        let Some((ticket, sentAt)) = self.take_ticket(call, dispatch) else { return };
-        let Some(simCall) = self.calls.get_mut(&call) else { return };
-        let step = simCall.chart.dispatch_ended(end, simCall.repeatable, DISPATCH_LIMIT);
+        let Some((ticket, sent_at)) = self.take_ticket(call, dispatch) else { return };
+        let Some(sim_call) = self.calls.get_mut(&call) else { return };
+        let step = sim_call.chart.dispatch_ended(end, sim_call.repeatable, DISPATCH_LIMIT);
         self.go_on(call, step, ticket.cell.0.clone());
-        self.give(node, Event::TicketDone { ticket, how: end.how(), latency: Micros(now - sentAt) });
+        self.give(node, Event::TicketDone { ticket, how: end.how(), latency: Micros(now - sent_at) });
     }
 
     pub(crate) fn call_forgotten(&mut self, call: u64) {
@@ -284,15 +283,15 @@
     }
 
     /// Calls whose process died end without an answer.
-    pub(crate) fn drop_calls_of(&mut self, node: usize, isPlanned: bool) {
+    pub(crate) fn drop_calls_of(&mut self, node: usize, is_planned: bool) {
         let lost: Vec<u64> = self
             .calls
             .iter()
-            .filter(|(_, simCall)| simCall.node == node && simCall.life == self.nodes[node].life)
+            .filter(|(_, sim_call)| sim_call.node == node && sim_call.life == self.nodes[node].life)
             .map(|(call, _)| *call)
             .collect();
         for call in lost {
-            if isPlanned {
+            if is_planned {
                 self.history(Line::DroppedInPlannedStop { at: self.now, call: call.to_string() });
             }
             self.end_call(call, Outcome::NoAnswer);
@@ -300,18 +299,18 @@
     }
 
     pub(crate) fn open_calls_of(&self, node: usize) -> usize {
-        self.calls.values().filter(|simCall| simCall.node == node).count()
+        self.calls.values().filter(|sim_call| sim_call.node == node).count()
     }
 
     fn end_call(&mut self, call: u64, outcome: Outcome) {
-        let Some(simCall) = self.calls.remove(&call) else { return };
+        let Some(sim_call) = self.calls.remove(&call) else { return };
         let at = self.now;
         self.history(Line::CallEnded {
             at,
             call: call.to_string(),
             outcome,
             is_own: outcome == Outcome::Ran,
-            latency: at - simCall.sent_at,
+            latency: at - sim_call.sent_at,
         });
         let counted = match outcome {
             Outcome::Ran => &mut self.outcomes[0],
@@ -320,10 +319,10 @@
             Outcome::NoAnswer => &mut self.outcomes[3],
         };
         *counted += 1;
-        if outcome == Outcome::NotRun && simCall.retries_left > 0 {
-            let (node, retriesLeft) = (simCall.node, simCall.retries_left - 1);
-            let name = simCall.path.trim_start_matches('/').to_owned();
-            self.send_call(node, &name, retriesLeft);
+        if outcome == Outcome::NotRun && sim_call.retries_left > 0 {
+            let (node, retries_left) = (sim_call.node, sim_call.retries_left - 1);
+            let name = sim_call.path.trim_start_matches('/').to_owned();
+            self.send_call(node, &name, retries_left);
         }
     }
 }
--- a/packages/fleet_simulator/src/sim_disk.rs
+++ b/packages/fleet_simulator/src/sim_disk.rs
@@ -22,8 +22,8 @@
     }
 
     /// Takes a group to be synced. Example: `disk.write(1, records, false)`.
-    pub fn write(&mut self, token: u64, records: Vec<Vec<u8>>, isRewrite: bool) {
-        self.waiting.push((token, records, isRewrite));
+    pub fn write(&mut self, token: u64, records: Vec<Vec<u8>>, is_rewrite: bool) {
+        self.waiting.push((token, records, is_rewrite));
     }
 
     /// Syncs all groups up to a token; false if the disk is full. Example: `disk.sync(1)`.
@@ -31,10 +31,10 @@
         if self.is_full {
             return false;
         }
-        let stillWaiting = self.waiting.iter().position(|(waitingToken, ..)| *waitingToken > token);
-        let syncedCount = stillWaiting.unwrap_or(self.waiting.len());
-        for (_, records, isRewrite) in self.waiting.drain(..syncedCount) {
-            if isRewrite {
+        let still_waiting = self.waiting.iter().position(|(waiting_token, ..)| *waiting_token > token);
+        let synced_count = still_waiting.unwrap_or(self.waiting.len());
+        for (_, records, is_rewrite) in self.waiting.drain(..synced_count) {
+            if is_rewrite {
                 self.durable.clear();
             }
             self.durable.extend(records);
--- a/packages/fleet_simulator/src/sim_platform.rs
+++ b/packages/fleet_simulator/src/sim_platform.rs
@@ -46,11 +46,16 @@
 
 impl SimPlatform {
     /// A platform with idle workers. Example: `SimPlatform::new(2, 1_000, 80.0, 0)`.
-    pub fn new(workerCount: usize, workerMemoryMb: u64, actsPerSecond: f64, listLate: u64) -> SimPlatform {
-        let workers = (0..workerCount)
+    pub fn new(
+        worker_count: usize,
+        worker_memory_mb: u64,
+        acts_per_second: f64,
+        list_late: u64,
+    ) -> SimPlatform {
+        let workers = (0..worker_count)
             .map(|number| ListedWorker {
                 id: format!("worker-{number}"),
-                memory_mb: workerMemoryMb,
+                memory_mb: worker_memory_mb,
                 draining: false,
             })
             .collect();
@@ -58,9 +63,9 @@
             workers,
             cells: BTreeMap::new(),
             lists: VecDeque::new(),
-            list_late: listLate,
-            acts_per_second: actsPerSecond,
-            tokens: actsPerSecond,
+            list_late,
+            acts_per_second,
+            tokens: acts_per_second,
             filled_at: 0,
             free_ports: VecDeque::new(),
             next_port: 20_000,
@@ -84,24 +89,24 @@
 
     pub(crate) fn start(
         &mut self,
-        startId: &str,
+        start_id: &str,
         function: &str,
         worker: &str,
-        memoryMb: u64,
+        memory_mb: u64,
         boot: u64,
         now: u64,
     ) -> SimStart {
-        if let Some(known) = self.cells.values().find(|cell| cell.start_id == startId) {
+        if let Some(known) = self.cells.values().find(|cell| cell.start_id == start_id) {
             return SimStart::Started(known.id.clone(), known.address);
         }
         if !self.spend(now) {
             return SimStart::Throttled;
         }
         let usable = self.workers.iter().find(|listed| listed.id == worker && !listed.draining);
-        let Some(workerMemory) = usable.map(|listed| listed.memory_mb) else { return SimStart::NoRoom };
-        let usedMemory: u64 =
+        let Some(worker_memory) = usable.map(|listed| listed.memory_mb) else { return SimStart::NoRoom };
+        let used_memory: u64 =
             self.cells.values().filter(|cell| cell.worker == worker).map(|cell| cell.memory_mb).sum();
-        if usedMemory + memoryMb > workerMemory {
+        if used_memory + memory_mb > worker_memory {
             return SimStart::NoRoom;
         }
         let port = self.free_ports.pop_front().unwrap_or_else(|| {
@@ -117,8 +122,8 @@
             function: function.to_owned(),
             worker: worker.to_owned(),
             address,
-            memory_mb: memoryMb,
-            start_id: startId.to_owned(),
+            memory_mb,
+            start_id: start_id.to_owned(),
             ready_at: now + boot,
             leaving: false,
             in_flight: 0,
@@ -153,8 +158,8 @@
     pub fn drain(&mut self, worker: usize) {
         let Some(drained) = self.workers.get_mut(worker) else { return };
         drained.draining = true;
-        let workerId = drained.id.clone();
-        for cell in self.cells.values_mut().filter(|cell| cell.worker == workerId) {
+        let worker_id = drained.id.clone();
+        for cell in self.cells.values_mut().filter(|cell| cell.worker == worker_id) {
             cell.leaving = true;
         }
     }
@@ -165,13 +170,13 @@
             return;
         }
         let crashed = self.workers.remove(worker);
-        let lostCells: Vec<String> = self
+        let lost_cells: Vec<String> = self
             .cells
             .values()
             .filter(|cell| cell.worker == crashed.id)
             .map(|cell| cell.id.clone())
             .collect();
-        for cell in lostCells {
+        for cell in lost_cells {
             self.end(&cell);
         }
     }
@@ -204,13 +209,13 @@
         while self.lists.len() > 1 && self.lists[1].0 + self.list_late <= now {
             self.lists.pop_front();
         }
-        let shown = self.lists.front().filter(|(takenAt, ..)| takenAt + self.list_late <= now);
+        let shown = self.lists.front().filter(|(taken_at, ..)| taken_at + self.list_late <= now);
         let leaving = shown.map(|(_, _, cells)| cells.iter().filter(|cell| cell.leaving));
         leaving.into_iter().flatten().map(|cell| cell.id.clone()).collect()
     }
 
     pub(crate) fn late_list(&self, now: u64) -> (Vec<ListedWorker>, Vec<ListedCell>) {
-        let late = self.lists.front().filter(|(takenAt, ..)| takenAt + self.list_late <= now);
+        let late = self.lists.front().filter(|(taken_at, ..)| taken_at + self.list_late <= now);
         late.map_or_else(
             || (self.workers.clone(), Vec::new()),
             |(_, workers, cells)| (workers.clone(), cells.clone()),
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -274,12 +274,12 @@
             document["allowances"]["rare"]["memory_ceiling_mb"] = json!(ceiling);
         }
         for name in self.functions() {
-            let isBusy = name.starts_with("busy");
+            let is_busy = name.starts_with("busy");
             document["functions"][&name] = json!({
-                "allowance": if isBusy { "busy" } else { "rare" },
-                "cell_memory_mb": if isBusy { 600 } else { 128 },
+                "allowance": if is_busy { "busy" } else { "rare" },
+                "cell_memory_mb": if is_busy { 600 } else { 128 },
                 "calls_at_once": self.settings.calls_at_once,
-                "boot_millis": if isBusy { 1_500 } else { 1_000 } + self.settings.extra_boot.millis(),
+                "boot_millis": if is_busy { 1_500 } else { 1_000 } + self.settings.extra_boot.millis(),
                 "idle_seconds": self.settings.idle_seconds,
             });
             document["lanes"][&name] = json!({"function": name, "path_prefix": format!("/{name}")});
@@ -395,8 +395,8 @@
         while self.call_debt >= 1.0 {
             self.call_debt -= 1.0;
             // Nine in ten calls go to busy functions.
-            let isBusy = self.dice.u8(..10) < 9 && self.settings.busy > 0;
-            let place = match isBusy || self.settings.rare == 0 {
+            let is_busy = self.dice.u8(..10) < 9 && self.settings.busy > 0;
+            let place = match is_busy || self.settings.rare == 0 {
                 true => self.dice.usize(..self.settings.busy.max(1)),
                 false => self.settings.busy + self.dice.usize(..self.settings.rare),
             };
@@ -444,8 +444,8 @@
         if drift > 0.0 {
             self.nodes[number].clock_rate = 1.0 - drift + self.dice.f64() * 2.0 * drift;
         }
-        let firstTick = self.dice.u64(..20_000);
-        self.after(firstTick, Happening::Tick { node: number, life });
+        let first_tick = self.dice.u64(..20_000);
+        self.after(first_tick, Happening::Tick { node: number, life });
     }
 
     /// Ends a node's process with no notice; with the power goes what its disk had not synced.
@@ -454,11 +454,11 @@
         self.end_process(number, false);
     }
 
-    fn end_process(&mut self, number: usize, isPlanned: bool) {
+    fn end_process(&mut self, number: usize, is_planned: bool) {
         if !self.nodes[number].is_up() {
             return;
         }
-        self.drop_calls_of(number, isPlanned);
+        self.drop_calls_of(number, is_planned);
         let node = &mut self.nodes[number];
         node.node = None;
         node.life += 1;
@@ -483,8 +483,8 @@
         let deadline = self.now + 6_000_000;
         while self.now < deadline {
             self.run_for(0.05);
-            let isDone = self.nodes[number].is_drained && self.open_calls_of(number) == 0;
-            if isDone || self.nodes[number].life != life {
+            let is_done = self.nodes[number].is_drained && self.open_calls_of(number) == 0;
+            if is_done || self.nodes[number].life != life {
                 break;
             }
         }
@@ -493,10 +493,10 @@
 
     /// Cuts everything between two groups of nodes. Example: `world.cut(&[0, 1], &[2, 3])`.
     pub fn cut(&mut self, left: &[usize], right: &[usize]) {
-        for leftNode in left {
-            for rightNode in right {
-                self.cut_links.insert((*leftNode, *rightNode));
-                self.cut_links.insert((*rightNode, *leftNode));
+        for left_node in left {
+            for right_node in right {
+                self.cut_links.insert((*left_node, *right_node));
+                self.cut_links.insert((*right_node, *left_node));
             }
         }
     }
@@ -529,15 +529,15 @@
     /// Kills the node and replaces its disk by an empty one. Example: `world.lose_disk(1)`.
     pub fn lose_disk(&mut self, number: usize) {
         self.kill(number);
-        let freshId = self.dice.u64(1..);
-        self.nodes[number].disk = Some(SimDisk::blank(freshId));
+        let fresh_id = self.dice.u64(1..);
+        self.nodes[number].disk = Some(SimDisk::blank(fresh_id));
     }
 
     /// The machine is replaced by an empty one at a new address. Example: `world.replace_machine(1)`.
     pub fn replace_machine(&mut self, number: usize) {
         self.lose_disk(number);
-        let freshNumber = 100 + number + self.dice.usize(..100) * 100;
-        self.nodes[number].address = address_of(freshNumber);
+        let fresh_number = 100 + number + self.dice.usize(..100) * 100;
+        self.nodes[number].address = address_of(fresh_number);
     }
 
     /// The seeds that are told to all nodes started from now on, and to those that run by a reload.
@@ -564,9 +564,9 @@
 
     /// A node's page of state. Example: `world.status(0).unwrap().generation`.
     pub fn status(&self, number: usize) -> Option<NodeStatus> {
-        let simNode = &self.nodes[number];
-        let node = simNode.node.as_ref()?;
-        Some(node.status(simNode.local_time(self.now)))
+        let sim_node = &self.nodes[number];
+        let node = sim_node.node.as_ref()?;
+        Some(node.status(sim_node.local_time(self.now)))
     }
 
     /// Whether a node's disk has a vote in the eyes of every node that is up.
@@ -613,14 +613,14 @@
     pub fn has_whole_set(&self) -> bool {
         let sets: Vec<&VoterSet> = self.up().into_iter().filter_map(|number| self.voters(number)).collect();
         let Some(first) = sets.first() else { return false };
-        let upDisks: Vec<u64> = self
+        let up_disks: Vec<u64> = self
             .up()
             .iter()
             .filter_map(|number| self.nodes[*number].disk.as_ref())
             .map(|disk| disk.id)
             .collect();
         first.joining.0.is_empty()
-            && first.disks.0.iter().all(|disk| upDisks.contains(disk))
+            && first.disks.0.iter().all(|disk| up_disks.contains(disk))
             && sets.iter().all(|set| set.generation == first.generation)
     }
 
@@ -682,30 +682,30 @@
 
     /// Sends a change to a node; its outcome goes into the history under the change's id.
     /// Example: `world.change(3, "a", Some(document), None)`.
-    pub fn change(&mut self, number: usize, changeId: &str, whole: Option<Value>, partial: Option<Value>) {
+    pub fn change(&mut self, number: usize, change_id: &str, whole: Option<Value>, partial: Option<Value>) {
         self.next_request += 1;
         let request = self.next_request;
-        let change = Change { change_id: changeId.to_owned(), expected_generation: None, whole, partial };
+        let change = Change { change_id: change_id.to_owned(), expected_generation: None, whole, partial };
         self.give(number, Event::ChangeAsked { request, change });
     }
 
     /// Sends the whole document to found the fleet's configuration, and waits until it stands.
     /// Example: `assert!(world.found())`.
     pub fn found(&mut self) -> bool {
-        let isReady =
+        let is_ready =
             self.run_until(20.0, |world| world.up().iter().all(|number| world.nodes[*number].is_ready));
         let document = self.document();
         self.change(4 % self.nodes.len(), "first", Some(document), None);
-        isReady && self.run_until(20.0, |world| world.is_settled() && world.is_accepted("first"))
+        is_ready && self.run_until(20.0, |world| world.is_settled() && world.is_accepted("first"))
     }
 
     /// A small change that leaves its mark in the document. Example: `world.mark(2, "m1")`.
-    pub fn mark(&mut self, number: usize, changeId: &str) {
+    pub fn mark(&mut self, number: usize, change_id: &str) {
         let mut partial = json!({"lanes": {}});
         let function = self.functions()[0].clone();
-        partial["lanes"][format!("mark-{changeId}")] =
-            json!({"function": function, "path_prefix": format!("/mark/{changeId}")});
-        self.change(number, changeId, None, Some(partial));
+        partial["lanes"][format!("mark-{change_id}")] =
+            json!({"function": function, "path_prefix": format!("/mark/{change_id}")});
+        self.change(number, change_id, None, Some(partial));
     }
 
     /// The function that a name's lane leads to in the newest generation that any node holds.
@@ -720,16 +720,16 @@
     }
 
     /// Whether a change was acknowledged. Example: `world.is_accepted("m1")`.
-    pub fn is_accepted(&self, changeId: &str) -> bool {
-        self.changes.contains_key(changeId)
+    pub fn is_accepted(&self, change_id: &str) -> bool {
+        self.changes.contains_key(change_id)
     }
 
     /// Notes in the history which marks stand at each node that is up, for the checkers.
     /// Example: call it before `check_all`.
     pub fn note_standing_changes(&mut self) {
         for number in self.up() {
-            let simNode = &self.nodes[number];
-            let Some(node) = &simNode.node else { continue };
+            let sim_node = &self.nodes[number];
+            let Some(node) = &sim_node.node else { continue };
             let configuration = node.current_configuration();
             let mut changes: Vec<String> = configuration
                 .lanes
@@ -737,7 +737,7 @@
                 .filter_map(|lane| lane.strip_prefix("mark-"))
                 .map(str::to_owned)
                 .collect();
-            let generation = node.status(simNode.local_time(self.now)).generation;
+            let generation = node.status(sim_node.local_time(self.now)).generation;
             if !configuration.lanes.is_empty() {
                 changes.extend(["first".to_owned(), "back".to_owned()]);
             }
@@ -761,27 +761,27 @@
 
     /// What happens to a frozen node happens when it wakes.
     pub(crate) fn defer_if_frozen(&mut self, number: usize, happening: Happening) -> bool {
-        let frozenUntil = self.nodes[number].frozen_until;
-        if frozenUntil <= self.now {
+        let frozen_until = self.nodes[number].frozen_until;
+        if frozen_until <= self.now {
             return false;
         }
-        self.after(frozenUntil - self.now, happening);
+        self.after(frozen_until - self.now, happening);
         true
     }
 
     pub(crate) fn give(&mut self, number: usize, event: Event) {
-        let frozenUntil = self.nodes[number].frozen_until;
-        if frozenUntil > self.now {
+        let frozen_until = self.nodes[number].frozen_until;
+        if frozen_until > self.now {
             let life = self.nodes[number].life;
             let later = Happening::Given { node: number, life, event: Box::new(event) };
-            self.after(frozenUntil - self.now, later);
+            self.after(frozen_until - self.now, later);
             return;
         }
         let now = self.now;
-        let simNode = &mut self.nodes[number];
-        let localNow = simNode.local_time(now);
-        let Some(node) = &mut simNode.node else { return };
-        let acts = node.handle(event, localNow);
+        let sim_node = &mut self.nodes[number];
+        let local_now = sim_node.local_time(now);
+        let Some(node) = &mut sim_node.node else { return };
+        let acts = node.handle(event, local_now);
         for act in acts {
             self.perform(number, act);
         }
@@ -810,8 +810,8 @@
             self.after(span, Happening::Synced { node: number, life, token });
             return;
         }
-        let isSynced = disk.sync(token);
-        self.give(number, Event::DiskDone { token, is_synced: isSynced });
+        let is_synced = disk.sync(token);
+        self.give(number, Event::DiskDone { token, is_synced });
     }
 
     fn perform(&mut self, number: usize, act: Act) {
@@ -900,7 +900,7 @@
         let first = self.up().first().and_then(|number| self.voters(*number));
         let voters = first.map(|set| set.disks.0.clone()).unwrap_or_default();
         for number in self.up() {
-            let reachedCount = (0..self.nodes.len())
+            let reached_count = (0..self.nodes.len())
                 .filter(|other| {
                     let disk = self.nodes[*other].disk.as_ref();
                     disk.is_some_and(|disk| {
@@ -908,7 +908,7 @@
                     }) && self.reaches(number, *other)
                 })
                 .count();
-            let reached = reachedCount * 2 > voters.len();
+            let reached = reached_count * 2 > voters.len();
             if std::mem::replace(&mut self.nodes[number].reaches_control, reached) != reached {
                 self.history(Line::ControlReached { at: self.now, node: format!("node-{number}"), reached });
             }
@@ -917,8 +917,8 @@
 
     fn reaches(&self, number: usize, other: usize) -> bool {
         let node = &self.nodes[other];
-        let isCut = self.cut_links.contains(&(number, other)) || self.cut_links.contains(&(other, number));
-        node.is_up() && node.frozen_until <= self.now && !isCut
+        let is_cut = self.cut_links.contains(&(number, other)) || self.cut_links.contains(&(other, number));
+        node.is_up() && node.frozen_until <= self.now && !is_cut
     }
 
     /// What a generation changes in the lanes, told once, when the first node takes it.
@@ -959,7 +959,7 @@
         self.history(Line::StewardActed { at: self.now, node, function: function.to_owned(), epoch });
     }
 
-    fn send(&mut self, number: usize, address: Address, toNode: NodeId, message: Message) {
+    fn send(&mut self, number: usize, address: Address, to_node: NodeId, message: Message) {
         self.messages += 1;
         let to = self.nodes.iter().position(|node| node.address == address);
         if to.is_some_and(|receiver| self.cut_links.contains(&(number, receiver))) {
@@ -972,7 +972,7 @@
             fleet: fleet_mark(FLEET),
             from: self.nodes[number].id,
             from_address: self.nodes[number].address,
-            to: toNode,
+            to: to_node,
             message,
         };
         let travel = self.travel();
@@ -983,21 +983,21 @@
         &mut self,
         number: usize,
         life: u64,
-        startId: &str,
+        start_id: &str,
         function: &str,
         worker: &str,
-        memoryMb: u64,
+        memory_mb: u64,
     ) {
-        if let Some(epoch) = epoch_of(startId) {
+        if let Some(epoch) = epoch_of(start_id) {
             self.note_act(number, function, epoch);
         }
         let boot = if function.starts_with("busy") { 1_400_000 } else { 900_000 };
         let boot = boot + self.settings.extra_boot.0;
         let result = match self.nodes[number].is_isolated {
             true => StartResult::Unknown,
-            false => match self.platform.start(startId, function, worker, memoryMb, boot, self.now) {
+            false => match self.platform.start(start_id, function, worker, memory_mb, boot, self.now) {
                 SimStart::Started(cell, address) => {
-                    self.note_started(&cell, function, worker, memoryMb, boot);
+                    self.note_started(&cell, function, worker, memory_mb, boot);
                     StartResult::Started { cell, address }
                 }
                 SimStart::NoRoom => StartResult::NoRoom,
@@ -1007,13 +1007,13 @@
                 }
             },
         };
-        let event = Event::StartDone { start_id: startId.to_owned(), result };
+        let event = Event::StartDone { start_id: start_id.to_owned(), result };
         let travel = self.travel() * 2;
         self.after(travel, Happening::Given { node: number, life, event: Box::new(event) });
     }
 
     /// Notes a new cell; a repeated start id tells of one that is noted already.
-    fn note_started(&mut self, cell: &str, function: &str, worker: &str, memoryMb: u64, boot: u64) {
+    fn note_started(&mut self, cell: &str, function: &str, worker: &str, memory_mb: u64, boot: u64) {
         if !self.told_cells.insert(cell.to_owned()) {
             return;
         }
@@ -1022,7 +1022,7 @@
             cell: cell.to_owned(),
             function: function.to_owned(),
             worker: worker.to_owned(),
-            memory_mb: memoryMb,
+            memory_mb,
             runs_from: self.now + boot,
         });
     }
@@ -1054,6 +1054,6 @@
 }
 
 /// Start ids are `function-epoch-number`.
-fn epoch_of(startId: &str) -> Option<u64> {
-    startId.rsplit('-').nth(1)?.parse().ok()
+fn epoch_of(start_id: &str) -> Option<u64> {
+    start_id.rsplit('-').nth(1)?.parse().ok()
 }
--- a/packages/function_front/src/call_chart.rs
+++ b/packages/function_front/src/call_chart.rs
@@ -12,9 +12,9 @@
             pub const ALL: &[CallState] = &[$(CallState::$state,)*];
 
             /// Whether the chart has this step. Example: `!CallState::Answered.may_become(CallState::Received)`.
-            pub fn may_become(self, nextState: CallState) -> bool {
+            pub fn may_become(self, next_state: CallState) -> bool {
                 let followers: &[CallState] = match self { $(CallState::$state => &[$(CallState::$next),*],)* };
-                followers.contains(&nextState)
+                followers.contains(&next_state)
             }
 
             /// The state's name in metrics. Example: `CallState::TicketAsked.name() == "TicketAsked"`.
@@ -117,16 +117,16 @@
 
     /// Takes a step. A step that the chart does not have, or a refusal of a call that may have run,
     /// is a broken invariant. Example: `chart.step(CallState::Matched)`.
-    pub fn step(&mut self, nextState: CallState) {
-        assert!(self.state.may_become(nextState), "{:?} cannot become {nextState:?}", self.state);
+    pub fn step(&mut self, next_state: CallState) {
+        assert!(self.state.may_become(next_state), "{:?} cannot become {next_state:?}", self.state);
         assert!(
-            !(nextState == CallState::Refused && self.may_have_run),
+            !(next_state == CallState::Refused && self.may_have_run),
             "a call that may have run is no refusal"
         );
-        if nextState == CallState::Dispatched {
+        if next_state == CallState::Dispatched {
             self.dispatches += 1;
         }
-        self.state = nextState;
+        self.state = next_state;
     }
 
     /// A dispatch ended without telling whether it ran.
@@ -137,11 +137,11 @@
     /// A ticket came. It is used unless the call's time is over, or the generation that holds by now
     /// sends the call to another function or nowhere.
     /// Example: `chart.ticket_came(true, true) == NextStep::Dispatch`.
-    pub fn ticket_came(&mut self, hasTimeLeft: bool, isStillMeant: bool) -> NextStep {
-        if !hasTimeLeft || (!isStillMeant && self.may_have_run) {
+    pub fn ticket_came(&mut self, has_time_left: bool, is_still_meant: bool) -> NextStep {
+        if !has_time_left || (!is_still_meant && self.may_have_run) {
             return NextStep::GiveUp(self.give_up());
         }
-        if !isStillMeant {
+        if !is_still_meant {
             self.step(CallState::Matched);
             return NextStep::MatchAgain;
         }
@@ -151,17 +151,17 @@
 
     /// A dispatch ended: answered, asked for again as far as that is safe and the limit allows, or
     /// given up. Example: `chart.dispatch_ended(DispatchEnd::TurnedAway, false, 4) == NextStep::AskAgain`.
-    pub fn dispatch_ended(&mut self, end: DispatchEnd, repeatable: bool, dispatchLimit: u32) -> NextStep {
+    pub fn dispatch_ended(&mut self, end: DispatchEnd, repeatable: bool, dispatch_limit: u32) -> NextStep {
         if end == DispatchEnd::Answered {
             self.step(CallState::Answered);
             return NextStep::Answer;
         }
-        let isUnknown = matches!(end, DispatchEnd::Unknown | DispatchEnd::TimedOut);
-        if isUnknown {
+        let is_unknown = matches!(end, DispatchEnd::Unknown | DispatchEnd::TimedOut);
+        if is_unknown {
             self.lost_track();
         }
-        let mayGoOn = end != DispatchEnd::TimedOut && (!isUnknown || repeatable);
-        if !mayGoOn || self.dispatches >= dispatchLimit {
+        let may_go_on = end != DispatchEnd::TimedOut && (!is_unknown || repeatable);
+        if !may_go_on || self.dispatches >= dispatch_limit {
             return NextStep::GiveUp(self.give_up());
         }
         NextStep::AskAgain
@@ -170,49 +170,11 @@
     /// The end for a call that is given up: refused if it surely did not run.
     /// Example: `chart.give_up() == CallState::Refused` before any dispatch.
     pub fn give_up(&mut self) -> CallState {
-        let finalState = if self.may_have_run { CallState::Unknown } else { CallState::Refused };
-        self.step(finalState);
-        finalState
+        let final_state = if self.may_have_run { CallState::Unknown } else { CallState::Refused };
+        self.step(final_state);
+        final_state
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_call_that_may_have_run_is_never_refused() {
-        let mut chart = CallChart::begin();
-        for state in [CallState::Matched, CallState::TicketAsked, CallState::Dispatched] {
-            chart.step(state);
-        }
-        chart.lost_track();
-        chart.step(CallState::TicketAsked);
-        assert_eq!(chart.give_up(), CallState::Unknown);
-        // The same through the decisions that the program and the simulator share.
-        let mut chart = CallChart::begin();
-        chart.step(CallState::Matched);
-        chart.step(CallState::TicketAsked);
-        assert_eq!(chart.ticket_came(true, false), NextStep::MatchAgain);
-        chart.step(CallState::TicketAsked);
-        assert_eq!(chart.ticket_came(true, true), NextStep::Dispatch);
-        assert_eq!(chart.dispatch_ended(DispatchEnd::TurnedAway, false, 4), NextStep::AskAgain);
-        chart.step(CallState::TicketAsked);
-        assert_eq!(chart.ticket_came(true, true), NextStep::Dispatch);
-        assert_eq!(
-            chart.clone().dispatch_ended(DispatchEnd::Unknown, false, 4),
-            NextStep::GiveUp(CallState::Unknown)
-        );
-        assert_eq!(
-            chart.clone().dispatch_ended(DispatchEnd::NotRun, false, 2),
-            NextStep::GiveUp(CallState::Refused)
-        );
-        assert_eq!(chart.dispatch_ended(DispatchEnd::Unknown, true, 4), NextStep::AskAgain);
-        chart.step(CallState::TicketAsked);
-        assert_eq!(chart.ticket_came(true, false), NextStep::GiveUp(CallState::Unknown));
-        let endStates = CallState::ALL
-            .iter()
-            .filter(|state| !CallState::ALL.iter().any(|nextState| state.may_become(*nextState)));
-        assert_eq!(endStates.count(), 3);
-    }
-}
+mod tests;
--- a/packages/function_front/src/cell_dispatch.rs
+++ b/packages/function_front/src/cell_dispatch.rs
@@ -88,26 +88,26 @@
 /// Example: `dispatch(call, &DispatchSettings::default()).await`.
 pub async fn dispatch(call: DispatchCall, settings: &DispatchSettings) -> DispatchOutcome {
     let connecting = tokio::time::timeout(settings.connect_within, TcpStream::connect(call.address));
-    let Ok(Ok(cellStream)) = connecting.await else { return DispatchOutcome::NotRun };
-    let _ = cellStream.set_nodelay(true);
-    let isHead = call.method == Method::HEAD;
+    let Ok(Ok(cell_stream)) = connecting.await else { return DispatchOutcome::NotRun };
+    let _ = cell_stream.set_nodelay(true);
+    let is_head = call.method == Method::HEAD;
     let body = call.body.clone();
-    let bodySize = match body.is_empty() && !has_body(&call.method) {
+    let body_size = match body.is_empty() && !has_body(&call.method) {
         true => BodySize::None,
         false => BodySize::Sized(body.len() as u64),
     };
     let head = request_head(call);
-    let mut framed = Framed::new(cellStream, ClientCodec::default());
+    let mut framed = Framed::new(cell_stream, ClientCodec::default());
     // From here on bytes may reach the cell: nothing below may say that it did not run, except the
     // cell itself.
-    if framed.send(Message::Item((RequestHeadType::from(head), bodySize))).await.is_err() {
+    if framed.send(Message::Item((RequestHeadType::from(head), body_size))).await.is_err() {
         return DispatchOutcome::Unknown("the connection broke while sending");
     }
     if !body.is_empty() {
         // A cell may answer before it read the whole body; its answer still counts if it is whole.
         let _ = framed.send(Message::Chunk(Some(body))).await;
     }
-    read_answer(framed, isHead, settings).await
+    read_answer(framed, is_head, settings).await
 }
 
 fn has_body(method: &Method) -> bool {
@@ -126,14 +126,14 @@
         (TIME_LEFT_HEADER, call.time_left.millis().to_string()),
     ];
     for (name, value) in named {
-        if let Ok(headerValue) = HeaderValue::from_str(&value) {
-            head.headers.insert(HeaderName::from_static(name), headerValue);
+        if let Ok(header_value) = HeaderValue::from_str(&value) {
+            head.headers.insert(HeaderName::from_static(name), header_value);
         }
     }
     if !head.headers.contains_key(header::HOST)
-        && let Ok(hostValue) = HeaderValue::from_str(&call.address.to_string())
+        && let Ok(host_value) = HeaderValue::from_str(&call.address.to_string())
     {
-        head.headers.insert(header::HOST, hostValue);
+        head.headers.insert(header::HOST, host_value);
     }
     head.set_connection_type(ConnectionType::Close);
     head
@@ -141,7 +141,7 @@
 
 async fn read_answer(
     mut framed: Framed<TcpStream, ClientCodec>,
-    isHead: bool,
+    is_head: bool,
     settings: &DispatchSettings,
 ) -> DispatchOutcome {
     let head: ResponseHead = match framed.next().await {
@@ -155,27 +155,28 @@
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return DispatchOutcome::NotRun;
     }
-    let saysNotRun = head.headers.get(OUTCOME_HEADER).is_some_and(|value| value.as_bytes() == b"not_run");
-    if saysNotRun && [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS].contains(&head.status) {
+    let says_not_run = head.headers.get(OUTCOME_HEADER).is_some_and(|value| value.as_bytes() == b"not_run");
+    if says_not_run && [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS].contains(&head.status)
+    {
         return DispatchOutcome::TurnedAway;
     }
     let lengths: Vec<&HeaderValue> = head.headers.get_all(header::CONTENT_LENGTH).collect();
-    let toldLength: Option<u64> =
+    let told_length: Option<u64> =
         lengths.first().and_then(|value| value.to_str().ok()).and_then(|text| text.trim().parse().ok());
-    let isChunked = head.headers.contains_key(header::TRANSFER_ENCODING);
-    let hasNoBody = isHead
+    let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+    let has_no_body = is_head
         || head.status == StatusCode::NO_CONTENT
         || head.status == StatusCode::NOT_MODIFIED
-        || (toldLength == Some(0) && !isChunked);
-    if lengths.len() > 1 || (isChunked && !lengths.is_empty()) {
+        || (told_length == Some(0) && !is_chunked);
+    if lengths.len() > 1 || (is_chunked && !lengths.is_empty()) {
         return DispatchOutcome::Unknown("the answer's length is told twice");
     }
-    if !hasNoBody && toldLength.is_none() && !isChunked {
+    if !has_no_body && told_length.is_none() && !is_chunked {
         return DispatchOutcome::Unknown("the answer is framed by the connection's end alone");
     }
     let status = head.status;
     let headers = end_to_end(head.headers());
-    if hasNoBody || framed.codec_ref().message_type() == MessageType::None {
+    if has_no_body || framed.codec_ref().message_type() == MessageType::None {
         return DispatchOutcome::Answered(CellAnswer { status, headers, body: Bytes::new(), rest: None });
     }
     let mut payload = framed.into_map_codec(ClientCodec::into_payload_codec);
@@ -188,11 +189,11 @@
             None => return DispatchOutcome::Unknown("the answer was cut"),
         }
         if body.len() > settings.buffer_limit {
-            let rest = Some((Box::new(payload), toldLength));
+            let rest = Some((Box::new(payload), told_length));
             return DispatchOutcome::Answered(CellAnswer { status, headers, body: body.freeze(), rest });
         }
     }
-    if toldLength.is_some_and(|length| length != body.len() as u64) {
+    if told_length.is_some_and(|length| length != body.len() as u64) {
         return DispatchOutcome::Unknown("the answer's length differs from what it says");
     }
     DispatchOutcome::Answered(CellAnswer { status, headers, body: body.freeze(), rest: None })
@@ -221,15 +222,15 @@
         .flat_map(|text| text.split(','))
         .map(|name| name.trim().to_ascii_lowercase())
         .collect();
-    let mut keptHeaders = HeaderMap::new();
+    let mut kept_headers = HeaderMap::new();
     for (name, value) in headers {
-        let nameText = name.as_str();
-        let isDropped = HOP_BY_HOP.contains(&nameText)
-            || nameText.starts_with("x-vanelane-")
-            || named.iter().any(|dropped| dropped == nameText);
-        if !isDropped {
-            keptHeaders.append(name.clone(), value.clone());
+        let name_text = name.as_str();
+        let is_dropped = HOP_BY_HOP.contains(&name_text)
+            || name_text.starts_with("x-vanelane-")
+            || named.iter().any(|dropped| dropped == name_text);
+        if !is_dropped {
+            kept_headers.append(name.clone(), value.clone());
         }
     }
-    keptHeaders
+    kept_headers
 }
