--- a/packages/function_front/src/front.rs
+++ b/packages/function_front/src/front.rs
@@ -148,10 +148,10 @@
 }
 
 impl Held {
-    fn grow(&mut self, byteCount: usize) -> bool {
-        let usedBefore = self.front.memory_used.fetch_add(byteCount, Ordering::Relaxed);
-        self.bytes += byteCount;
-        usedBefore + byteCount <= self.front.settings.memory_limit
+    fn grow(&mut self, byte_count: usize) -> bool {
+        let used_before = self.front.memory_used.fetch_add(byte_count, Ordering::Relaxed);
+        self.bytes += byte_count;
+        used_before + byte_count <= self.front.settings.memory_limit
     }
 }
 
@@ -208,8 +208,8 @@
 }
 
 impl Refusal {
-    fn new(status: StatusCode, reason: &str, retryAfter: Option<Micros>) -> Refusal {
-        Refusal { status, reason: reason.to_owned(), retry_after: retryAfter }
+    fn new(status: StatusCode, reason: &str, retry_after: Option<Micros>) -> Refusal {
+        Refusal { status, reason: reason.to_owned(), retry_after }
     }
 }
 
@@ -244,8 +244,8 @@
     /// Whether the node's clock events stayed out so long that it may have slept: what the lanes say
     /// may be long out of date until the protocol has looked again.
     fn may_have_slept(&self) -> bool {
-        let tickedAt = Micros(self.ticked_at.load(Ordering::Relaxed));
-        tickedAt > Micros(0) && self.clock.now() > tickedAt + self.settings.lag_limit
+        let ticked_at = Micros(self.ticked_at.load(Ordering::Relaxed));
+        ticked_at > Micros(0) && self.clock.now() > ticked_at + self.settings.lag_limit
     }
 
     /// Records every call from now on. Example: `front.record_with(Recorder::start(path, limit)?)`.
@@ -287,28 +287,28 @@
     /// Takes one call to its end. Example: the HTTP service calls `front.call(request)` for each.
     pub async fn call(self: Arc<Self>, request: Request) -> FrontAnswer {
         self.counts.received.fetch_add(1, Ordering::Relaxed);
-        let openBefore = self.calls_open.fetch_add(1, Ordering::Relaxed);
+        let open_before = self.calls_open.fetch_add(1, Ordering::Relaxed);
         let mut held = Held { front: self.clone(), bytes: 0 };
         let mut recorded = self.recorder.as_ref().map(|_| begun_record(&request, self.clock.now()));
         let mut chart = CallChart::begin();
         let parent = request.headers().get(TRACE_HEADER).and_then(|value| value.to_str().ok());
         let mut trace = self.traces.as_ref().and_then(|traces| traces.begin(parent));
-        let mut laneName = String::new();
+        let mut lane_name = String::new();
         if recorded.is_some() || trace.is_some() {
             let lanes = self.lanes.load();
-            laneName = CallPlace::of(&request).find(&lanes).map(|row| row.name.clone()).unwrap_or_default();
+            lane_name = CallPlace::of(&request).find(&lanes).map(|row| row.name.clone()).unwrap_or_default();
         }
         if let Some(record) = &mut recorded {
-            record.lane.clone_from(&laneName);
+            record.lane.clone_from(&lane_name);
         }
-        let walked = self.clone().walk(request, &mut chart, &mut held, openBefore, &mut trace).await;
+        let walked = self.clone().walk(request, &mut chart, &mut held, open_before, &mut trace).await;
         let mut answer = match walked {
-            Ok(cellAnswer) => self.answered(cellAnswer, held),
+            Ok(cell_answer) => self.answered(cell_answer, held),
             Err(refusal) => self.refused(&chart, refusal),
         };
         if let (Some(traces), Some(trace)) = (&self.traces, trace) {
             let outcome = answer.headers().get(OUTCOME_HEADER).and_then(|value| value.to_str().ok());
-            traces.end(trace, &laneName, outcome.unwrap_or_default(), answer.status().as_u16());
+            traces.end(trace, &lane_name, outcome.unwrap_or_default(), answer.status().as_u16());
         }
         if let (Some(recorder), Some(mut record)) = (&self.recorder, recorded) {
             let outcome = answer.headers().get(OUTCOME_HEADER).and_then(|value| value.to_str().ok());
@@ -328,16 +328,16 @@
         mut request: Request,
         chart: &mut CallChart,
         held: &mut Held,
-        openBefore: usize,
+        open_before: usize,
         trace: &mut Option<CallTrace>,
     ) -> Result<(CellAnswer, TicketGuard, Micros), Refusal> {
         let refuse = |chart: &mut CallChart, refusal: Refusal| {
             chart.give_up();
             refusal
         };
-        let isLate = self.lag_micros.load(Ordering::Relaxed) > self.settings.lag_limit.0;
-        if isLate || openBefore >= self.settings.calls_limit {
-            let reason = if isLate { "the node is overloaded" } else { "too many calls" };
+        let is_late = self.lag_micros.load(Ordering::Relaxed) > self.settings.lag_limit.0;
+        if is_late || open_before >= self.settings.calls_limit {
+            let reason = if is_late { "the node is overloaded" } else { "too many calls" };
             let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason, Some(Micros::from_secs(1)));
             return Err(refuse(chart, refusal));
         }
@@ -347,21 +347,21 @@
             self.counts.no_lane.fetch_add(1, Ordering::Relaxed);
             return Err(refuse(chart, Refusal::new(StatusCode::NOT_FOUND, "no lane takes this call", None)));
         };
-        let endsAt = self.clock.now() + time_left(&request, &lane);
+        let ends_at = self.clock.now() + time_left(&request, &lane);
         chart.step(CallState::Matched);
         let payload = request.take_payload();
-        let body = match self.read_body(payload, held, endsAt).await {
+        let body = match self.read_body(payload, held, ends_at).await {
             Ok(body) => body,
             Err(refusal) => return Err(refuse(chart, refusal)),
         };
         let mut headers = end_to_end(request.headers());
         if let Some(peer) = request.peer_addr()
-            && let Ok(peerValue) = HeaderValue::from_str(&peer.ip().to_string())
+            && let Ok(peer_value) = HeaderValue::from_str(&peer.ip().to_string())
         {
-            headers.append(header::X_FORWARDED_FOR, peerValue);
+            headers.append(header::X_FORWARDED_FOR, peer_value);
         }
         let call = self.next_call.fetch_add(1, Ordering::Relaxed);
-        let dispatchCall = DispatchCall {
+        let dispatch_call = DispatchCall {
             method: request.method().clone(),
             uri: request.uri().clone(),
             headers,
@@ -372,7 +372,7 @@
             time_left: Micros(0),
         };
         drop(request);
-        self.dispatch_in_turn(call, &place, &lane, dispatchCall, endsAt, chart, trace).await
+        self.dispatch_in_turn(call, &place, &lane, dispatch_call, ends_at, chart, trace).await
     }
 
     /// Reads the whole body before a ticket is asked for: a slow visitor holds no cell.
@@ -380,12 +380,12 @@
         &self,
         mut payload: Payload,
         held: &mut Held,
-        endsAt: Micros,
+        ends_at: Micros,
     ) -> Result<Bytes, Refusal> {
         let mut body = BytesMut::new();
         loop {
-            let timeLeft = endsAt - self.clock.now();
-            let Ok(chunk) = tokio::time::timeout(timeLeft.duration(), payload.next()).await else {
+            let time_left = ends_at - self.clock.now();
+            let Ok(chunk) = tokio::time::timeout(time_left.duration(), payload.next()).await else {
                 return Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "the body did not come in time", None));
             };
             let Some(chunk) = chunk else { return Ok(body.freeze()) };
@@ -396,11 +396,11 @@
                 return Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long", None));
             }
             if !held.grow(chunk.len()) {
-                let retryAfter = Some(Micros::from_secs(1));
+                let retry_after = Some(Micros::from_secs(1));
                 return Err(Refusal::new(
                     StatusCode::SERVICE_UNAVAILABLE,
                     "out of memory for bodies",
-                    retryAfter,
+                    retry_after,
                 ));
             }
             body.extend_from_slice(&chunk);
@@ -414,39 +414,39 @@
         call: u64,
         place: &CallPlace,
         lane: &LaneRow,
-        dispatchCall: DispatchCall,
-        endsAt: Micros,
+        dispatch_call: DispatchCall,
+        ends_at: Micros,
         chart: &mut CallChart,
         trace: &mut Option<CallTrace>,
     ) -> Result<(CellAnswer, TicketGuard, Micros), Refusal> {
         let mut lane = lane.clone();
-        let mut dispatchCall = dispatchCall;
+        let mut dispatch_call = dispatch_call;
         let mut avoid = String::new();
-        let mut lastReason = "";
+        let mut last_reason = "";
         loop {
             chart.step(CallState::TicketAsked);
             if let Some(trace) = trace {
                 trace.begin_span("ticket");
             }
-            let asked = self.ask_ticket(call, &lane, endsAt, chart.dispatches(), &avoid).await;
+            let asked = self.ask_ticket(call, &lane, ends_at, chart.dispatches(), &avoid).await;
             if let Some(trace) = trace {
                 trace.end_span(&[("vanelane.function", &lane.function)]);
             }
             // The generation that holds by now decides where the call may go.
             let lanes = self.lanes.load_full();
-            let currentLane = place.find(&lanes);
-            let isStillMeant =
-                currentLane.is_some_and(|row| row.function == lane.function) && !self.may_have_slept();
+            let current_lane = place.find(&lanes);
+            let is_still_meant =
+                current_lane.is_some_and(|row| row.function == lane.function) && !self.may_have_slept();
             let began = self.clock.now();
             let (ticket, step) = match asked {
-                Ok(ticket) => (Some(ticket), chart.ticket_came(began < endsAt, isStillMeant)),
-                Err(refusal) if refusal.status == StatusCode::NOT_FOUND && !isStillMeant => {
-                    lastReason = "the function is no longer configured";
-                    (None, chart.ticket_came(began < endsAt, false))
+                Ok(ticket) => (Some(ticket), chart.ticket_came(began < ends_at, is_still_meant)),
+                Err(refusal) if refusal.status == StatusCode::NOT_FOUND && !is_still_meant => {
+                    last_reason = "the function is no longer configured";
+                    (None, chart.ticket_came(began < ends_at, false))
                 }
                 Err(refusal) => {
                     return Err(match chart.give_up() {
-                        CallState::Unknown => Refusal::new(StatusCode::BAD_GATEWAY, lastReason, None),
+                        CallState::Unknown => Refusal::new(StatusCode::BAD_GATEWAY, last_reason, None),
                         _ => refusal,
                     });
                 }
@@ -457,45 +457,45 @@
                 if step != NextStep::MatchAgain {
                     return Err(no_time_left(chart));
                 }
-                let Some(currentLane) = currentLane else {
+                let Some(current_lane) = current_lane else {
                     chart.give_up();
                     return Err(Refusal::new(StatusCode::NOT_FOUND, "no lane takes this call", None));
                 };
-                lane = currentLane.clone();
-                dispatchCall.function.clone_from(&lane.function);
+                lane = current_lane.clone();
+                dispatch_call.function.clone_from(&lane.function);
                 avoid.clear();
                 continue;
             }
             if chart.dispatches() > 1 {
                 self.counts.extra_dispatches.fetch_add(1, Ordering::Relaxed);
             }
-            let timeLeft = endsAt - began;
-            let mut headers = dispatchCall.headers.clone();
+            let time_left = ends_at - began;
+            let mut headers = dispatch_call.headers.clone();
             if let Some(trace) = trace {
                 trace.begin_span("dispatch");
-                if let Ok(parentValue) = HeaderValue::from_str(&trace.parent_header()) {
-                    headers.insert(header::HeaderName::from_static(TRACE_HEADER), parentValue);
+                if let Ok(parent_value) = HeaderValue::from_str(&trace.parent_header()) {
+                    headers.insert(header::HeaderName::from_static(TRACE_HEADER), parent_value);
                 }
             }
             let (cell, address) = guard.ticket.as_ref().map_or_else(
-                || (String::new(), dispatchCall.address),
+                || (String::new(), dispatch_call.address),
                 |ticket| (ticket.cell.0.clone(), ticket.address.socket()),
             );
-            let ownDispatch = DispatchCall {
+            let own_dispatch = DispatchCall {
                 headers,
                 cell: cell.clone(),
                 address,
-                time_left: timeLeft,
-                ..dispatchCall.clone()
+                time_left,
+                ..dispatch_call.clone()
             };
             // A task of its own: a visitor that goes away ends neither the dispatch nor the count of
             // what the cell is running.
-            let dispatchSettings = self.settings.dispatch.clone();
+            let dispatch_settings = self.settings.dispatch.clone();
             let dispatching = actix_rt::spawn(async move {
-                let dispatched = dispatch(ownDispatch, &dispatchSettings);
-                let outcome = tokio::time::timeout(timeLeft.duration(), dispatched).await;
-                if let Ok(DispatchOutcome::Answered(cellAnswer)) = &outcome {
-                    guard.how = if cellAnswer.rest.is_none() { RAN } else { UNUSED };
+                let dispatched = dispatch(own_dispatch, &dispatch_settings);
+                let outcome = tokio::time::timeout(time_left.duration(), dispatched).await;
+                if let Ok(DispatchOutcome::Answered(cell_answer)) = &outcome {
+                    guard.how = if cell_answer.rest.is_none() { RAN } else { UNUSED };
                 }
                 (outcome, guard)
             });
@@ -510,35 +510,35 @@
             };
             let end = match outcome {
                 Err(_) => {
-                    lastReason = "no answer in the time left";
+                    last_reason = "no answer in the time left";
                     DispatchEnd::TimedOut
                 }
-                Ok(DispatchOutcome::Answered(cellAnswer)) => {
+                Ok(DispatchOutcome::Answered(cell_answer)) => {
                     chart.dispatch_ended(DispatchEnd::Answered, lane.repeatable, limit);
-                    return Ok((cellAnswer, guard, endsAt));
+                    return Ok((cell_answer, guard, ends_at));
                 }
                 Ok(DispatchOutcome::NotRun) => {
-                    lastReason = "the cell could not be reached";
+                    last_reason = "the cell could not be reached";
                     DispatchEnd::NotRun
                 }
                 Ok(DispatchOutcome::TurnedAway) => {
                     self.counts.turned_away.fetch_add(1, Ordering::Relaxed);
-                    lastReason = "the cell turned the call away";
+                    last_reason = "the cell turned the call away";
                     DispatchEnd::TurnedAway
                 }
                 Ok(DispatchOutcome::Unknown(reason)) => {
-                    lastReason = reason;
+                    last_reason = reason;
                     DispatchEnd::Unknown
                 }
             };
             guard.done(end.how());
-            if let NextStep::GiveUp(finalState) = chart.dispatch_ended(end, lane.repeatable, limit) {
-                let status = match (finalState, end) {
+            if let NextStep::GiveUp(final_state) = chart.dispatch_ended(end, lane.repeatable, limit) {
+                let status = match (final_state, end) {
                     (_, DispatchEnd::TimedOut) => StatusCode::GATEWAY_TIMEOUT,
                     (CallState::Unknown, _) => StatusCode::BAD_GATEWAY,
                     _ => StatusCode::SERVICE_UNAVAILABLE,
                 };
-                return Err(Refusal::new(status, lastReason, Some(Micros::from_secs(1))));
+                return Err(Refusal::new(status, last_reason, Some(Micros::from_secs(1))));
             }
             avoid = cell;
         }
@@ -548,40 +548,40 @@
         self: &Arc<Self>,
         call: u64,
         lane: &LaneRow,
-        endsAt: Micros,
+        ends_at: Micros,
         dispatches: u32,
         avoid: &str,
     ) -> Result<Ticket, Refusal> {
-        let askedAt = self.clock.now();
+        let asked_at = self.clock.now();
         let (reply, answer) = oneshot::channel();
         let ask = FrontLink::Ask {
             call,
             function: lane.function.clone(),
-            time_left: endsAt - askedAt,
+            time_left: ends_at - asked_at,
             dispatches,
             avoid: avoid.to_owned(),
             reply,
         };
-        let retryAfter = Some(Micros::from_secs(1));
+        let retry_after = Some(Micros::from_secs(1));
         if self.link.try_send(ask).is_err() {
-            return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "the node is overloaded", retryAfter));
+            return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "the node is overloaded", retry_after));
         }
         let mut guard = AskGuard { front: self.clone(), call, is_open: true };
         // The protocol refuses when the time is over; the margin only guards against its silence.
         let margin = Micros::from_millis(200);
-        let waiting = tokio::time::timeout((endsAt - askedAt + margin).duration(), answer);
-        let Ok(Ok(ticketAnswer)) = waiting.await else {
+        let waiting = tokio::time::timeout((ends_at - asked_at + margin).duration(), answer);
+        let Ok(Ok(ticket_answer)) = waiting.await else {
             return Err(Refusal::new(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "no ticket in the time left",
-                retryAfter,
+                retry_after,
             ));
         };
         guard.is_open = false;
-        match ticketAnswer {
+        match ticket_answer {
             TicketAnswer::Granted(ticket) => {
                 self.counts.tickets.fetch_add(1, Ordering::Relaxed);
-                self.counts.ticket_micros.fetch_add((self.clock.now() - askedAt).0, Ordering::Relaxed);
+                self.counts.ticket_micros.fetch_add((self.clock.now() - asked_at).0, Ordering::Relaxed);
                 Ok(ticket)
             }
             TicketAnswer::Refused { reason, retry_after, is_full, is_missing } => {
@@ -597,10 +597,10 @@
 
     fn answered(
         self: &Arc<Self>,
-        (cellAnswer, mut guard, endsAt): (CellAnswer, TicketGuard, Micros),
+        (cell_answer, mut guard, ends_at): (CellAnswer, TicketGuard, Micros),
         mut held: Held,
     ) -> FrontAnswer {
-        let CellAnswer { status, headers, body, rest } = cellAnswer;
+        let CellAnswer { status, headers, body, rest } = cell_answer;
         let mut answer: FrontAnswer = match rest {
             None => {
                 guard.done(RAN);
@@ -617,7 +617,7 @@
                     passed: 0,
                     guard,
                     _held: held,
-                    ends: Box::pin(tokio::time::sleep((endsAt - self.clock.now()).duration())),
+                    ends: Box::pin(tokio::time::sleep((ends_at - self.clock.now()).duration())),
                 };
                 Response::with_body(status, BoxBody::new(body))
             }
@@ -630,24 +630,24 @@
     }
 
     fn refused(&self, chart: &CallChart, refusal: Refusal) -> FrontAnswer {
-        let isUnknown = chart.state() == CallState::Unknown;
-        let (outcome, count) = match isUnknown {
+        let is_unknown = chart.state() == CallState::Unknown;
+        let (outcome, count) = match is_unknown {
             true => ("unknown", &self.counts.unknown),
             false => ("not_run", &self.counts.refused),
         };
         count.fetch_add(1, Ordering::Relaxed);
         let mut document = json!({ "outcome": outcome, "reason": refusal.reason });
-        if let Some(retryAfter) = refusal.retry_after.filter(|_| !isUnknown) {
-            document["retry_after_ms"] = json!(retryAfter.millis());
+        if let Some(retry_after) = refusal.retry_after.filter(|_| !is_unknown) {
+            document["retry_after_ms"] = json!(retry_after.millis());
         }
         let mut answer: FrontAnswer = Response::with_body(refusal.status, BoxBody::new(document.to_string()));
         let headers = answer.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
         headers.insert(outcome_header(), HeaderValue::from_static(outcome));
-        if let Some(retryAfter) = refusal.retry_after.filter(|_| !isUnknown) {
-            let wholeSeconds = retryAfter.0.div_ceil(1_000_000).max(1);
-            if let Ok(secondsValue) = HeaderValue::from_str(&wholeSeconds.to_string()) {
-                headers.insert(header::RETRY_AFTER, secondsValue);
+        if let Some(retry_after) = refusal.retry_after.filter(|_| !is_unknown) {
+            let whole_seconds = retry_after.0.div_ceil(1_000_000).max(1);
+            if let Ok(seconds_value) = HeaderValue::from_str(&whole_seconds.to_string()) {
+                headers.insert(header::RETRY_AFTER, seconds_value);
             }
         }
         answer
@@ -680,10 +680,10 @@
 
 impl CallPlace {
     fn of(request: &Request) -> CallPlace {
-        let hostValue = request.headers().get(header::HOST).and_then(|value| value.to_str().ok());
+        let host_value = request.headers().get(header::HOST).and_then(|value| value.to_str().ok());
         CallPlace {
             method: request.method().as_str().to_owned(),
-            host: hostValue.or_else(|| request.uri().host()).map(str::to_owned),
+            host: host_value.or_else(|| request.uri().host()).map(str::to_owned),
             path: request.path().to_owned(),
         }
     }
--- a/packages/function_front/src/lane_table.rs
+++ b/packages/function_front/src/lane_table.rs
@@ -29,10 +29,10 @@
 impl LaneTable {
     /// Lays out a configuration's lanes. Example: `LaneTable::new(0, &Configuration::empty())`.
     pub fn new(generation: u64, configuration: &Configuration) -> LaneTable {
-        let mut byPrefix: BTreeMap<String, Vec<LaneRow>> = BTreeMap::new();
+        let mut by_prefix: BTreeMap<String, Vec<LaneRow>> = BTreeMap::new();
         for (name, lane) in &configuration.lanes {
             let prefix = lane.path_prefix.trim_end_matches('/').to_owned();
-            byPrefix.entry(prefix.clone()).or_default().push(LaneRow {
+            by_prefix.entry(prefix.clone()).or_default().push(LaneRow {
                 name: name.clone(),
                 function: lane.function.clone(),
                 repeatable: lane.repeatable,
@@ -43,10 +43,10 @@
             });
         }
         // The narrower lane of a prefix comes first: one with a host, then one with methods.
-        for rows in byPrefix.values_mut() {
+        for rows in by_prefix.values_mut() {
             rows.sort_by_key(|row| (row.host.is_none(), row.methods.is_empty(), row.name.clone()));
         }
-        LaneTable { generation, by_prefix: byPrefix }
+        LaneTable { generation, by_prefix }
     }
 
     /// The lane for a call: the longest prefix of whole segments wins.
@@ -56,20 +56,20 @@
         if path.split('/').any(|segment| segment == ".." || segment == ".") {
             return None;
         }
-        let hostName = host.map(|named| named.split(':').next().unwrap_or(named).to_ascii_lowercase());
+        let host_name = host.map(|named| named.split(':').next().unwrap_or(named).to_ascii_lowercase());
         let mut prefix = path.trim_end_matches('/');
         loop {
             let fitting = self.by_prefix.get(prefix).and_then(|rows| {
                 rows.iter().find(|row| {
-                    (row.host.is_none() || row.host == hostName)
+                    (row.host.is_none() || row.host == host_name)
                         && (row.methods.is_empty() || row.methods.iter().any(|named| named == method))
                 })
             });
             if fitting.is_some() {
                 return fitting;
             }
-            let cutAt = prefix.rfind('/')?;
-            prefix = &prefix[..cutAt];
+            let cut_at = prefix.rfind('/')?;
+            prefix = &prefix[..cut_at];
         }
     }
 
@@ -80,28 +80,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_longest_whole_prefix_and_the_narrower_lane_win() {
-        let document = r#"{"allowances": {"all": {"weight": 1}},
-            "functions": {"f": {"allowance": "all", "cell_memory_mb": 1, "calls_at_once": 1}},
-            "lanes": {"root": {"function": "f", "path_prefix": "/"},
-                "proof": {"function": "f", "path_prefix": "/proof"},
-                "posted": {"function": "f", "path_prefix": "/proof", "methods": ["POST"]},
-                "hosted": {"function": "f", "path_prefix": "/proof/", "host": "rush.example"},
-                "deep": {"function": "f", "path_prefix": "/proof/rush"}}}"#;
-        let configuration =
-            configuration_check::check(&document.parse().expect("JSON")).expect("a checked document");
-        let table = LaneTable::new(1, &configuration);
-        let name = |method, host, path| table.find(method, host, path).map(|row| row.name.as_str());
-        assert_eq!(name("GET", None, "/proof/1"), Some("proof"));
-        assert_eq!(name("POST", None, "/proof"), Some("posted"));
-        assert_eq!(name("POST", Some("RUSH.example:80"), "/proof"), Some("hosted"));
-        assert_eq!(name("GET", None, "/proof/rush/now"), Some("deep"));
-        assert_eq!(name("GET", None, "/proofs"), Some("root"));
-        assert_eq!(name("GET", None, "/proof/../admin"), None);
-        assert_eq!(LaneTable::default().find("GET", None, "/"), None);
-    }
-}
+mod tests;
--- a/packages/function_front/src/recording.rs
+++ b/packages/function_front/src/recording.rs
@@ -36,8 +36,8 @@
 
 impl Recorder {
     /// Appends to a file until it has so many bytes. Example: `Recorder::start(path, 1 << 30)`.
-    pub fn start(path: &Path, mostBytes: u64) -> std::io::Result<Recorder> {
-        Ok(Recorder { file: LineFile::start(path, mostBytes)? })
+    pub fn start(path: &Path, most_bytes: u64) -> std::io::Result<Recorder> {
+        Ok(Recorder { file: LineFile::start(path, most_bytes)? })
     }
 
     /// Hands a call over without waiting. Example: `recorder.record(&call)`.
--- a/packages/history_checks/src/checkers.rs
+++ b/packages/history_checks/src/checkers.rs
@@ -108,8 +108,8 @@
     let calls = sent_calls(lines);
     let counts = run_counts(lines);
     for (call, count) in &counts {
-        let isRepeatable = calls.get(call).is_some_and(|sent| sent.repeatable);
-        if *count > 1 && !isRepeatable {
+        let is_repeatable = calls.get(call).is_some_and(|sent| sent.repeatable);
+        if *count > 1 && !is_repeatable {
             broken(breaches, "no double run", format!("{call} ran {count} times"));
         }
     }
@@ -182,10 +182,10 @@
     for place in 0..spans.len() {
         // The lanes are over once a generation that has others was acknowledged.
         let other = spans[place + 1..].iter().find(|later| later.lanes != spans[place].lanes);
-        let Some(otherGeneration) = other.map(|later| later.generation) else { continue };
-        let replaced = acknowledged.iter().filter(|(generation, _)| *generation >= otherGeneration);
-        let replacedAt = replaced.map(|(_, at)| *at).min();
-        spans[place].until = replacedAt.map_or(u64::MAX, |at| at + settings.apply_within);
+        let Some(other_generation) = other.map(|later| later.generation) else { continue };
+        let replaced = acknowledged.iter().filter(|(generation, _)| *generation >= other_generation);
+        let replaced_at = replaced.map(|(_, at)| *at).min();
+        spans[place].until = replaced_at.map_or(u64::MAX, |at| at + settings.apply_within);
     }
     spans
 }
@@ -196,11 +196,11 @@
     for line in lines {
         let Line::CellTook { at, call, function, cell, .. } = line else { continue };
         let Some(sent) = calls.get(call.as_str()) else { continue };
-        let isAllowed = spans
+        let is_allowed = spans
             .iter()
             .filter(|span| span.from <= *at && *at <= span.until)
             .any(|span| lane_of(&span.lanes, sent.path) == Some(function.as_str()));
-        if !isAllowed {
+        if !is_allowed {
             let seen = format!("{call} to {} reached {cell} of {function} at {at}", sent.path);
             broken(breaches, "only allowed services", seen);
         }
@@ -208,11 +208,11 @@
 }
 
 /// The most entries of a sorted list of times within any window.
-fn most_within(sortedTimes: &[u64], window: u64) -> usize {
+fn most_within(sorted_times: &[u64], window: u64) -> usize {
     let mut first = 0;
     let mut most = 0;
-    for (last, time) in sortedTimes.iter().enumerate() {
-        while sortedTimes[first] + window <= *time {
+    for (last, time) in sorted_times.iter().enumerate() {
+        while sorted_times[first] + window <= *time {
             first += 1;
         }
         most = most.max(last + 1 - first);
@@ -231,9 +231,9 @@
             _ => {}
         }
     }
-    for (function, mut functionTimes) in times {
-        functionTimes.sort_unstable();
-        let most = most_within(&functionTimes, 5_000_000);
+    for (function, mut function_times) in times {
+        function_times.sort_unstable();
+        let most = most_within(&function_times, 5_000_000);
         if most > settings.turned_away_in_five_seconds {
             broken(breaches, "cell limits", format!("{function}: {most} turned away in five seconds"));
         }
@@ -241,15 +241,15 @@
 }
 
 fn check_leaving(lines: &[Line], settings: &CheckSettings, breaches: &mut Vec<Breach>) {
-    let mut leavingSince: BTreeMap<&str, u64> = BTreeMap::new();
+    let mut leaving_since: BTreeMap<&str, u64> = BTreeMap::new();
     for line in lines {
         if let Line::CellShownLeaving { at, cell } = line {
-            leavingSince.entry(cell).or_insert(*at);
+            leaving_since.entry(cell).or_insert(*at);
         }
     }
     for line in lines {
         if let Line::CellTook { at, call, cell, .. } = line
-            && let Some(since) = leavingSince.get(cell.as_str())
+            && let Some(since) = leaving_since.get(cell.as_str())
             && *at > since + settings.leaving_grace
         {
             let late = (at - since) / 1_000;
@@ -264,24 +264,24 @@
 
 /// Dispatches beyond each call's first: one in five calls plus sixty, for a function in ten seconds.
 fn check_extra_tries(lines: &[Line], breaches: &mut Vec<Breach>) {
-    let mut seenCalls = BTreeSet::new();
+    let mut seen_calls = BTreeSet::new();
     let mut firsts: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
     let mut extras: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
     for line in lines {
         if let Line::CellTook { at, call, function, .. } = line {
-            let times = if seenCalls.insert(call.as_str()) { &mut firsts } else { &mut extras };
+            let times = if seen_calls.insert(call.as_str()) { &mut firsts } else { &mut extras };
             times.entry(function).or_default().push(*at);
         }
     }
-    for (function, mut extraTimes) in extras {
-        extraTimes.sort_unstable();
-        let callTimes = firsts.get(function).cloned().unwrap_or_default();
-        for windowStart in &extraTimes {
-            let within = |time: &&u64| **time >= *windowStart && **time < windowStart + 10_000_000;
-            let extraCount = extraTimes.iter().filter(within).count();
-            let callCount = callTimes.iter().filter(within).count();
-            if extraCount > callCount / 5 + 60 {
-                let seen = format!("{function}: {extraCount} extra tries beside {callCount} calls");
+    for (function, mut extra_times) in extras {
+        extra_times.sort_unstable();
+        let call_times = firsts.get(function).cloned().unwrap_or_default();
+        for window_start in &extra_times {
+            let within = |time: &&u64| **time >= *window_start && **time < window_start + 10_000_000;
+            let extra_count = extra_times.iter().filter(within).count();
+            let call_count = call_times.iter().filter(within).count();
+            if extra_count > call_count / 5 + 60 {
+                let seen = format!("{function}: {extra_count} extra tries beside {call_count} calls");
                 broken(breaches, "extra tries", seen);
                 break;
             }
@@ -306,7 +306,7 @@
             }
         }
         let mut running: BTreeMap<&str, Vec<(u64, u64)>> = BTreeMap::new();
-        let mut withoutControl: BTreeMap<&str, Vec<(u64, u64)>> = BTreeMap::new();
+        let mut without_control: BTreeMap<&str, Vec<(u64, u64)>> = BTreeMap::new();
         let mut frozen: BTreeMap<&str, Vec<(u64, u64)>> = BTreeMap::new();
         for line in lines {
             match line {
@@ -318,10 +318,10 @@
                     frozen.entry(node).or_default().push((*at, *until));
                 }
                 Line::ControlReached { at, node, reached: false } => {
-                    withoutControl.entry(node).or_default().push((*at, u64::MAX));
+                    without_control.entry(node).or_default().push((*at, u64::MAX));
                 }
                 Line::ControlReached { at, node, reached: true } => {
-                    let open = withoutControl.get_mut(node.as_str()).and_then(|spans| spans.last_mut());
+                    let open = without_control.get_mut(node.as_str()).and_then(|spans| spans.last_mut());
                     if let Some((_, until)) = open {
                         *until = *at;
                     }
@@ -329,12 +329,12 @@
                 _ => {}
             }
         }
-        Circumstances { running, without_control: withoutControl, frozen }
+        Circumstances { running, without_control, frozen }
     }
 
-    fn was_frozen(&self, node: &str, sentAt: u64, endedAt: u64) -> bool {
+    fn was_frozen(&self, node: &str, sent_at: u64, ended_at: u64) -> bool {
         let spans = self.frozen.get(node);
-        spans.is_some_and(|spans| spans.iter().any(|(from, until)| *from <= endedAt && sentAt <= *until))
+        spans.is_some_and(|spans| spans.iter().any(|(from, until)| *from <= ended_at && sent_at <= *until))
     }
 
     /// Nothing may be started without a steward, and none can be chosen without a majority.
@@ -354,13 +354,13 @@
         return;
     }
     let circumstances = Circumstances::of(lines);
-    let isProper = |sentAt: u64, endedAt: u64, node: &str, path: &str| {
-        let held = spans.iter().filter(|span| span.from <= endedAt && sentAt <= span.until);
+    let is_proper = |sent_at: u64, ended_at: u64, node: &str, path: &str| {
+        let held = spans.iter().filter(|span| span.from <= ended_at && sent_at <= span.until);
         let mut functions = held.map(|span| lane_of(&span.lanes, path));
-        let wasFrozen = circumstances.was_frozen(node, sentAt, endedAt);
-        !wasFrozen
+        let was_frozen = circumstances.was_frozen(node, sent_at, ended_at);
+        !was_frozen
             && functions.all(|function| {
-                function.is_some_and(|function| !circumstances.could_not_start(node, function, sentAt))
+                function.is_some_and(|function| !circumstances.could_not_start(node, function, sent_at))
             })
     };
     let mut sent: BTreeMap<&str, (u64, &str, &str)> = BTreeMap::new();
@@ -371,8 +371,8 @@
                 sent.insert(call, (*at, node, path));
             }
             Line::CallEnded { at, call, outcome: Outcome::NotRun, .. } => {
-                let Some((sentAt, node, path)) = sent.get(call.as_str()) else { continue };
-                refused += usize::from(isProper(*sentAt, *at, node, path));
+                let Some((sent_at, node, path)) = sent.get(call.as_str()) else { continue };
+                refused += usize::from(is_proper(*sent_at, *at, node, path));
             }
             _ => {}
         }
@@ -403,12 +403,12 @@
 fn check_changes(lines: &[Line], breaches: &mut Vec<Breach>) {
     let mut accepted: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
     let mut refused = BTreeSet::new();
-    let mut byGeneration: BTreeMap<u64, &str> = BTreeMap::new();
+    let mut by_generation: BTreeMap<u64, &str> = BTreeMap::new();
     for line in lines {
         match line {
             Line::ChangeAccepted { at, change, generation } => {
                 accepted.entry(change).or_insert((*at, *generation));
-                let first = byGeneration.entry(*generation).or_insert(change);
+                let first = by_generation.entry(*generation).or_insert(change);
                 if *first != change {
                     let seen = format!("{first} and {change} were both accepted as {generation}");
                     broken(breaches, "one change a generation", seen);
@@ -422,10 +422,10 @@
     }
     for line in lines {
         let Line::ChangesStand { node, generation, changes, .. } = line else { continue };
-        for (change, (_, acceptedAs)) in &accepted {
-            if acceptedAs <= generation && !changes.iter().any(|standing| standing == change) {
+        for (change, (_, accepted_as)) in &accepted {
+            if accepted_as <= generation && !changes.iter().any(|standing| standing == change) {
                 let seen =
-                    format!("{change}, accepted as {acceptedAs}, is missing at {node} in {generation}");
+                    format!("{change}, accepted as {accepted_as}, is missing at {node} in {generation}");
                 broken(breaches, "no acknowledged change lost", seen);
             }
         }
@@ -452,13 +452,13 @@
             broken(breaches, "one steward an epoch", seen);
         }
         if matches!(line, Line::StewardActed { .. }) {
-            let newestEpoch = newest.entry(function).or_default();
-            if *epoch < *newestEpoch {
+            let newest_epoch = newest.entry(function).or_default();
+            if *epoch < *newest_epoch {
                 let seen =
-                    format!("{node} acted for {function} in {epoch} after {newestEpoch} had begun to act");
+                    format!("{node} acted for {function} in {epoch} after {newest_epoch} had begun to act");
                 broken(breaches, "one steward an epoch", seen);
             }
-            *newestEpoch = (*newestEpoch).max(*epoch);
+            *newest_epoch = (*newest_epoch).max(*epoch);
         }
     }
 }
@@ -480,7 +480,7 @@
     let mut functions: BTreeMap<&str, (&str, u64)> = BTreeMap::new();
     let mut cells: BTreeMap<&str, &str> = BTreeMap::new();
     let mut counts: BTreeMap<&str, u64> = BTreeMap::new();
-    let mut passedSince: BTreeMap<&str, u64> = BTreeMap::new();
+    let mut passed_since: BTreeMap<&str, u64> = BTreeMap::new();
     for line in lines {
         let at = match line {
             Line::AllowancesHeld { at, allowances, functions: held } => {
@@ -506,7 +506,7 @@
             _ => continue,
         };
         for (name, ceiling) in &ceilings {
-            let isBelow = |own: &str| {
+            let is_below = |own: &str| {
                 let mut place = Some(own);
                 while let Some(allowance) = place {
                     if allowance == *name {
@@ -518,18 +518,18 @@
             };
             let used: u64 = functions
                 .iter()
-                .filter(|(_, (own, _))| isBelow(own))
+                .filter(|(_, (own, _))| is_below(own))
                 .map(|(function, (_, memory))| {
                     counts.get(function).copied().unwrap_or(0).saturating_sub(1) * memory
                 })
                 .sum();
             if used as f64 <= *ceiling {
-                passedSince.remove(name);
+                passed_since.remove(name);
                 continue;
             }
-            let since = *passedSince.entry(name).or_insert(at);
+            let since = *passed_since.entry(name).or_insert(at);
             if at > since + settings.ceiling_lag {
-                passedSince.insert(name, u64::MAX - settings.ceiling_lag);
+                passed_since.insert(name, u64::MAX - settings.ceiling_lag);
                 let seen = format!(
                     "{name}: {used} MB beside the first cells of its functions, over {ceiling}, at {at}"
                 );
@@ -567,10 +567,10 @@
                 arrived.insert(call, *at);
             }
             Line::CallMatched { at, call, node, .. } => {
-                let Some(reachedAt) = arrived.get(call.as_str()) else { continue };
-                if *at > reachedAt + settings.admitted_within {
+                let Some(reached_at) = arrived.get(call.as_str()) else { continue };
+                if *at > reached_at + settings.admitted_within {
                     let seen =
-                        format!("{call} waited {} ms at {node} to be matched", (at - reachedAt) / 1_000);
+                        format!("{call} waited {} ms at {node} to be matched", (at - reached_at) / 1_000);
                     broken(breaches, "admission never waits on election", seen);
                 }
             }
@@ -608,171 +608,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn sent(call: &str) -> Line {
-        Line::CallSent {
-            at: 0,
-            call: call.into(),
-            node: "n1".into(),
-            path: "/proof/1".into(),
-            repeatable: false,
-        }
-    }
-
-    fn took(at: u64, call: &str, function: &str, ran: bool) -> Line {
-        Line::CellTook {
-            at,
-            call: call.into(),
-            function: function.into(),
-            cell: "c1".into(),
-            ran,
-            in_flight: 1,
-            limit: 2,
-        }
-    }
-
-    fn ended(call: &str, outcome: Outcome, isOwn: bool) -> Line {
-        Line::CallEnded { at: 9, call: call.into(), outcome, is_own: isOwn, latency: 9 }
-    }
-
-    fn cell_started(at: u64, cell: &str) -> Line {
-        let (cell, function, worker) = (cell.into(), "proof".into(), "w".into());
-        Line::CellStarted { at, cell, function, worker, memory_mb: 100, runs_from: at }
-    }
-
-    fn sound_history() -> Vec<Line> {
-        let mut lines = vec![
-            Line::LanesChanged {
-                at: 0,
-                generation: 1,
-                lanes: vec![("/proof".into(), Some("proof".into())), ("/late".into(), Some("late".into()))],
-            },
-            sent("1"),
-            took(1, "1", "proof", true),
-            ended("1", Outcome::Ran, true),
-            Line::ChangeAccepted { at: 1, change: "a".into(), generation: 1 },
-            Line::ChangeRefused { at: 2, change: "b".into() },
-            Line::ChangesStand { at: 3, node: "n1".into(), generation: 1, changes: vec!["a".into()] },
-            Line::GenerationHeld { at: 3, node: "n1".into(), life: "x".into(), generation: 1 },
-            Line::StewardTaken { at: 1, node: "n1".into(), function: "proof".into(), epoch: 4 },
-            Line::StewardActed { at: 2, node: "n1".into(), function: "proof".into(), epoch: 4 },
-            Line::CellShownLeaving { at: 10, cell: "c1".into() },
-        ];
-        lines.extend((0..100).map(|number| sent(&format!("many-{number}"))));
-        lines
-    }
-
-    fn rules(doctored: Vec<Line>) -> BTreeSet<&'static str> {
-        let lines: Vec<Line> = sound_history().into_iter().chain(doctored).collect();
-        check_all(&lines, &CheckSettings::default()).into_iter().map(|breach| breach.rule).collect()
-    }
-
-    #[test]
-    fn every_checker_catches_its_planted_breach_and_no_other_fires() {
-        assert_eq!(rules(Vec::new()), BTreeSet::new());
-        let tookFrom = |count: u64, ran: bool| -> Vec<Line> {
-            (0..count).map(|number| took(20 + number, &format!("many-{number}"), "proof", ran)).collect()
-        };
-        let cases: Vec<(&str, Vec<Line>)> = vec![
-            ("no double run", vec![took(2, "1", "proof", true)]),
-            ("not run is true", vec![ended("1", Outcome::NotRun, false)]),
-            ("own whole answer", vec![ended("1", Outcome::Ran, false)]),
-            ("own whole answer", vec![ended("2", Outcome::Ran, true)]),
-            ("only allowed services", vec![took(2, "many-1", "other", true)]),
-            ("cell limits", tookFrom(13, false)),
-            ("leaving cells", vec![took(3_000_011, "many-1", "proof", true)]),
-            (
-                "only allowed services",
-                vec![
-                    Line::LanesChanged { at: 2, generation: 2, lanes: vec![("/proof".into(), None)] },
-                    Line::ChangeAccepted { at: 2, change: "moved".into(), generation: 2 },
-                    took(3_000_003, "many-1", "proof", true),
-                ],
-            ),
-            ("extra tries", (0..62).map(|_| took(6_000_000, "many-0", "late", true)).collect()),
-            ("few refusals", (0..6).map(|_| ended("many-1", Outcome::NotRun, false)).collect()),
-            (
-                "no generation back",
-                vec![Line::GenerationHeld { at: 4, node: "n1".into(), life: "x".into(), generation: 0 }],
-            ),
-            (
-                "one change a generation",
-                vec![Line::ChangeAccepted { at: 2, change: "c".into(), generation: 1 }],
-            ),
-            (
-                "no acknowledged change lost",
-                vec![Line::ChangesStand { at: 5, node: "n2".into(), generation: 2, changes: vec![] }],
-            ),
-            (
-                "refused changes never stand",
-                vec![Line::ChangesStand {
-                    at: 5,
-                    node: "n2".into(),
-                    generation: 1,
-                    changes: vec!["a".into(), "b".into()],
-                }],
-            ),
-            (
-                "one steward an epoch",
-                vec![Line::StewardActed { at: 3, node: "n2".into(), function: "proof".into(), epoch: 4 }],
-            ),
-            (
-                "one steward an epoch",
-                vec![Line::StewardActed { at: 3, node: "n2".into(), function: "proof".into(), epoch: 3 }],
-            ),
-            ("start rate", (0..9).map(|number| Line::ActThrottled { at: 50 + number }).collect()),
-            (
-                "allowances hold",
-                [
-                    Line::AllowancesHeld {
-                        at: 10,
-                        allowances: vec![
-                            ("all".into(), None, Some(250.0)),
-                            ("low".into(), Some("all".into()), None),
-                        ],
-                        functions: vec![("proof".into(), "low".into(), 100)],
-                    },
-                    cell_started(20, "a"),
-                    cell_started(30, "b"),
-                    cell_started(40, "c"),
-                    cell_started(50, "d"),
-                    Line::CellStopped { at: 2_000_000, cell: "gone".into() },
-                    cell_started(3_000_060, "e"),
-                ]
-                .into(),
-            ),
-            (
-                "no generation back",
-                vec![
-                    Line::CallMatched { at: 5, call: "1".into(), node: "n1".into(), generation: 4 },
-                    Line::CallMatched { at: 250_006, call: "2".into(), node: "n1".into(), generation: 3 },
-                ],
-            ),
-            (
-                "admission never waits on election",
-                vec![
-                    Line::CallReached { at: 5, call: "1".into() },
-                    Line::CallMatched { at: 50_006, call: "1".into(), node: "n1".into(), generation: 4 },
-                ],
-            ),
-            (
-                "one voter set a generation",
-                [vec![4], vec![5]]
-                    .map(|joining| Line::VotersSeen {
-                        at: 5,
-                        node: "n1".into(),
-                        generation: 2,
-                        disks: vec![1, 2, 3],
-                        joining,
-                    })
-                    .into(),
-            ),
-            ("planned stops drop nothing", vec![Line::DroppedInPlannedStop { at: 3, call: "1".into() }]),
-        ];
-        for (rule, doctored) in cases {
-            assert!(rules(doctored).contains(rule), "{rule}");
-        }
-    }
-}
+mod tests;
--- a/packages/local_fleet/src/deployments.rs
+++ b/packages/local_fleet/src/deployments.rs
@@ -75,8 +75,8 @@
         let mut functions = Map::new();
         let mut lanes = Map::new();
         for (number, name) in self.functions().into_iter().enumerate() {
-            let isBusy = number < BUSY;
-            let function = match isBusy {
+            let is_busy = number < BUSY;
+            let function = match is_busy {
                 true => json!({
                     "allowance": "busy",
                     "cell_memory_mb": self.busy_memory_mb[number],
@@ -96,7 +96,7 @@
                 "function": name,
                 "path_prefix": format!("/{name}"),
                 "methods": ["POST"],
-                "repeatable": isBusy && number >= self.repeatable_from,
+                "repeatable": is_busy && number >= self.repeatable_from,
                 "patience_millis": 4_000,
             });
             functions.insert(name.clone(), function);
@@ -117,11 +117,11 @@
     pub fn platform(&self) -> PlatformSettings {
         let mut functions = BTreeMap::new();
         for (number, name) in self.functions().into_iter().enumerate() {
-            let isBusy = number < BUSY;
+            let is_busy = number < BUSY;
             let behaviour = FunctionStandIn {
-                boot_millis: if isBusy { 1_400 } else { 900 },
-                calls_at_once: if isBusy { self.busy_calls_at_once } else { 2 },
-                work_millis: if isBusy { self.busy_work_millis } else { 40 },
+                boot_millis: if is_busy { 1_400 } else { 900 },
+                calls_at_once: if is_busy { self.busy_calls_at_once } else { 2 },
+                work_millis: if is_busy { self.busy_work_millis } else { 40 },
                 misbehaviour: Misbehaviour::default(),
             };
             functions.insert(name, behaviour);
--- a/packages/local_fleet/src/fleet.rs
+++ b/packages/local_fleet/src/fleet.rs
@@ -127,7 +127,7 @@
     }
 
     /// Writes a node's settings anew: its own text with one line more, and the seeds in another order.
-    pub fn write_settings(&mut self, number: usize, extraLine: &str, turn: usize) -> std::io::Result<()> {
+    pub fn write_settings(&mut self, number: usize, extra_line: &str, turn: usize) -> std::io::Result<()> {
         let node = &mut self.nodes[number];
         if node.first_settings.is_empty() {
             node.first_settings = fs::read_to_string(&node.settings)?;
@@ -135,14 +135,14 @@
         let turned = node.first_settings.lines().map(|line| match line.strip_prefix("seeds = [") {
             Some(list) => {
                 let mut seeds: Vec<&str> = list.trim_end_matches(']').split(", ").collect();
-                let seedCount = seeds.len();
-                seeds.rotate_left(turn % seedCount);
+                let seed_count = seeds.len();
+                seeds.rotate_left(turn % seed_count);
                 format!("seeds = [{}]\n", seeds.join(", "))
             }
             None => format!("{line}\n"),
         });
         let text: String = turned.collect();
-        fs::write(&node.settings, format!("{text}{extraLine}\n"))
+        fs::write(&node.settings, format!("{text}{extra_line}\n"))
     }
 
     /// How many lines of a node's log hold a text.
--- a/packages/local_fleet/src/main.rs
+++ b/packages/local_fleet/src/main.rs
@@ -33,8 +33,8 @@
 }
 
 fn main() -> ExitCode {
-    let commandLine = LocalFleet::from_env_or_exit();
-    match scenarios::run(&commandLine) {
+    let command_line = LocalFleet::from_env_or_exit();
+    match scenarios::run(&command_line) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(reason) => {
--- a/packages/local_fleet/src/operator.rs
+++ b/packages/local_fleet/src/operator.rs
@@ -63,9 +63,9 @@
         for _ in 0..500 {
             let page = format!("/control/decisions?most=2000&after={cursor}");
             let Some(text) = self.get(control, &page) else { return lines };
-            let pageLines: Vec<Value> =
+            let page_lines: Vec<Value> =
                 text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect();
-            let Some((last, decisions)) = pageLines.split_last() else { return lines };
+            let Some((last, decisions)) = page_lines.split_last() else { return lines };
             if decisions.is_empty() {
                 return lines;
             }
--- a/packages/local_fleet/src/scenarios.rs
+++ b/packages/local_fleet/src/scenarios.rs
@@ -38,17 +38,17 @@
     changes: u64,
 }
 
-pub fn run(commandLine: &LocalFleet) -> Result<bool, String> {
+pub fn run(command_line: &LocalFleet) -> Result<bool, String> {
     let said = |failure: std::io::Error| failure.to_string();
-    let scenario = commandLine.scenario.clone().unwrap_or_else(|| "kills".to_owned());
+    let scenario = command_line.scenario.clone().unwrap_or_else(|| "kills".to_owned());
     if !SCENARIOS.contains(&scenario.as_str()) {
         return Err(format!("--scenario is one of {}", SCENARIOS.join(", ")));
     }
-    let deploymentName = commandLine.deployment.as_deref().unwrap_or("tiszacimke");
-    let deployment = deployments::find(deploymentName)
+    let deployment_name = command_line.deployment.as_deref().unwrap_or("tiszacimke");
+    let deployment = deployments::find(deployment_name)
         .ok_or_else(|| "--deployment is tiszacimke or ledgerwick".to_owned())?;
     let options = NodeOptions {
-        times: match &commandLine.times {
+        times: match &command_line.times {
             None => None,
             Some(text) => {
                 let numbers: Result<Vec<u64>, _> = text.split(',').map(str::parse).collect();
@@ -56,13 +56,13 @@
                 Some(times.ok_or("--times is lease,poll,renewal in milliseconds")?)
             }
         },
-        no_gate: commandLine.no_gate,
+        no_gate: command_line.no_gate,
     };
-    let program = match &commandLine.vanelane {
+    let program = match &command_line.vanelane {
         Some(program) => program.clone(),
         None => std::env::current_exe().map_err(said)?.with_file_name("vanelane"),
     };
-    let folder = commandLine.folder.clone().unwrap_or_else(fresh_folder);
+    let folder = command_line.folder.clone().unwrap_or_else(fresh_folder);
     std::fs::create_dir_all(&folder).map_err(said)?;
     let history = Arc::new(History::default());
     let began = Instant::now();
@@ -84,8 +84,8 @@
         notes: Vec::new(),
         changes: 0,
     };
-    let seconds = commandLine.seconds.unwrap_or(60);
-    let rate = commandLine.calls_per_second.unwrap_or(300.0);
+    let seconds = command_line.seconds.unwrap_or(60);
+    let rate = command_line.calls_per_second.unwrap_or(300.0);
     let callers = run.play(&scenario, Duration::from_secs(seconds), rate)?;
     run.report(&scenario, &callers, &folder)
 }
@@ -108,10 +108,10 @@
         within: Duration,
         holds: impl Fn(&Run) -> bool,
     ) -> Result<Duration, String> {
-        let waitBegan = Instant::now();
-        while waitBegan.elapsed() < within {
+        let wait_began = Instant::now();
+        while wait_began.elapsed() < within {
             if holds(self) {
-                return Ok(waitBegan.elapsed());
+                return Ok(wait_began.elapsed());
             }
             std::thread::sleep(Duration::from_millis(10));
         }
@@ -140,8 +140,8 @@
     fn change(&mut self, body: Value, at: usize) -> Result<(u64, Duration), String> {
         self.changes += 1;
         let mut line = body;
-        let changeId = format!("change-{}", self.changes);
-        line["change_id"] = json!(changeId);
+        let change_id = format!("change-{}", self.changes);
+        line["change_id"] = json!(change_id);
         let outcome = self
             .operator
             .change(self.fleet.nodes[at].control, &line)
@@ -151,7 +151,7 @@
             return Err(format!("the change was not accepted: {outcome}"));
         }
         let at = micros_since(self.began);
-        self.history.append(Line::ChangeAccepted { at, change: changeId, generation });
+        self.history.append(Line::ChangeAccepted { at, change: change_id, generation });
         let spread = self.wait_until("the configuration", Duration::from_secs(20), |run| {
             run.fleet.nodes.iter().enumerate().filter(|(number, _)| run.fleet.is_running(*number)).all(
                 |(_, node)| {
@@ -209,9 +209,9 @@
         };
         let callers = self.callers(span, rate, hasty, behaviours)?;
         let part = |share: f64| span.mul_f64(share);
-        let loadBegan = Instant::now();
+        let load_began = Instant::now();
         let until = |share: f64| {
-            while loadBegan.elapsed() < part(share) {
+            while load_began.elapsed() < part(share) {
                 std::thread::sleep(Duration::from_millis(5));
             }
         };
@@ -267,8 +267,8 @@
             "crowd" => {
                 until(0.4);
                 let crowd = self.callers(part(0.2), rate * 2.0, 3, (0.0, Vec::new()))?;
-                let crowdReport = crowd.finish();
-                self.note("crowd", callers_page(&crowdReport));
+                let crowd_report = crowd.finish();
+                self.note("crowd", callers_page(&crowd_report));
             }
             "replace" => {
                 until(0.2);
@@ -319,8 +319,8 @@
 
     /// Every node reads changed settings on SIGHUP, and in odd rounds bad ones, which it must refuse.
     fn reload_all(&mut self, round: usize) -> Result<(), String> {
-        let isBad = round % 2 == 1;
-        let (line, told) = match isBad {
+        let is_bad = round % 2 == 1;
+        let (line, told) = match is_bad {
             true => ("surprise = 1", "the settings were not reloaded, the old ones stand"),
             false => ("log_level = \"info\"", "settings reloaded: "),
         };
@@ -334,7 +334,7 @@
             // What stands on the disk is sound again, should the node be started anew.
             self.fleet.write_settings(number, "", round).map_err(|failure| failure.to_string())?;
         }
-        let kind = if isBad { "bad_reloads_refused" } else { "reloads" };
+        let kind = if is_bad { "bad_reloads_refused" } else { "reloads" };
         self.note(&format!("{kind}_{round}"), NODES as u64);
         Ok(())
     }
@@ -398,7 +398,7 @@
         self.fleet.look_at_all();
         let decisions = self.operator.decisions(self.fleet.nodes[0].control);
         let mut waits: Vec<u64> = Vec::new();
-        let mut pastGate = 0;
+        let mut past_gate = 0;
         let mut kinds: BTreeMap<String, u64> = BTreeMap::new();
         for decision in &decisions {
             *kinds.entry(decision["kind"].as_str().unwrap_or_default().to_owned()).or_default() += 1;
@@ -406,7 +406,7 @@
                 continue;
             }
             waits.push(decision["waited_micros"].as_u64().unwrap_or(0));
-            pastGate += u64::from(decision["past_gate"] == true);
+            past_gate += u64::from(decision["past_gate"] == true);
             self.history.append(Line::StewardTaken {
                 at: decision["at_micros"].as_u64().unwrap_or(0),
                 node: decision["node"].as_str().unwrap_or_default().to_owned(),
@@ -425,7 +425,7 @@
         let elapsed = self.began.elapsed().as_secs_f64();
         let cpu: Vec<f64> = self.fleet.nodes.iter().map(|node| rounded(node.cpu_seconds())).collect();
         let memory: Vec<u64> = self.fleet.nodes.iter().map(|node| node.peak_memory / 1_024).collect();
-        let cpuSum: f64 = cpu.iter().sum();
+        let cpu_sum: f64 = cpu.iter().sum();
         let (starts, stops, throttled) = self.platform.counts();
         let lines = self.history.lines();
         let settings = CheckSettings {
@@ -440,8 +440,8 @@
             .filter(|line| matches!(line, Line::CallEnded { outcome: Outcome::NoAnswer, .. }))
             .count();
         // With nothing killed or frozen no call may go without an answer.
-        let isGentle = ["quiet", "rolling", "reload", "workers", "changes", "crowd"].contains(&scenario);
-        let isSound = breaches.is_empty() && !(isGentle && dropped > 0);
+        let is_gentle = ["quiet", "rolling", "reload", "workers", "changes", "crowd"].contains(&scenario);
+        let is_sound = breaches.is_empty() && !(is_gentle && dropped > 0);
         let page = json!({
             "scenario": scenario,
             "deployment": self.deployment.name,
@@ -455,7 +455,7 @@
                 "takings": waits.len(),
                 "wait_ms_median": waits.get(waits.len() / 2).copied().unwrap_or(0) / 1_000,
                 "wait_ms_most": waits.last().copied().unwrap_or(0) / 1_000,
-                "past_gate": pastGate,
+                "past_gate": past_gate,
                 "gate_refusals": total("gate_refusals"),
                 "lost_races": total("lost_races"),
             },
@@ -463,34 +463,34 @@
             "disk_groups_a_second": rounded(total("disk_groups") as f64 / elapsed),
             "messages_a_second": rounded(total("messages_sent") as f64 / elapsed),
             "cpu_seconds": cpu,
-            "cpu_seconds_a_thousand_calls": rounded(cpuSum * 1_000.0 / callers.sent.max(1) as f64),
+            "cpu_seconds_a_thousand_calls": rounded(cpu_sum * 1_000.0 / callers.sent.max(1) as f64),
             "peak_memory_mb": memory,
             "platform": { "starts": starts, "stops": stops, "throttled": throttled },
             "decisions": kinds,
             "breaches": breaches.iter().map(|breach| format!("{}: {}", breach.rule, breach.seen)).collect::<Vec<_>>(),
-            "sound": isSound,
+            "sound": is_sound,
         });
         let text = serde_json::to_string_pretty(&page).unwrap_or_default();
         println!("{text}");
         let said = |failure: std::io::Error| failure.to_string();
         std::fs::write(folder.join("report.json"), &text).map_err(said)?;
-        let historyText: String = lines
+        let history_text: String = lines
             .iter()
             .filter_map(|line| serde_json::to_string(line).ok())
             .map(|line| line + "\n")
             .collect();
-        std::fs::write(folder.join("history.jsonl"), historyText).map_err(said)?;
-        let decisionText: String = decisions.iter().map(|decision| format!("{decision}\n")).collect();
-        std::fs::write(folder.join("decisions.jsonl"), decisionText).map_err(said)?;
+        std::fs::write(folder.join("history.jsonl"), history_text).map_err(said)?;
+        let decision_text: String = decisions.iter().map(|decision| format!("{decision}\n")).collect();
+        std::fs::write(folder.join("decisions.jsonl"), decision_text).map_err(said)?;
         eprintln!("history, decisions and logs: {}", folder.display());
-        Ok(isSound)
+        Ok(is_sound)
     }
 }
 
 /// Whether the node that tells its status has a voting disk.
 fn votes(status: &Value) -> bool {
-    let isOwn = |member: &&Value| member["node"] == status["node"];
-    let own = status["members"].as_array().and_then(|members| members.iter().find(isOwn));
+    let is_own = |member: &&Value| member["node"] == status["node"];
+    let own = status["members"].as_array().and_then(|members| members.iter().find(is_own));
     own.is_some_and(|own| own["disk"] == "voting")
 }
 
--- a/packages/news_spread/src/lib.rs
+++ b/packages/news_spread/src/lib.rs
@@ -35,13 +35,13 @@
 
 impl NewsSpread {
     /// No news yet. Example: `NewsSpread::new(7).sequence("configuration") == 0`.
-    pub fn new(luckSeed: u64) -> NewsSpread {
+    pub fn new(luck_seed: u64) -> NewsSpread {
         NewsSpread {
             topics: BTreeMap::new(),
             digest: 0,
             rumour_event: ClockEvent::each(Micros::from_millis(100)),
             digest_event: ClockEvent::each(Micros::from_millis(250)),
-            dice: Rng::with_seed(luckSeed),
+            dice: Rng::with_seed(luck_seed),
         }
     }
 
@@ -71,8 +71,8 @@
             return false;
         }
         self.digest ^= mark_hash(&topic, item.sequence);
-        let previousTold = self.topics.insert(topic.clone(), Told { item, rounds_left: ROUNDS });
-        if let Some(told) = previousTold {
+        let previous_told = self.topics.insert(topic.clone(), Told { item, rounds_left: ROUNDS });
+        if let Some(told) = previous_told {
             self.digest ^= mark_hash(&topic, told.item.sequence);
         }
         true
@@ -80,8 +80,8 @@
 
     /// Forgets topics, such as those of a function or a node that is no more.
     /// Example: `news.forget(|topic| topic == "demand/7")`.
-    pub fn forget(&mut self, isForgotten: impl Fn(&str) -> bool) {
-        self.topics.retain(|topic, _| !isForgotten(topic));
+    pub fn forget(&mut self, is_forgotten: impl Fn(&str) -> bool) {
+        self.topics.retain(|topic, _| !is_forgotten(topic));
         self.digest =
             self.topics.iter().fold(0, |sum, (topic, told)| sum ^ mark_hash(topic, told.item.sequence));
     }
@@ -104,8 +104,8 @@
             self.send_rumours(colleagues, &mut sends);
         }
         if self.digest_event.due(now) {
-            let pickedNode = colleagues[self.dice.usize(..colleagues.len())];
-            sends.push((pickedNode, Message::NewsDigest { digest: self.digest }));
+            let picked_node = colleagues[self.dice.usize(..colleagues.len())];
+            sends.push((picked_node, Message::NewsDigest { digest: self.digest }));
         }
         sends
     }
@@ -123,14 +123,14 @@
                 false => marks.push(mark(&told.item)),
             }
         }
-        let mut pickedNodes = colleagues.to_vec();
-        self.dice.shuffle(&mut pickedNodes);
-        for pickedNode in pickedNodes.into_iter().take(FANOUT) {
+        let mut picked_nodes = colleagues.to_vec();
+        self.dice.shuffle(&mut picked_nodes);
+        for picked_node in picked_nodes.into_iter().take(FANOUT) {
             if !items.is_empty() {
-                sends.push((pickedNode, Message::News { items: List(items.clone()) }));
+                sends.push((picked_node, Message::News { items: List(items.clone()) }));
             }
             if !marks.is_empty() {
-                sends.push((pickedNode, Message::NewsMarks { full: 0, marks: List(marks.clone()) }));
+                sends.push((picked_node, Message::NewsMarks { full: 0, marks: List(marks.clone()) }));
             }
         }
     }
@@ -140,7 +140,7 @@
     pub fn received(&mut self, from: NodeId, message: Message) -> (Vec<String>, Vec<NewsSend>) {
         match message {
             Message::News { items } => {
-                let newerTopics = items
+                let newer_topics = items
                     .0
                     .into_iter()
                     .filter_map(|item| {
@@ -148,7 +148,7 @@
                         self.take(item).then_some(topic)
                     })
                     .collect();
-                (newerTopics, Vec::new())
+                (newer_topics, Vec::new())
             }
             Message::NewsDigest { digest } if digest != self.digest => {
                 let marks = self.topics.values().map(|told| mark(&told.item)).collect();
@@ -169,28 +169,29 @@
     }
 
     /// Asks for what the colleague has newer and sends what it has older.
-    fn compare(&mut self, from: NodeId, isFull: bool, marks: List<NewsMark>) -> Vec<NewsSend> {
-        let mut wantedTopics = Vec::new();
-        let mut newerItems = Vec::new();
-        for theirMark in &marks.0 {
-            let ownSequence = self.sequence(&theirMark.topic.0);
-            if theirMark.sequence > ownSequence {
-                wantedTopics.push(theirMark.topic.clone());
+    fn compare(&mut self, from: NodeId, is_full: bool, marks: List<NewsMark>) -> Vec<NewsSend> {
+        let mut wanted_topics = Vec::new();
+        let mut newer_items = Vec::new();
+        for their_mark in &marks.0 {
+            let own_sequence = self.sequence(&their_mark.topic.0);
+            if their_mark.sequence > own_sequence {
+                wanted_topics.push(their_mark.topic.clone());
             }
-            if theirMark.sequence < ownSequence
-                && let Some(told) = self.topics.get(&theirMark.topic.0)
+            if their_mark.sequence < own_sequence
+                && let Some(told) = self.topics.get(&their_mark.topic.0)
             {
-                newerItems.push(told.item.clone());
+                newer_items.push(told.item.clone());
             }
         }
-        if isFull {
-            let theirTopics: BTreeSet<&str> = marks.0.iter().map(|mark| mark.topic.0.as_str()).collect();
-            let unknownItems = self.topics.iter().filter(|(topic, _)| !theirTopics.contains(topic.as_str()));
-            newerItems.extend(unknownItems.map(|(_, told)| told.item.clone()));
+        if is_full {
+            let their_topics: BTreeSet<&str> = marks.0.iter().map(|mark| mark.topic.0.as_str()).collect();
+            let unknown_items =
+                self.topics.iter().filter(|(topic, _)| !their_topics.contains(topic.as_str()));
+            newer_items.extend(unknown_items.map(|(_, told)| told.item.clone()));
         }
-        let mut sends = send_items(from, newerItems);
-        if !wantedTopics.is_empty() {
-            sends.push((from, Message::NewsAsk { topics: List(wantedTopics) }));
+        let mut sends = send_items(from, newer_items);
+        if !wanted_topics.is_empty() {
+            sends.push((from, Message::NewsAsk { topics: List(wanted_topics) }));
         }
         sends
     }
@@ -199,18 +200,18 @@
 /// Items in messages of bounded size.
 fn send_items(node: NodeId, items: Vec<NewsItem>) -> Vec<NewsSend> {
     let mut sends = Vec::new();
-    let mut groupItems = Vec::new();
-    let mut groupBytes = 0;
+    let mut group_items = Vec::new();
+    let mut group_bytes = 0;
     for item in items {
-        groupBytes += item.body.0.len();
-        groupItems.push(item);
-        if groupBytes > SMALL_BODY * 4 || groupItems.len() >= ITEMS_A_MESSAGE {
-            sends.push((node, Message::News { items: List(std::mem::take(&mut groupItems)) }));
-            groupBytes = 0;
+        group_bytes += item.body.0.len();
+        group_items.push(item);
+        if group_bytes > SMALL_BODY * 4 || group_items.len() >= ITEMS_A_MESSAGE {
+            sends.push((node, Message::News { items: List(std::mem::take(&mut group_items)) }));
+            group_bytes = 0;
         }
     }
-    if !groupItems.is_empty() {
-        sends.push((node, Message::News { items: List(groupItems) }));
+    if !group_items.is_empty() {
+        sends.push((node, Message::News { items: List(group_items) }));
     }
     sends
 }
@@ -224,39 +225,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn large_and_small_news_reach_all_within_three_seconds_and_gaps_mend() {
-        for luckSeed in 0..20 {
-            let mut fleet: Vec<NewsSpread> =
-                (0..10).map(|node| NewsSpread::new(luckSeed * 100 + node)).collect();
-            let mut loss = Rng::with_seed(luckSeed);
-            fleet[0].publish("small", 0, 1, Bytes(vec![1; 10]));
-            fleet[0].publish("large", 0, 7, Bytes(vec![2; 3_000_000]));
-            let mut heldAt = None;
-            for millisecond in (0..3_000u64).step_by(100) {
-                let now = Micros::from_millis(millisecond);
-                let mut waiting: Vec<(NodeId, NewsSend)> = Vec::new();
-                for node in 0..10u64 {
-                    let colleagues: Vec<NodeId> = (0..10).filter(|other| *other != node).collect();
-                    let sends = fleet[node as usize].tick(&colleagues, now);
-                    waiting.extend(sends.into_iter().map(|send| (node, send)));
-                }
-                while let Some((sender, (receiver, message))) = waiting.pop() {
-                    if loss.u8(..10) < 3 {
-                        continue;
-                    }
-                    let (_, sends) = fleet[receiver as usize].received(sender, message);
-                    waiting.extend(sends.into_iter().map(|send| (receiver, send)));
-                }
-                if fleet.iter().all(|news| news.sequence("small") == 1 && news.sequence("large") == 7) {
-                    heldAt = heldAt.or(Some(millisecond));
-                }
-            }
-            assert!(heldAt.is_some(), "seed {luckSeed}: three tenths of messages lost");
-            assert!(!fleet[3].publish("large", 3, 6, Bytes::default()), "no way back");
-        }
-    }
-}
+mod tests;
--- a/packages/node_protocol/src/call_part.rs
+++ b/packages/node_protocol/src/call_part.rs
@@ -71,8 +71,8 @@
         self.silent_since.remove(&node);
     }
 
-    fn note_silence(&mut self, node: NodeId, askedAt: Micros, now: Micros) {
-        if self.heard_at.get(&node).is_none_or(|heardAt| *heardAt < askedAt) {
+    fn note_silence(&mut self, node: NodeId, asked_at: Micros, now: Micros) {
+        if self.heard_at.get(&node).is_none_or(|heard_at| *heard_at < asked_at) {
             self.silent_since.entry(node).or_insert(now);
         }
     }
@@ -95,13 +95,13 @@
         &mut self,
         call: u64,
         function: String,
-        timeLeft: Micros,
+        time_left: Micros,
         dispatches: u32,
         avoid: String,
     ) {
         let ask = CallAsk {
             function,
-            ends_at: self.now + timeLeft,
+            ends_at: self.now + time_left,
             dispatches,
             avoid,
             asked: None,
@@ -140,8 +140,8 @@
         ask.tries += 1;
         let function = ask.function.clone();
         if let Some(asked) = ask.asked.filter(|asked| *asked != self.settings.node) {
-            let askedAt = ask.asked_at;
-            self.calls.note_silence(asked, askedAt, now);
+            let asked_at = ask.asked_at;
+            self.calls.note_silence(asked, asked_at, now);
         }
         if !self.configuration.current().functions.contains_key(&function) {
             self.refuse_call(call, RefusedAs::NoFunction, "function not configured", Micros::from_secs(1));
@@ -159,13 +159,13 @@
         let Some(ask) = self.calls.asks.get(&call) else { return };
         // A steward that did not answer in time, and one that denies being it, make way for the
         // deputy; each further try turns between the two.
-        let isStewardTurn = !(ask.asked.is_some() && ask.asked == steward && !ask.asked_deputy);
-        let (node, isDeputy) = match steward {
-            Some(stewardNode) if isStewardTurn => (stewardNode, false),
+        let is_steward_turn = !(ask.asked.is_some() && ask.asked == steward && !ask.asked_deputy);
+        let (node, is_deputy) = match steward {
+            Some(steward_node) if is_steward_turn => (steward_node, false),
             _ => match self.deputy_of(&function, holder) {
-                Some(deputyNode) => (deputyNode, true),
+                Some(deputy_node) => (deputy_node, true),
                 None => match steward {
-                    Some(stewardNode) => (stewardNode, false),
+                    Some(steward_node) => (steward_node, false),
                     None => {
                         self.put_off(call, ASK_AGAIN);
                         return;
@@ -176,7 +176,7 @@
         let Some(ask) = self.calls.asks.get_mut(&call) else { return };
         ask.asked = Some(node);
         ask.asked_at = now;
-        ask.asked_deputy = isDeputy;
+        ask.asked_deputy = is_deputy;
         ask.next_at = now + STEWARD_PATIENCE;
         let message = Message::TicketAsk {
             ask: call,
@@ -184,15 +184,15 @@
             time_left_micros: (ask.ends_at - now).0,
             extra: u8::try_from(ask.dispatches).unwrap_or(u8::MAX),
             avoid: ask.avoid.as_str().into(),
-            deputy: u8::from(isDeputy),
+            deputy: u8::from(is_deputy),
         };
         self.send(node, message);
     }
 
     fn put_off(&mut self, call: u64, pause: Micros) {
-        let nextAt = self.now + pause;
+        let next_at = self.now + pause;
         if let Some(ask) = self.calls.asks.get_mut(&call) {
-            ask.next_at = nextAt;
+            ask.next_at = next_at;
         }
     }
 
@@ -205,13 +205,13 @@
         Node::rendezvous_choice(function, reachable)
     }
 
-    fn refuse_call(&mut self, call: u64, refusedAs: RefusedAs, reason: &str, retryAfter: Micros) {
+    fn refuse_call(&mut self, call: u64, refused_as: RefusedAs, reason: &str, retry_after: Micros) {
         self.call_ends(call);
         self.act(Act::CallRefused {
             call,
-            refused_as: refusedAs,
+            refused_as,
             reason: reason.to_owned(),
-            retry_after: retryAfter,
+            retry_after,
         });
     }
 
@@ -219,32 +219,32 @@
         match message {
             Message::TicketGranted { ask, ticket } => self.ticket_granted(from, ask, ticket),
             Message::TicketHeldBack { ask, outcome, reason, retry_after_millis } => {
-                let Some(callAsk) = self.calls.asks.get(&ask) else { return };
-                if callAsk.asked != Some(from) {
+                let Some(call_ask) = self.calls.asks.get(&ask) else { return };
+                if call_ask.asked != Some(from) {
                     return;
                 }
                 match outcome {
                     0 => self.put_off(ask, KEEP_ALIVE),
                     1 => {
-                        let retryAfter = Micros::from_millis(retry_after_millis.min(600_000));
-                        self.refuse_call(ask, RefusedAs::TurnedDown, &reason.0, retryAfter);
+                        let retry_after = Micros::from_millis(retry_after_millis.min(600_000));
+                        self.refuse_call(ask, RefusedAs::TurnedDown, &reason.0, retry_after);
                     }
                     _ => {
                         // Not the steward, or a deputy without room: look again shortly.
-                        let pause = if callAsk.tries <= 1 { Micros(0) } else { ASK_AGAIN };
+                        let pause = if call_ask.tries <= 1 { Micros(0) } else { ASK_AGAIN };
                         self.put_off(ask, pause);
                     }
                 }
                 // A steward that keeps an ask waiting is alive: it is asked again, not the deputy.
                 if outcome == 0
-                    && let Some(callAsk) = self.calls.asks.get_mut(&ask)
+                    && let Some(call_ask) = self.calls.asks.get_mut(&ask)
                 {
-                    callAsk.asked_deputy = true;
+                    call_ask.asked_deputy = true;
                 }
             }
             Message::HeldAsk { ask, function, steward_epoch } => {
-                let newestEpoch = self.calls.newest_epochs.entry(function.0.clone()).or_default();
-                *newestEpoch = steward_epoch.max(*newestEpoch);
+                let newest_epoch = self.calls.newest_epochs.entry(function.0.clone()).or_default();
+                *newest_epoch = steward_epoch.max(*newest_epoch);
                 let tickets = List(self.calls.held_for(&function.0, self.now));
                 self.send(from, Message::HeldAnswer { ask, function, tickets });
             }
@@ -254,29 +254,29 @@
 
     fn ticket_granted(&mut self, from: NodeId, call: u64, ticket: Ticket) {
         let now = self.now;
-        let newestEpoch = self.calls.newest_epochs.entry(ticket.function.0.clone()).or_default();
-        let isStale = ticket.steward_epoch != 0 && ticket.steward_epoch < *newestEpoch;
-        *newestEpoch = ticket.steward_epoch.max(*newestEpoch);
+        let newest_epoch = self.calls.newest_epochs.entry(ticket.function.0.clone()).or_default();
+        let is_stale = ticket.steward_epoch != 0 && ticket.steward_epoch < *newest_epoch;
+        *newest_epoch = ticket.steward_epoch.max(*newest_epoch);
         if self.calls.held.contains_key(&ticket.id) {
             return;
         }
-        let isWanted = self
+        let is_wanted = self
             .calls
             .asks
             .get(&call)
             .is_some_and(|ask| ask.function == ticket.function.0 && now < ask.ends_at);
-        if !isWanted || isStale || self.configuration.is_doubted() || self.is_barred(&ticket) {
+        if !is_wanted || is_stale || self.configuration.is_doubted() || self.is_barred(&ticket) {
             self.send(from, Message::TicketReturn { ticket, how: UNUSED, latency_micros: 0 });
-            if isWanted {
+            if is_wanted {
                 self.put_off(call, ASK_AGAIN);
             }
             return;
         }
         let Some(ask) = self.calls.asks.remove(&call) else { return };
-        let endsAt = ask.ends_at + Micros::from_secs(1);
+        let ends_at = ask.ends_at + Micros::from_secs(1);
         self.calls
             .held
-            .insert(ticket.id, HeldHere { ticket: ticket.clone(), ends_at: endsAt, is_done: false });
+            .insert(ticket.id, HeldHere { ticket: ticket.clone(), ends_at, is_done: false });
         self.act(Act::CallGranted { call, ticket });
     }
 
@@ -296,8 +296,8 @@
     /// The cells that a steward told it knows to run.
     pub(crate) fn known_ready(&self, function: &str) -> Vec<ReadyCell> {
         let Some(body) = self.news.body(&format!("cells/{function}")) else { return Vec::new() };
-        let Ok((_, cellsNews)) = CellsNews::from_bytes((&body.0, 0)) else { return Vec::new() };
-        cellsNews
+        let Ok((_, cells_news)) = CellsNews::from_bytes((&body.0, 0)) else { return Vec::new() };
+        cells_news
             .cells
             .0
             .into_iter()
@@ -307,14 +307,14 @@
 
     pub(crate) fn tick_calls(&mut self) {
         let now = self.now;
-        let dueCalls: Vec<u64> = self
+        let due_calls: Vec<u64> = self
             .calls
             .asks
             .iter()
             .filter(|(_, ask)| now >= ask.next_at || now >= ask.ends_at)
             .map(|(call, _)| *call)
             .collect();
-        for call in dueCalls {
+        for call in due_calls {
             self.drive_ask(call);
         }
         self.calls.held.retain(|_, held| now < held.ends_at);
--- a/packages/node_protocol/src/configuration_part.rs
+++ b/packages/node_protocol/src/configuration_part.rs
@@ -156,31 +156,31 @@
     }
 
     /// A colleague passes a change on to this node.
-    pub(crate) fn change_carried(&mut self, from: NodeId, ask: u64, changeBytes: &Bytes) {
-        let Ok(change) = serde_json::from_slice::<Change>(&changeBytes.0) else { return };
-        let isKnown = |asked: &AskedChange| matches!(asked.asker, Asker::Colleague { node, ask: knownAsk } if (node, knownAsk) == (from, ask));
-        let inBatch = self.configuration.batch.iter().flat_map(|batch| &batch.changes).any(isKnown);
-        if inBatch || self.configuration.waitlist.iter().any(isKnown) {
+    pub(crate) fn change_carried(&mut self, from: NodeId, ask: u64, change_bytes: &Bytes) {
+        let Ok(change) = serde_json::from_slice::<Change>(&change_bytes.0) else { return };
+        let is_known = |asked: &AskedChange| matches!(asked.asker, Asker::Colleague { node, ask: known_ask } if (node, known_ask) == (from, ask));
+        let in_batch = self.configuration.batch.iter().flat_map(|batch| &batch.changes).any(is_known);
+        if in_batch || self.configuration.waitlist.iter().any(is_known) {
             return;
         }
         self.await_turn(Asker::Colleague { node: from, ask }, change, self.now);
     }
 
-    fn await_turn(&mut self, asker: Asker, change: Change, askedAt: Micros) {
+    fn await_turn(&mut self, asker: Asker, change: Change, asked_at: Micros) {
         if self.configuration.waitlist.len() >= CHANGE_WAITLIST {
             let outcome = self.overfull();
             self.answer_change(asker, change.change_id, outcome);
             return;
         }
-        let askedChange = AskedChange { asker, change, asked_at: askedAt, outcome: None };
-        self.configuration.waitlist.push_back(askedChange);
+        let asked_change = AskedChange { asker, change, asked_at, outcome: None };
+        self.configuration.waitlist.push_back(asked_change);
         self.begin_batch();
     }
 
-    fn answer_change(&mut self, asker: Asker, changeId: String, outcome: ChangeOutcome) {
+    fn answer_change(&mut self, asker: Asker, change_id: String, outcome: ChangeOutcome) {
         match asker {
             Asker::Operator { request } => {
-                self.act(Act::ChangeAnswered { request, change_id: changeId, outcome });
+                self.act(Act::ChangeAnswered { request, change_id, outcome });
             }
             Asker::Colleague { node, ask } => {
                 let outcome = Bytes(serde_json::to_vec(&outcome).unwrap_or_default());
@@ -190,8 +190,8 @@
     }
 
     /// The owner's outcome of a change that this node passed on.
-    pub(crate) fn change_settled(&mut self, ask: u64, outcomeBytes: &Bytes) {
-        let Ok(outcome) = serde_json::from_slice::<ChangeOutcome>(&outcomeBytes.0) else { return };
+    pub(crate) fn change_settled(&mut self, ask: u64, outcome_bytes: &Bytes) {
+        let Ok(outcome) = serde_json::from_slice::<ChangeOutcome>(&outcome_bytes.0) else { return };
         let Some(carried) = self.configuration.carried.remove(&ask) else { return };
         let change_id = carried.change.change_id;
         self.act(Act::ChangeAnswered { request: carried.request, change_id, outcome });
@@ -212,8 +212,8 @@
                 continue;
             }
             let patience = if carried.owner.is_some() { CARRY_PATIENCE } else { RETRY_PAUSE };
-            let isOwnerGone = carried.owner.is_some_and(|owner| self.members.find(owner).is_none());
-            if now >= carried.sent_at + patience || isOwnerGone {
+            let is_owner_gone = carried.owner.is_some_and(|owner| self.members.find(owner).is_none());
+            if now >= carried.sent_at + patience || is_owner_gone {
                 self.carry_change(ask);
             }
         }
@@ -224,8 +224,8 @@
         if self.configuration.batch.is_some() || self.configuration.waitlist.is_empty() {
             return;
         }
-        let batchSize = self.configuration.waitlist.len().min(BATCH_LIMIT);
-        let changes = self.configuration.waitlist.drain(..batchSize).collect();
+        let batch_size = self.configuration.waitlist.len().min(BATCH_LIMIT);
+        let changes = self.configuration.waitlist.drain(..batch_size).collect();
         self.configuration.batch = Some(Batch {
             changes,
             base_version: 0,
@@ -237,24 +237,24 @@
     }
 
     fn write_batch(&mut self) {
-        let (baseVersion, baseStored) = self.configuration.base.clone();
+        let (base_version, base_stored) = self.configuration.base.clone();
         let Some(batch) = &mut self.configuration.batch else { return };
         batch.writes += 1;
         batch.retry_at = None;
-        batch.next = baseStored;
-        batch.base_version = baseVersion;
-        let mut acceptedCount = 0;
+        batch.next = base_stored;
+        batch.base_version = base_version;
+        let mut accepted_count = 0;
         for asked in &mut batch.changes {
             let outcome = batch.next.apply(&asked.change);
-            acceptedCount += u32::from(matches!(outcome, ChangeOutcome::Accepted { repeated: false, .. }));
+            accepted_count += u32::from(matches!(outcome, ChangeOutcome::Accepted { repeated: false, .. }));
             asked.outcome = Some(outcome);
         }
         // With nothing to write the refusals still rest on a base that must be confirmed.
-        let sent = match acceptedCount {
+        let sent = match accepted_count {
             0 => self.send_write(CONFIGURATION_KEY, 0, Bytes::default(), WritePurpose::ConfigurationCheck),
             _ => {
-                let nextBytes = Bytes(batch.next.encode());
-                self.send_write(CONFIGURATION_KEY, baseVersion, nextBytes, WritePurpose::Configuration)
+                let next_bytes = Bytes(batch.next.encode());
+                self.send_write(CONFIGURATION_KEY, base_version, next_bytes, WritePurpose::Configuration)
             }
         };
         if sent.is_none() {
@@ -285,9 +285,9 @@
             return;
         }
         let Some(batch) = &self.configuration.batch else { return };
-        let isBaseNewest = outcome.version == batch.base_version;
+        let is_base_newest = outcome.version == batch.base_version;
         self.take_base(&outcome);
-        match isBaseNewest {
+        match is_base_newest {
             true => self.end_batch(),
             false => self.retry_batch(Micros(0)),
         }
@@ -330,8 +330,8 @@
     fn retry_batch(&mut self, pause: Micros) {
         let now = self.now;
         let Some(batch) = &mut self.configuration.batch else { return };
-        let isOver = batch.changes.iter().any(|asked| now >= asked.asked_at + CHANGE_SPAN);
-        if (batch.writes >= WRITE_LIMIT && pause == Micros(0)) || isOver {
+        let is_over = batch.changes.iter().any(|asked| now >= asked.asked_at + CHANGE_SPAN);
+        if (batch.writes >= WRITE_LIMIT && pause == Micros(0)) || is_over {
             for asked in &mut batch.changes {
                 asked.outcome = Some(ChangeOutcome::Unknown { reason: UNCONFIRMED.to_owned() });
             }
@@ -366,15 +366,15 @@
         if stored.generation <= self.news.sequence(CONFIGURATION_KEY) {
             return;
         }
-        let (generation, storedBytes) = (stored.generation, Bytes(stored.encode()));
-        self.news.publish(CONFIGURATION_KEY, self.settings.node, generation, storedBytes);
+        let (generation, stored_bytes) = (stored.generation, Bytes(stored.encode()));
+        self.news.publish(CONFIGURATION_KEY, self.settings.node, generation, stored_bytes);
         self.configuration_news();
     }
 
     /// Newer news of the configuration: it was checked before it was stored.
     pub(crate) fn configuration_news(&mut self) {
-        let Some(newsBody) = self.news.body(CONFIGURATION_KEY) else { return };
-        let Some(stored) = StoredConfiguration::decode(&newsBody.0) else { return };
+        let Some(news_body) = self.news.body(CONFIGURATION_KEY) else { return };
+        let Some(stored) = StoredConfiguration::decode(&news_body.0) else { return };
         if stored.generation <= self.configuration.generation {
             return;
         }
@@ -404,7 +404,7 @@
         let now = self.now;
         self.tick_carried();
         if let Some(batch) = &self.configuration.batch
-            && batch.retry_at.is_some_and(|retryAt| now >= retryAt)
+            && batch.retry_at.is_some_and(|retry_at| now >= retry_at)
         {
             self.write_batch();
         }
@@ -413,17 +413,17 @@
         if self.configuration.confirmed && self.is_unheard() && !self.has_fresh_list() {
             self.configuration.doubted_since = Some(now);
         }
-        if let Some(doubtedSince) = self.configuration.doubted_since
-            && now >= doubtedSince + DOUBT_PATIENCE
+        if let Some(doubted_since) = self.configuration.doubted_since
+            && now >= doubted_since + DOUBT_PATIENCE
         {
             self.configuration.doubted_since = None;
         }
-        let isSure = self.configuration.confirmed && !self.configuration.is_doubted();
-        if isSure || !self.configuration.confirm_event.due(now) {
+        let is_sure = self.configuration.confirmed && !self.configuration.is_doubted();
+        if is_sure || !self.configuration.confirm_event.due(now) {
             return;
         }
-        let mayTrustNews = !self.configuration.confirmed && self.configuration.generation > 0;
-        if mayTrustNews && now >= self.started_at + CONFIRM_PATIENCE {
+        let may_trust_news = !self.configuration.confirmed && self.configuration.generation > 0;
+        if may_trust_news && now >= self.started_at + CONFIRM_PATIENCE {
             self.configuration.confirmed = true;
             self.tell_ready();
             return;
--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -129,32 +129,32 @@
 impl Node {
     /// Takes the newest voter set from the own disk or the news.
     pub(crate) fn set_changed(&mut self) {
-        let newsSet = self.news.body(DISKS_KEY).and_then(VoterSet::decode);
-        let diskSet = self.control.disk.as_ref().map(|disk| disk.registers.set().clone());
-        let newestSet = [newsSet, diskSet].into_iter().flatten().max_by_key(|set| set.generation);
-        let Some(newestSet) = newestSet.filter(|set| set.generation > 0) else { return };
-        if newestSet.generation > self.control.set.generation {
-            self.control.set = newestSet.clone();
+        let news_set = self.news.body(DISKS_KEY).and_then(VoterSet::decode);
+        let disk_set = self.control.disk.as_ref().map(|disk| disk.registers.set().clone());
+        let newest_set = [news_set, disk_set].into_iter().flatten().max_by_key(|set| set.generation);
+        let Some(newest_set) = newest_set.filter(|set| set.generation > 0) else { return };
+        if newest_set.generation > self.control.set.generation {
+            self.control.set = newest_set.clone();
             self.control.copy = None;
-            self.control.owner.take_set(&newestSet);
+            self.control.owner.take_set(&newest_set);
             self.journal.append(
                 "voters",
                 json!({
-                    "generation": newestSet.generation,
-                    "disks": hex_list(&newestSet.disks.0),
-                    "joining": hex_list(&newestSet.joining.0),
+                    "generation": newest_set.generation,
+                    "disks": hex_list(&newest_set.disks.0),
+                    "joining": hex_list(&newest_set.joining.0),
                 }),
                 self.now,
             );
         }
-        self.news.publish(DISKS_KEY, self.settings.node, newestSet.generation, newestSet.encode());
+        self.news.publish(DISKS_KEY, self.settings.node, newest_set.generation, newest_set.encode());
         self.tell_disk_state();
     }
 
     fn tell_disk_state(&mut self) {
         let Some(disk) = &self.control.disk else { return };
-        let isVoting = self.control.set.all().contains(&disk.id);
-        let state = match (disk.is_broken, isVoting, disk.registers.set().generation) {
+        let is_voting = self.control.set.all().contains(&disk.id);
+        let state = match (disk.is_broken, is_voting, disk.registers.set().generation) {
             (true, ..) => 0,
             (false, true, 1..) => DISK_VOTING,
             (false, _, 0) => DISK_BLANK,
@@ -181,13 +181,13 @@
     /// The node to ask about a key: the rendezvous choice among live voters, those in doubt last.
     pub(crate) fn key_owner(&self, key: &str) -> Option<NodeId> {
         let voters = self.voting_members();
-        let isDoubted = |news: &MemberNews| {
+        let is_doubted = |news: &MemberNews| {
             news.draining == 1
                 || news.state != 0
                 || self.control.doubted.get(&news.node).is_some_and(|until| self.now < *until)
         };
-        let soundNodes = voters.iter().filter(|news| !isDoubted(news)).map(|news| news.node);
-        Node::rendezvous_choice(key, soundNodes)
+        let sound_nodes = voters.iter().filter(|news| !is_doubted(news)).map(|news| news.node);
+        Node::rendezvous_choice(key, sound_nodes)
             .or_else(|| Node::rendezvous_choice(key, voters.iter().map(|news| news.node)))
     }
 
@@ -201,13 +201,13 @@
     ) -> Option<u64> {
         let owner = self.key_owner(key)?;
         let ask = self.fresh_ask();
-        let isRead = matches!(
+        let is_read = matches!(
             purpose,
             WritePurpose::ConfigurationRead
                 | WritePurpose::ConfigurationCheck
                 | WritePurpose::DisksCopy { .. }
         );
-        let message = match isRead {
+        let message = match is_read {
             true => Message::ReadConfirmed { ask, key: key.into() },
             false => {
                 let entry = WriteEntry { ask, key: key.into(), expected, value, hasty: 1 };
@@ -266,19 +266,19 @@
             Message::Promise { fleet_set, entries } => {
                 let Some(disk) = self.control.sound_disk() else { return };
                 let (answers, records) = disk.registers.promise(fleet_set, &entries);
-                let diskId = disk.id;
-                let answer = Message::Promised { disk: diskId, entries: List(answers) };
+                let disk_id = disk.id;
+                let answer = Message::Promised { disk: disk_id, entries: List(answers) };
                 self.write_then_answer(records, from, answer);
             }
             Message::Store { fleet_set, entries } => {
                 let Some(disk) = self.control.sound_disk() else { return };
-                let setBefore = disk.registers.set().generation;
+                let set_before = disk.registers.set().generation;
                 let (answers, records) = disk.registers.store(fleet_set, &entries);
-                let diskId = disk.id;
-                let isNewSet = disk.registers.set().generation > setBefore;
-                let answer = Message::Stored { disk: diskId, entries: List(answers) };
+                let disk_id = disk.id;
+                let is_new_set = disk.registers.set().generation > set_before;
+                let answer = Message::Stored { disk: disk_id, entries: List(answers) };
                 self.write_then_answer(records, from, answer);
-                if isNewSet {
+                if is_new_set {
                     self.set_changed();
                 }
             }
@@ -334,20 +334,20 @@
     fn write_then_answer(&mut self, records: Vec<Vec<u8>>, node: NodeId, answer: Message) {
         let Some(disk) = self.control.sound_disk() else { return };
         if records.is_empty() {
-            let lastToken = disk.next_token - 1;
-            if disk.synced_token >= lastToken {
+            let last_token = disk.next_token - 1;
+            if disk.synced_token >= last_token {
                 self.send(node, answer);
                 return;
             }
-            disk.answers.entry(lastToken).or_default().push((node, answer));
+            disk.answers.entry(last_token).or_default().push((node, answer));
             return;
         }
         let token = disk.next_token;
         disk.next_token += 1;
         disk.answers.entry(token).or_default().push((node, answer));
         disk.appended_bytes += records.iter().map(|record| record.len() + 8).sum::<usize>();
-        let liveLength = disk.appended_bytes > REWRITE_SLACK;
-        let (written, isRewrite) = match liveLength {
+        let live_length = disk.appended_bytes > REWRITE_SLACK;
+        let (written, is_rewrite) = match live_length {
             true => {
                 disk.appended_bytes = 0;
                 (disk.registers.live_records(), true)
@@ -355,17 +355,17 @@
             false => (records, false),
         };
         self.counts.disk_groups += 1;
-        self.act(Act::WriteDisk { token, records: written, is_rewrite: isRewrite });
+        self.act(Act::WriteDisk { token, records: written, is_rewrite });
     }
 
-    pub(crate) fn disk_done(&mut self, token: u64, isSynced: bool) {
+    pub(crate) fn disk_done(&mut self, token: u64, is_synced: bool) {
         let now = self.now;
         let Some(disk) = &mut self.control.disk else { return };
         if disk.is_broken {
-            self.disk_tried(token, isSynced);
+            self.disk_tried(token, is_synced);
             return;
         }
-        if !isSynced {
+        if !is_synced {
             disk.is_broken = true;
             disk.repair_due = now + REPAIR_PAUSE;
             disk.answers.clear();
@@ -376,27 +376,27 @@
         }
         disk.synced_token = disk.synced_token.max(token);
         // A founding set is gone by, and told, once it is synced here.
-        let isFounded = disk.registers.set().generation > 0 && self.members.own().disk_state == DISK_BLANK;
-        let waitingAnswers = disk.answers.split_off(&(disk.synced_token + 1));
-        let readyAnswers = std::mem::replace(&mut disk.answers, waitingAnswers);
-        for (node, answer) in readyAnswers.into_values().flatten() {
+        let is_founded = disk.registers.set().generation > 0 && self.members.own().disk_state == DISK_BLANK;
+        let waiting_answers = disk.answers.split_off(&(disk.synced_token + 1));
+        let ready_answers = std::mem::replace(&mut disk.answers, waiting_answers);
+        for (node, answer) in ready_answers.into_values().flatten() {
             self.send(node, answer);
         }
-        if isFounded {
+        if is_founded {
             self.set_changed();
         }
     }
 
     /// What became of a broken disk's repair. Records that were on their way when it failed do not
     /// count, whatever is told of them: the repair holds them.
-    fn disk_tried(&mut self, token: u64, isSynced: bool) {
+    fn disk_tried(&mut self, token: u64, is_synced: bool) {
         let now = self.now;
         let Some(disk) = self.control.disk.as_mut().filter(|disk| disk.repair_token == Some(token)) else {
             return;
         };
         disk.repair_token = None;
         disk.repair_due = now + REPAIR_PAUSE;
-        if !isSynced {
+        if !is_synced {
             return;
         }
         disk.is_broken = false;
@@ -461,31 +461,31 @@
     /// A write or poll that its owner leaves unanswered: another voter is asked next time.
     fn check_flights(&mut self) {
         let now = self.now;
-        let silentOwners: BTreeSet<NodeId> = self
+        let silent_owners: BTreeSet<NodeId> = self
             .control
             .flights
             .values()
             .map(|flight| (flight.owner, flight.sent_at))
-            .chain(self.control.polls.iter().map(|(owner, sentAt)| (*owner, *sentAt)))
-            .filter(|(_, sentAt)| now >= *sentAt + OWNER_PATIENCE)
+            .chain(self.control.polls.iter().map(|(owner, sent_at)| (*owner, *sent_at)))
+            .filter(|(_, sent_at)| now >= *sent_at + OWNER_PATIENCE)
             .map(|(owner, _)| owner)
             .collect();
-        for owner in silentOwners {
+        for owner in silent_owners {
             self.control.doubted.insert(owner, now + OWNER_DOUBT);
             self.control.polls.remove(&owner);
         }
-        let overAsks: Vec<u64> = self
+        let over_asks: Vec<u64> = self
             .control
             .flights
             .iter()
             .filter(|(_, flight)| {
-                let isHasty = matches!(flight.purpose, WritePurpose::Leader { .. });
+                let is_hasty = matches!(flight.purpose, WritePurpose::Leader { .. });
                 // A renewal waits up to the owner's group time; another voter is tried after that.
-                now >= flight.sent_at + if isHasty { OWNER_PATIENCE } else { Micros::from_millis(2_500) }
+                now >= flight.sent_at + if is_hasty { OWNER_PATIENCE } else { Micros::from_millis(2_500) }
             })
             .map(|(ask, _)| *ask)
             .collect();
-        for ask in overAsks {
+        for ask in over_asks {
             let Some(flight) = self.control.flights.remove(&ask) else { continue };
             match flight.purpose {
                 WritePurpose::Leader { function, .. } => {
@@ -543,24 +543,24 @@
     /// Founds the first voter set, once: the founder's own disk and others that are blank, all live;
     /// no member may have voted before, and at least half of the seeds must have been heard.
     fn try_founding(&mut self) {
-        let isFounder = self.is_founder();
+        let is_founder = self.is_founder();
         let Some(disk) = &self.control.disk else {
-            let isMissing = isFounder && self.control.set.generation == 0 && !self.control.is_wait_told;
-            if isMissing && self.members.live().len() > 1 {
+            let is_missing = is_founder && self.control.set.generation == 0 && !self.control.is_wait_told;
+            if is_missing && self.members.live().len() > 1 {
                 self.control.is_wait_told = true;
                 let reason = "the seed with the lowest address founds the state, and it has no data folder";
                 self.journal.append("founding_waits", json!({"reason": reason}), self.now);
             }
             return;
         };
-        let (ownDisk, ownSet) = (disk.id, disk.registers.set().clone());
-        if ownSet.generation == 1 && ownSet.joining.0.is_empty() {
+        let (own_disk, own_set) = (disk.id, disk.registers.set().clone());
+        if own_set.generation == 1 && own_set.joining.0.is_empty() {
             if self.members.own().disk_state != DISK_BLANK {
-                self.finish_founding(&ownSet);
+                self.finish_founding(&own_set);
             }
             return;
         }
-        if !isFounder || ownSet.generation != 0 || disk.is_broken || self.control.set.generation != 0 {
+        if !is_founder || own_set.generation != 0 || disk.is_broken || self.control.set.generation != 0 {
             return;
         }
         if self.members.seeds_heard() * 2 < self.members.seed_count() {
@@ -570,59 +570,59 @@
         if live.iter().any(|news| news.disk_state >= DISK_VOTING) {
             return;
         }
-        let mut blankDisks: Vec<u64> =
+        let mut blank_disks: Vec<u64> =
             live.iter().filter(|news| news.disk_state == DISK_BLANK).map(|news| news.disk).collect();
-        if blankDisks.len() < self.settings.founding_disks {
+        if blank_disks.len() < self.settings.founding_disks {
             return;
         }
         // Its own disk takes the set first, and is asked in a message to itself: whatever happens to
         // this process afterwards, it founds no other.
-        blankDisks.sort_unstable_by_key(|disk| (*disk != ownDisk, *disk));
-        blankDisks.truncate(self.settings.founding_disks);
-        blankDisks.sort_unstable();
-        self.tell_founding(&blankDisks, &[ownDisk]);
+        blank_disks.sort_unstable_by_key(|disk| (*disk != own_disk, *disk));
+        blank_disks.truncate(self.settings.founding_disks);
+        blank_disks.sort_unstable();
+        self.tell_founding(&blank_disks, &[own_disk]);
     }
 
     /// A founding that was cut short is told again to the members of the set that are still blank.
-    fn finish_founding(&mut self, foundingSet: &VoterSet) {
-        let blankDisks: Vec<u64> = self
+    fn finish_founding(&mut self, founding_set: &VoterSet) {
+        let blank_disks: Vec<u64> = self
             .members
             .live()
             .iter()
-            .filter(|news| news.disk_state == DISK_BLANK && foundingSet.disks.0.contains(&news.disk))
+            .filter(|news| news.disk_state == DISK_BLANK && founding_set.disks.0.contains(&news.disk))
             .map(|news| news.disk)
             .collect();
-        self.tell_founding(&foundingSet.disks.0, &blankDisks);
+        self.tell_founding(&founding_set.disks.0, &blank_disks);
     }
 
-    fn tell_founding(&mut self, foundingDisks: &[u64], toldDisks: &[u64]) {
-        let setMark = stable_hash(&VoterSet::founding(foundingDisks).encode().0);
-        for disk in toldDisks {
+    fn tell_founding(&mut self, founding_disks: &[u64], told_disks: &[u64]) {
+        let set_mark = stable_hash(&VoterSet::founding(founding_disks).encode().0);
+        for disk in told_disks {
             if let Some(node) = self.node_of_disk(*disk) {
-                self.send(node, Message::Found { set: setMark, disks: List(foundingDisks.to_vec()) });
+                self.send(node, Message::Found { set: set_mark, disks: List(founding_disks.to_vec()) });
             }
         }
     }
 
-    fn found(&mut self, from: NodeId, setMark: u64, foundingDisks: &[u64]) {
-        let foundingSet = VoterSet::founding(foundingDisks);
-        let isKnownOther = self.control.set.generation > 0 && self.control.set != foundingSet;
-        let wantedCount = self.settings.founding_disks;
+    fn found(&mut self, from: NodeId, set_mark: u64, founding_disks: &[u64]) {
+        let founding_set = VoterSet::founding(founding_disks);
+        let is_known_other = self.control.set.generation > 0 && self.control.set != founding_set;
+        let wanted_count = self.settings.founding_disks;
         let Some(disk) = self.control.sound_disk() else { return };
-        let diskId = disk.id;
-        let isSound = foundingDisks.len() == wantedCount
-            && foundingDisks.contains(&diskId)
-            && setMark == stable_hash(&foundingSet.encode().0)
-            && !isKnownOther;
-        let records = if isSound { disk.registers.found(&foundingSet) } else { None };
+        let disk_id = disk.id;
+        let is_sound = founding_disks.len() == wanted_count
+            && founding_disks.contains(&disk_id)
+            && set_mark == stable_hash(&founding_set.encode().0)
+            && !is_known_other;
+        let records = if is_sound { disk.registers.found(&founding_set) } else { None };
         let Some(records) = records else {
-            self.send(from, Message::FoundAnswer { set: setMark, disk: diskId, accepted: 0 });
+            self.send(from, Message::FoundAnswer { set: set_mark, disk: disk_id, accepted: 0 });
             return;
         };
         self.write_then_answer(
             records,
             from,
-            Message::FoundAnswer { set: setMark, disk: diskId, accepted: 1 },
+            Message::FoundAnswer { set: set_mark, disk: disk_id, accepted: 1 },
         );
     }
 
@@ -631,11 +631,11 @@
     fn try_replacing(&mut self) {
         let now = self.now;
         let set = self.control.set.clone();
-        let liveDisks: BTreeSet<u64> =
+        let live_disks: BTreeSet<u64> =
             self.members.live().iter().filter(|news| news.disk != 0).map(|news| news.disk).collect();
-        self.control.missing_since.retain(|disk, _| !liveDisks.contains(disk));
+        self.control.missing_since.retain(|disk, _| !live_disks.contains(disk));
         for disk in set.all() {
-            if !liveDisks.contains(&disk) {
+            if !live_disks.contains(&disk) {
                 self.control.missing_since.entry(disk).or_insert(now);
             }
         }
@@ -647,14 +647,14 @@
             self.continue_copy(&set);
             return;
         }
-        let isLost = |disk: &u64| {
+        let is_lost = |disk: &u64| {
             self.control
                 .missing_since
                 .get(disk)
                 .is_some_and(|since| now >= *since + self.settings.replace_disk_after)
         };
-        let Some(lostDisk) = set.disks.0.iter().copied().find(isLost) else { return };
-        let spareDisk = self
+        let Some(lost_disk) = set.disks.0.iter().copied().find(is_lost) else { return };
+        let spare_disk = self
             .members
             .live()
             .iter()
@@ -663,18 +663,18 @@
             // The lowest, so that owners that follow one another pick the same.
             .filter(|disk| !set.disks.0.contains(disk))
             .min();
-        let Some(spareDisk) = spareDisk else { return };
-        let Some(jointSet) = set.begin_change(lostDisk, spareDisk) else { return };
-        self.write_disks(&jointSet);
+        let Some(spare_disk) = spare_disk else { return };
+        let Some(joint_set) = set.begin_change(lost_disk, spare_disk) else { return };
+        self.write_disks(&joint_set);
     }
 
-    fn write_disks(&mut self, nextSet: &VoterSet) {
-        let isOpen = self.control.flights.values().any(|flight| flight.purpose == WritePurpose::DisksChange);
-        if isOpen {
+    fn write_disks(&mut self, next_set: &VoterSet) {
+        let is_open = self.control.flights.values().any(|flight| flight.purpose == WritePurpose::DisksChange);
+        if is_open {
             return;
         }
         let expected = self.control.set_version.max(1);
-        self.send_write(DISKS_KEY, expected, nextSet.encode(), WritePurpose::DisksChange);
+        self.send_write(DISKS_KEY, expected, next_set.encode(), WritePurpose::DisksChange);
     }
 
     fn disks_changed(&mut self, outcome: WriteOutcome) {
@@ -682,18 +682,18 @@
         if outcome.outcome == WRITTEN || outcome.outcome == DIFFERS {
             self.control.set_version = outcome.version;
         }
-        if let Some(standingSet) = VoterSet::decode(&outcome.value) {
-            let generation = standingSet.generation;
-            self.news.publish(DISKS_KEY, self.settings.node, generation, standingSet.encode());
+        if let Some(standing_set) = VoterSet::decode(&outcome.value) {
+            let generation = standing_set.generation;
+            self.news.publish(DISKS_KEY, self.settings.node, generation, standing_set.encode());
         }
         self.set_changed();
     }
 
-    fn continue_copy(&mut self, jointSet: &VoterSet) {
+    fn continue_copy(&mut self, joint_set: &VoterSet) {
         let now = self.now;
         let configuration = self.configuration.current();
-        let isReady = self.configuration.is_ready();
-        if !isReady {
+        let is_ready = self.configuration.is_ready();
+        if !is_ready {
             return;
         }
         let wanted: BTreeSet<String> = configuration
@@ -705,35 +705,35 @@
             .filter(|key| key != DISKS_KEY)
             .collect();
         let copy = self.control.copy.get_or_insert_with(|| SetCopy {
-            generation: jointSet.generation,
+            generation: joint_set.generation,
             wanted: BTreeSet::new(),
             asked: BTreeMap::new(),
             copied: BTreeSet::new(),
         });
-        if copy.generation != jointSet.generation {
+        if copy.generation != joint_set.generation {
             self.control.copy = None;
             return;
         }
         copy.wanted = wanted;
         if copy.wanted.is_subset(&copy.copied) {
-            if let Some(finalSet) = jointSet.end_change() {
-                self.write_disks(&finalSet);
+            if let Some(final_set) = joint_set.end_change() {
+                self.write_disks(&final_set);
             }
             return;
         }
-        let dueKeys: Vec<String> = copy
+        let due_keys: Vec<String> = copy
             .wanted
             .difference(&copy.copied)
-            .filter(|key| copy.asked.get(*key).is_none_or(|askedAt| now >= *askedAt + Micros::from_secs(3)))
+            .filter(|key| copy.asked.get(*key).is_none_or(|asked_at| now >= *asked_at + Micros::from_secs(3)))
             .take(64)
             .cloned()
             .collect();
-        for key in &dueKeys {
+        for key in &due_keys {
             copy.asked.insert(key.clone(), now);
         }
         // This node itself takes the keys: under the joint set each is stored anew on both majorities.
         let own = self.settings.node;
-        for key in dueKeys {
+        for key in due_keys {
             let ask = self.fresh_ask();
             let purpose = WritePurpose::DisksCopy { key: key.clone() };
             self.control.flights.insert(ask, WriteFlight { owner: own, purpose, sent_at: now });
@@ -744,7 +744,7 @@
     /// Hands the owner's promises, stores and answers to the network.
     pub(crate) fn flush_control(&mut self) {
         let now = self.now;
-        let mut answerGroups: BTreeMap<NodeId, Vec<WriteOutcome>> = BTreeMap::new();
+        let mut answer_groups: BTreeMap<NodeId, Vec<WriteOutcome>> = BTreeMap::new();
         for act in self.control.owner.flush(now) {
             match act {
                 OwnerAct::Promise { disk, fleet_set, entries } => {
@@ -757,10 +757,10 @@
                         self.send(node, Message::Store { fleet_set, entries });
                     }
                 }
-                OwnerAct::Answer { node, outcome } => answerGroups.entry(node).or_default().push(outcome),
+                OwnerAct::Answer { node, outcome } => answer_groups.entry(node).or_default().push(outcome),
             }
         }
-        for (node, outcomes) in answerGroups {
+        for (node, outcomes) in answer_groups {
             self.send(node, Message::WriteAnswer { outcomes: List(outcomes) });
         }
     }
--- a/packages/node_protocol/src/journal.rs
+++ b/packages/node_protocol/src/journal.rs
@@ -30,8 +30,8 @@
             "at_micros": now.0,
             "kind": kind,
         });
-        if let (Some(fields), Value::Object(detailFields)) = (line.as_object_mut(), details) {
-            fields.extend(detailFields);
+        if let (Some(fields), Value::Object(detail_fields)) = (line.as_object_mut(), details) {
+            fields.extend(detail_fields);
         }
         self.lines.push_back(DecisionLine {
             node: self.node,
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -121,21 +121,21 @@
             zone: settings.zone.as_str().into(),
             incarnation: 1,
             state: 0,
-            disk: disk.as_ref().map_or(0, |(diskId, _)| *diskId),
+            disk: disk.as_ref().map_or(0, |(disk_id, _)| *disk_id),
             disk_state: u8::from(disk.is_some()),
             draining: 0,
         };
-        let luckSeed = settings.luck_seed;
+        let luck_seed = settings.luck_seed;
         let mut node = Node {
-            members: Members::new(own, settings.seeds.clone(), settings.probes.clone(), luckSeed),
-            news: NewsSpread::new(luckSeed ^ 0x6e65_7773),
+            members: Members::new(own, settings.seeds.clone(), settings.probes.clone(), luck_seed),
+            news: NewsSpread::new(luck_seed ^ 0x6e65_7773),
             control: ControlPart::new(settings.node, disk),
             configuration: ConfigurationPart::new(),
             stewards: StewardPart::new(settings.node, settings.election.clone()),
             calls: CallPart::new(),
             journal: Journal::new(settings.node),
             counts: NodeCounts::default(),
-            dice: Rng::with_seed(luckSeed ^ 0x6e6f_6465),
+            dice: Rng::with_seed(luck_seed ^ 0x6e6f_6465),
             now,
             started_at: now,
             draining_since: None,
@@ -242,14 +242,14 @@
 
     /// Whether colleagues fell silent, all of them.
     pub(crate) fn is_unheard(&self) -> bool {
-        self.heard_at.is_some_and(|heardAt| self.now > heardAt + SILENT_SPAN)
+        self.heard_at.is_some_and(|heard_at| self.now > heard_at + SILENT_SPAN)
     }
 
-    fn take_message(&mut self, from: NodeId, fromAddress: Address, message: Message) {
+    fn take_message(&mut self, from: NodeId, from_address: Address, message: Message) {
         match message {
             Message::Probe { .. } | Message::ProbeAnswer { .. } | Message::ProbeFor { .. } => {
                 let now = self.now;
-                for (address, answer) in self.members.received(from, fromAddress, message, now) {
+                for (address, answer) in self.members.received(from, from_address, message, now) {
                     self.send_to_address(address, answer);
                 }
                 self.take_member_changes();
@@ -258,11 +258,11 @@
             | Message::NewsDigest { .. }
             | Message::NewsMarks { .. }
             | Message::NewsAsk { .. } => {
-                let (newerTopics, sends) = self.news.received(from, message);
+                let (newer_topics, sends) = self.news.received(from, message);
                 for (node, answer) in sends {
                     self.send(node, answer);
                 }
-                for topic in newerTopics {
+                for topic in newer_topics {
                     self.news_came(&topic);
                 }
             }
@@ -287,8 +287,8 @@
                 self.take_call_message(from, message);
             }
             Message::DecisionsAsk { ask, after, most } => {
-                let afterOwn = after.0.iter().find(|mark| mark.node == self.settings.node);
-                let lines = self.journal.after(afterOwn.map_or(0, |mark| mark.sequence), most as usize);
+                let after_own = after.0.iter().find(|mark| mark.node == self.settings.node);
+                let lines = self.journal.after(after_own.map_or(0, |mark| mark.sequence), most as usize);
                 self.send(from, Message::DecisionsAnswer { ask, lines: List(lines) });
             }
             Message::DecisionsAnswer { ask, lines } => self.decisions_answered(from, ask, lines.0),
@@ -329,8 +329,8 @@
                     self.gone.pop_first();
                 }
                 self.calls.forget(node);
-                let demandTopic = format!("demand/{node:016x}");
-                self.news.forget(|topic| topic == demandTopic);
+                let demand_topic = format!("demand/{node:016x}");
+                self.news.forget(|topic| topic == demand_topic);
             }
         }
     }
@@ -425,9 +425,9 @@
 
     fn tick_gathers(&mut self) {
         let now = self.now;
-        let overAsks: Vec<u64> =
+        let over_asks: Vec<u64> =
             self.gathers.iter().filter(|(_, gather)| now >= gather.ends_at).map(|(ask, _)| *ask).collect();
-        for ask in overAsks {
+        for ask in over_asks {
             self.end_gather(ask);
         }
     }
@@ -452,10 +452,11 @@
     }
 
     fn tick_drain(&mut self) {
-        let Some(drainingSince) = self.draining_since else { return };
-        let isAlone = self.serving_members().is_empty();
-        let isOver = isAlone || self.stewards.election.is_empty() || self.now >= drainingSince + DRAIN_SPAN;
-        if isOver && !self.drained_told {
+        let Some(draining_since) = self.draining_since else { return };
+        let is_alone = self.serving_members().is_empty();
+        let is_over =
+            is_alone || self.stewards.election.is_empty() || self.now >= draining_since + DRAIN_SPAN;
+        if is_over && !self.drained_told {
             self.drained_told = true;
             self.act(Act::Drained);
         }
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -117,8 +117,8 @@
     pub(crate) fn tick_stewards(&mut self) {
         let now = self.now;
         let members = self.serving_members();
-        let isUnsettled = self.stewards.election.is_unsettled(&members, now);
-        if now >= self.stewards.poll_due || (isUnsettled && self.stewards.unsettled_poll.due(now)) {
+        let is_unsettled = self.stewards.election.is_unsettled(&members, now);
+        if now >= self.stewards.poll_due || (is_unsettled && self.stewards.unsettled_poll.due(now)) {
             let jitter = Micros(self.dice.u64(..self.settings.election.poll.0 / 10 + 1));
             self.stewards.poll_due = now + self.settings.election.poll - jitter;
             self.poll_records();
@@ -126,7 +126,7 @@
         let writes = self.stewards.election.tick(&members, now);
         self.send_leader_writes(writes);
         self.take_term_changes();
-        self.balance(&members, isUnsettled);
+        self.balance(&members, is_unsettled);
         self.ask_list();
         if self.stewards.held_event.due(now) {
             self.ask_held();
@@ -148,9 +148,9 @@
     /// The gate balances takings only; after machines come back the others still hold more than their
     /// share. So a node above the mean now and then gives one function that no call uses to the
     /// lightest node, as long as that has at least two fewer.
-    fn balance(&mut self, members: &[NodeId], isUnsettled: bool) {
+    fn balance(&mut self, members: &[NodeId], is_unsettled: bool) {
         let now = self.now;
-        if isUnsettled || self.draining_since.is_some() || now < self.stewards.balance_due {
+        if is_unsettled || self.draining_since.is_some() || now < self.stewards.balance_due {
             return;
         }
         let jitter = Micros(self.dice.u64(..BALANCE_PAUSE.0 / 2));
@@ -159,10 +159,10 @@
             return;
         }
         let counts = self.stewards.election.tally(members, now);
-        let ownCount = self.stewards.election.own_count();
+        let own_count = self.stewards.election.own_count();
         let total: usize = counts.values().sum();
         let Some((lightest, fewest)) = counts.iter().min_by_key(|(_, count)| **count) else { return };
-        if ownCount * members.len() <= total || fewest + 2 > ownCount {
+        if own_count * members.len() <= total || fewest + 2 > own_count {
             return;
         }
         let works = &self.stewards.works;
@@ -171,7 +171,7 @@
         self.stewards.election.give_to(*lightest, &function);
         self.journal.append(
             "steward_given",
-            json!({"function": function, "to": format!("{lightest:016x}"), "own": ownCount, "theirs": fewest}),
+            json!({"function": function, "to": format!("{lightest:016x}"), "own": own_count, "theirs": fewest}),
             now,
         );
         self.take_term_changes();
@@ -184,8 +184,8 @@
                 work.take_settings(work_settings(settings));
             }
         }
-        let smallestCell = configuration.functions.values().map(|function| function.cell_memory_mb).min();
-        self.stewards.placement.keep_free(smallestCell.unwrap_or(0));
+        let smallest_cell = configuration.functions.values().map(|function| function.cell_memory_mb).min();
+        self.stewards.placement.keep_free(smallest_cell.unwrap_or(0));
         self.stewards.deputies.retain(|function, _| configuration.functions.contains_key(function));
         self.stewards.no_room_told.retain(|function, _| configuration.functions.contains_key(function));
         self.news.forget(|topic| {
@@ -236,7 +236,7 @@
         }
     }
 
-    fn begin_work(&mut self, function: &str, stewardEpoch: u64) {
+    fn begin_work(&mut self, function: &str, steward_epoch: u64) {
         let now = self.now;
         let configuration = self.configuration.current();
         let Some(settings) = configuration.functions.get(function) else { return };
@@ -244,28 +244,28 @@
         let mut work = FunctionWork::new(
             function,
             self.settings.node,
-            stewardEpoch,
+            steward_epoch,
             work_settings(settings),
             unheard.clone(),
             now,
         );
-        let knownReady: Vec<String> = self.known_ready(function).into_iter().map(|cell| cell.id).collect();
+        let known_ready: Vec<String> = self.known_ready(function).into_iter().map(|cell| cell.id).collect();
         if self.stewards.has_list {
-            let ownCells = cells_of(&self.stewards.cells, function);
-            work.listed(&ownCells, &knownReady, now, now);
+            let own_cells = cells_of(&self.stewards.cells, function);
+            work.listed(&own_cells, &known_ready, now, now);
         } else {
             work.hold_starts(now + ADOPTION_SPAN);
         }
-        let ownHeld = self.calls.held_for(function, now);
-        let heldTickets =
-            ownHeld.into_iter().map(|held| (held.ticket, Micros(held.ends_in_micros))).collect();
-        work.held_elsewhere(self.settings.node, heldTickets, now);
+        let own_held = self.calls.held_for(function, now);
+        let held_tickets =
+            own_held.into_iter().map(|held| (held.ticket, Micros(held.ends_in_micros))).collect();
+        work.held_elsewhere(self.settings.node, held_tickets, now);
         self.stewards.works.insert(function.to_owned(), work);
         for node in unheard {
             let message = Message::HeldAsk {
-                ask: stewardEpoch,
+                ask: steward_epoch,
                 function: function.into(),
-                steward_epoch: stewardEpoch,
+                steward_epoch,
             };
             self.send(node, message);
         }
@@ -284,12 +284,12 @@
     fn ask_held(&mut self) {
         let mut asks = Vec::new();
         for (function, work) in &self.stewards.works {
-            let stewardEpoch = work.steward_epoch();
-            asks.extend(work.unheard().iter().map(|node| (*node, function.clone(), stewardEpoch)));
+            let steward_epoch = work.steward_epoch();
+            asks.extend(work.unheard().iter().map(|node| (*node, function.clone(), steward_epoch)));
         }
-        for (node, function, stewardEpoch) in asks {
+        for (node, function, steward_epoch) in asks {
             let function = function.into();
-            self.send(node, Message::HeldAsk { ask: stewardEpoch, function, steward_epoch: stewardEpoch });
+            self.send(node, Message::HeldAsk { ask: steward_epoch, function, steward_epoch });
         }
     }
 
@@ -297,13 +297,13 @@
         let now = self.now;
         match message {
             Message::TicketAsk { ask, function, time_left_micros, extra, avoid, deputy } => {
-                let timeLeft = Micros(time_left_micros);
-                let isExtra = extra > 0;
-                let isSteward =
+                let time_left = Micros(time_left_micros);
+                let is_extra = extra > 0;
+                let is_steward =
                     self.stewards.election.term(&function.0, now).is_some() && !self.stewards.is_list_stale;
-                let work = self.stewards.works.get_mut(&function.0).filter(|_| isSteward);
+                let work = self.stewards.works.get_mut(&function.0).filter(|_| is_steward);
                 if let Some(work) = work {
-                    work.ask(from, ask, timeLeft, u32::from(extra), &avoid.0, now);
+                    work.ask(from, ask, time_left, u32::from(extra), &avoid.0, now);
                     return;
                 }
                 let holder = self.stewards.election.holder(&function.0, now);
@@ -311,7 +311,7 @@
                     self.stewards.election.call_waits(&function.0);
                 }
                 if deputy == 1
-                    && let Some(ticket) = self.deputy_ticket(&function.0, isExtra, &avoid.0, timeLeft)
+                    && let Some(ticket) = self.deputy_ticket(&function.0, is_extra, &avoid.0, time_left)
                 {
                     self.counts.deputy_tickets += 1;
                     self.send(from, Message::TicketGranted { ask, ticket });
@@ -349,12 +349,12 @@
                 if work.steward_epoch() != ask || !work.unheard().contains(&from) {
                     return;
                 }
-                let heldTickets = tickets
+                let held_tickets = tickets
                     .0
                     .into_iter()
                     .map(|held| (held.ticket, Micros(held.ends_in_micros.min(120_000_000))))
                     .collect();
-                work.held_elsewhere(from, heldTickets, now);
+                work.held_elsewhere(from, held_tickets, now);
             }
             _ => {}
         }
@@ -363,16 +363,16 @@
     fn deputy_ticket(
         &mut self,
         function: &str,
-        isExtra: bool,
+        is_extra: bool,
         avoid: &str,
-        timeLeft: Micros,
+        time_left: Micros,
     ) -> Option<Ticket> {
         let now = self.now;
         // A deputy goes by the list alone: without a fresh one it may not know of cells that leave.
         if self.draining_since.is_some() || self.stewards.is_list_stale || !self.has_fresh_list() {
             return None;
         }
-        let callsAtOnce = self.configuration.current().functions.get(function)?.calls_at_once;
+        let calls_at_once = self.configuration.current().functions.get(function)?.calls_at_once;
         let known = self.known_ready(function);
         let cells: Vec<DeputyCell> = self
             .stewards
@@ -386,22 +386,22 @@
             })
             .collect();
         self.stewards.next_deputy_ticket += 1;
-        let ticketName = format!("{:x}/{}", self.settings.node, self.stewards.next_deputy_ticket);
+        let ticket_name = format!("{:x}/{}", self.settings.node, self.stewards.next_deputy_ticket);
         let ask = DeputyAsk {
-            ticket_id: colleague_messages::stable_hash(ticketName.as_bytes()),
+            ticket_id: colleague_messages::stable_hash(ticket_name.as_bytes()),
             function,
-            is_extra: isExtra,
+            is_extra,
             avoid,
-            ends_at: now + timeLeft + Micros::from_secs(1),
+            ends_at: now + time_left + Micros::from_secs(1),
         };
         let own = self.settings.node;
         let deputy = self.stewards.deputies.entry(function.to_owned()).or_default();
-        deputy.grant(own, ask, &cells, callsAtOnce, now)
+        deputy.grant(own, ask, &cells, calls_at_once, now)
     }
 
     /// Whether the platform was asked lately and answered.
     pub(crate) fn has_fresh_list(&self) -> bool {
-        self.stewards.listed_at.is_some_and(|listedAt| self.now < listedAt + FRESH_LIST_AGE)
+        self.stewards.listed_at.is_some_and(|listed_at| self.now < listed_at + FRESH_LIST_AGE)
     }
 
     /// A ticket for a cell that the list shows leaving, or whose address is another cell's by now.
@@ -416,8 +416,8 @@
 
     fn ask_list(&mut self) {
         let now = self.now;
-        let isOpen = self.stewards.list_asked_at.is_some_and(|askedAt| now < askedAt + LIST_PATIENCE);
-        if isOpen || now < self.stewards.list_due {
+        let is_open = self.stewards.list_asked_at.is_some_and(|asked_at| now < asked_at + LIST_PATIENCE);
+        if is_open || now < self.stewards.list_due {
             return;
         }
         let jitter = Micros(self.dice.u64(..LIST_EVERY.0 / 5));
@@ -447,9 +447,9 @@
 
     pub(crate) fn listed(&mut self, workers: Vec<ListedWorker>, mut cells: Vec<ListedCell>) {
         let now = self.now;
-        let Some(askedAt) = self.stewards.list_asked_at.take() else { return };
+        let Some(asked_at) = self.stewards.list_asked_at.take() else { return };
         self.stewards.is_list_stale = false;
-        self.stewards.listed_at = Some(askedAt);
+        self.stewards.listed_at = Some(asked_at);
         if std::mem::take(&mut self.stewards.is_platform_silent) {
             self.journal.append("platform_answers", json!({}), now);
         }
@@ -466,11 +466,11 @@
         self.stewards.has_list = true;
         let functions: Vec<String> = self.stewards.works.keys().cloned().collect();
         for function in functions {
-            let knownReady: Vec<String> =
+            let known_ready: Vec<String> =
                 self.known_ready(&function).into_iter().map(|cell| cell.id).collect();
-            let ownCells = cells_of(&self.stewards.cells, &function);
+            let own_cells = cells_of(&self.stewards.cells, &function);
             if let Some(work) = self.stewards.works.get_mut(&function) {
-                work.listed(&ownCells, &knownReady, askedAt, now);
+                work.listed(&own_cells, &known_ready, asked_at, now);
             }
         }
         self.stop_orphans();
@@ -495,10 +495,10 @@
         let members = self.serving_members();
         for orphan in orphans {
             let since = *self.stewards.orphan_since.entry(orphan.clone()).or_insert(now);
-            let isOwnTask =
+            let is_own_task =
                 Node::rendezvous_choice(&orphan, members.iter().copied()) == Some(self.settings.node);
-            let isWaiting = self.stewards.stops.iter().any(|(_, cell)| *cell == orphan);
-            if isOwnTask && now >= since + Micros::from_secs(5) && !isWaiting {
+            let is_waiting = self.stewards.stops.iter().any(|(_, cell)| *cell == orphan);
+            if is_own_task && now >= since + Micros::from_secs(5) && !is_waiting {
                 self.stewards.orphan_since.insert(orphan.clone(), now);
                 self.stewards.stops.push_back((String::new(), orphan));
             }
@@ -509,7 +509,7 @@
     fn split_allowances(&mut self, members: &[NodeId]) {
         let now = self.now;
         let configuration = self.configuration.current();
-        let mut ownDemands: BTreeMap<String, Demand> = BTreeMap::new();
+        let mut own_demands: BTreeMap<String, Demand> = BTreeMap::new();
         for (function, work) in &self.stewards.works {
             let Some(settings) = configuration.functions.get(function) else { continue };
             let demand = Demand {
@@ -517,46 +517,46 @@
                 starts: f64::from(work.wanted_acts()),
             };
             if demand != Demand::default() {
-                ownDemands.insert(function.clone(), demand);
+                own_demands.insert(function.clone(), demand);
             }
         }
-        self.tell_demand(&ownDemands);
-        let mut demands = ownDemands.clone();
+        self.tell_demand(&own_demands);
+        let mut demands = own_demands.clone();
         for item in self.news.topics("demand/") {
             if item.origin == self.settings.node || !members.contains(&item.origin) {
                 continue;
             }
-            let Ok((_, demandNews)) = DemandNews::from_bytes((&item.body.0, 0)) else { continue };
-            for entry in demandNews.entries.0 {
+            let Ok((_, demand_news)) = DemandNews::from_bytes((&item.body.0, 0)) else { continue };
+            for entry in demand_news.entries.0 {
                 let demand =
                     Demand { memory_mb: entry.memory_mb as f64, starts: entry.milli_starts as f64 / 1_000.0 };
                 demands.entry(entry.function.0).or_insert(demand);
             }
         }
-        let memberCount = members.len().max(1) as f64;
-        let actsPerSecond = self.settings.acts_per_second;
+        let member_count = members.len().max(1) as f64;
+        let acts_per_second = self.settings.acts_per_second;
         // Half of the acts is every node's own in equal parts, so that a lone start never waits for
         // news; the other half follows the demand through the tree.
         let totals = Totals {
             memory_mb: self.stewards.placement.total_memory_mb() as f64,
-            starts: actsPerSecond / 2.0,
+            starts: acts_per_second / 2.0,
         };
         let shares = allowance_split(&configuration, &demands, totals);
-        let mut ownActs = actsPerSecond / 2.0 / memberCount;
+        let mut own_acts = acts_per_second / 2.0 / member_count;
         for (function, work) in &mut self.stewards.works {
             let Some(settings) = configuration.functions.get(function) else { continue };
             let Some(share) = shares.get(function) else { continue };
-            ownActs += share.starts;
-            let cellCount = (share.memory_mb / settings.cell_memory_mb as f64 + 0.001).floor() as u32;
+            own_acts += share.starts;
+            let cell_count = (share.memory_mb / settings.cell_memory_mb as f64 + 0.001).floor() as u32;
             // A function that is called gets one cell as soon as a worker has room for it.
-            work.allow_cells(cellCount.max(1));
+            work.allow_cells(cell_count.max(1));
         }
-        self.stewards.rate.take_rate(ownActs, now);
+        self.stewards.rate.take_rate(own_acts, now);
     }
 
-    fn tell_demand(&mut self, ownDemands: &BTreeMap<String, Demand>) {
+    fn tell_demand(&mut self, own_demands: &BTreeMap<String, Demand>) {
         let now = self.now;
-        let entries: List<DemandEntry> = ownDemands
+        let entries: List<DemandEntry> = own_demands
             .iter()
             .map(|(function, demand)| DemandEntry {
                 function: function.as_str().into(),
@@ -564,16 +564,16 @@
                 milli_starts: (demand.starts * 1_000.0) as u64,
             })
             .collect();
-        let demandNews = DemandNews { entries };
-        let (toldAt, toldNews) = &self.stewards.demand_told;
-        if *toldNews == demandNews || now < *toldAt + Micros::from_millis(300) {
+        let demand_news = DemandNews { entries };
+        let (told_at, told_news) = &self.stewards.demand_told;
+        if *told_news == demand_news || now < *told_at + Micros::from_millis(300) {
             return;
         }
         let topic = format!("demand/{:016x}", self.settings.node);
         let sequence = self.news.sequence(&topic) + 1;
-        let body = Bytes(demandNews.to_bytes().unwrap_or_default());
+        let body = Bytes(demand_news.to_bytes().unwrap_or_default());
         self.news.publish(&topic, self.settings.node, sequence, body);
-        self.stewards.demand_told = (now, demandNews);
+        self.stewards.demand_told = (now, demand_news);
     }
 
     /// Hands out the acts of all works and serves the platform's waitlists.
@@ -583,14 +583,14 @@
     }
 
     fn flush_works(&mut self) {
-        let mut allActs = Vec::new();
+        let mut all_acts = Vec::new();
         for (function, work) in &mut self.stewards.works {
             let acts = work.take_acts();
             if !acts.is_empty() {
-                allActs.push((function.clone(), acts));
+                all_acts.push((function.clone(), acts));
             }
         }
-        for (function, acts) in allActs {
+        for (function, acts) in all_acts {
             for act in acts {
                 self.take_work_act(&function, act);
             }
@@ -636,8 +636,8 @@
                 self.stewards.starts.push_back(start);
             }
             WorkAct::Stop { cell } => {
-                let isWaiting = self.stewards.stops.iter().any(|(_, waiting)| *waiting == cell);
-                if !isWaiting {
+                let is_waiting = self.stewards.stops.iter().any(|(_, waiting)| *waiting == cell);
+                if !is_waiting {
                     self.stewards.stops.push_back((function.to_owned(), cell));
                 }
             }
@@ -655,9 +655,9 @@
         let topic = format!("cells/{function}");
         self.stewards.cells_sequence += 1;
         // The epoch leads, so a new steward's word always replaces an old one's.
-        let epochPart = work.steward_epoch() << 24;
+        let epoch_part = work.steward_epoch() << 24;
         let sequence =
-            (self.news.sequence(&topic) + 1).max(epochPart + self.stewards.cells_sequence % (1 << 24));
+            (self.news.sequence(&topic) + 1).max(epoch_part + self.stewards.cells_sequence % (1 << 24));
         let body = Bytes(CellsNews { cells }.to_bytes().unwrap_or_default());
         self.news.publish(&topic, self.settings.node, sequence, body);
     }
@@ -667,22 +667,22 @@
         let now = self.now;
         while let Some(start) = self.stewards.starts.front() {
             let function = start.function.clone();
-            let isHeld = self.stewards.election.term(&function, now).is_some();
-            let memoryMb =
+            let is_held = self.stewards.election.term(&function, now).is_some();
+            let memory_mb =
                 self.configuration.current().functions.get(&function).map(|found| found.cell_memory_mb);
-            let (true, Some(memoryMb)) = (isHeld, memoryMb) else {
+            let (true, Some(memory_mb)) = (is_held, memory_mb) else {
                 self.stewards.starts.pop_front();
                 continue;
             };
-            let pickedWorker = match &start.worker {
+            let picked_worker = match &start.worker {
                 Some(worker) => Some(worker.clone()),
                 None => {
                     let work = self.stewards.works.get(&function);
-                    let isFirst = work.is_some_and(|work| !work.has_cells());
-                    self.stewards.placement.pick(memoryMb, &start.start_id, isFirst, now)
+                    let is_first = work.is_some_and(|work| !work.has_cells());
+                    self.stewards.placement.pick(memory_mb, &start.start_id, is_first, now)
                 }
             };
-            let Some(worker) = pickedWorker else {
+            let Some(worker) = picked_worker else {
                 let Some(start) = self.stewards.starts.pop_front() else { return };
                 self.end_start(&start, StartOutcome::NoRoom);
                 continue;
@@ -696,18 +696,18 @@
             let Some(mut start) = self.stewards.starts.pop_front() else { return };
             start.worker = Some(worker.clone());
             start.tries += 1;
-            let startId = start.start_id.clone();
-            self.stewards.starts_out.insert(startId.clone(), start);
+            let start_id = start.start_id.clone();
+            self.stewards.starts_out.insert(start_id.clone(), start);
             self.journal.append(
                 "start",
-                json!({"function": function, "worker": worker, "start_id": startId}),
+                json!({"function": function, "worker": worker, "start_id": start_id}),
                 now,
             );
-            self.act(Act::Start { start_id: startId, function, worker, memory_mb: memoryMb });
+            self.act(Act::Start { start_id, function, worker, memory_mb });
         }
         while let Some((function, _)) = self.stewards.stops.front() {
-            let isHeld = function.is_empty() || self.stewards.election.term(function, now).is_some();
-            if !isHeld {
+            let is_held = function.is_empty() || self.stewards.election.term(function, now).is_some();
+            if !is_held {
                 self.stewards.stops.pop_front();
                 continue;
             }
@@ -725,7 +725,7 @@
         if outcome == StartOutcome::NoRoom {
             // Told once in a while, however often it is tried.
             let told = self.stewards.no_room_told.get(&start.function);
-            if told.is_none_or(|toldAt| now >= *toldAt + NO_ROOM_TOLD) {
+            if told.is_none_or(|told_at| now >= *told_at + NO_ROOM_TOLD) {
                 self.stewards.no_room_told.insert(start.function.clone(), now);
                 self.journal.append("no_room", json!({"function": start.function}), now);
             }
@@ -735,9 +735,9 @@
         }
     }
 
-    pub(crate) fn start_done(&mut self, startId: &str, result: StartResult) {
+    pub(crate) fn start_done(&mut self, start_id: &str, result: StartResult) {
         let now = self.now;
-        let Some(mut start) = self.stewards.starts_out.remove(startId) else { return };
+        let Some(mut start) = self.stewards.starts_out.remove(start_id) else { return };
         let worker = start.worker.clone().unwrap_or_default();
         match result {
             StartResult::Started { cell, address } => {
@@ -746,8 +746,8 @@
             }
             StartResult::NoRoom => {
                 let configuration = self.configuration.current();
-                let memoryMb = configuration.functions.get(&start.function).map_or(0, |f| f.cell_memory_mb);
-                self.stewards.placement.refused(&worker, memoryMb, now);
+                let memory_mb = configuration.functions.get(&start.function).map_or(0, |f| f.cell_memory_mb);
+                self.stewards.placement.refused(&worker, memory_mb, now);
                 if start.tries >= START_TRIES {
                     self.end_start(&start, StartOutcome::NoRoom);
                     return;
--- a/packages/platform_client/src/lib.rs
+++ b/packages/platform_client/src/lib.rs
@@ -12,10 +12,10 @@
 const ANSWER_LIMIT: usize = 64 * 1024;
 
 macro_rules! platform_documents {
-    ($($(#[$note:meta])* $name:ident { $($(#[$fieldNote:meta])* $field:ident: $type:ty,)* })*) => {
+    ($($(#[$note:meta])* $name:ident { $($(#[$field_note:meta])* $field:ident: $type:ty,)* })*) => {
         $($(#[$note])*
         #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-        pub struct $name { $($(#[$fieldNote])* pub $field: $type,)* })*
+        pub struct $name { $($(#[$field_note])* pub $field: $type,)* })*
     };
 }
 
@@ -68,9 +68,9 @@
 impl PlatformClient {
     /// A client without hidden redirects; each act has two seconds.
     /// Example: `PlatformClient::new(address).list().await`.
-    pub fn new(platformAddress: SocketAddr) -> PlatformClient {
+    pub fn new(platform_address: SocketAddr) -> PlatformClient {
         let client = Client::builder().timeout(Duration::from_secs(2)).disable_redirects().finish();
-        PlatformClient { client, base: format!("http://{platformAddress}") }
+        PlatformClient { client, base: format!("http://{platform_address}") }
     }
 
     /// Workers and cells as the platform shows them, perhaps late; `None` without a sound answer.
--- a/packages/stand_ins/src/bin/stand_in_platform.rs
+++ b/packages/stand_ins/src/bin/stand_in_platform.rs
@@ -20,18 +20,18 @@
 }
 
 fn main() -> ExitCode {
-    let commandLine = StandInPlatform::from_env_or_exit();
-    let text = match std::fs::read_to_string(&commandLine.functions) {
+    let command_line = StandInPlatform::from_env_or_exit();
+    let text = match std::fs::read_to_string(&command_line.functions) {
         Ok(text) => text,
         Err(failure) => {
-            eprintln!("{}: {failure}", commandLine.functions.display());
+            eprintln!("{}: {failure}", command_line.functions.display());
             return ExitCode::from(2);
         }
     };
     let functions: BTreeMap<String, FunctionStandIn> = match serde_json::from_str(&text) {
         Ok(functions) => functions,
         Err(failure) => {
-            eprintln!("{}: {failure}", commandLine.functions.display());
+            eprintln!("{}: {failure}", command_line.functions.display());
             return ExitCode::from(2);
         }
     };
@@ -43,7 +43,7 @@
         functions,
         leave_within: Duration::from_secs(5),
     };
-    let listen = commandLine.listen.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 9_000)));
+    let listen = command_line.listen.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 9_000)));
     match PlatformStandIn::start(listen, settings, Arc::new(History::default()), Instant::now()) {
         Ok(platform) => {
             println!("the platform stand-in listens at {}", platform.address());
--- a/packages/stand_ins/src/callers.rs
+++ b/packages/stand_ins/src/callers.rs
@@ -97,9 +97,9 @@
     ) -> std::io::Result<Callers> {
         let nodes = Arc::new(Mutex::new(nodes));
         let ending = Arc::new(AtomicBool::new(false));
-        let (sharedNodes, sharedEnding) = (nodes.clone(), ending.clone());
+        let (shared_nodes, shared_ending) = (nodes.clone(), ending.clone());
         let thread = std::thread::Builder::new().name("callers".to_owned()).spawn(move || {
-            actix_rt::System::new().block_on(call_all(settings, sharedNodes, sharedEnding, history, began))
+            actix_rt::System::new().block_on(call_all(settings, shared_nodes, shared_ending, history, began))
         })?;
         Ok(Callers { thread, nodes, ending })
     }
@@ -138,20 +138,20 @@
     history: Arc<History>,
     began: Instant,
 ) -> CallersReport {
-    let weightSum: f64 = settings.targets.iter().map(|target| target.weight).sum();
+    let weight_sum: f64 = settings.targets.iter().map(|target| target.weight).sum();
     let mut dice = Rng::with_seed(settings.luck_seed);
     let shared =
         Rc::new(Shared { history, began, report: RefCell::default(), settings: settings.clone(), nodes });
     let mut calls = tokio::task::JoinSet::new();
     let start = Instant::now();
-    let mut sentCount = 0u64;
+    let mut sent_count = 0u64;
     let mut ticker = tokio::time::interval(Duration::from_millis(2));
     while start.elapsed() < settings.span && !ending.load(Ordering::Relaxed) {
         ticker.tick().await;
-        let dueCount = (start.elapsed().as_secs_f64() * settings.calls_per_second) as u64;
-        while sentCount < dueCount {
-            sentCount += 1;
-            let mut draw = dice.f64() * weightSum;
+        let due_count = (start.elapsed().as_secs_f64() * settings.calls_per_second) as u64;
+        while sent_count < due_count {
+            sent_count += 1;
+            let mut draw = dice.f64() * weight_sum;
             let picked = settings.targets.iter().find(|target| {
                 draw -= target.weight;
                 draw <= 0.0
@@ -184,9 +184,9 @@
     };
     let Some(node) = dice.choice(nodes) else { return Outcome::NoAnswer };
     let call = NEXT_CALL.fetch_add(1, Ordering::Relaxed).to_string();
-    let sentAt = micros_since(shared.began);
+    let sent_at = micros_since(shared.began);
     shared.history.append(Line::CallSent {
-        at: sentAt,
+        at: sent_at,
         call: call.clone(),
         node: node.to_string(),
         path: target.path.clone(),
@@ -194,10 +194,10 @@
     });
     let (share, behaviours) = &shared.settings.behaviours;
     let asked = if dice.f64() < *share { dice.choice(behaviours).copied() } else { None };
-    let (outcome, isOwn, reason) = exchange(shared, target, node, &call, asked.unwrap_or("")).await;
+    let (outcome, is_own, reason) = exchange(shared, target, node, &call, asked.unwrap_or("")).await;
     let at = micros_since(shared.began);
-    let latency = at - sentAt;
-    shared.history.append(Line::CallEnded { at, call, outcome, is_own: isOwn, latency });
+    let latency = at - sent_at;
+    shared.history.append(Line::CallEnded { at, call, outcome, is_own, latency });
     let mut report = shared.report.borrow_mut();
     report.sent += 1;
     match outcome {
@@ -235,9 +235,9 @@
     let text = String::from_utf8_lossy(&body);
     match told.as_deref() {
         Some("ran") => {
-            let isOwn =
+            let is_own =
                 text.starts_with(&format!("{{\"call\":\"{call}\",")) && text.ends_with("\"end\":true}");
-            (Outcome::Ran, isOwn, String::new())
+            (Outcome::Ran, is_own, String::new())
         }
         Some("not_run") => (Outcome::NotRun, false, format!("{status} {}", strip_numbers(&text))),
         Some("unknown") => (Outcome::Unknown, false, format!("{status} {}", strip_numbers(&text))),
--- a/packages/stand_ins/src/cell_stand_in.rs
+++ b/packages/stand_ins/src/cell_stand_in.rs
@@ -75,58 +75,58 @@
     async fn converse(self: Rc<CellStandIn>, stream: TcpStream) {
         let mut framed = Framed::new(stream, Codec::default());
         let Some(Ok(Message::Item(request))) = framed.next().await else { return };
-        let hasBody = framed.codec_ref().message_type() != MessageType::None;
-        let mut bodyLength = 0;
-        if hasBody {
+        let has_body = framed.codec_ref().message_type() != MessageType::None;
+        let mut body_length = 0;
+        if has_body {
             loop {
                 match framed.next().await {
-                    Some(Ok(Message::Chunk(Some(chunk)))) => bodyLength += chunk.len(),
+                    Some(Ok(Message::Chunk(Some(chunk)))) => body_length += chunk.len(),
                     Some(Ok(Message::Chunk(None))) => break,
                     _ => return,
                 }
             }
         }
         let mut stream = framed.into_parts().io;
-        self.answer(&request, bodyLength, &mut stream).await;
+        self.answer(&request, body_length, &mut stream).await;
         let _ = stream.shutdown().await;
     }
 
-    async fn answer(self: &Rc<CellStandIn>, request: &Request, bodyLength: usize, stream: &mut TcpStream) {
+    async fn answer(self: &Rc<CellStandIn>, request: &Request, body_length: usize, stream: &mut TcpStream) {
         let named = |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
-        let isMeant = named(FUNCTION_HEADER) == Some(&self.function) && named(CELL_HEADER) == Some(&self.id);
-        if !isMeant {
+        let is_meant = named(FUNCTION_HEADER) == Some(&self.function) && named(CELL_HEADER) == Some(&self.id);
+        if !is_meant {
             let _ = stream.write_all(&answer_bytes("421 Misdirected Request", "", "not this cell")).await;
             return;
         }
         let call = named(CALL_HEADER).unwrap_or_default().to_owned();
-        let inFlight = self.in_flight.get() + 1;
+        let in_flight = self.in_flight.get() + 1;
         let limit = self.behaviour.calls_at_once;
-        let isRunning = inFlight <= limit;
+        let is_running = in_flight <= limit;
         self.history.append(Line::CellTook {
             at: micros_since(self.began),
             call: call.clone(),
             function: self.function.clone(),
             cell: self.id.clone(),
-            ran: isRunning,
-            in_flight: inFlight,
+            ran: is_running,
+            in_flight,
             limit,
         });
-        if !isRunning {
-            let extraHeader = "x-vanelane-outcome: not_run\r\n";
-            let _ = stream.write_all(&answer_bytes("503 Service Unavailable", extraHeader, "full")).await;
+        if !is_running {
+            let extra_header = "x-vanelane-outcome: not_run\r\n";
+            let _ = stream.write_all(&answer_bytes("503 Service Unavailable", extra_header, "full")).await;
             return;
         }
-        self.in_flight.set(inFlight);
+        self.in_flight.set(in_flight);
         let _counted = InFlight(self.clone());
         tokio::time::sleep(Duration::from_millis(self.behaviour.work_millis)).await;
-        let wholeBody = format!(
-            "{{\"call\":\"{call}\",\"cell\":\"{}\",\"body_length\":{bodyLength},\"end\":true}}",
+        let whole_body = format!(
+            "{{\"call\":\"{call}\",\"cell\":\"{}\",\"body_length\":{body_length},\"end\":true}}",
             self.id
         );
         if named(BEHAVE_HEADER) == Some("long") {
             // Sound, in chunks, and longer than what a node holds until it is whole.
             let padded =
-                wholeBody.replace("\"end\"", &format!("\"padding\":\"{}\",\"end\"", "x".repeat(600_000)));
+                whole_body.replace("\"end\"", &format!("\"padding\":\"{}\",\"end\"", "x".repeat(600_000)));
             let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").await;
             for part in padded.as_bytes().chunks(50_000) {
                 let _ = stream.write_all(format!("{:x}\r\n", part.len()).as_bytes()).await;
@@ -136,7 +136,7 @@
             let _ = stream.write_all(b"0\r\n\r\n").await;
             return;
         }
-        let wholeAnswer = answer_bytes("200 OK", "content-type: application/json\r\n", &wholeBody);
+        let whole_answer = answer_bytes("200 OK", "content-type: application/json\r\n", &whole_body);
         let asked = named(BEHAVE_HEADER);
         let bad = self.behaviour.misbehaviour;
         let draw = fastrand::f64();
@@ -148,7 +148,7 @@
             return;
         }
         if asked == Some("cut") || draw < bad.lose + bad.garble + bad.cut {
-            let _ = stream.write_all(&wholeAnswer[..wholeAnswer.len() - 5]).await;
+            let _ = stream.write_all(&whole_answer[..whole_answer.len() - 5]).await;
             return;
         }
         if asked == Some("cut_chunks") {
@@ -176,16 +176,16 @@
             return;
         }
         if asked == Some("stall") {
-            let _ = stream.write_all(&wholeAnswer[..20]).await;
+            let _ = stream.write_all(&whole_answer[..20]).await;
             std::future::pending::<()>().await;
         }
-        let _ = stream.write_all(&wholeAnswer).await;
+        let _ = stream.write_all(&whole_answer).await;
     }
 }
 
-fn answer_bytes(status: &str, extraHeaders: &str, body: &str) -> Vec<u8> {
+fn answer_bytes(status: &str, extra_headers: &str, body: &str) -> Vec<u8> {
     format!(
-        "HTTP/1.1 {status}\r\n{extraHeaders}content-length: {}\r\nconnection: close\r\n\r\n{body}",
+        "HTTP/1.1 {status}\r\n{extra_headers}content-length: {}\r\nconnection: close\r\n\r\n{body}",
         body.len()
     )
     .into_bytes()
--- a/packages/stand_ins/src/platform_stand_in.rs
+++ b/packages/stand_ins/src/platform_stand_in.rs
@@ -86,9 +86,16 @@
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let (commands, received) = mpsc::unbounded_channel();
-        let httpCommands = commands.clone();
+        let http_commands = commands.clone();
         std::thread::Builder::new().name("platform stand-in".to_owned()).spawn(move || {
-            actix_rt::System::new().block_on(run(listener, settings, history, began, httpCommands, received));
+            actix_rt::System::new().block_on(run(
+                listener,
+                settings,
+                history,
+                began,
+                http_commands,
+                received,
+            ));
         })?;
         Ok(PlatformStandIn { address, commands })
     }
@@ -127,7 +134,7 @@
     settings: PlatformSettings,
     history: Arc<History>,
     began: Instant,
-    httpCommands: mpsc::UnboundedSender<Command>,
+    http_commands: mpsc::UnboundedSender<Command>,
     mut received: mpsc::UnboundedReceiver<Command>,
 ) {
     let workers = (0..settings.workers)
@@ -155,7 +162,7 @@
         stops: 0,
     }));
     let server = Server::build().workers(1).disable_signals().listen("platform", listener, move || {
-        let sender = httpCommands.clone();
+        let sender = http_commands.clone();
         HttpService::build()
             .h1(move |mut request: Request| {
                 let sender = sender.clone();
@@ -228,21 +235,21 @@
         return (StatusCode::CONFLICT, json!({"reason": "no such function"}).to_string());
     };
     let worker = platform.workers.iter().find(|worker| worker.id == start.worker && worker.state == "ready");
-    let Some(workerMemory) = worker.map(|worker| worker.memory_mb) else {
+    let Some(worker_memory) = worker.map(|worker| worker.memory_mb) else {
         return (StatusCode::CONFLICT, json!({"reason": "no such worker"}).to_string());
     };
-    let usedMemory: u64 = platform
+    let used_memory: u64 = platform
         .cells
         .values()
         .filter(|cell| cell.document.worker == start.worker)
         .map(|cell| cell.document.memory_mb)
         .sum();
-    if usedMemory + start.memory_mb > workerMemory {
+    if used_memory + start.memory_mb > worker_memory {
         return (StatusCode::CONFLICT, json!({"reason": "no room"}).to_string());
     }
     // Freed addresses are used again first, as a platform may.
-    let reusedPort = platform.free_ports.pop_front();
-    let Some((socket, address)) = bind(reusedPort.unwrap_or(0)).or_else(|| bind(0)) else {
+    let reused_port = platform.free_ports.pop_front();
+    let Some((socket, address)) = bind(reused_port.unwrap_or(0)).or_else(|| bind(0)) else {
         return (StatusCode::CONFLICT, json!({"reason": "no address"}).to_string());
     };
     let id = format!("cell-{}", platform.next_cell);
@@ -352,19 +359,19 @@
     fn drain(&mut self, worker: usize) {
         let Some(drained) = self.workers.get_mut(worker) else { return };
         drained.state = "draining".to_owned();
-        let workerId = drained.id.clone();
-        for cell in self.cells.values_mut().filter(|cell| cell.document.worker == workerId) {
+        let worker_id = drained.id.clone();
+        for cell in self.cells.values_mut().filter(|cell| cell.document.worker == worker_id) {
             cell.document.state = "leaving".to_owned();
         }
     }
 
     fn crash(&mut self, worker: usize) {
         let Some(crashed) = self.workers.get(worker) else { return };
-        let workerId = crashed.id.clone();
+        let worker_id = crashed.id.clone();
         let lost: Vec<String> = self
             .cells
             .iter()
-            .filter(|(_, cell)| cell.document.worker == workerId)
+            .filter(|(_, cell)| cell.document.worker == worker_id)
             .map(|(id, _)| id.clone())
             .collect();
         for cell in lost {
@@ -386,8 +393,8 @@
         while self.lists.len() > 1 && self.lists[1].0.elapsed() >= self.settings.list_late {
             self.lists.pop_front();
         }
-        let Some((takenAt, shown)) = self.lists.front() else { return };
-        if takenAt.elapsed() < self.settings.list_late {
+        let Some((taken_at, shown)) = self.lists.front() else { return };
+        if taken_at.elapsed() < self.settings.list_late {
             return;
         }
         for cell in shown.cells.iter().filter(|cell| cell.state == "leaving") {
@@ -399,7 +406,7 @@
     }
 
     fn late_list(&self) -> String {
-        let late = self.lists.front().filter(|(takenAt, _)| takenAt.elapsed() >= self.settings.list_late);
+        let late = self.lists.front().filter(|(taken_at, _)| taken_at.elapsed() >= self.settings.list_late);
         let empty = ListDocument { workers: self.workers.clone(), cells: Vec::new() };
         json!(late.map_or(&empty, |(_, list)| list)).to_string()
     }
--- a/packages/steward_election/src/lib.rs
+++ b/packages/steward_election/src/lib.rs
@@ -151,13 +151,14 @@
         if !self.functions.contains(function) {
             return;
         }
-        let record = record.filter(|leaderRecord| leaderRecord.holder != 0);
+        let record = record.filter(|leader_record| leader_record.holder != 0);
         match self.copies.get_mut(function) {
             // The owner's answers may arrive out of order: a copy never goes back.
             Some(copy) if copy.version > version => {}
             Some(copy) if copy.version == version => {
-                let isHeld = copy.record.as_ref().is_some_and(|held| now < copy.observed_at + lease_of(held));
-                if isHeld {
+                let is_held =
+                    copy.record.as_ref().is_some_and(|held| now < copy.observed_at + lease_of(held));
+                if is_held {
                     copy.idle_polls = 0;
                 } else if now >= copy.idle_poll_at + self.settings.poll {
                     copy.idle_polls += 1;
@@ -185,16 +186,16 @@
     /// Example: `if election.is_unsettled(&members, now) { poll_event.hasten() }`.
     pub fn is_unsettled(&self, members: &[NodeId], now: Micros) -> bool {
         self.functions.iter().any(|function| {
-            let isServed = self.holder(function, now).is_some_and(|(node, _)| members.contains(&node));
-            !isServed && !self.claims.contains_key(function)
+            let is_served = self.holder(function, now).is_some_and(|(node, _)| members.contains(&node));
+            !is_served && !self.claims.contains_key(function)
         })
     }
 
     /// Who holds the function by this node's observation, with the steward epoch.
     /// Example: `election.holder("proof", now) == Some((7, 12))`.
     pub fn holder(&self, function: &str, now: Micros) -> Option<(NodeId, u64)> {
-        if let Some(stewardEpoch) = self.term(function, now) {
-            return Some((self.own, stewardEpoch));
+        if let Some(steward_epoch) = self.term(function, now) {
+            return Some((self.own, steward_epoch));
         }
         let copy = self.copies.get(function)?;
         let record = copy.record.as_ref()?;
@@ -232,8 +233,8 @@
                 continue;
             }
             let Some(record) = &copy.record else { continue };
-            let isHeld = now < copy.observed_at + lease_of(record);
-            if isHeld
+            let is_held = now < copy.observed_at + lease_of(record);
+            if is_held
                 && record.holder != self.own
                 && let Some(count) = counts.get_mut(&record.holder)
             {
@@ -310,38 +311,38 @@
         let functions = &self.functions;
         let changes = &mut self.changes;
         self.terms.retain(|function, term| {
-            let isOver = now >= term.acknowledged_sent_at + lease_of(&term.record);
-            let isUnknown = !functions.contains(function) && term.given_to.is_none();
-            if isOver && term.given_to.is_none() {
+            let is_over = now >= term.acknowledged_sent_at + lease_of(&term.record);
+            let is_unknown = !functions.contains(function) && term.given_to.is_none();
+            if is_over && term.given_to.is_none() {
                 changes.push(TermChange::Lost {
                     function: function.clone(),
                     steward_epoch: term.record.steward_epoch,
                     why: "lease ran out",
                 });
             }
-            if isUnknown && !isOver {
+            if is_unknown && !is_over {
                 changes.push(TermChange::Lost {
                     function: function.clone(),
                     steward_epoch: term.record.steward_epoch,
                     why: "function no longer configured",
                 });
             }
-            !isOver && !isUnknown
+            !is_over && !is_unknown
         });
         let called = &mut self.called;
         self.claims.retain(|function, claim| {
-            let isOpen = now < claim.sent_at + WRITE_PATIENCE;
-            if !isOpen {
+            let is_open = now < claim.sent_at + WRITE_PATIENCE;
+            if !is_open {
                 called.remove(function);
             }
-            isOpen
+            is_open
         });
     }
 
     fn renew(&mut self, now: Micros, writes: &mut Vec<RecordWrite>) {
         for (function, term) in &mut self.terms {
-            let isWaiting = term.renewal_sent_at.is_some_and(|sentAt| now < sentAt + WRITE_PATIENCE);
-            if isWaiting || (term.given_to.is_none() && now < term.renewal_due) {
+            let is_waiting = term.renewal_sent_at.is_some_and(|sent_at| now < sent_at + WRITE_PATIENCE);
+            if is_waiting || (term.given_to.is_none() && now < term.renewal_due) {
                 continue;
             }
             term.renewal_sent_at = Some(now);
@@ -371,15 +372,15 @@
         let mut candidates: Vec<(bool, u64, String)> = Vec::new();
         for function in &self.functions {
             let Some(copy) = self.copies.get(function) else { continue };
-            let isHeld = copy
+            let is_held = copy
                 .record
                 .as_ref()
                 .is_some_and(|record| now < copy.observed_at + lease_of(record) && !self.names_own(copy));
-            if isHeld || self.terms.contains_key(function) || self.claims.contains_key(function) {
+            if is_held || self.terms.contains_key(function) || self.claims.contains_key(function) {
                 continue;
             }
-            let isCalled = self.called.contains(function);
-            candidates.push((!isCalled, u64::MAX - rendezvous_weight(function, self.own), function.clone()));
+            let is_called = self.called.contains(function);
+            candidates.push((!is_called, u64::MAX - rendezvous_weight(function, self.own), function.clone()));
         }
         if candidates.is_empty() {
             self.called.clear();
@@ -387,16 +388,16 @@
         }
         candidates.sort();
         let mut counts = self.tally(members, now);
-        let mut clusterCount: usize = counts.values().sum();
+        let mut cluster_count: usize = counts.values().sum();
         for (_, _, function) in candidates {
             if self.claims.len() >= self.settings.claims_at_once {
                 return;
             }
-            let ownCount = counts.get(&self.own).copied().unwrap_or(0);
-            let passesGate =
-                !self.settings.gate || ownCount as f64 <= (clusterCount as f64 + 1.0) / members.len() as f64;
-            let isFallback = !passesGate && self.is_next_without_gate(&function, members, &counts);
-            if !passesGate && !isFallback {
+            let own_count = counts.get(&self.own).copied().unwrap_or(0);
+            let passes_gate = !self.settings.gate
+                || own_count as f64 <= (cluster_count as f64 + 1.0) / members.len() as f64;
+            let is_fallback = !passes_gate && self.is_next_without_gate(&function, members, &counts);
+            if !passes_gate && !is_fallback {
                 self.gate_refusals += 1;
                 continue;
             }
@@ -416,14 +417,14 @@
                 record: record.clone(),
                 hasty: true,
             });
-            let candidateSince =
+            let candidate_since =
                 copy.record.as_ref().map_or(copy.observed_at, |held| copy.observed_at + lease_of(held));
-            self.passed_gate_over += u64::from(isFallback);
+            self.passed_gate_over += u64::from(is_fallback);
             self.claims.insert(
                 function,
-                Claim { record, sent_at: now, past_gate: isFallback, candidate_since: candidateSince },
+                Claim { record, sent_at: now, past_gate: is_fallback, candidate_since },
             );
-            clusterCount += 1;
+            cluster_count += 1;
             *counts.entry(self.own).or_default() += 1;
         }
     }
@@ -462,8 +463,8 @@
                 return;
             }
             term.renewal_sent_at = None;
-            if let Some(sentAt) = term.first_sent_at.take() {
-                term.acknowledged_sent_at = sentAt;
+            if let Some(sent_at) = term.first_sent_at.take() {
+                term.acknowledged_sent_at = sent_at;
             }
             term.version = version;
             term.record = record.clone();
@@ -550,160 +551,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// A register for each function, written at once; every node polls every `poll`.
-    struct Bench {
-        nodes: Vec<Election>,
-        registers: BTreeMap<String, (u64, Option<LeaderRecord>)>,
-        functions: BTreeSet<String>,
-    }
-
-    impl Bench {
-        fn new(nodeCount: u64, functionCount: usize, settings: ElectionSettings) -> Bench {
-            let functions: BTreeSet<String> =
-                (0..functionCount).map(|number| format!("function-{number}")).collect();
-            let registers = functions.iter().map(|name| (name.clone(), (0, None))).collect();
-            let mut nodes: Vec<Election> =
-                (1..=nodeCount).map(|node| Election::new(node, settings.clone())).collect();
-            nodes.iter_mut().for_each(|node| node.take_functions(functions.clone()));
-            Bench { nodes, registers, functions }
-        }
-
-        fn run(&mut self, fromMillis: u64, toMillis: u64, down: &[NodeId]) {
-            let members: Vec<NodeId> =
-                self.nodes.iter().map(|node| node.own).filter(|node| !down.contains(node)).collect();
-            for millisecond in (fromMillis..toMillis).step_by(50) {
-                let now = Micros::from_millis(millisecond);
-                for node in self.nodes.iter_mut().filter(|node| !down.contains(&node.own)) {
-                    if millisecond % 500 == (node.own * 50) % 500 || node.is_unsettled(&members, now) {
-                        for (function, (version, record)) in &self.registers {
-                            node.observe(function, *version, record.clone(), now);
-                        }
-                    }
-                    for write in node.tick(&members, now) {
-                        let register = self.registers.get_mut(&write.function).expect("a known function");
-                        if register.0 != write.expected {
-                            node.differs(&write.function, register.0, register.1.clone(), now);
-                            continue;
-                        }
-                        *register = (register.0 + 1, Some(write.record.clone()));
-                        node.written(&write.function, register.0, &write.record, now);
-                    }
-                }
-                // One steward acting for each function at any time.
-                for function in &self.functions {
-                    let acting = self.nodes.iter().filter(|node| node.term(function, now).is_some()).count();
-                    assert!(acting <= 1, "{function} at {now:?}");
-                }
-            }
-        }
-
-        fn spread(&self, now: Micros) -> Vec<usize> {
-            self.nodes.iter().map(|node| node.held(now).len()).collect()
-        }
-    }
-
-    #[test]
-    fn stewards_spread_evenly_and_a_dead_nodes_functions_go_to_the_least_loaded() {
-        let mut bench = Bench::new(10, 158, ElectionSettings::default());
-        bench.run(0, 10_000, &[]);
-        let spread = bench.spread(Micros::from_millis(9_950));
-        assert_eq!(spread.iter().sum::<usize>(), 158);
-        assert!(spread.iter().all(|count| (15..=17).contains(count)), "{spread:?}");
-        bench.run(10_000, 20_000, &[3, 7]);
-        let spread = bench.spread(Micros::from_millis(19_950));
-        assert_eq!(spread.iter().sum::<usize>(), 158);
-        assert!(
-            (0..10).all(|place| [2, 6].contains(&place) || (18..=21).contains(&spread[place])),
-            "{spread:?}"
-        );
-    }
-
-    #[test]
-    fn a_term_ends_a_lease_after_its_last_acknowledged_renewal_was_sent() {
-        let mut bench = Bench::new(1, 1, ElectionSettings::default());
-        bench.run(0, 2_000, &[]);
-        let node = &bench.nodes[0];
-        let lastSent = node.terms["function-0"].acknowledged_sent_at;
-        let leaseEnd = lastSent + Micros::from_secs(3);
-        assert!(node.term("function-0", leaseEnd - Micros(1)).is_some());
-        assert!(node.term("function-0", leaseEnd).is_none());
-    }
-
-    #[test]
-    fn a_term_given_to_another_node_is_taken_by_it_alone_under_a_higher_epoch() {
-        let mut bench = Bench::new(3, 1, ElectionSettings::default());
-        bench.run(0, 1_000, &[]);
-        let now = Micros::from_secs(1);
-        let giver = bench.nodes.iter().position(|node| node.own_count() == 1).expect("a steward");
-        let taker = (giver + 1) % 3;
-        let oldEpoch = bench.nodes[giver].term("function-0", now).expect("a term");
-        let takerNode = bench.nodes[taker].own;
-        bench.nodes[giver].give_to(takerNode, "function-0");
-        assert!(bench.nodes[giver].term("function-0", now).is_none(), "fenced before the write leaves");
-        bench.run(1_000, 2_500, &[]);
-        let newEpoch = bench.nodes[taker].term("function-0", Micros::from_millis(2_450)).expect("taken");
-        assert!(newEpoch > oldEpoch);
-    }
-
-    #[test]
-    fn a_renewal_whose_answer_was_lost_counts_from_its_first_sending() {
-        let mut node = Election::new(1, ElectionSettings::default());
-        node.take_functions(["f".to_owned()].into());
-        node.observe("f", 0, None, Micros(0));
-        let claim = node.tick(&[1], Micros(0)).remove(0);
-        node.written("f", 1, &claim.record, Micros(0));
-        let firstRenewal = node.tick(&[1], Micros::from_secs(1)).remove(0);
-        node.unanswered("f", Micros::from_millis(1_600));
-        let secondRenewal = node.tick(&[1], Micros::from_millis(1_800)).remove(0);
-        assert_eq!(firstRenewal.record, secondRenewal.record);
-        // The first one had been written all along; followers may have seen it since then.
-        node.differs("f", 2, Some(firstRenewal.record), Micros::from_millis(1_900));
-        assert!(node.term("f", Micros::from_millis(3_999)).is_some());
-        assert!(node.term("f", Micros::from_millis(4_000)).is_none());
-    }
-
-    #[test]
-    fn a_term_given_while_a_renewal_is_open_is_given_after_it() {
-        let mut node = Election::new(1, ElectionSettings::default());
-        node.take_functions(["f".to_owned()].into());
-        node.observe("f", 0, None, Micros(0));
-        let claim = node.tick(&[1], Micros(0)).remove(0);
-        node.written("f", 1, &claim.record, Micros(0));
-        let renewal = node.tick(&[1], Micros::from_secs(1)).remove(0);
-        node.release_all();
-        assert!(node.tick(&[1], Micros::from_millis(1_050)).is_empty());
-        node.written("f", 2, &renewal.record, Micros::from_millis(1_100));
-        let release = node.tick(&[1], Micros::from_millis(1_120)).remove(0);
-        assert_eq!((release.expected, release.record.holder), (2, 0));
-        node.written("f", 3, &release.record, Micros::from_millis(1_130));
-        assert!(node.is_empty());
-    }
-
-    #[test]
-    fn the_fallback_claims_when_the_least_loaded_never_does() {
-        // Node 1 holds its share; node 2 is a member that never claims.
-        let mut bench = Bench::new(2, 3, ElectionSettings::default());
-        let members = [1, 2];
-        let mut takenPastGate = 0;
-        for millisecond in (0..6_000u64).step_by(100) {
-            let now = Micros::from_millis(millisecond);
-            let node = &mut bench.nodes[0];
-            for (function, (version, record)) in &bench.registers {
-                node.observe(function, *version, record.clone(), now);
-            }
-            for write in node.tick(&members, now) {
-                let register = bench.registers.get_mut(&write.function).expect("a known function");
-                *register = (register.0 + 1, Some(write.record.clone()));
-                node.written(&write.function, register.0, &write.record, now);
-            }
-            for change in node.take_changes() {
-                takenPastGate += usize::from(matches!(change, TermChange::Taken { past_gate: true, .. }));
-            }
-        }
-        assert_eq!(bench.nodes[0].held(Micros::from_millis(5_900)).len(), 3);
-        assert!((1..3).contains(&takenPastGate), "{takenPastGate}");
-    }
-}
+mod tests;
--- /dev/null
+++ b/packages/steward_election/src/tests.rs
@@ -0,0 +1,152 @@
+use super::*;
+
+/// A register for each function, written at once; every node polls every `poll`.
+struct Bench {
+    nodes: Vec<Election>,
+    registers: BTreeMap<String, (u64, Option<LeaderRecord>)>,
+    functions: BTreeSet<String>,
+}
+
+impl Bench {
+    fn new(node_count: u64, function_count: usize, settings: ElectionSettings) -> Bench {
+        let functions: BTreeSet<String> =
+            (0..function_count).map(|number| format!("function-{number}")).collect();
+        let registers = functions.iter().map(|name| (name.clone(), (0, None))).collect();
+        let mut nodes: Vec<Election> =
+            (1..=node_count).map(|node| Election::new(node, settings.clone())).collect();
+        nodes.iter_mut().for_each(|node| node.take_functions(functions.clone()));
+        Bench { nodes, registers, functions }
+    }
+
+    fn run(&mut self, from_millis: u64, to_millis: u64, down: &[NodeId]) {
+        let members: Vec<NodeId> =
+            self.nodes.iter().map(|node| node.own).filter(|node| !down.contains(node)).collect();
+        for millisecond in (from_millis..to_millis).step_by(50) {
+            let now = Micros::from_millis(millisecond);
+            for node in self.nodes.iter_mut().filter(|node| !down.contains(&node.own)) {
+                if millisecond % 500 == (node.own * 50) % 500 || node.is_unsettled(&members, now) {
+                    for (function, (version, record)) in &self.registers {
+                        node.observe(function, *version, record.clone(), now);
+                    }
+                }
+                for write in node.tick(&members, now) {
+                    let register = self.registers.get_mut(&write.function).expect("a known function");
+                    if register.0 != write.expected {
+                        node.differs(&write.function, register.0, register.1.clone(), now);
+                        continue;
+                    }
+                    *register = (register.0 + 1, Some(write.record.clone()));
+                    node.written(&write.function, register.0, &write.record, now);
+                }
+            }
+            // One steward acting for each function at any time.
+            for function in &self.functions {
+                let acting = self.nodes.iter().filter(|node| node.term(function, now).is_some()).count();
+                assert!(acting <= 1, "{function} at {now:?}");
+            }
+        }
+    }
+
+    fn spread(&self, now: Micros) -> Vec<usize> {
+        self.nodes.iter().map(|node| node.held(now).len()).collect()
+    }
+}
+
+#[test]
+fn stewards_spread_evenly_and_a_dead_nodes_functions_go_to_the_least_loaded() {
+    let mut bench = Bench::new(10, 158, ElectionSettings::default());
+    bench.run(0, 10_000, &[]);
+    let spread = bench.spread(Micros::from_millis(9_950));
+    assert_eq!(spread.iter().sum::<usize>(), 158);
+    assert!(spread.iter().all(|count| (15..=17).contains(count)), "{spread:?}");
+    bench.run(10_000, 20_000, &[3, 7]);
+    let spread = bench.spread(Micros::from_millis(19_950));
+    assert_eq!(spread.iter().sum::<usize>(), 158);
+    assert!((0..10).all(|place| [2, 6].contains(&place) || (18..=21).contains(&spread[place])), "{spread:?}");
+}
+
+#[test]
+fn a_term_ends_a_lease_after_its_last_acknowledged_renewal_was_sent() {
+    let mut bench = Bench::new(1, 1, ElectionSettings::default());
+    bench.run(0, 2_000, &[]);
+    let node = &bench.nodes[0];
+    let last_sent = node.terms["function-0"].acknowledged_sent_at;
+    let lease_end = last_sent + Micros::from_secs(3);
+    assert!(node.term("function-0", lease_end - Micros(1)).is_some());
+    assert!(node.term("function-0", lease_end).is_none());
+}
+
+#[test]
+fn a_term_given_to_another_node_is_taken_by_it_alone_under_a_higher_epoch() {
+    let mut bench = Bench::new(3, 1, ElectionSettings::default());
+    bench.run(0, 1_000, &[]);
+    let now = Micros::from_secs(1);
+    let giver = bench.nodes.iter().position(|node| node.own_count() == 1).expect("a steward");
+    let taker = (giver + 1) % 3;
+    let old_epoch = bench.nodes[giver].term("function-0", now).expect("a term");
+    let taker_node = bench.nodes[taker].own;
+    bench.nodes[giver].give_to(taker_node, "function-0");
+    assert!(bench.nodes[giver].term("function-0", now).is_none(), "fenced before the write leaves");
+    bench.run(1_000, 2_500, &[]);
+    let new_epoch = bench.nodes[taker].term("function-0", Micros::from_millis(2_450)).expect("taken");
+    assert!(new_epoch > old_epoch);
+}
+
+#[test]
+fn a_renewal_whose_answer_was_lost_counts_from_its_first_sending() {
+    let mut node = Election::new(1, ElectionSettings::default());
+    node.take_functions(["f".to_owned()].into());
+    node.observe("f", 0, None, Micros(0));
+    let claim = node.tick(&[1], Micros(0)).remove(0);
+    node.written("f", 1, &claim.record, Micros(0));
+    let first_renewal = node.tick(&[1], Micros::from_secs(1)).remove(0);
+    node.unanswered("f", Micros::from_millis(1_600));
+    let second_renewal = node.tick(&[1], Micros::from_millis(1_800)).remove(0);
+    assert_eq!(first_renewal.record, second_renewal.record);
+    // The first one had been written all along; followers may have seen it since then.
+    node.differs("f", 2, Some(first_renewal.record), Micros::from_millis(1_900));
+    assert!(node.term("f", Micros::from_millis(3_999)).is_some());
+    assert!(node.term("f", Micros::from_millis(4_000)).is_none());
+}
+
+#[test]
+fn a_term_given_while_a_renewal_is_open_is_given_after_it() {
+    let mut node = Election::new(1, ElectionSettings::default());
+    node.take_functions(["f".to_owned()].into());
+    node.observe("f", 0, None, Micros(0));
+    let claim = node.tick(&[1], Micros(0)).remove(0);
+    node.written("f", 1, &claim.record, Micros(0));
+    let renewal = node.tick(&[1], Micros::from_secs(1)).remove(0);
+    node.release_all();
+    assert!(node.tick(&[1], Micros::from_millis(1_050)).is_empty());
+    node.written("f", 2, &renewal.record, Micros::from_millis(1_100));
+    let release = node.tick(&[1], Micros::from_millis(1_120)).remove(0);
+    assert_eq!((release.expected, release.record.holder), (2, 0));
+    node.written("f", 3, &release.record, Micros::from_millis(1_130));
+    assert!(node.is_empty());
+}
+
+#[test]
+fn the_fallback_claims_when_the_least_loaded_never_does() {
+    // Node 1 holds its share; node 2 is a member that never claims.
+    let mut bench = Bench::new(2, 3, ElectionSettings::default());
+    let members = [1, 2];
+    let mut taken_past_gate = 0;
+    for millisecond in (0..6_000u64).step_by(100) {
+        let now = Micros::from_millis(millisecond);
+        let node = &mut bench.nodes[0];
+        for (function, (version, record)) in &bench.registers {
+            node.observe(function, *version, record.clone(), now);
+        }
+        for write in node.tick(&members, now) {
+            let register = bench.registers.get_mut(&write.function).expect("a known function");
+            *register = (register.0 + 1, Some(write.record.clone()));
+            node.written(&write.function, register.0, &write.record, now);
+        }
+        for change in node.take_changes() {
+            taken_past_gate += usize::from(matches!(change, TermChange::Taken { past_gate: true, .. }));
+        }
+    }
+    assert_eq!(bench.nodes[0].held(Micros::from_millis(5_900)).len(), 3);
+    assert!((1..3).contains(&taken_past_gate), "{taken_past_gate}");
+}
