--- a/packages/steward_work/src/allowance_split.rs
+++ b/packages/steward_work/src/allowance_split.rs
@@ -76,14 +76,14 @@
 fn split_one(
     configuration: &Configuration,
     total: f64,
-    demandOf: &dyn Fn(&str) -> f64,
-    boundsOf: &dyn Fn(&Allowance) -> Bounds,
-    unitOf: &dyn Fn(&Function) -> f64,
+    demand_of: &dyn Fn(&str) -> f64,
+    bounds_of: &dyn Fn(&Allowance) -> Bounds,
+    unit_of: &dyn Fn(&Function) -> f64,
 ) -> BTreeMap<String, f64> {
     let mut nodes: BTreeMap<&str, TreeNode> = BTreeMap::new();
     let mut roots = Vec::new();
     for (name, allowance) in &configuration.allowances {
-        let (floor, ceiling) = boundsOf(allowance);
+        let (floor, ceiling) = bounds_of(allowance);
         let node = nodes.entry(name).or_default();
         node.weight = allowance.weight;
         node.floor = floor.unwrap_or(0.0);
@@ -97,29 +97,29 @@
         nodes.entry(&function.allowance).or_default().leaves.push(name);
     }
     for root in &roots {
-        sum_demand(&mut nodes, root, demandOf);
+        sum_demand(&mut nodes, root, demand_of);
     }
     let mut shares = BTreeMap::new();
-    let rootGrants = fill(total, roots.iter().map(|root| claim_of(&nodes[root])).collect());
-    for (root, granted) in roots.iter().zip(rootGrants) {
+    let root_grants = fill(total, roots.iter().map(|root| claim_of(&nodes[root])).collect());
+    for (root, granted) in roots.iter().zip(root_grants) {
         hand_down(
             configuration,
             &nodes,
             root,
             granted,
-            &Leaves { demand_of: demandOf, unit_of: unitOf },
+            &Leaves { demand_of, unit_of },
             &mut shares,
         );
     }
     shares
 }
 
-fn sum_demand(nodes: &mut BTreeMap<&str, TreeNode>, name: &str, demandOf: &dyn Fn(&str) -> f64) -> f64 {
+fn sum_demand(nodes: &mut BTreeMap<&str, TreeNode>, name: &str, demand_of: &dyn Fn(&str) -> f64) -> f64 {
     let Some(node) = nodes.get(name) else { return 0.0 };
     let (children, ceiling) = (node.children.clone(), node.ceiling);
-    let leafDemand: f64 = node.leaves.iter().map(|leaf| demandOf(leaf)).sum();
-    let childDemand: f64 = children.iter().map(|child| sum_demand(nodes, child, demandOf)).sum();
-    let demand = (leafDemand + childDemand).min(ceiling);
+    let leaf_demand: f64 = node.leaves.iter().map(|leaf| demand_of(leaf)).sum();
+    let child_demand: f64 = children.iter().map(|child| sum_demand(nodes, child, demand_of)).sum();
+    let demand = (leaf_demand + child_demand).min(ceiling);
     if let Some(node) = nodes.get_mut(name) {
         node.demand = demand;
     }
@@ -145,49 +145,49 @@
     shares: &mut BTreeMap<String, f64>,
 ) {
     let node = &nodes[name];
-    let leafClaims = node.leaves.iter().map(|leaf| Claim {
+    let leaf_claims = node.leaves.iter().map(|leaf| Claim {
         demand: (leaves.demand_of)(leaf),
         weight: configuration.functions.get(*leaf).map_or(1.0, |function| function.weight),
         floor: 0.0,
     });
     let claims: Vec<Claim> =
-        node.children.iter().map(|child| claim_of(&nodes[child])).chain(leafClaims).collect();
+        node.children.iter().map(|child| claim_of(&nodes[child])).chain(leaf_claims).collect();
     let grants = fill(granted, claims);
     for (child, grant) in node.children.iter().zip(&grants) {
         hand_down(configuration, nodes, child, *grant, leaves, shares);
     }
-    let mut leafGrants: Vec<(&str, f64)> =
+    let mut leaf_grants: Vec<(&str, f64)> =
         node.leaves.iter().copied().zip(grants[node.children.len()..].iter().copied()).collect();
-    fill_up_cells(configuration, &mut leafGrants, leaves);
-    shares.extend(leafGrants.into_iter().map(|(leaf, grant)| (leaf.to_owned(), grant)));
+    fill_up_cells(configuration, &mut leaf_grants, leaves);
+    shares.extend(leaf_grants.into_iter().map(|(leaf, grant)| (leaf.to_owned(), grant)));
 }
 
 /// Of what functions beside each other cannot use, since it is no whole cell, those that miss least
 /// for one cell more get one, as far as it goes.
-fn fill_up_cells(configuration: &Configuration, leafGrants: &mut [(&str, f64)], leaves: &Leaves) {
-    let unitOf = |leaf: &str| configuration.functions.get(leaf).map_or(0.0, leaves.unit_of);
+fn fill_up_cells(configuration: &Configuration, leaf_grants: &mut [(&str, f64)], leaves: &Leaves) {
+    let unit_of = |leaf: &str| configuration.functions.get(leaf).map_or(0.0, leaves.unit_of);
     let mut rest = 0.0;
-    for (leaf, grant) in leafGrants.iter_mut() {
-        let unit = unitOf(leaf);
+    for (leaf, grant) in leaf_grants.iter_mut() {
+        let unit = unit_of(leaf);
         if unit > 0.0 && (leaves.demand_of)(leaf) > *grant {
             let whole = ((*grant + 0.001) / unit).floor() * unit;
             rest += (*grant - whole).max(0.0);
             *grant = whole.min(*grant);
         }
     }
-    let mut missing: Vec<usize> = (0..leafGrants.len())
+    let mut missing: Vec<usize> = (0..leaf_grants.len())
         .filter(|place| {
-            let (leaf, grant) = leafGrants[*place];
-            unitOf(leaf) > 0.0 && (leaves.demand_of)(leaf) >= grant + unitOf(leaf)
+            let (leaf, grant) = leaf_grants[*place];
+            unit_of(leaf) > 0.0 && (leaves.demand_of)(leaf) >= grant + unit_of(leaf)
         })
         .collect();
     // Every node draws the same order; by the hash no name is always the last.
-    missing.sort_by_key(|place| stable_hash(leafGrants[*place].0.as_bytes()));
+    missing.sort_by_key(|place| stable_hash(leaf_grants[*place].0.as_bytes()));
     for place in missing {
-        let unit = unitOf(leafGrants[place].0);
+        let unit = unit_of(leaf_grants[place].0);
         if rest + 0.001 >= unit {
             rest -= unit;
-            leafGrants[place].1 += unit;
+            leaf_grants[place].1 += unit;
         }
     }
 }
@@ -200,86 +200,28 @@
 
 /// Max-min by weight: floors first, then water rises until demands or the total are met.
 fn fill(total: f64, claims: Vec<Claim>) -> Vec<f64> {
-    let floorOf = |claim: &Claim| claim.floor.min(claim.demand);
-    let floorSum: f64 = claims.iter().map(floorOf).sum();
-    let floorPart = if floorSum > total { total / floorSum } else { 1.0 };
-    let mut grants: Vec<f64> = claims.iter().map(|claim| floorOf(claim) * floorPart).collect();
+    let floor_of = |claim: &Claim| claim.floor.min(claim.demand);
+    let floor_sum: f64 = claims.iter().map(floor_of).sum();
+    let floor_part = if floor_sum > total { total / floor_sum } else { 1.0 };
+    let mut grants: Vec<f64> = claims.iter().map(|claim| floor_of(claim) * floor_part).collect();
     let mut remaining = (total - grants.iter().sum::<f64>()).max(0.0);
     let mut open: Vec<usize> =
         (0..claims.len()).filter(|place| claims[*place].demand > grants[*place]).collect();
     while remaining > 1e-9 && !open.is_empty() {
-        let weightSum: f64 = open.iter().map(|place| claims[*place].weight).sum();
+        let weight_sum: f64 = open.iter().map(|place| claims[*place].weight).sum();
         // The level at which the first open claim is met, or the water ends.
         let level = open
             .iter()
             .map(|place| (claims[*place].demand - grants[*place]) / claims[*place].weight)
-            .fold(remaining / weightSum, f64::min);
+            .fold(remaining / weight_sum, f64::min);
         for place in &open {
             grants[*place] += level * claims[*place].weight;
         }
-        remaining -= level * weightSum;
+        remaining -= level * weight_sum;
         open.retain(|place| claims[*place].demand - grants[*place] > 1e-9);
     }
     grants
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use configuration_check::Configuration;
-
-    fn configuration(text: &str) -> Configuration {
-        let document = text.parse().expect("JSON");
-        configuration_check::check(&document).expect("a checked document")
-    }
-
-    #[test]
-    fn floors_then_weights_up_to_the_demand_and_nothing_is_left_while_some_want() {
-        let tree = configuration(
-            r#"{"allowances": {"all": {"weight": 1},
-                "busy": {"parent": "all", "weight": 3},
-                "rare": {"parent": "all", "weight": 1, "memory_floor_mb": 30},
-                "capped": {"parent": "all", "weight": 10, "memory_ceiling_mb": 5}},
-              "functions": {
-                "a": {"allowance": "busy", "weight": 2, "cell_memory_mb": 1, "calls_at_once": 1},
-                "b": {"allowance": "busy", "weight": 1, "cell_memory_mb": 1, "calls_at_once": 1},
-                "c": {"allowance": "rare", "cell_memory_mb": 1, "calls_at_once": 1},
-                "d": {"allowance": "capped", "cell_memory_mb": 1, "calls_at_once": 1}},
-              "lanes": {}}"#,
-        );
-        let demand = |memory_mb| Demand { memory_mb, starts: 0.0 };
-        let share = |demands: [f64; 4]| {
-            let wanted =
-                ["a", "b", "c", "d"].iter().map(|name| name.to_string()).zip(demands.map(demand)).collect();
-            let shares = allowance_split(&tree, &wanted, Totals { memory_mb: 95.0, starts: 0.0 });
-            ["a", "b", "c", "d"].map(|name| (shares[name].memory_mb * 100.0).round() / 100.0)
-        };
-        // 5 to the capped one, 30 to the floor, the other 60 by 3 to 1.
-        assert_eq!(share([100.0, 100.0, 100.0, 100.0]), [30.0, 15.0, 45.0, 5.0]);
-        // What one does not want goes to those that do.
-        assert_eq!(share([100.0, 10.0, 0.0, 0.0]), [85.0, 10.0, 0.0, 0.0]);
-        assert_eq!(share([1.0, 2.0, 3.0, 4.0]), [1.0, 2.0, 3.0, 4.0]);
-    }
-
-    #[test]
-    fn what_is_no_whole_cell_goes_to_a_sibling_that_can_use_it() {
-        let tree = configuration(
-            r#"{"allowances": {"all": {"weight": 1}},
-              "functions": {
-                "a": {"allowance": "all", "cell_memory_mb": 60, "calls_at_once": 1},
-                "b": {"allowance": "all", "cell_memory_mb": 60, "calls_at_once": 1},
-                "c": {"allowance": "all", "cell_memory_mb": 60, "calls_at_once": 1}},
-              "lanes": {}}"#,
-        );
-        let split = |demands: [f64; 3]| {
-            let wanted = ["a", "b", "c"].iter().zip(demands);
-            let wanted =
-                wanted.map(|(name, memory_mb)| (name.to_string(), Demand { memory_mb, starts: 0.0 }));
-            let shares = allowance_split(&tree, &wanted.collect(), Totals { memory_mb: 300.0, starts: 0.0 });
-            ["a", "b", "c"].map(|name| shares[name].memory_mb)
-        };
-        let hungry = split([600.0; 3]);
-        assert_eq!(hungry.iter().sum::<f64>(), 300.0, "five cells, not three: {hungry:?}");
-        assert_eq!(split([60.0, 60.0, 60.0]), [60.0; 3]);
-    }
-}
+mod tests;
--- a/packages/steward_work/src/deputy_work.rs
+++ b/packages/steward_work/src/deputy_work.rs
@@ -74,39 +74,39 @@
         own: NodeId,
         ask: DeputyAsk,
         cells: &[DeputyCell],
-        callsAtOnce: u32,
+        calls_at_once: u32,
         now: Micros,
     ) -> Option<Ticket> {
-        self.open.retain(|_, (_, ticketEnd)| now < *ticketEnd);
+        self.open.retain(|_, (_, ticket_end)| now < *ticket_end);
         self.doubted_until.retain(|_, until| now < *until);
-        self.proved.retain(|_, provedAt| now < *provedAt + PROVED_SPAN);
-        let isCapped = self.cap.is_some_and(|cap| self.open.len() as f64 >= cap.floor());
-        if now < self.backed_off_until || isCapped {
+        self.proved.retain(|_, proved_at| now < *proved_at + PROVED_SPAN);
+        let is_capped = self.cap.is_some_and(|cap| self.open.len() as f64 >= cap.floor());
+        if now < self.backed_off_until || is_capped {
             return None;
         }
-        let inFlight = |cell: &str| self.open.values().filter(|(openCell, _)| openCell == cell).count();
+        let in_flight = |cell: &str| self.open.values().filter(|(open_cell, _)| open_cell == cell).count();
         let grown = self.answers / ANSWERS_FOR_A_CALL_MORE;
-        let limit = (callsAtOnce / 4 + grown).min(callsAtOnce / 2).max(1) as usize;
-        let (.., pickedCell) = cells
+        let limit = (calls_at_once / 4 + grown).min(calls_at_once / 2).max(1) as usize;
+        let (.., picked_cell) = cells
             .iter()
             .filter(|cell| cell.id != ask.avoid && !self.doubted_until.contains_key(&cell.id))
             .map(|cell| {
-                let isKnown = cell.is_known || self.proved.contains_key(&cell.id);
-                (!isKnown, inFlight(&cell.id), cell)
+                let is_known = cell.is_known || self.proved.contains_key(&cell.id);
+                (!is_known, in_flight(&cell.id), cell)
             })
-            .filter(|(isTrial, count, _)| *count < if *isTrial { 1 } else { limit })
-            .min_by_key(|(isTrial, count, cell)| (*isTrial, *count, cell.id.clone()))?;
+            .filter(|(is_trial, count, _)| *count < if *is_trial { 1 } else { limit })
+            .min_by_key(|(is_trial, count, cell)| (*is_trial, *count, cell.id.clone()))?;
         if ask.is_extra && !self.spend_extra(now) {
             return None;
         }
-        self.open.insert(ask.ticket_id, (pickedCell.id.clone(), ask.ends_at));
+        self.open.insert(ask.ticket_id, (picked_cell.id.clone(), ask.ends_at));
         Some(Ticket {
             id: ask.ticket_id,
             granted_by: own,
             steward_epoch: 0,
             function: ask.function.into(),
-            cell: pickedCell.id.as_str().into(),
-            address: Address::from(pickedCell.address),
+            cell: picked_cell.id.as_str().into(),
+            address: Address::from(picked_cell.address),
         })
     }
 
@@ -119,8 +119,8 @@
     }
 
     /// Takes a ticket back. Example: `deputy.returned(ticket.id, RAN, now)`.
-    pub fn returned(&mut self, ticketId: u64, how: u8, now: Micros) {
-        let Some((cell, _)) = self.open.remove(&ticketId) else { return };
+    pub fn returned(&mut self, ticket_id: u64, how: u8, now: Micros) {
+        let Some((cell, _)) = self.open.remove(&ticket_id) else { return };
         match how {
             RAN => {
                 self.proved.insert(cell, now);
@@ -146,54 +146,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_deputy_grants_a_quarter_and_backs_off_on_the_first_turn_away() {
-        let address = SocketAddr::from(([127, 0, 0, 1], 9_000));
-        let known = [DeputyCell { id: "c1".to_owned(), address, is_known: true }];
-        let mut deputy = DeputyWork::default();
-        let grant = |deputy: &mut DeputyWork, ticket_id: u64, is_extra: bool, now: Micros| {
-            let ends_at = now + Micros::from_secs(4);
-            let ask = DeputyAsk { ticket_id, function: "f", is_extra, avoid: "", ends_at };
-            deputy.grant(7, ask, &known, 8, now)
-        };
-        let first = grant(&mut deputy, 1, false, Micros(0)).expect("room");
-        assert_eq!((first.steward_epoch, first.cell.0.as_str()), (0, "c1"));
-        assert!(grant(&mut deputy, 2, false, Micros(0)).is_some());
-        assert!(grant(&mut deputy, 3, false, Micros(0)).is_none(), "two of eight are a quarter");
-        deputy.returned(1, TURNED_AWAY, Micros(0));
-        assert!(grant(&mut deputy, 4, false, Micros(1)).is_none(), "backed off");
-        assert!(grant(&mut deputy, 4, false, BACK_OFF).is_none(), "one at a time after that, and 2 is out");
-        deputy.returned(2, RAN, BACK_OFF);
-        assert!(grant(&mut deputy, 4, false, BACK_OFF).is_some());
-        for ticketId in 10..20 {
-            deputy.returned(4, RAN, BACK_OFF);
-            deputy.returned(ticketId - 1, RAN, BACK_OFF);
-            let isGranted = grant(&mut deputy, ticketId, true, BACK_OFF).is_some();
-            assert_eq!(isGranted, ticketId < 10 + u64::from(EXTRA_PART), "extra ticket {ticketId}");
-        }
-        assert!(grant(&mut deputy, 30, false, Micros::from_secs(60)).is_some(), "lost tickets run out");
-    }
-
-    #[test]
-    fn a_listed_cell_that_nobody_knows_gets_one_call_at_a_time_until_it_answers() {
-        let address = SocketAddr::from(([127, 0, 0, 1], 9_000));
-        let listed = [DeputyCell { id: "c1".to_owned(), address, is_known: false }];
-        let mut deputy = DeputyWork::default();
-        let grant = |deputy: &mut DeputyWork, ticket_id: u64, now: Micros| {
-            let ends_at = now + Micros::from_secs(4);
-            let ask = DeputyAsk { ticket_id, function: "f", is_extra: false, avoid: "", ends_at };
-            deputy.grant(7, ask, &listed, 8, now).is_some()
-        };
-        assert!(grant(&mut deputy, 1, Micros(0)));
-        assert!(!grant(&mut deputy, 2, Micros(0)), "one goes first");
-        deputy.returned(1, NOT_RUN, Micros(0));
-        assert!(!grant(&mut deputy, 2, Micros(1)), "it may still boot");
-        assert!(grant(&mut deputy, 2, TRIAL_PAUSE));
-        deputy.returned(2, RAN, TRIAL_PAUSE);
-        assert!(grant(&mut deputy, 3, TRIAL_PAUSE) && grant(&mut deputy, 4, TRIAL_PAUSE));
-        assert!(!grant(&mut deputy, 5, TRIAL_PAUSE), "a quarter, as for one that a steward knew");
-    }
-}
+mod tests;
--- /dev/null
+++ b/packages/steward_work/src/function_work/tests.rs
@@ -0,0 +1,233 @@
+use super::*;
+use crate::{RAN, TURNED_AWAY};
+
+fn settings() -> WorkSettings {
+    WorkSettings {
+        calls_at_once: 2,
+        boot: Micros::from_secs(1),
+        idle: Micros::from_secs(10),
+        least_cells: 0,
+        most_cells: 10,
+        waitlist: 5,
+    }
+}
+
+fn work() -> FunctionWork {
+    let mut work = FunctionWork::new("proof", 7, 12, settings(), Vec::new(), Micros(0));
+    work.allow_cells(10);
+    work
+}
+
+fn started(cell: &str) -> StartOutcome {
+    let address = SocketAddr::from(([127, 0, 0, 1], 9000));
+    StartOutcome::Started { cell: cell.to_owned(), address }
+}
+
+fn grants(work: &mut FunctionWork) -> Vec<(u64, Ticket)> {
+    let acts = work.take_acts().into_iter();
+    acts.filter_map(|act| match act {
+        WorkAct::Grant { ask, ticket, .. } => Some((ask, ticket)),
+        _ => None,
+    })
+    .collect()
+}
+
+fn first_start(work: &mut FunctionWork) -> String {
+    let acts = work.take_acts().into_iter();
+    acts.filter_map(|act| match act {
+        WorkAct::Start { start_id } => Some(start_id),
+        _ => None,
+    })
+    .next()
+    .expect("a start")
+}
+
+const LONG: Micros = Micros::from_secs(60);
+
+#[test]
+fn one_call_proves_a_booting_cell_and_the_rest_follow_within_its_limit() {
+    let mut work = work();
+    for ask in 1..=2 {
+        work.ask(9, ask, LONG, 0, "", Micros(0));
+    }
+    let start_id = first_start(&mut work);
+    work.started(&start_id, started("c1"), Micros(0));
+    work.tick(Micros::from_millis(900));
+    assert!(grants(&mut work).is_empty(), "not before the learnt boot time");
+    work.ask(9, 1, LONG, 0, "", Micros::from_millis(950));
+    work.ask(9, 2, LONG, 0, "", Micros::from_millis(950));
+    work.tick(Micros::from_secs(1));
+    let trial = grants(&mut work);
+    assert_eq!(trial.iter().map(|(ask, _)| *ask).collect::<Vec<u64>>(), [1]);
+    // Asking again gives the same ticket; nothing is granted twice.
+    work.ask(9, 1, LONG, 0, "", Micros::from_secs(1));
+    assert_eq!(grants(&mut work), trial);
+    work.returned(&trial[0].1, RAN, Micros::from_millis(20), Micros::from_millis(1_100));
+    assert_eq!(grants(&mut work).len(), 1);
+    for ask in 3..=6 {
+        work.ask(9, ask, LONG, 0, "", Micros::from_millis(1_100));
+    }
+    assert_eq!(grants(&mut work).len(), 1, "two at once are what the cell may run");
+    // Calls this short are through before another cell has booted, unless they go on waiting.
+    assert_eq!(work.wanted_cells(), 1);
+    work.take_acts();
+    work.tick(Micros::from_millis(1_200));
+    assert!(!work.take_acts().iter().any(|act| matches!(act, WorkAct::Start { .. })));
+    work.tick(Micros::from_millis(1_400));
+    first_start(&mut work);
+}
+
+#[test]
+fn hopeless_and_surplus_asks_are_refused_at_once_and_idle_cells_stop() {
+    let mut work = work();
+    work.ask(9, 1, Micros::from_millis(500), 0, "", Micros(0));
+    let start_id = first_start(&mut work);
+    work.started(&start_id, started("c1"), Micros::from_millis(1));
+    work.tick(Micros::from_millis(2));
+    let refusals = work.take_acts();
+    assert!(
+        matches!(&refusals[..], [WorkAct::HoldBack { held_back_as: HeldBackAs::Refused, retry_after, .. }]
+            if *retry_after > Micros::from_millis(900)),
+        "{refusals:?}"
+    );
+    for ask in 2..=7 {
+        work.ask(9, ask, LONG, 0, "", Micros::from_millis(3));
+    }
+    let full_count = work
+        .take_acts()
+        .iter()
+        .filter(|act| matches!(act, WorkAct::HoldBack { reason: "waitlist full", .. }))
+        .count();
+    assert_eq!(full_count, 1);
+    (2..=7).for_each(|ask| work.withdraw(9, ask));
+    let listed_cell = ListedCell {
+        id: "c1".to_owned(),
+        function: "proof".to_owned(),
+        worker: "w1".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9000)),
+        memory_mb: 1,
+        leaving: false,
+    };
+    work.listed(&[listed_cell], &[], Micros::from_secs(2), Micros::from_secs(2));
+    for second in 3..=25 {
+        work.tick(Micros::from_secs(second));
+    }
+    assert!(work.take_acts().contains(&WorkAct::Stop { cell: "c1".to_owned() }));
+    work.listed(&[], &[], Micros::from_secs(26), Micros::from_secs(26));
+    assert_eq!(work.cell_count(), 0);
+}
+
+#[test]
+fn a_new_steward_keeps_the_cells_it_finds_for_one_idle_span() {
+    let listed = |id: &str| ListedCell {
+        id: id.to_owned(),
+        function: "proof".to_owned(),
+        worker: "w1".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        memory_mb: 1,
+        leaving: false,
+    };
+    let stops = |work: &mut FunctionWork| {
+        work.take_acts().iter().filter(|act| matches!(act, WorkAct::Stop { .. })).count()
+    };
+    let mut work = work();
+    let found = [listed("c1"), listed("c2"), listed("c3")];
+    let known = ["c1".to_owned(), "c2".to_owned(), "c3".to_owned()];
+    work.listed(&found, &known, Micros(0), Micros(0));
+    for second in 0..9 {
+        work.tick(Micros::from_secs(second));
+    }
+    assert_eq!((stops(&mut work), work.ready_cells().len()), (0, 3));
+    for second in 9..30 {
+        work.tick(Micros::from_secs(second));
+    }
+    assert!(stops(&mut work) >= 3 && work.ready_cells().is_empty(), "not called for an idle span");
+    // Before the first list nobody is refused for want of cells.
+    let mut fresh = FunctionWork::new("proof", 7, 13, settings(), Vec::new(), Micros(0));
+    fresh.hold_starts(Micros::from_secs(2));
+    fresh.ask(9, 1, Micros::from_millis(500), 0, "", Micros(0));
+    fresh.tick(Micros::from_millis(100));
+    assert!(
+        !fresh
+            .take_acts()
+            .iter()
+            .any(|act| matches!(act, WorkAct::HoldBack { held_back_as: HeldBackAs::Refused, .. }))
+    );
+    fresh.listed(&found, &known, Micros::from_millis(200), Micros::from_millis(200));
+    assert_eq!(grants(&mut fresh).len(), 1);
+}
+
+#[test]
+fn a_late_first_call_teaches_no_long_boot_and_surplus_cells_that_do_not_run_go_first() {
+    assert_eq!(learn_boot(Micros(1_000), Micros(9_000), RAN), Micros(995));
+    assert_eq!(learn_boot(Micros(1_000), Micros(700), RAN), Micros(700));
+    assert!(learn_boot(Micros(1_000), Micros(1_200), NOT_RUN) > Micros(1_200));
+    let mut work = work();
+    work.ask(9, 1, LONG, 0, "", Micros(0));
+    let start_id = first_start(&mut work);
+    work.started(&start_id, started("c1"), Micros(0));
+    work.tick(Micros::from_secs(1));
+    let trial = grants(&mut work);
+    work.returned(&trial[0].1, RAN, Micros(1_000), Micros::from_millis(1_100));
+    // A second cell is started for a moment's crowd and then not needed.
+    for ask in 2..=4 {
+        work.ask(9, ask, LONG, 0, "", Micros::from_millis(1_200));
+    }
+    work.tick(Micros::from_millis(1_500));
+    let start_id = first_start(&mut work);
+    work.started(&start_id, started("c0"), Micros::from_millis(1_500));
+    work.allow_cells(1);
+    work.tick(Micros::from_millis(1_600));
+    let acts = work.take_acts();
+    assert!(acts.contains(&WorkAct::Stop { cell: "c0".to_owned() }));
+    assert_eq!(work.ready_cells().len(), 1);
+}
+
+#[test]
+fn a_call_that_was_given_up_on_keeps_its_place_and_teaches_how_long_calls_take() {
+    let ms = Micros::from_millis;
+    assert_eq!(learn_latency(ms(50), ms(90), RAN, 0), Micros(55_001));
+    assert_eq!(learn_latency(ms(50), ms(10), UNKNOWN, 0), ms(50), "a lost answer tells nothing");
+    let slow = (1..8).fold(ms(50), |usual, row| learn_latency(usual, ms(800), UNKNOWN, row));
+    assert_eq!(slow, ms(800), "a crowd that only times out is seen to be slow within a few calls");
+    let mut work = work();
+    work.settings.calls_at_once = 1;
+    work.settings.most_cells = 1;
+    work.ask(9, 1, LONG, 0, "", Micros(0));
+    let start_id = first_start(&mut work);
+    work.started(&start_id, started("c1"), Micros(0));
+    work.tick(ms(1_000));
+    let trial = grants(&mut work);
+    work.returned(&trial[0].1, RAN, ms(50), ms(1_050));
+    work.ask(9, 2, LONG, 0, "", ms(1_100));
+    let second = grants(&mut work);
+    work.ask(9, 3, LONG, 0, "", ms(1_200));
+    work.returned(&second[0].1, UNKNOWN, ms(200), ms(1_300));
+    work.tick(ms(1_340));
+    assert!(grants(&mut work).is_empty(), "the cell may still be at it");
+    work.tick(ms(1_600));
+    assert_eq!(grants(&mut work).len(), 1);
+}
+
+#[test]
+fn extra_dispatches_stay_within_one_in_five_and_the_fixed_part() {
+    let mut work = work();
+    let start_id = {
+        work.ask(9, 1, LONG, 0, "", Micros(0));
+        first_start(&mut work)
+    };
+    work.started(&start_id, started("c1"), Micros(0));
+    let mut granted = 0;
+    for ask in 2..=400u64 {
+        let now = Micros::from_millis(1_000 + ask);
+        work.ask(9, ask, LONG, 1, "", now);
+        for (_, ticket) in grants(&mut work) {
+            granted += 1;
+            work.returned(&ticket, TURNED_AWAY, Micros(1), now);
+        }
+        work.withdraw(9, ask);
+    }
+    assert!(granted <= 50, "{granted}");
+    assert!(!work.spend_extra(Micros::from_millis(1_500)));
+    assert!(work.spend_extra(Micros::from_millis(12_000)), "the window moves on");
+}
--- a/packages/steward_work/src/placement.rs
+++ b/packages/steward_work/src/placement.rs
@@ -48,8 +48,8 @@
     /// Keeps so much of each worker's memory free for functions that have no cell yet: what a hungry
     /// group holds comes back only seconds after it was asked to stop.
     /// Example: `placement.keep_free(128)`.
-    pub fn keep_free(&mut self, reserveMb: u64) {
-        self.reserve_mb = reserveMb;
+    pub fn keep_free(&mut self, reserve_mb: u64) {
+        self.reserve_mb = reserve_mb;
     }
 
     /// Memory of all usable workers, without what is kept free.
@@ -60,15 +60,15 @@
     }
 
     /// Whether the worker is listed and not draining. Example: `!placement.is_usable("w9")`.
-    pub fn is_usable(&self, workerName: &str) -> bool {
-        self.workers.iter().any(|worker| worker.id == workerName && !worker.draining)
+    pub fn is_usable(&self, worker_name: &str) -> bool {
+        self.workers.iter().any(|worker| worker.id == worker_name && !worker.draining)
     }
 
     /// Picks a worker with room: of the three with most free memory the one that the start id
     /// hashes to, so that many stewards placing at once do not all pick the same.
     /// Example: `placement.pick(600, "7-1", false, now) == Some("w3".into())`.
-    pub fn pick(&mut self, memoryMb: u64, startId: &str, isFirst: bool, now: Micros) -> Option<String> {
-        let keptMb = if isFirst { 0 } else { self.reserve_mb };
+    pub fn pick(&mut self, memory_mb: u64, start_id: &str, is_first: bool, now: Micros) -> Option<String> {
+        let kept_mb = if is_first { 0 } else { self.reserve_mb };
         self.recent.retain(|start| now < start.at + RECENT_SPAN);
         self.full_until.retain(|_, (_, until)| now < *until);
         let mut rooms: Vec<(u64, &str)> = self
@@ -76,36 +76,36 @@
             .iter()
             .filter(|worker| !worker.draining)
             .filter(|worker| {
-                self.full_until.get(&worker.id).is_none_or(|(refusedMb, _)| memoryMb < *refusedMb)
+                self.full_until.get(&worker.id).is_none_or(|(refused_mb, _)| memory_mb < *refused_mb)
             })
             .filter_map(|worker| {
-                let recentMb: u64 = self
+                let recent_mb: u64 = self
                     .recent
                     .iter()
                     .filter(|start| start.worker == worker.id)
                     .map(|start| start.memory_mb)
                     .sum();
-                let usedMb = self.used.get(&worker.id).copied().unwrap_or(0) + recentMb;
-                let freeMb = worker.memory_mb.checked_sub(usedMb)?;
-                (freeMb >= memoryMb + keptMb).then_some((freeMb, worker.id.as_str()))
+                let used_mb = self.used.get(&worker.id).copied().unwrap_or(0) + recent_mb;
+                let free_mb = worker.memory_mb.checked_sub(used_mb)?;
+                (free_mb >= memory_mb + kept_mb).then_some((free_mb, worker.id.as_str()))
             })
             .collect();
         rooms.sort_by(|left, right| right.cmp(left));
         rooms.truncate(3);
-        let pickedWorker = rooms
+        let picked_worker = rooms
             .into_iter()
-            .max_by_key(|(_, workerId)| {
-                rendezvous_weight(startId, colleague_messages::stable_hash(workerId.as_bytes()))
+            .max_by_key(|(_, worker_id)| {
+                rendezvous_weight(start_id, colleague_messages::stable_hash(worker_id.as_bytes()))
             })
-            .map(|(_, workerId)| workerId.to_owned())?;
-        self.recent.push(RecentStart { worker: pickedWorker.clone(), memory_mb: memoryMb, at: now });
-        Some(pickedWorker)
+            .map(|(_, worker_id)| worker_id.to_owned())?;
+        self.recent.push(RecentStart { worker: picked_worker.clone(), memory_mb, at: now });
+        Some(picked_worker)
     }
 
     /// The worker refused a cell of this size: others are tried first for a while.
     /// Example: `placement.refused("w3", 600, now)`.
-    pub fn refused(&mut self, workerName: &str, memoryMb: u64, now: Micros) {
-        self.full_until.insert(workerName.to_owned(), (memoryMb, now + FULL_SPAN));
+    pub fn refused(&mut self, worker_name: &str, memory_mb: u64, now: Micros) {
+        self.full_until.insert(worker_name.to_owned(), (memory_mb, now + FULL_SPAN));
     }
 }
 
@@ -137,15 +137,15 @@
     }
 
     /// Sets the acts a second. Example: `rate.take_rate(8.0, now)`.
-    pub fn take_rate(&mut self, perSecond: f64, now: Micros) {
+    pub fn take_rate(&mut self, per_second: f64, now: Micros) {
         self.fill(now);
-        self.per_second = perSecond;
+        self.per_second = per_second;
     }
 
     fn fill(&mut self, now: Micros) {
-        let passedSeconds = (now - self.filled_at).0 as f64 / 1e6;
+        let passed_seconds = (now - self.filled_at).0 as f64 / 1e6;
         self.filled_at = now;
-        self.tokens = (self.tokens + passedSeconds * self.per_second).min(BURST.max(self.per_second / 4.0));
+        self.tokens = (self.tokens + passed_seconds * self.per_second).min(BURST.max(self.per_second / 4.0));
     }
 
     /// Spends one act if there is one and the platform is not backing us off.
@@ -181,51 +181,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn cells_go_where_room_is_and_not_where_they_were_just_refused() {
-        let worker = |id: &str, draining| ListedWorker { id: id.to_owned(), memory_mb: 1_000, draining };
-        let mut placement = Placement::default();
-        placement.take_list(
-            vec![worker("w1", false), worker("w2", false), worker("w3", true)],
-            BTreeMap::from([("w1".to_owned(), 500)]),
-        );
-        assert_eq!(placement.total_memory_mb(), 2_000);
-        assert_eq!(
-            placement.pick(600, "a", false, Micros(0)),
-            Some("w2".to_owned()),
-            "the only one with room"
-        );
-        assert_eq!(
-            placement.pick(600, "b", false, Micros(0)),
-            None,
-            "its own starts count before the list shows them"
-        );
-        assert_eq!(placement.pick(600, "c", false, RECENT_SPAN), Some("w2".to_owned()));
-        placement.refused("w2", 600, RECENT_SPAN);
-        let late = RECENT_SPAN + RECENT_SPAN;
-        placement.refused("w2", 600, late);
-        assert_eq!(placement.pick(600, "d", false, late), None);
-        assert_eq!(placement.pick(600, "e", false, late + FULL_SPAN), Some("w2".to_owned()));
-    }
-
-    #[test]
-    fn acts_keep_to_the_rate_and_hold_twice_as_long_at_each_429() {
-        let mut rate = StartRate::new();
-        rate.take_rate(10.0, Micros(0));
-        let spent = |rate: &mut StartRate, from: u64, to: u64| {
-            (from..to).filter(|millisecond| rate.spend(Micros::from_millis(*millisecond))).count()
-        };
-        let inTwoSeconds = spent(&mut rate, 0, 2_000);
-        assert!((23..=24).contains(&inTwoSeconds), "{inTwoSeconds}: a burst of four and ten a second");
-        rate.throttled(Micros::from_secs(2));
-        assert_eq!(spent(&mut rate, 2_000, 2_100), 0);
-        assert!(rate.spend(Micros::from_millis(2_200)));
-        rate.throttled(Micros::from_millis(2_200));
-        assert_eq!(spent(&mut rate, 2_200, 2_400), 0);
-        rate.accepted();
-        assert!(rate.spend(Micros::from_millis(2_500)));
-    }
-}
+mod tests;
--- a/packages/supervisor/src/lib.rs
+++ b/packages/supervisor/src/lib.rs
@@ -62,8 +62,8 @@
     where
         Work: Future<Output = Result<(), Report<ChildError>>> + 'static,
     {
-        let childName = format!("{}/{name}", self.name);
-        self.children.push(Child { name: childName, make: Box::new(move || Box::pin(make())) });
+        let child_name = format!("{}/{name}", self.name);
+        self.children.push(Child { name: child_name, make: Box::new(move || Box::pin(make())) });
         self
     }
 
@@ -96,7 +96,7 @@
 }
 
 async fn keep(child: Child, patience: Patience) -> Result<(), Report<ChildError>> {
-    let mut failedAt: Vec<Instant> = Vec::new();
+    let mut failed_at: Vec<Instant> = Vec::new();
     loop {
         let working = tokio::task::spawn_local((child.make)());
         let _ending = EndOnDrop(working.abort_handle());
@@ -106,9 +106,9 @@
             Err(broken) => broken.to_string(),
         };
         log::error!("{} failed: {reason}", child.name);
-        failedAt.retain(|failed| failed.elapsed() < patience.within);
-        failedAt.push(Instant::now());
-        if failedAt.len() > patience.restarts {
+        failed_at.retain(|failed| failed.elapsed() < patience.within);
+        failed_at.push(Instant::now());
+        if failed_at.len() > patience.restarts {
             return Err(Report::new(ChildError(child.name)).attach(reason));
         }
         tokio::time::sleep(patience.pause).await;
@@ -116,27 +116,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::cell::Cell;
-    use std::rc::Rc;
-
-    #[test]
-    fn a_failing_child_is_started_anew_and_then_given_up() {
-        let patience = Patience { restarts: 3, within: Duration::from_secs(60), pause: Duration::ZERO };
-        let starts = Rc::new(Cell::new(0));
-        let countedStarts = starts.clone();
-        let supervisor = Supervisor::new("root", patience)
-            .child("steady", || async {
-                std::future::pending::<()>().await;
-                Ok(())
-            })
-            .child("broken", move || {
-                countedStarts.set(countedStarts.get() + 1);
-                async { panic!("a broken invariant") }
-            });
-        let ended = actix_rt::System::new().block_on(supervisor.run());
-        assert_eq!(ended.expect_err("given up").current_context().0, "root/broken");
-        assert_eq!(starts.get(), 4);
-    }
-}
+mod tests;
--- a/packages/vanelane/src/colleague_links.rs
+++ b/packages/vanelane/src/colleague_links.rs
@@ -59,27 +59,27 @@
         }
         let link = self.links.entry(address).or_insert_with(|| {
             let (sender, receiver) = mpsc::channel(LINK_WAITLIST);
-            let waitingBytes = Arc::new(AtomicUsize::new(0));
-            actix_rt::spawn(carry(address.socket(), receiver, waitingBytes.clone()));
-            Link { sender, waiting_bytes: waitingBytes }
+            let waiting_bytes = Arc::new(AtomicUsize::new(0));
+            actix_rt::spawn(carry(address.socket(), receiver, waiting_bytes.clone()));
+            Link { sender, waiting_bytes }
         });
-        let frameLength = frame.len();
-        if link.waiting_bytes.load(Ordering::Relaxed) + frameLength > LINK_BYTES
+        let frame_length = frame.len();
+        if link.waiting_bytes.load(Ordering::Relaxed) + frame_length > LINK_BYTES
             || link.sender.try_send(frame).is_err()
         {
             self.counts.waitlist_full.fetch_add(1, Ordering::Relaxed);
             return;
         }
-        link.waiting_bytes.fetch_add(frameLength, Ordering::Relaxed);
+        link.waiting_bytes.fetch_add(frame_length, Ordering::Relaxed);
     }
 }
 
-async fn carry(address: SocketAddr, mut receiver: mpsc::Receiver<Vec<u8>>, waitingBytes: Arc<AtomicUsize>) {
+async fn carry(address: SocketAddr, mut receiver: mpsc::Receiver<Vec<u8>>, waiting_bytes: Arc<AtomicUsize>) {
     let mut stream: Option<TcpStream> = None;
     loop {
         let Ok(received) = tokio::time::timeout(IDLE_LINK, receiver.recv()).await else { return };
         let Some(frame) = received else { return };
-        waitingBytes.fetch_sub(frame.len(), Ordering::Relaxed);
+        waiting_bytes.fetch_sub(frame.len(), Ordering::Relaxed);
         if stream.as_ref().is_some_and(is_closed) {
             stream = None;
         }
@@ -88,8 +88,8 @@
         }
         let Some(open) = &mut stream else {
             // The frame is lost, and so are those that wait for an address that does not answer.
-            while let Ok(lostFrame) = receiver.try_recv() {
-                waitingBytes.fetch_sub(lostFrame.len(), Ordering::Relaxed);
+            while let Ok(lost_frame) = receiver.try_recv() {
+                waiting_bytes.fetch_sub(lost_frame.len(), Ordering::Relaxed);
             }
             tokio::time::sleep(RECONNECT_PAUSE).await;
             continue;
--- a/packages/vanelane/src/control_pages.rs
+++ b/packages/vanelane/src/control_pages.rs
@@ -78,10 +78,10 @@
     }
 
     fn ready(&self) -> Page {
-        let isDraining = self.flags.draining.load(Ordering::Relaxed);
-        let isReady = self.flags.ready.load(Ordering::Relaxed) && !isDraining;
-        let status = if isReady { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-        json_page(status, &json!({"ready": isReady, "draining": isDraining}))
+        let is_draining = self.flags.draining.load(Ordering::Relaxed);
+        let is_ready = self.flags.ready.load(Ordering::Relaxed) && !is_draining;
+        let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        json_page(status, &json!({"ready": is_ready, "draining": is_draining}))
     }
 
     async fn ask<T>(&self, make: impl FnOnce(oneshot::Sender<T>) -> ShellEvent) -> Option<T> {
@@ -95,15 +95,15 @@
         let begun = LineReader { payload, buffer: BytesMut::new(), is_over: false };
         let outcomes = futures_util::stream::unfold((self, begun), |(pages, mut reader)| async move {
             let line = reader.next_line().await?;
-            let outcomeLine = match line {
+            let outcome_line = match line {
                 Ok(line) => pages.change(&line).await,
                 Err(reason) => {
                     reader.is_over = true;
                     refused_line(Value::Null, reason)
                 }
             };
-            let outcomeBytes = Bytes::from(outcomeLine.to_string() + "\n");
-            Some((Ok::<Bytes, std::io::Error>(outcomeBytes), (pages, reader)))
+            let outcome_bytes = Bytes::from(outcome_line.to_string() + "\n");
+            Some((Ok::<Bytes, std::io::Error>(outcome_bytes), (pages, reader)))
         });
         line_page(outcomes)
     }
@@ -112,21 +112,21 @@
         let change: Change = match serde_json::from_slice(line) {
             Ok(change) => change,
             Err(failure) => {
-                let changeId = serde_json::from_slice::<Value>(line)
+                let change_id = serde_json::from_slice::<Value>(line)
                     .ok()
                     .and_then(|document| document.get("change_id").cloned());
-                return refused_line(changeId.unwrap_or(Value::Null), format!("no change: {failure}"));
+                return refused_line(change_id.unwrap_or(Value::Null), format!("no change: {failure}"));
             }
         };
-        let changeId = change.change_id.clone();
+        let change_id = change.change_id.clone();
         let outcome = self.ask(|reply| ShellEvent::Change { change, reply }).await;
         let silence = ChangeOutcome::Unknown { reason: "the node did not answer in time".to_owned() };
-        outcome.unwrap_or(silence).line(&changeId)
+        outcome.unwrap_or(silence).line(&change_id)
     }
 
     async fn decisions(self, query: &str) -> Page {
         let mut after = Vec::new();
-        let mut isFollowing = false;
+        let mut is_following = false;
         let mut most = DECISIONS_AT_ONCE;
         for (name, value) in query.split('&').filter_map(|part| part.split_once('=')) {
             match name {
@@ -136,7 +136,7 @@
                         return json_page(StatusCode::BAD_REQUEST, &json!({"reason": "after is no cursor"}));
                     }
                 },
-                "follow" => isFollowing = value == "1",
+                "follow" => is_following = value == "1",
                 "most" => match value.parse::<u32>() {
                     Ok(number) => most = number.clamp(1, 2_000),
                     Err(_) => {
@@ -149,15 +149,15 @@
                 }
             }
         }
-        if !isFollowing {
+        if !is_following {
             let Some(reply) = self.ask(|reply| ShellEvent::Decisions { after, most, reply }).await else {
                 return json_page(StatusCode::SERVICE_UNAVAILABLE, &json!({"reason": "no answer"}));
             };
             return page(StatusCode::OK, "application/x-ndjson", decision_lines(&reply));
         }
         let stream =
-            futures_util::stream::unfold((self, after, true), move |(pages, after, isFirst)| async move {
-                if !isFirst {
+            futures_util::stream::unfold((self, after, true), move |(pages, after, is_first)| async move {
+                if !is_first {
                     tokio::time::sleep(FOLLOW_PAUSE).await;
                 }
                 let asked = after.clone();
@@ -166,8 +166,8 @@
                 Some((Ok::<Bytes, std::io::Error>(Bytes::from(lines)), (pages, reply.cursor, false)))
             });
         let filled = stream.filter(|chunk| {
-            let isKept = chunk.as_ref().is_ok_and(|bytes| !bytes.is_empty());
-            std::future::ready(isKept)
+            let is_kept = chunk.as_ref().is_ok_and(|bytes| !bytes.is_empty());
+            std::future::ready(is_kept)
         });
         line_page(filled)
     }
@@ -266,9 +266,9 @@
     }
 }
 
-fn refused_line(changeId: Value, reason: String) -> Value {
+fn refused_line(change_id: Value, reason: String) -> Value {
     json!({
-        "change_id": changeId,
+        "change_id": change_id,
         "outcome": "refused",
         "reasons": [Reason::at("", reason)],
     })
@@ -325,8 +325,8 @@
             }
             if self.is_over {
                 let line = self.buffer.split().freeze();
-                let isBlank = line.iter().all(u8::is_ascii_whitespace);
-                return if isBlank { None } else { Some(Ok(line)) };
+                let is_blank = line.iter().all(u8::is_ascii_whitespace);
+                return if is_blank { None } else { Some(Ok(line)) };
             }
             match self.payload.next().await {
                 Some(Ok(chunk)) => self.buffer.extend_from_slice(&chunk),
--- a/packages/vanelane/src/disk_thread.rs
+++ b/packages/vanelane/src/disk_thread.rs
@@ -35,22 +35,22 @@
 }
 
 fn work(mut file: RecordFile, receiver: &Receiver<DiskWork>, done: &dyn Fn(u64, bool)) {
-    while let Ok(firstWork) = receiver.recv() {
+    while let Ok(first_work) = receiver.recv() {
         // Whatever waits by now shares one sync: the group commit.
-        let mut group = vec![firstWork];
+        let mut group = vec![first_work];
         while group.len() < GROUP_LIMIT
-            && let Ok(nextWork) = receiver.try_recv()
+            && let Ok(next_work) = receiver.try_recv()
         {
-            group.push(nextWork);
+            group.push(next_work);
         }
-        let newestToken = group.last().map_or(0, |work| work.token);
+        let newest_token = group.last().map_or(0, |work| work.token);
         if let Err(failure) = write_group(&mut file, group) {
             // Nothing more is appended until a rewrite has made the file whole again.
             log::error!("the disk failed and is not trusted until it is rewritten: {failure:?}");
-            done(newestToken, false);
+            done(newest_token, false);
             continue;
         }
-        done(newestToken, true);
+        done(newest_token, true);
     }
 }
 
@@ -72,12 +72,12 @@
         Err(failure) => failure,
     };
     let RecordError::Damaged(offset) = failure.current_context() else { return Err(failure) };
-    let setAside = (0..1_000)
+    let set_aside = (0..1_000)
         .map(|number| folder.join(format!("records.damaged-{number}")))
         .find(|path| !path.exists())
         .unwrap_or_else(|| folder.join("records.damaged"));
-    log::error!("records are damaged at byte {offset}; the file is set aside as {}", setAside.display());
-    if std::fs::rename(folder.join("records"), setAside).is_err() {
+    log::error!("records are damaged at byte {offset}; the file is set aside as {}", set_aside.display());
+    if std::fs::rename(folder.join("records"), set_aside).is_err() {
         return Err(failure);
     }
     RecordFile::open(folder, fleet)
--- a/packages/vanelane/src/main.rs
+++ b/packages/vanelane/src/main.rs
@@ -12,8 +12,8 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let commandLine = command_line::Vanelane::from_env_or_exit();
-    match commandLine.subcommand {
+    let command_line = command_line::Vanelane::from_env_or_exit();
+    match command_line.subcommand {
         command_line::VanelaneCmd::Run(run) => run_node::run(run),
         command_line::VanelaneCmd::Schema(_) => operator_commands::schema(),
         command_line::VanelaneCmd::CheckConfiguration(check) => {
--- a/packages/vanelane/src/operator_commands.rs
+++ b/packages/vanelane/src/operator_commands.rs
@@ -72,12 +72,12 @@
     };
     let body = match change.whole_as {
         None => bytes,
-        Some(changeId) => {
+        Some(change_id) => {
             let whole: Value = match serde_json::from_slice(&bytes) {
                 Ok(whole) => whole,
                 Err(failure) => return complain(format!("{}: {failure}", change.file.display()), BAD_USE),
             };
-            let mut line = json!({"change_id": changeId, "whole": whole});
+            let mut line = json!({"change_id": change_id, "whole": whole});
             if let Some(generation) = change.expected_generation {
                 line["expected_generation"] = json!(generation);
             }
@@ -97,11 +97,11 @@
             text.extend_from_slice(&chunk);
             say(&chunk);
         }
-        let isAccepted = |line: &[u8]| {
+        let is_accepted = |line: &[u8]| {
             serde_json::from_slice::<Value>(line).is_ok_and(|outcome| outcome["outcome"] == "accepted")
         };
-        let allAccepted = text.split(|byte| *byte == b'\n').filter(|line| !line.is_empty()).all(isAccepted);
-        if allAccepted { ExitCode::SUCCESS } else { ExitCode::from(REFUSED) }
+        let all_accepted = text.split(|byte| *byte == b'\n').filter(|line| !line.is_empty()).all(is_accepted);
+        if all_accepted { ExitCode::SUCCESS } else { ExitCode::from(REFUSED) }
     })
 }
 
@@ -126,13 +126,13 @@
             Ok(answer) => answer,
             Err(failure) => return complain(failure, UNREACHED),
         };
-        let isSound = answer.status().is_success();
+        let is_sound = answer.status().is_success();
         while let Some(chunk) = answer.next().await {
             let Ok(chunk) = chunk else { return complain("the answer was cut", UNREACHED) };
             if !say(&chunk) {
                 break;
             }
         }
-        if isSound { ExitCode::SUCCESS } else { ExitCode::from(REFUSED) }
+        if is_sound { ExitCode::SUCCESS } else { ExitCode::from(REFUSED) }
     })
 }
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -71,14 +71,14 @@
     ) -> Result<(), Report<ChildError>> {
         let mut ticker = tokio::time::interval(TICK);
         ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut tickedAt = self.clock.now();
+        let mut ticked_at = self.clock.now();
         loop {
             tokio::select! {
                 biased;
                 _ = ticker.tick() => {
                     let now = self.clock.now();
-                    self.front.tell_lag(now - tickedAt - Micros::from_millis(TICK.as_millis() as u64));
-                    tickedAt = now;
+                    self.front.tell_lag(now - ticked_at - Micros::from_millis(TICK.as_millis() as u64));
+                    ticked_at = now;
                     self.handle(Event::Tick);
                 }
                 event = inbox.recv() => match event {
@@ -167,8 +167,8 @@
             }
             Act::WriteDisk { token, records, is_rewrite } => {
                 let work = DiskWork { token, records, is_rewrite };
-                let isTaken = self.disk.as_ref().is_some_and(|disk| disk.hand_over(work));
-                if !isTaken {
+                let is_taken = self.disk.as_ref().is_some_and(|disk| disk.hand_over(work));
+                if !is_taken {
                     return Some(Event::DiskDone { token, is_synced: false });
                 }
             }
@@ -209,11 +209,11 @@
             }
             Act::CallGranted { call, ticket } => {
                 let reply = self.tickets.remove(&call);
-                let isGone = match reply {
+                let is_gone = match reply {
                     Some(reply) => reply.send(TicketAnswer::Granted(ticket.clone())).is_err(),
                     None => true,
                 };
-                if isGone {
+                if is_gone {
                     return Some(Event::TicketDone { ticket, how: steward_work::UNUSED, latency: Micros(0) });
                 }
             }
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -54,14 +54,14 @@
         return ExitCode::SUCCESS;
     }
     let logging = logging_config(settings.log_level);
-    let logHandle = match logging.map(log4rs::init_config) {
+    let log_handle = match logging.map(log4rs::init_config) {
         Ok(Ok(handle)) => handle,
         _ => {
             eprintln!("vanelane: logging could not be set up");
             return ExitCode::from(BAD_START);
         }
     };
-    match actix_rt::System::new().block_on(serve(run, settings, logHandle)) {
+    match actix_rt::System::new().block_on(serve(run, settings, log_handle)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
             log::error!("{reason}");
@@ -86,16 +86,16 @@
     Ok(listener)
 }
 
-async fn serve(run: Run, settings: Settings, logHandle: log4rs::Handle) -> Result<(), String> {
-    let (inboxSender, inbox) = mpsc::channel(INBOX_LIMIT);
-    let (linkSender, frontLinks) = mpsc::channel(INBOX_LIMIT);
-    let frontSettings = FrontSettings {
+async fn serve(run: Run, settings: Settings, log_handle: log4rs::Handle) -> Result<(), String> {
+    let (inbox_sender, inbox) = mpsc::channel(INBOX_LIMIT);
+    let (link_sender, front_links) = mpsc::channel(INBOX_LIMIT);
+    let front_settings = FrontSettings {
         body_limit: settings.body_limit_bytes,
         memory_limit: settings.memory_limit_bytes,
         calls_limit: settings.calls_limit,
         ..FrontSettings::default()
     };
-    let mut front = Front::new(frontSettings, linkSender);
+    let mut front = Front::new(front_settings, link_sender);
     if let Some(path) = &settings.recording {
         let recorder = Recorder::start(path, settings.recording_limit_bytes)
             .map_err(|failure| format!("setting recording: {}: {failure}", path.display()))?;
@@ -112,39 +112,39 @@
     let frames = Arc::new(FrameCounts::default());
     let fleet = fleet_mark(&settings.fleet);
 
-    let colleagueListener = listen_on("colleague_address", settings.colleague_address)?;
-    let visitorListener = listen_on("visitor_address", settings.visitor_address)?;
-    let controlListener = listen_on("control_address", settings.control_address)?;
+    let colleague_listener = listen_on("colleague_address", settings.colleague_address)?;
+    let visitor_listener = listen_on("visitor_address", settings.visitor_address)?;
+    let control_listener = listen_on("control_address", settings.control_address)?;
 
     let mut disk = None;
-    let mut diskThread = None;
+    let mut disk_thread = None;
     if let Some(folder) = &settings.data_folder {
         let (file, registers) = open_disk(folder, fleet)?;
         disk = Some((file.disk(), registers));
-        let diskInbox = inboxSender.clone();
+        let disk_inbox = inbox_sender.clone();
         let started = DiskThread::start(file, move |token, is_synced| {
-            let _ = diskInbox.blocking_send(ShellEvent::DiskDone { token, is_synced });
+            let _ = disk_inbox.blocking_send(ShellEvent::DiskDone { token, is_synced });
         });
-        diskThread = Some(started.map_err(|failure| format!("disk thread: {failure}"))?);
+        disk_thread = Some(started.map_err(|failure| format!("disk thread: {failure}"))?);
     }
 
     let clock = MonotonicClock::start();
-    let ownAddress = Address::from(settings.colleague_address);
-    let nodeSettings = node_settings(&settings, ownAddress);
-    let ownNode = nodeSettings.node;
-    log::info!("node {ownNode:016x} starts at {}", settings.colleague_address);
+    let own_address = Address::from(settings.colleague_address);
+    let node_settings = node_settings(&settings, own_address);
+    let own_node = node_settings.node;
+    log::info!("node {own_node:016x} starts at {}", settings.colleague_address);
     let shell = ProtocolShell {
-        node: Node::new(nodeSettings, disk, clock.now()),
+        node: Node::new(node_settings, disk, clock.now()),
         clock,
-        own_node: ownNode,
-        own_address: ownAddress,
+        own_node,
+        own_address,
         fleet,
         links: ColleagueLinks::new(frames.clone()),
-        disk: diskThread,
+        disk: disk_thread,
         platform: PlatformClient::new(settings.platform_address),
         front: front.clone(),
         flags: flags.clone(),
-        inbox_sender: inboxSender.clone(),
+        inbox_sender: inbox_sender.clone(),
         tickets: HashMap::new(),
         changes: HashMap::new(),
         decisions: HashMap::new(),
@@ -152,36 +152,36 @@
     };
 
     let pages = ControlPages {
-        inbox: inboxSender.clone(),
+        inbox: inbox_sender.clone(),
         front: front.clone(),
         flags: flags.clone(),
         frames: frames.clone(),
     };
-    let visitorServer = visitor_server(visitorListener, front.clone(), settings.worker_threads)?;
-    let visitorHandle = visitorServer.handle();
-    let controlServer = control_server(controlListener, pages)?;
-    let controlHandle = controlServer.handle();
-    let servers = Rc::new(RefCell::new(vec![visitorServer, controlServer]));
+    let visitor_server = visitor_server(visitor_listener, front.clone(), settings.worker_threads)?;
+    let visitor_handle = visitor_server.handle();
+    let control_server = control_server(control_listener, pages)?;
+    let control_handle = control_server.handle();
+    let servers = Rc::new(RefCell::new(vec![visitor_server, control_server]));
 
-    let colleagueListener = tokio::net::TcpListener::from_std(colleagueListener)
+    let colleague_listener = tokio::net::TcpListener::from_std(colleague_listener)
         .map_err(|failure| format!("setting colleague_address: {failure}"))?;
-    let colleagueListener = Rc::new(colleagueListener);
-    let listenInbox = inboxSender.clone();
-    let protocol = Rc::new(RefCell::new(Some((shell, inbox, frontLinks))));
+    let colleague_listener = Rc::new(colleague_listener);
+    let listen_inbox = inbox_sender.clone();
+    let protocol = Rc::new(RefCell::new(Some((shell, inbox, front_links))));
 
     let tree = Supervisor::new("vanelane", Patience::default())
         .child("protocol", move || {
             // The node's state is not to be trusted after a broken invariant: it runs once.
             let taken = protocol.borrow_mut().take();
             async move {
-                let Some((mut shell, mut inbox, mut frontLinks)) = taken else {
+                let Some((mut shell, mut inbox, mut front_links)) = taken else {
                     return Err(error_stack::Report::new(supervisor::ChildError("protocol".to_owned())));
                 };
-                shell.run(&mut inbox, &mut frontLinks).await
+                shell.run(&mut inbox, &mut front_links).await
             }
         })
         .child("colleague listener", move || {
-            colleague_links::listen(colleagueListener.clone(), fleet, listenInbox.clone(), frames.clone())
+            colleague_links::listen(colleague_listener.clone(), fleet, listen_inbox.clone(), frames.clone())
         })
         .child("servers", move || {
             let taken: Vec<Server> = servers.borrow_mut().drain(..).collect();
@@ -194,7 +194,7 @@
                 }
             }
         });
-    let stopping = watch_signals(run, inboxSender, front, flags, visitorHandle, controlHandle, logHandle);
+    let stopping = watch_signals(run, inbox_sender, front, flags, visitor_handle, control_handle, log_handle);
     tokio::select! {
         ended = tree.run() => ended.map_err(|failure| format!("{failure:?}")),
         stopped = stopping => stopped,
@@ -213,10 +213,10 @@
     Ok((file, registers))
 }
 
-fn node_settings(settings: &Settings, ownAddress: Address) -> NodeSettings {
+fn node_settings(settings: &Settings, own_address: Address) -> NodeSettings {
     NodeSettings {
         node: fastrand::u64(1..u64::MAX),
-        address: ownAddress,
+        address: own_address,
         zone: settings.zone.clone(),
         seeds: settings.seeds.iter().map(|seed| Address::from(*seed)).collect(),
         founding_disks: settings.founding_disks,
@@ -234,9 +234,9 @@
     }
 }
 
-fn visitor_server(listener: TcpListener, front: Arc<Front>, workerThreads: usize) -> Result<Server, String> {
+fn visitor_server(listener: TcpListener, front: Arc<Front>, worker_threads: usize) -> Result<Server, String> {
     let builder = Server::build()
-        .workers(workerThreads)
+        .workers(worker_threads)
         .max_concurrent_connections(4_096)
         .shutdown_timeout(STOP_WITHIN.as_secs())
         .disable_signals();
@@ -278,9 +278,9 @@
     inbox: mpsc::Sender<ShellEvent>,
     front: Arc<Front>,
     flags: Arc<NodeFlags>,
-    visitorHandle: ServerHandle,
-    controlHandle: ServerHandle,
-    logHandle: log4rs::Handle,
+    visitor_handle: ServerHandle,
+    control_handle: ServerHandle,
+    log_handle: log4rs::Handle,
 ) -> Result<(), String> {
     let watch = |kind| signal(kind).map_err(|failure| format!("signals: {failure}"));
     let mut reloads = watch(SignalKind::hangup())?;
@@ -288,7 +288,7 @@
     let mut interrupts = watch(SignalKind::interrupt())?;
     loop {
         tokio::select! {
-            _ = reloads.recv() => reload(&run, &inbox, &logHandle).await,
+            _ = reloads.recv() => reload(&run, &inbox, &log_handle).await,
             _ = terms.recv() => break,
             _ = interrupts.recv() => break,
         }
@@ -298,21 +298,21 @@
     let _ = inbox.send(ShellEvent::Drain).await;
     tokio::time::sleep(STILL_ACCEPTING).await;
     // Accepts no more; connections that are open go on to the end of their calls.
-    let stopping = visitorHandle.stop(true);
+    let stopping = visitor_handle.stop(true);
     actix_rt::spawn(stopping);
-    let isDone = || front.open_calls() == 0 && flags.drained.load(Ordering::Relaxed);
-    while !isDone() && began.elapsed() < STOP_WITHIN {
+    let is_done = || front.open_calls() == 0 && flags.drained.load(Ordering::Relaxed);
+    while !is_done() && began.elapsed() < STOP_WITHIN {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     // Answers that were just handed over still have to leave.
     tokio::time::sleep(Duration::from_millis(100)).await;
-    controlHandle.stop(false).await;
+    control_handle.stop(false).await;
     log::info!("stopped after {} ms with {} calls open", began.elapsed().as_millis(), front.open_calls());
     Ok(())
 }
 
 /// Seeds, the platform's address and the log level take effect at once; what cannot is named.
-async fn reload(run: &Run, inbox: &mpsc::Sender<ShellEvent>, logHandle: &log4rs::Handle) {
+async fn reload(run: &Run, inbox: &mpsc::Sender<ShellEvent>, log_handle: &log4rs::Handle) {
     let settings = match settings::read(run) {
         Ok(settings) => settings,
         Err(reasons) => {
@@ -327,7 +327,7 @@
     let _ = inbox.send(ShellEvent::PlatformMoved { address: settings.platform_address }).await;
     let logging = logging_config(settings.log_level);
     if let Ok(logging) = logging {
-        logHandle.set_config(logging);
+        log_handle.set_config(logging);
     }
     log::info!(
         "settings reloaded: seeds, platform_address and log_level hold now, the others from the next start"
--- a/packages/vanelane/src/settings.rs
+++ b/packages/vanelane/src/settings.rs
@@ -87,9 +87,9 @@
         }
     };
     let mut reasons = Vec::new();
-    let flag = |slot: &mut Option<String>, flagValue: &Option<String>| {
-        if flagValue.is_some() {
-            slot.clone_from(flagValue);
+    let flag = |slot: &mut Option<String>, flag_value: &Option<String>| {
+        if flag_value.is_some() {
+            slot.clone_from(flag_value);
         }
     };
     flag(&mut file.fleet, &run.fleet);
@@ -120,8 +120,8 @@
     match checked(file) {
         Ok(settings) if reasons.is_empty() => Ok(settings),
         Ok(_) => Err(reasons),
-        Err(checkReasons) => {
-            reasons.extend(checkReasons);
+        Err(check_reasons) => {
+            reasons.extend(check_reasons);
             Err(reasons)
         }
     }
@@ -169,43 +169,43 @@
     let mut checker = Checker { reasons: Vec::new() };
     let zone = checker.text("zone", file.zone, None);
     let fleet = checker.text("fleet", file.fleet, Some("vanelane"));
-    let colleagueAddress = checker.address("colleague_address", file.colleague_address);
-    if colleagueAddress.ip().is_unspecified()
+    let colleague_address = checker.address("colleague_address", file.colleague_address);
+    if colleague_address.ip().is_unspecified()
         && !checker.reasons.iter().any(|(f, _)| *f == "colleague_address")
     {
         let reason = "must be an address that colleagues can reach, not a wildcard".to_owned();
         checker.reasons.push(("colleague_address", reason));
     }
-    if colleagueAddress.port() == 0 && !checker.reasons.iter().any(|(f, _)| *f == "colleague_address") {
+    if colleague_address.port() == 0 && !checker.reasons.iter().any(|(f, _)| *f == "colleague_address") {
         let reason = "must name its port: it is told to colleagues as it stands".to_owned();
         checker.reasons.push(("colleague_address", reason));
     }
-    let givenSeeds = file.seeds.unwrap_or_default();
-    if givenSeeds.len() > 3 {
-        checker.reasons.push(("seeds", format!("{} seeds are given, three are the most", givenSeeds.len())));
+    let given_seeds = file.seeds.unwrap_or_default();
+    if given_seeds.len() > 3 {
+        checker.reasons.push(("seeds", format!("{} seeds are given, three are the most", given_seeds.len())));
     }
-    let seeds = givenSeeds.into_iter().map(|seed| checker.address("seeds", Some(seed))).collect();
-    let logLevel = match file.log_level.as_deref().unwrap_or("info").parse() {
+    let seeds = given_seeds.into_iter().map(|seed| checker.address("seeds", Some(seed))).collect();
+    let log_level = match file.log_level.as_deref().unwrap_or("info").parse() {
         Ok(level) => level,
         Err(_) => {
             checker.reasons.push(("log_level", "must be off, error, warn, info, debug or trace".to_owned()));
             log::LevelFilter::Info
         }
     };
-    let actsPerSecond = file.acts_per_second.unwrap_or(80.0);
-    if !(actsPerSecond > 0.0 && actsPerSecond <= 1_000_000.0) {
+    let acts_per_second = file.acts_per_second.unwrap_or(80.0);
+    if !(acts_per_second > 0.0 && acts_per_second <= 1_000_000.0) {
         checker
             .reasons
-            .push(("acts_per_second", format!("{actsPerSecond} is not above 0 and up to 1000000")));
+            .push(("acts_per_second", format!("{acts_per_second} is not above 0 and up to 1000000")));
     }
-    let tracesSample = file.traces_sample.unwrap_or(0.01);
-    if !(0.0..=1.0).contains(&tracesSample) {
-        checker.reasons.push(("traces_sample", format!("{tracesSample} is not within 0 to 1")));
+    let traces_sample = file.traces_sample.unwrap_or(0.01);
+    if !(0.0..=1.0).contains(&traces_sample) {
+        checker.reasons.push(("traces_sample", format!("{traces_sample} is not within 0 to 1")));
     }
-    let leaseMillis = checker.number("lease_millis", file.lease_millis, 3_000, 500, 600_000);
-    let renewalMillis = checker.number("renewal_millis", file.renewal_millis, 1_000, 50, 600_000);
-    if renewalMillis.saturating_mul(2) > leaseMillis {
-        let reason = format!("{renewalMillis} is more than half of lease_millis {leaseMillis}");
+    let lease_millis = checker.number("lease_millis", file.lease_millis, 3_000, 500, 600_000);
+    let renewal_millis = checker.number("renewal_millis", file.renewal_millis, 1_000, 50, 600_000);
+    if renewal_millis.saturating_mul(2) > lease_millis {
+        let reason = format!("{renewal_millis} is more than half of lease_millis {lease_millis}");
         checker.reasons.push(("renewal_millis", reason));
     }
     let settings = Settings {
@@ -213,15 +213,15 @@
         zone,
         visitor_address: checker.address("visitor_address", file.visitor_address),
         control_address: checker.address("control_address", file.control_address),
-        colleague_address: colleagueAddress,
+        colleague_address,
         seeds,
         data_folder: file.data_folder,
         platform_address: checker.address("platform_address", file.platform_address),
         founding_disks: checker.number("founding_disks", file.founding_disks, 3, 1, 9) as usize,
-        acts_per_second: actsPerSecond,
-        lease_millis: leaseMillis,
+        acts_per_second,
+        lease_millis,
         poll_millis: checker.number("poll_millis", file.poll_millis, 500, 50, 600_000),
-        renewal_millis: renewalMillis,
+        renewal_millis,
         gate: file.gate.unwrap_or(true),
         replace_disk_after_seconds: checker.number(
             "replace_disk_after_seconds",
@@ -255,7 +255,7 @@
             u64::MAX,
         ),
         traces: file.traces,
-        traces_sample: tracesSample,
+        traces_sample,
         traces_limit_bytes: checker.number(
             "traces_limit_bytes",
             file.traces_limit_bytes,
@@ -263,33 +263,10 @@
             1_024,
             u64::MAX,
         ),
-        log_level: logLevel,
+        log_level,
     };
     if checker.reasons.is_empty() { Ok(settings) } else { Err(checker.reasons) }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn every_wrong_field_is_named() {
-        let sound = r#"
-            zone = "a"
-            visitor_address = "127.0.0.1:8080"
-            control_address = "127.0.0.1:8081"
-            colleague_address = "127.0.0.1:8082"
-            platform_address = "127.0.0.1:9000"
-        "#;
-        let parse = |text: &str| toml::from_str::<SettingsFile>(text).expect("TOML");
-        assert!(checked(parse(sound)).is_ok());
-        let broken = format!(
-            "{sound}\nseeds = [\"nowhere\"]\nlease_millis = 10\nlog_level = \"loud\"\nfounding_disks = 0\n"
-        );
-        let fields: Vec<&str> =
-            checked(parse(&broken)).expect_err("refused").into_iter().map(|(field, _)| field).collect();
-        assert_eq!(fields, ["seeds", "log_level", "lease_millis", "renewal_millis", "founding_disks"]);
-        assert_eq!(checked(SettingsFile::default()).expect_err("refused").len(), 5);
-        assert!(toml::from_str::<SettingsFile>("zoen = \"a\"").is_err());
-    }
-}
+mod tests;
--- a/packages/vanelane/tests/one_node.rs
+++ b/packages/vanelane/tests/one_node.rs
@@ -186,8 +186,8 @@
 
     // Bad HTTP and calls that no lane takes.
     assert_eq!(split(&exchange(node.visitors, b"GARBAGE\r\n\r\n")).0, 400);
-    let longHead = format!("GET /proof HTTP/1.1\r\nhost: h\r\nx-long: {}\r\n\r\n", "a".repeat(200_000));
-    assert_eq!(split(&exchange(node.visitors, longHead.as_bytes())).0, 431);
+    let long_head = format!("GET /proof HTTP/1.1\r\nhost: h\r\nx-long: {}\r\n\r\n", "a".repeat(200_000));
+    assert_eq!(split(&exchange(node.visitors, long_head.as_bytes())).0, 431);
     assert_eq!(call(&node, "/proof", "", &"x".repeat(5_000_000)).0, 413);
     let (status, text) = call(&node, "/nowhere", "", "");
     assert_eq!((status, text.contains("\"outcome\":\"not_run\"")), (404, true), "{text}");
@@ -207,10 +207,10 @@
 
     // The planned stop drops no call that is under way.
     let visitors = node.visitors;
-    let allSent = Arc::new(Barrier::new(5));
+    let all_sent = Arc::new(Barrier::new(5));
     let callers: Vec<_> = (0..4)
         .map(|number| {
-            let allSent = allSent.clone();
+            let all_sent = all_sent.clone();
             std::thread::spawn(move || {
                 let request = format!(
                     "POST /proof/1 HTTP/1.1\r\nhost: h\r\nconnection: close\r\nx-call-id: last-{number}\r\ncontent-length: 1\r\n\r\nx"
@@ -218,14 +218,14 @@
                 let mut stream = TcpStream::connect(visitors).expect("a connection");
                 stream.set_read_timeout(Some(Duration::from_secs(60))).expect("a limit");
                 stream.write_all(request.as_bytes()).expect("sent");
-                allSent.wait();
+                all_sent.wait();
                 let mut answer = Vec::new();
                 let _ = stream.read_to_end(&mut answer);
                 split(&answer).0
             })
         })
         .collect();
-    allSent.wait();
+    all_sent.wait();
     let pid = node.child.id().to_string();
     assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
     let statuses: Vec<u16> = callers.into_iter().map(|caller| caller.join().expect("a caller")).collect();
