--- a/packages/configuration_check/src/changes.rs
+++ b/packages/configuration_check/src/changes.rs
@@ -5,11 +5,13 @@
 /// How many accepted change ids are remembered with the configuration.
 const REMEMBERED_CHANGES: usize = 256;
 const CHANGE_ID_LIMIT: usize = 128;
+/// The path of the one reason that tells of another version, not of a fault in the change.
+pub const EXPECTED_VERSION: &str = "/expected_version";
 
 /// One line of the operators' change stream.
 ///
 /// Example: `{"change_id": "a1", "expected_generation": 4, "partial": {"lanes": {"old": null}}}`.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Change {
     /// The operator's own name for it: sent again, it gets the same answer and applies once.
@@ -17,12 +19,21 @@
     /// If given, the change holds only against this generation.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub expected_generation: Option<u64>,
+    /// If given, the change holds only against this version of the operator's.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub expected_version: Option<u64>,
+    /// The operator's own version of the outcome; it has to rise.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<u64>,
     /// A whole document.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub whole: Option<Value>,
     /// A part that is merged in (RFC 7396: null removes).
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub partial: Option<Value>,
+    /// Items replaced whole or, where null, removed: `{"lanes": {"new": {..}, "old": null}}`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub items: Option<Value>,
 }
 
 /// An accepted change, as remembered.
@@ -39,6 +50,9 @@
 pub struct StoredConfiguration {
     /// Zero before any change was accepted; each accepted change adds one.
     pub generation: u64,
+    /// The operator's own version of it, zero if never named.
+    #[serde(default)]
+    pub version: u64,
     /// The whole document.
     pub document: Value,
     recent: Vec<RememberedChange>,
@@ -78,6 +92,7 @@
     pub fn empty() -> StoredConfiguration {
         StoredConfiguration {
             generation: 0,
+            version: 0,
             document: json!({ "allowances": {}, "functions": {}, "lanes": {} }),
             recent: Vec::new(),
         }
@@ -126,11 +141,24 @@
             let reason = format!("generation {} stands, not {expected_generation}", self.generation);
             reasons.push(Reason::at("/expected_generation", reason));
         }
-        let next_document = match (&change.whole, &change.partial) {
-            (Some(whole), None) => whole.clone(),
-            (None, Some(partial)) => merged(&self.document, partial),
+        if let Some(expected_version) = change.expected_version
+            && expected_version != self.version
+        {
+            let reason = format!("version {} stands, not {expected_version}", self.version);
+            reasons.push(Reason::at(EXPECTED_VERSION, reason));
+        }
+        if let Some(version) = change.version
+            && version <= self.version
+        {
+            let reason = format!("version {version} is not above {}", self.version);
+            reasons.push(Reason::at("/version", reason));
+        }
+        let next_document = match (&change.whole, &change.partial, &change.items) {
+            (Some(whole), None, None) => whole.clone(),
+            (None, Some(partial), None) => merged(&self.document, partial),
+            (None, None, Some(items)) => with_items(&self.document, items),
             _ => {
-                reasons.push(Reason::at("", "name either whole or partial"));
+                reasons.push(Reason::at("", "name one of whole, partial and items"));
                 return refused(reasons);
             }
         };
@@ -144,6 +172,7 @@
             return refused(check_reasons);
         }
         self.generation += 1;
+        self.version = change.version.unwrap_or(self.version);
         self.document = next_document;
         self.recent
             .push(RememberedChange { change_id: change.change_id.clone(), generation: self.generation });
@@ -153,6 +182,28 @@
     }
 }
 
+/// The document with named items replaced whole, and those that are null removed.
+fn with_items(standing: &Value, items: &Value) -> Value {
+    let Value::Object(groups) = items else { return items.clone() };
+    let mut document = standing.clone();
+    for (group, named) in groups {
+        let Some(fields) = document.as_object_mut() else { return document };
+        let Value::Object(named) = named else {
+            fields.insert(group.clone(), named.clone());
+            continue;
+        };
+        let kept = fields.entry(group.clone()).or_insert_with(|| json!({}));
+        let Some(kept) = kept.as_object_mut() else { continue };
+        for (name, item) in named {
+            match item.is_null() {
+                true => kept.remove(name),
+                false => kept.insert(name.clone(), item.clone()),
+            };
+        }
+    }
+    document
+}
+
 /// JSON merge patch (RFC 7396).
 fn merged(standing: &Value, partial: &Value) -> Value {
     let Value::Object(partial_fields) = partial else { return partial.clone() };
--- a/packages/configuration_check/src/changes/tests.rs
+++ b/packages/configuration_check/src/changes/tests.rs
@@ -2,7 +2,13 @@
 use crate::tests::small_document;
 
 fn change(change_id: &str, expected: Option<u64>, whole: Option<Value>, partial: Option<Value>) -> Change {
-    Change { change_id: change_id.to_owned(), expected_generation: expected, whole, partial }
+    Change {
+        change_id: change_id.to_owned(),
+        expected_generation: expected,
+        whole,
+        partial,
+        ..Change::default()
+    }
 }
 
 #[test]
@@ -41,3 +47,47 @@
     })
     .seed(0x5eed_0003_0000_0040);
 }
+
+#[test]
+fn versions_of_the_operator_rise_and_items_are_replaced_whole() {
+    let mut stored = StoredConfiguration::empty();
+    let first = Change {
+        change_id: "a".to_owned(),
+        expected_version: Some(0),
+        version: Some(5),
+        whole: Some(small_document()),
+        ..Change::default()
+    };
+    assert!(matches!(stored.apply(&first), ChangeOutcome::Accepted { generation: 1, repeated: false }));
+    let reasons = |outcome: ChangeOutcome| match outcome {
+        ChangeOutcome::Refused { reasons, .. } => {
+            reasons.into_iter().map(|reason| reason.path).collect::<Vec<String>>()
+        }
+        other => panic!("{other:?}"),
+    };
+    let stale = Change { change_id: "b".to_owned(), expected_version: Some(4), version: Some(7), ..first.clone() };
+    assert_eq!(reasons(stored.apply(&stale)), [EXPECTED_VERSION]);
+    let lower = Change { change_id: "c".to_owned(), expected_version: Some(5), version: Some(5), ..first.clone() };
+    assert_eq!(reasons(stored.apply(&lower)), ["/version"]);
+    let set = json!({ "lanes": { "proofs": { "function": "proof", "path_prefix": "/p", "target_millis": 300 } } });
+    let set = Change {
+        change_id: "d".to_owned(),
+        expected_version: Some(5),
+        version: Some(9),
+        items: Some(set),
+        ..Change::default()
+    };
+    assert!(matches!(stored.apply(&set), ChangeOutcome::Accepted { generation: 2, .. }));
+    assert_eq!(stored.version, 9);
+    let replace = json!({ "lanes": { "proofs": { "path_prefix": "/p",
+        "split": [{ "function": "proof", "weight": 0 }] }, "ghost": null } });
+    let zero = Change { change_id: "e".to_owned(), items: Some(replace.clone()), ..Change::default() };
+    assert_eq!(reasons(stored.apply(&zero)), ["/lanes/proofs/split"], "no field of the item before stays");
+    let mut replace = replace;
+    replace["lanes"]["proofs"]["split"][0]["weight"] = json!(2);
+    let split = Change { change_id: "f".to_owned(), items: Some(replace), ..Change::default() };
+    assert!(matches!(stored.apply(&split), ChangeOutcome::Accepted { generation: 3, .. }));
+    let lane = &stored.checked().expect("checked").lanes["proofs"];
+    assert_eq!((lane.target_millis, lane.shares()), (None, vec![("proof", 2.0)]));
+    assert_eq!(stored.version, 9, "a change without a version keeps the one that stands");
+}
--- a/packages/configuration_check/src/lib.rs
+++ b/packages/configuration_check/src/lib.rs
@@ -6,7 +6,7 @@
 
 mod changes;
 
-pub use changes::{Change, ChangeOutcome, StoredConfiguration};
+pub use changes::{Change, ChangeOutcome, EXPECTED_VERSION, StoredConfiguration};
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -81,11 +81,37 @@
         #[serde(default = "default_most")] most_cells: u32,
         /// Calls that may wait at the steward.
         #[serde(default = "default_waitlist")] waitlist: u32,
+        /// Connections that one cell takes from all nodes together.
+        #[serde(default, skip_serializing_if = "Option::is_none")] connection_limit: Option<u32>,
+        /// Kept as sent, without meaning here.
+        #[serde(default, skip_serializing_if = "Option::is_none")] annotations: Option<Value>,
+    }
+    /// One part of a lane that is split over functions. Example: `{"function": "proof", "weight": 3}`.
+    LaneShare {
+        /// Where these calls go.
+        function: String,
+        /// The share beside the others; zero sends none.
+        weight: f64,
+    }
+    /// Bounds on what visitors may send and how slowly. Example: `{"body_bytes": 262144}`.
+    VisitorLimits {
+        /// The longest head of a call, in bytes.
+        #[serde(default, skip_serializing_if = "Option::is_none")] header_bytes: Option<u64>,
+        /// The longest body of a call, in bytes.
+        #[serde(default, skip_serializing_if = "Option::is_none")] body_bytes: Option<u64>,
+        /// How long a head may take to come, in milliseconds.
+        #[serde(default, skip_serializing_if = "Option::is_none")] header_wait_millis: Option<u64>,
+        /// How long a connection may stay idle between two calls, in milliseconds.
+        #[serde(default, skip_serializing_if = "Option::is_none")] idle_millis: Option<u64>,
+        /// Kept as sent, without meaning here.
+        #[serde(default, skip_serializing_if = "Option::is_none")] annotations: Option<Value>,
     }
     /// Which calls go to a function. Example: `{"function": "proof", "path_prefix": "/proof"}`.
     Lane {
-        /// Where its calls go.
-        function: String,
+        /// Where its calls go, unless it is split.
+        #[serde(default, skip_serializing_if = "String::is_empty")] function: String,
+        /// Where its calls go by weight, instead of one function.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")] split: Vec<LaneShare>,
         /// Only for this host, if named.
         #[serde(default)] host: Option<String>,
         /// Matched at whole path segments; the longest wins.
@@ -96,6 +122,14 @@
         #[serde(default)] repeatable: bool,
         /// How long a call may take in all, where the visitor names no shorter time.
         #[serde(default = "default_patience")] patience_millis: u64,
+        /// The time within which an answer is worth most: decides whether a cold start may be waited for.
+        #[serde(default, skip_serializing_if = "Option::is_none")] target_millis: Option<u64>,
+        /// Zero is served first where not all can be.
+        #[serde(default)] rank: u32,
+        /// Cells that one call may be sent to at the most.
+        #[serde(default, skip_serializing_if = "Option::is_none")] dispatch_limit: Option<u32>,
+        /// Kept as sent, without meaning here.
+        #[serde(default, skip_serializing_if = "Option::is_none")] annotations: Option<Value>,
     }
     /// A checked document. Example: `check(&document)?.lanes["proofs"].function`.
     Configuration {
@@ -105,6 +139,10 @@
         functions: BTreeMap<String, Function>,
         /// The lanes.
         lanes: BTreeMap<String, Lane>,
+        /// Bounds on visitors; the program's own where none is named.
+        #[serde(default)] visitor_limits: Option<VisitorLimits>,
+        /// Kept as sent, without meaning here.
+        #[serde(default)] annotations: Option<Value>,
     }
 }
 
@@ -130,7 +168,43 @@
 impl Configuration {
     /// The configuration before any change. Example: `Configuration::empty().lanes.is_empty()`.
     pub fn empty() -> Configuration {
-        Configuration { allowances: BTreeMap::new(), functions: BTreeMap::new(), lanes: BTreeMap::new() }
+        Configuration {
+            allowances: BTreeMap::new(),
+            functions: BTreeMap::new(),
+            lanes: BTreeMap::new(),
+            visitor_limits: None,
+            annotations: None,
+        }
+    }
+}
+
+impl Lane {
+    /// The functions that this lane may send calls to, with their weights.
+    /// Example: an unsplit lane gives its one function with weight 1.
+    pub fn shares(&self) -> Vec<(&str, f64)> {
+        match self.split.is_empty() {
+            true => vec![(self.function.as_str(), 1.0)],
+            false => {
+                let shares = self.split.iter().filter(|share| share.weight > 0.0);
+                shares.map(|share| (share.function.as_str(), share.weight)).collect()
+            }
+        }
+    }
+}
+
+impl Configuration {
+    /// The shortest target latency of the lanes that lead to each function, in milliseconds.
+    /// Example: a function without a lane that names a target is not in the map.
+    pub fn function_targets(&self) -> BTreeMap<&str, u64> {
+        let mut targets = BTreeMap::new();
+        for lane in self.lanes.values() {
+            let Some(target) = lane.target_millis else { continue };
+            for (function, _) in lane.shares() {
+                let shortest = targets.entry(function).or_insert(target);
+                *shortest = target.min(*shortest);
+            }
+        }
+        targets
     }
 }
 
@@ -248,10 +322,23 @@
     let mut taken_places: BTreeMap<(Option<&str>, &str, &str), &str> = BTreeMap::new();
     for (name, lane) in &configuration.lanes {
         let place = format!("/lanes/{name}");
-        if !configuration.functions.contains_key(&lane.function) {
+        let is_named = !lane.function.is_empty();
+        if is_named && !configuration.functions.contains_key(&lane.function) {
             let reason = format!("no function named {}", lane.function);
             reasons.push(Reason::at(format!("{place}/function"), reason));
         }
+        if is_named != lane.split.is_empty() {
+            reasons.push(Reason::at(place.clone(), "name either function or split"));
+        }
+        for (number, share) in lane.split.iter().enumerate() {
+            if !configuration.functions.contains_key(&share.function) {
+                let reason = format!("no function named {}", share.function);
+                reasons.push(Reason::at(format!("{place}/split/{number}/function"), reason));
+            }
+        }
+        if !lane.split.is_empty() && lane.split.iter().map(|share| share.weight).sum::<f64>() <= 0.0 {
+            reasons.push(Reason::at(format!("{place}/split"), "the weights add up to 0"));
+        }
         let trimmed_prefix = lane.path_prefix.trim_end_matches('/');
         let methods: Vec<&str> = match lane.methods.is_empty() {
             true => vec!["any"],
--- a/packages/fleet_simulator/src/sim_platform.rs
+++ b/packages/fleet_simulator/src/sim_platform.rs
@@ -56,6 +56,7 @@
             .map(|number| ListedWorker {
                 id: format!("worker-{number}"),
                 memory_mb: worker_memory_mb,
+                free_mb: None,
                 draining: false,
             })
             .collect();
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -421,6 +421,8 @@
             zone: self.nodes[number].zone.clone(),
             seeds: self.seeds.clone(),
             founding_disks: 3,
+            may_found: true,
+            list_every: Micros::from_millis(900),
             replace_disk_after: self.settings.replace_disk_after,
             acts_per_second: 80.0,
             election: self.settings.election.clone(),
@@ -685,7 +687,7 @@
     pub fn change(&mut self, number: usize, change_id: &str, whole: Option<Value>, partial: Option<Value>) {
         self.next_request += 1;
         let request = self.next_request;
-        let change = Change { change_id: change_id.to_owned(), expected_generation: None, whole, partial };
+        let change = Change { change_id: change_id.to_owned(), whole, partial, ..Change::default() };
         self.give(number, Event::ChangeAsked { request, change });
     }
 
@@ -840,10 +842,10 @@
                 let travel = self.travel() * 2;
                 self.after(travel, Happening::Given { node: number, life, event: Box::new(event) });
             }
-            Act::Start { start_id, function, worker, memory_mb } => {
+            Act::Start { start_id, function, worker, memory_mb, .. } => {
                 self.start_cell(number, life, &start_id, &function, &worker, memory_mb);
             }
-            Act::Stop { cell } => self.stop_cell(number, life, cell),
+            Act::Stop { cell, .. } => self.stop_cell(number, life, cell),
             Act::CallGranted { call, ticket } => {
                 if ticket.granted_by == self.nodes[number].id {
                     self.note_act(number, &ticket.function.0, ticket.steward_epoch);
@@ -870,7 +872,7 @@
                 }
                 ChangeOutcome::Unknown { .. } => {}
             },
-            Act::DecisionsAnswered { .. } => {}
+            Act::DecisionsAnswered { .. } | Act::ConfigurationAnswered { .. } => {}
             Act::Ready => self.nodes[number].is_ready = true,
             Act::Drained => self.nodes[number].is_drained = true,
         }
--- /dev/null
+++ b/packages/function_front/src/call_dialect.rs
@@ -0,0 +1,41 @@
+use actix_http::header::HeaderName;
+
+/// The headers by which visitors, cells and this front speak: plain data, so that a platform with
+/// other words needs other data and no other code. Example: `CallDialect::default().time_left`.
+#[derive(Clone, Debug)]
+pub struct CallDialect {
+    /// Carries the time left in milliseconds, from visitors and to cells.
+    pub time_left: HeaderName,
+    /// Names the cell a dispatch is meant for; every other cell answers 421.
+    pub cell: HeaderName,
+    /// Names the function a dispatch is meant for.
+    pub function: Option<HeaderName>,
+    /// Tells visitors how their call ended: `ran`, `not_run` or `unknown`.
+    pub outcome: Option<HeaderName>,
+    /// By which a cell says that it did not run the call; with this value, or with any.
+    pub not_run: (HeaderName, Option<&'static str>),
+    /// Names the call; cells send it back, so that an answer to another call is known as such.
+    pub call_id: Option<HeaderName>,
+    /// Tells the cell from where the visitor speaks.
+    pub forwarded_for: bool,
+    /// Whether the time to come back is told in fractions of seconds.
+    pub fractional_retry_after: bool,
+    /// Headers that begin so are this front's own and are not taken over from visitors.
+    pub own_prefix: &'static str,
+}
+
+impl Default for CallDialect {
+    fn default() -> CallDialect {
+        CallDialect {
+            time_left: HeaderName::from_static(crate::TIME_LEFT_HEADER),
+            cell: HeaderName::from_static(crate::CELL_HEADER),
+            function: Some(HeaderName::from_static(crate::FUNCTION_HEADER)),
+            outcome: Some(HeaderName::from_static(crate::OUTCOME_HEADER)),
+            not_run: (HeaderName::from_static(crate::OUTCOME_HEADER), Some("not_run")),
+            call_id: None,
+            forwarded_for: true,
+            fractional_retry_after: false,
+            own_prefix: "x-vanelane-",
+        }
+    }
+}
--- a/packages/function_front/src/front.rs
+++ b/packages/function_front/src/front.rs
@@ -1,10 +1,10 @@
 use crate::call_chart::{CallChart, CallState, DispatchEnd, NextStep};
+use crate::call_dialect::CallDialect;
 use crate::cell_dispatch::{
     AnswerRest, CellAnswer, DispatchCall, DispatchOutcome, DispatchSettings, dispatch, end_to_end,
 };
 use crate::lane_table::{LaneRow, LaneTable};
 use crate::recording::{RecordedCall, Recorder};
-use crate::{OUTCOME_HEADER, TIME_LEFT_HEADER};
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::header::{self, HeaderValue};
 use actix_http::{HttpMessage, Payload, Request, Response, StatusCode};
@@ -13,7 +13,7 @@
 use call_traces::{CallTrace, TraceWriter};
 use clock_events::{Micros, MonotonicClock};
 use colleague_messages::Ticket;
-use configuration_check::Configuration;
+use configuration_check::{Configuration, VisitorLimits};
 use futures_util::StreamExt;
 use serde_json::json;
 use std::pin::Pin;
@@ -36,7 +36,7 @@
     pub lag_limit: Micros,
     /// Dispatches of one call, the first included.
     pub dispatch_limit: u32,
-    /// Limits of one dispatch.
+    /// Limits of one dispatch, and the headers that cells and visitors speak by.
     pub dispatch: DispatchSettings,
 }
 
@@ -129,6 +129,7 @@
     memory_used: AtomicUsize,
     calls_open: AtomicUsize,
     draining: AtomicBool,
+    node_count: AtomicUsize,
     lag_micros: AtomicU64,
     /// When the node's clock events last ran; zero before the first.
     ticked_at: AtomicU64,
@@ -225,6 +226,7 @@
             memory_used: AtomicUsize::new(0),
             calls_open: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
+            node_count: AtomicUsize::new(1),
             lag_micros: AtomicU64::new(0),
             ticked_at: AtomicU64::new(0),
             recorder: None,
@@ -274,6 +276,16 @@
         self.lanes.load().generation
     }
 
+    /// How many nodes share the connections that each cell takes. Example: `front.tell_node_count(10)`.
+    pub fn tell_node_count(&self, node_count: usize) {
+        self.node_count.store(node_count, Ordering::Relaxed);
+    }
+
+    /// Bounds on visitors, as far as the configuration names them. Example: `front.visitor_limits()`.
+    pub fn visitor_limits(&self) -> Option<VisitorLimits> {
+        self.lanes.load().visitor_limits.clone()
+    }
+
     /// Calls under way. Example: `front.open_calls() == 0` before a drained node goes.
     pub fn open_calls(&self) -> usize {
         self.calls_open.load(Ordering::Relaxed)
@@ -307,12 +319,10 @@
             Err(refusal) => self.refused(&chart, refusal),
         };
         if let (Some(traces), Some(trace)) = (&self.traces, trace) {
-            let outcome = answer.headers().get(OUTCOME_HEADER).and_then(|value| value.to_str().ok());
-            traces.end(trace, &lane_name, outcome.unwrap_or_default(), answer.status().as_u16());
+            traces.end(trace, &lane_name, outcome_name(&chart), answer.status().as_u16());
         }
         if let (Some(recorder), Some(mut record)) = (&self.recorder, recorded) {
-            let outcome = answer.headers().get(OUTCOME_HEADER).and_then(|value| value.to_str().ok());
-            record.outcome = outcome.unwrap_or_default().to_owned();
+            record.outcome = outcome_name(&chart).to_owned();
             record.status = answer.status().as_u16();
             record.latency_micros = (self.clock.now() - Micros(record.at_micros)).0;
             recorder.record(&record);
@@ -343,23 +353,28 @@
         }
         let lanes = self.lanes.load_full();
         let place = CallPlace::of(&request);
-        let Some(lane) = place.find(&lanes).cloned() else {
+        let Some(mut lane) = place.find(&lanes).cloned() else {
             self.counts.no_lane.fetch_add(1, Ordering::Relaxed);
             return Err(refuse(chart, Refusal::new(StatusCode::NOT_FOUND, "no lane takes this call", None)));
         };
-        let ends_at = self.clock.now() + time_left(&request, &lane);
+        let ends_at = self.clock.now() + time_left(&request, &lane, &self.settings.dispatch.dialect);
         chart.step(CallState::Matched);
         let payload = request.take_payload();
-        let body = match self.read_body(payload, held, ends_at).await {
+        let told_limit = lanes.visitor_limits.as_ref().and_then(|limits| limits.body_bytes);
+        let body_limit = told_limit.map_or(self.settings.body_limit, |bytes| bytes as usize);
+        let body = match self.read_body(payload, body_limit, held, ends_at).await {
             Ok(body) => body,
             Err(refusal) => return Err(refuse(chart, refusal)),
         };
-        let mut headers = end_to_end(request.headers());
-        if let Some(peer) = request.peer_addr()
+        let dialect = &self.settings.dispatch.dialect;
+        let mut headers = end_to_end(request.headers(), dialect.own_prefix);
+        if dialect.forwarded_for
+            && let Some(peer) = request.peer_addr()
             && let Ok(peer_value) = HeaderValue::from_str(&peer.ip().to_string())
         {
             headers.append(header::X_FORWARDED_FOR, peer_value);
         }
+        lane.function = lane.pick(fastrand::f64()).to_owned();
         let call = self.next_call.fetch_add(1, Ordering::Relaxed);
         let dispatch_call = DispatchCall {
             method: request.method().clone(),
@@ -379,6 +394,7 @@
     async fn read_body(
         &self,
         mut payload: Payload,
+        body_limit: usize,
         held: &mut Held,
         ends_at: Micros,
     ) -> Result<Bytes, Refusal> {
@@ -392,7 +408,7 @@
             let Ok(chunk) = chunk else {
                 return Err(Refusal::new(StatusCode::BAD_REQUEST, "the body is damaged or cut", None));
             };
-            if body.len() + chunk.len() > self.settings.body_limit {
+            if body.len() + chunk.len() > body_limit {
                 return Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long", None));
             }
             if !held.grow(chunk.len()) {
@@ -436,7 +452,7 @@
             let lanes = self.lanes.load_full();
             let current_lane = place.find(&lanes);
             let is_still_meant =
-                current_lane.is_some_and(|row| row.function == lane.function) && !self.may_have_slept();
+                current_lane.is_some_and(|row| row.allows(&lane.function)) && !self.may_have_slept();
             let began = self.clock.now();
             let (ticket, step) = match asked {
                 Ok(ticket) => (Some(ticket), chart.ticket_came(began < ends_at, is_still_meant)),
@@ -462,6 +478,7 @@
                     return Err(Refusal::new(StatusCode::NOT_FOUND, "no lane takes this call", None));
                 };
                 lane = current_lane.clone();
+                lane.function = lane.pick(fastrand::f64()).to_owned();
                 dispatch_call.function.clone_from(&lane.function);
                 avoid.clear();
                 continue;
@@ -490,7 +507,9 @@
             };
             // A task of its own: a visitor that goes away ends neither the dispatch nor the count of
             // what the cell is running.
-            let dispatch_settings = self.settings.dispatch.clone();
+            let idle_limit = lanes.idle_limit(&lane.function, self.node_count.load(Ordering::Relaxed));
+            let kept = self.settings.dispatch.idle_limit.min(idle_limit);
+            let dispatch_settings = DispatchSettings { idle_limit: kept, ..self.settings.dispatch.clone() };
             let dispatching = actix_rt::spawn(async move {
                 let dispatched = dispatch(own_dispatch, &dispatch_settings);
                 let outcome = tokio::time::timeout(time_left.duration(), dispatched).await;
@@ -503,7 +522,7 @@
             if let Some(trace) = trace {
                 trace.end_span(&[("vanelane.cell", &cell)]);
             }
-            let limit = self.settings.dispatch_limit;
+            let limit = lane.dispatch_limit.unwrap_or(self.settings.dispatch_limit);
             let Ok((outcome, mut guard)) = dispatched else {
                 chart.dispatch_ended(DispatchEnd::Unknown, false, limit);
                 return Err(Refusal::new(StatusCode::BAD_GATEWAY, "the dispatch broke down", None));
@@ -625,16 +644,16 @@
         for (name, value) in headers {
             answer.headers_mut().append(name, value);
         }
-        answer.headers_mut().insert(outcome_header(), HeaderValue::from_static("ran"));
+        if let Some(outcome_name) = &self.settings.dispatch.dialect.outcome {
+            answer.headers_mut().insert(outcome_name.clone(), HeaderValue::from_static("ran"));
+        }
         answer
     }
 
     fn refused(&self, chart: &CallChart, refusal: Refusal) -> FrontAnswer {
         let is_unknown = chart.state() == CallState::Unknown;
-        let (outcome, count) = match is_unknown {
-            true => ("unknown", &self.counts.unknown),
-            false => ("not_run", &self.counts.refused),
-        };
+        let outcome = outcome_name(chart);
+        let count = if is_unknown { &self.counts.unknown } else { &self.counts.refused };
         count.fetch_add(1, Ordering::Relaxed);
         let mut document = json!({ "outcome": outcome, "reason": refusal.reason });
         if let Some(retry_after) = refusal.retry_after.filter(|_| !is_unknown) {
@@ -643,10 +662,16 @@
         let mut answer: FrontAnswer = Response::with_body(refusal.status, BoxBody::new(document.to_string()));
         let headers = answer.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        headers.insert(outcome_header(), HeaderValue::from_static(outcome));
+        let dialect = &self.settings.dispatch.dialect;
+        if let Some(outcome_name) = &dialect.outcome {
+            headers.insert(outcome_name.clone(), HeaderValue::from_static(outcome));
+        }
         if let Some(retry_after) = refusal.retry_after.filter(|_| !is_unknown) {
-            let whole_seconds = retry_after.0.div_ceil(1_000_000).max(1);
-            if let Ok(seconds_value) = HeaderValue::from_str(&whole_seconds.to_string()) {
+            let seconds = match dialect.fractional_retry_after {
+                true => format!("{:.3}", retry_after.0.max(1_000) as f64 / 1e6),
+                false => retry_after.0.div_ceil(1_000_000).max(1).to_string(),
+            };
+            if let Ok(seconds_value) = HeaderValue::from_str(&seconds) {
                 headers.insert(header::RETRY_AFTER, seconds_value);
             }
         }
@@ -654,6 +679,15 @@
     }
 }
 
+/// What visitors are told of their call's end.
+fn outcome_name(chart: &CallChart) -> &'static str {
+    match chart.state() {
+        CallState::Answered => "ran",
+        CallState::Unknown => "unknown",
+        _ => "not_run",
+    }
+}
+
 /// The W3C header by which traces are joined.
 const TRACE_HEADER: &str = "traceparent";
 
@@ -693,10 +727,6 @@
     }
 }
 
-fn outcome_header() -> header::HeaderName {
-    header::HeaderName::from_static(OUTCOME_HEADER)
-}
-
 fn no_time_left(chart: &CallChart) -> Refusal {
     match chart.state() {
         CallState::Unknown => Refusal::new(StatusCode::GATEWAY_TIMEOUT, "no time left", None),
@@ -705,10 +735,10 @@
 }
 
 /// The lane's patience, or less if the visitor or a calling cell names less.
-fn time_left(request: &Request, lane: &LaneRow) -> Micros {
+fn time_left(request: &Request, lane: &LaneRow, dialect: &CallDialect) -> Micros {
     let named = request
         .headers()
-        .get(TIME_LEFT_HEADER)
+        .get(&dialect.time_left)
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.trim().parse::<u64>().ok());
     named.map_or(lane.patience, |millis| lane.patience.min(Micros(millis.saturating_mul(1_000))))
--- a/packages/function_front/src/lane_table.rs
+++ b/packages/function_front/src/lane_table.rs
@@ -1,14 +1,22 @@
 use clock_events::Micros;
-use configuration_check::Configuration;
-use std::collections::BTreeMap;
+use configuration_check::{Configuration, VisitorLimits};
+use std::collections::{BTreeMap, HashMap};
 
 /// A lane as calls are matched to it. Example: `table.find("POST", None, "/proof/1").unwrap().function`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LaneRow {
     /// The lane's name.
     pub name: String,
-    /// Where its calls go.
+    /// Where its calls go; the first of the split where it is split.
     pub function: String,
+    /// Where its calls go by weight; empty for a lane with one function.
+    split: Vec<(String, f64)>,
+    /// Cells that one call may be sent to, if the lane says so.
+    pub dispatch_limit: Option<u32>,
+    /// The time within which an answer is worth most.
+    pub target: Option<Micros>,
+    /// Zero is served first.
+    pub rank: u32,
     /// Whether a call of unknown fate may be dispatched again.
     pub repeatable: bool,
     /// How long its calls may take.
@@ -18,11 +26,36 @@
     prefix: String,
 }
 
+impl LaneRow {
+    /// The function for one call: by weight where the lane is split. `draw` is within 0 and 1.
+    /// Example: a lane split 3 to 1 picks its first function for draws below 0.75.
+    pub fn pick(&self, draw: f64) -> &str {
+        let total: f64 = self.split.iter().map(|(_, weight)| weight).sum();
+        let mut left = draw * total;
+        for (function, weight) in &self.split {
+            left -= weight;
+            if left < 0.0 {
+                return function;
+            }
+        }
+        &self.function
+    }
+
+    /// Whether this lane may send calls to the function. Example: `row.allows("proof")`.
+    pub fn allows(&self, function: &str) -> bool {
+        self.function == function || self.split.iter().any(|(name, _)| name == function)
+    }
+}
+
 /// All lanes of one generation, by path prefix. Example: `LaneTable::new(4, &configuration)`.
 #[derive(Debug, Default)]
 pub struct LaneTable {
     /// The configuration's generation.
     pub generation: u64,
+    /// Bounds on visitors, as far as the configuration names them.
+    pub visitor_limits: Option<VisitorLimits>,
+    /// Connections each cell of a function takes, and calls it may run at once.
+    cell_limits: HashMap<String, (Option<u32>, u32)>,
     by_prefix: BTreeMap<String, Vec<LaneRow>>,
 }
 
@@ -34,7 +67,14 @@
             let prefix = lane.path_prefix.trim_end_matches('/').to_owned();
             by_prefix.entry(prefix.clone()).or_default().push(LaneRow {
                 name: name.clone(),
-                function: lane.function.clone(),
+                function: lane.shares().first().map_or_else(String::new, |(name, _)| (*name).to_owned()),
+                split: match lane.split.is_empty() {
+                    true => Vec::new(),
+                    false => lane.shares().into_iter().map(|(name, part)| (name.to_owned(), part)).collect(),
+                },
+                dispatch_limit: lane.dispatch_limit,
+                target: lane.target_millis.map(Micros::from_millis),
+                rank: lane.rank,
                 repeatable: lane.repeatable,
                 patience: Micros::from_millis(lane.patience_millis),
                 host: lane.host.clone(),
@@ -46,7 +86,20 @@
         for rows in by_prefix.values_mut() {
             rows.sort_by_key(|row| (row.host.is_none(), row.methods.is_empty(), row.name.clone()));
         }
-        LaneTable { generation, by_prefix }
+        let cell_limits = configuration
+            .functions
+            .iter()
+            .map(|(name, function)| (name.clone(), (function.connection_limit, function.calls_at_once)))
+            .collect();
+        LaneTable { generation, visitor_limits: configuration.visitor_limits.clone(), cell_limits, by_prefix }
+    }
+
+    /// Idle connections that one of so many nodes may keep to each cell of a function.
+    /// Example: 106 connections over 10 nodes, for cells of six calls at once, are six.
+    pub fn idle_limit(&self, function: &str, node_count: usize) -> usize {
+        let Some((connections, calls_at_once)) = self.cell_limits.get(function) else { return 0 };
+        let calls_at_once = *calls_at_once as usize;
+        connections.map_or(calls_at_once, |all| (all as usize / node_count.max(1)).min(calls_at_once))
     }
 
     /// The lane for a call: the longest prefix of whole segments wins.
--- a/packages/function_front/src/lib.rs
+++ b/packages/function_front/src/lib.rs
@@ -4,12 +4,15 @@
 //! way. The node's protocol is reached through [`FrontLink`] messages.
 
 mod call_chart;
+mod call_dialect;
 mod cell_dispatch;
+mod cell_pool;
 mod front;
 mod lane_table;
 mod recording;
 
 pub use call_chart::{CallChart, CallState, DispatchEnd, NextStep};
+pub use call_dialect::CallDialect;
 pub use cell_dispatch::{CellAnswer, DispatchCall, DispatchOutcome, DispatchSettings, dispatch};
 pub use front::{Front, FrontAnswer, FrontCounts, FrontLink, FrontSettings, TicketAnswer};
 pub use lane_table::{LaneRow, LaneTable};
--- a/packages/node_protocol/src/configuration_part.rs
+++ b/packages/node_protocol/src/configuration_part.rs
@@ -391,6 +391,15 @@
         self.act(Act::ConfigurationTaken { generation: stored.generation, configuration });
     }
 
+    /// An operator's read is confirmed by a majority, so that it never shows less than what was
+    /// acknowledged anywhere.
+    pub(crate) fn configuration_asked(&mut self, request: u64) {
+        let purpose = WritePurpose::ConfigurationAsked { request };
+        if self.send_write(CONFIGURATION_KEY, 0, Bytes::default(), purpose).is_none() {
+            self.act(Act::ConfigurationAnswered { request, stored: None });
+        }
+    }
+
     /// The configuration's stored bytes as this node knows them.
     /// Example: `StoredConfiguration::decode(&node.stored_configuration())`.
     pub fn stored_configuration(&self) -> Vec<u8> {
--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -23,6 +23,8 @@
 
 /// After this an owner that does not answer is passed over for a while.
 const OWNER_PATIENCE: Micros = Micros::from_millis(600);
+/// An operator that reads asks elsewhere after about a second.
+const ASKED_PATIENCE: Micros = Micros::from_millis(900);
 const OWNER_DOUBT: Micros = Micros::from_secs(2);
 const REWRITE_SLACK: usize = 4 * 1024 * 1024;
 /// A disk that failed is tried again, whole, each time after this.
@@ -35,6 +37,7 @@
     Configuration,
     ConfigurationRead,
     ConfigurationCheck,
+    ConfigurationAsked { request: u64 },
     DisksChange,
     DisksCopy { key: String },
 }
@@ -205,6 +208,7 @@
             purpose,
             WritePurpose::ConfigurationRead
                 | WritePurpose::ConfigurationCheck
+                | WritePurpose::ConfigurationAsked { .. }
                 | WritePurpose::DisksCopy { .. }
         );
         let message = match is_read {
@@ -446,6 +450,10 @@
             WritePurpose::Configuration => self.configuration_written(outcome),
             WritePurpose::ConfigurationRead => self.configuration_read(outcome),
             WritePurpose::ConfigurationCheck => self.configuration_checked(outcome),
+            WritePurpose::ConfigurationAsked { request } => {
+                let stored = (outcome.outcome == WRITTEN).then_some(outcome.value.0);
+                self.act(Act::ConfigurationAnswered { request, stored });
+            }
             WritePurpose::DisksChange => self.disks_changed(outcome),
             WritePurpose::DisksCopy { key } => {
                 let Some(copy) = &mut self.control.copy else { return };
@@ -481,7 +489,13 @@
             .filter(|(_, flight)| {
                 let is_hasty = matches!(flight.purpose, WritePurpose::Leader { .. });
                 // A renewal waits up to the owner's group time; another voter is tried after that.
-                now >= flight.sent_at + if is_hasty { OWNER_PATIENCE } else { Micros::from_millis(2_500) }
+                let is_asked = matches!(flight.purpose, WritePurpose::ConfigurationAsked { .. });
+                let patience = match (is_hasty, is_asked) {
+                    (true, _) => OWNER_PATIENCE,
+                    (false, true) => ASKED_PATIENCE,
+                    (false, false) => Micros::from_millis(2_500),
+                };
+                now >= flight.sent_at + patience
             })
             .map(|(ask, _)| *ask)
             .collect();
@@ -498,6 +512,9 @@
                         copy.asked.remove(&key);
                     }
                 }
+                WritePurpose::ConfigurationAsked { request } => {
+                    self.act(Act::ConfigurationAnswered { request, stored: None });
+                }
                 WritePurpose::ConfigurationRead | WritePurpose::DisksChange => {}
             }
         }
@@ -560,7 +577,7 @@
             }
             return;
         }
-        if !is_founder || own_set.generation != 0 || disk.is_broken || self.control.set.generation != 0 {
+        if !is_founder || !self.settings.may_found || own_set.generation != 0 || disk.is_broken || self.control.set.generation != 0 {
             return;
         }
         if self.members.seeds_heard() * 2 < self.members.seed_count() {
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -34,6 +34,10 @@
     pub seeds: Vec<Address>,
     /// How many disks found the first voter set.
     pub founding_disks: usize,
+    /// Whether this node may found the fleet's state, which happens once in the fleet's life.
+    pub may_found: bool,
+    /// Between two lists of the platform.
+    pub list_every: Micros,
     /// A voter whose machine is gone this long is replaced by a spare disk.
     pub replace_disk_after: Micros,
     /// Starts and stops a second that the platform takes from the whole fleet.
@@ -95,6 +99,8 @@
     StopDone { cell: String, result: StopResult },
     /// An operator's change.
     ChangeAsked { request: u64, change: Change },
+    /// An operator reads the configuration as a majority of the disks confirms it.
+    ConfigurationAsked { request: u64 },
     /// An operator reads the decision stream.
     DecisionsAsked { request: u64, after: Vec<(NodeId, u64)>, most: u32 },
     /// Finish: release leases, take no new work.
@@ -124,9 +130,9 @@
     /// Ask the platform for its list.
     List,
     /// Start a cell.
-    Start { start_id: String, function: String, worker: String, memory_mb: u64 },
+    Start { start_id: String, function: String, worker: String, memory_mb: u64, steward_epoch: u64 },
     /// Stop a cell.
-    Stop { cell: String },
+    Stop { cell: String, steward_epoch: u64 },
     /// The call may be dispatched once under this ticket.
     CallGranted { call: u64, ticket: Ticket },
     /// The call is refused: it did not run.
@@ -135,6 +141,8 @@
     ConfigurationTaken { generation: u64, configuration: Arc<Configuration> },
     /// The operator's change has this outcome.
     ChangeAnswered { request: u64, change_id: String, outcome: ChangeOutcome },
+    /// The stored configuration, as a majority of the disks confirms it; none without a majority.
+    ConfigurationAnswered { request: u64, stored: Option<Vec<u8>> },
     /// The decision lines after the cursor, and the cursor behind them.
     DecisionsAnswered { request: u64, lines: Vec<DecisionLine>, cursor: Vec<(NodeId, u64)> },
     /// The node knows the newest configuration and may take calls.
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -185,6 +185,7 @@
             Event::StartDone { start_id, result } => self.start_done(&start_id, result),
             Event::StopDone { cell, result } => self.stop_done(&cell, result),
             Event::ChangeAsked { request, change } => self.change_asked(request, change),
+            Event::ConfigurationAsked { request } => self.configuration_asked(request),
             Event::DecisionsAsked { request, after, most } => self.decisions_asked(request, after, most),
             Event::Drain => self.drain(),
             Event::SeedsChanged { seeds } => {
@@ -490,6 +491,16 @@
         }
     }
 
+    /// Own decisions behind a sequence, oldest first. Example: `node.decisions_after(0).len()`.
+    pub fn decisions_after(&self, sequence: u64) -> Vec<DecisionLine> {
+        self.journal.after(sequence, usize::MAX)
+    }
+
+    /// Live members, this node included. Example: `node.member_count() == 10`.
+    pub fn member_count(&self) -> usize {
+        self.members.live().len()
+    }
+
     /// The voter set this node goes by. Example: `node.voters().generation == 0` before the founding.
     pub fn voters(&self) -> &VoterSet {
         self.control.voters()
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -18,7 +18,6 @@
 
 const START_WAITLIST: usize = 2_048;
 const START_TRIES: u32 = 4;
-const LIST_EVERY: Micros = Micros::from_millis(900);
 /// After a failed list the next is asked for sooner.
 const LIST_AGAIN: Micros = Micros::from_millis(300);
 const LIST_PATIENCE: Micros = Micros::from_secs(3);
@@ -420,8 +419,9 @@
         if is_open || now < self.stewards.list_due {
             return;
         }
-        let jitter = Micros(self.dice.u64(..LIST_EVERY.0 / 5));
-        self.stewards.list_due = now + LIST_EVERY + jitter;
+        let list_every = self.settings.list_every;
+        let jitter = Micros(self.dice.u64(..list_every.0 / 5 + 1));
+        self.stewards.list_due = now + list_every + jitter;
         self.stewards.list_asked_at = Some(now);
         self.act(Act::List);
     }
@@ -454,6 +454,13 @@
             self.journal.append("platform_answers", json!({}), now);
         }
         let mut used: BTreeMap<String, u64> = BTreeMap::new();
+        let configuration = self.configuration.current();
+        for cell in &mut cells {
+            // Where the platform does not tell it, a cell has the memory that its function is given.
+            if cell.memory_mb == 0 {
+                cell.memory_mb = configuration.functions.get(&cell.function).map_or(0, |f| f.cell_memory_mb);
+            }
+        }
         for cell in &cells {
             *used.entry(cell.worker.clone()).or_default() += cell.memory_mb;
         }
@@ -667,10 +674,10 @@
         let now = self.now;
         while let Some(start) = self.stewards.starts.front() {
             let function = start.function.clone();
-            let is_held = self.stewards.election.term(&function, now).is_some();
+            let term = self.stewards.election.term(&function, now);
             let memory_mb =
                 self.configuration.current().functions.get(&function).map(|found| found.cell_memory_mb);
-            let (true, Some(memory_mb)) = (is_held, memory_mb) else {
+            let (Some(steward_epoch), Some(memory_mb)) = (term, memory_mb) else {
                 self.stewards.starts.pop_front();
                 continue;
             };
@@ -703,20 +710,20 @@
                 json!({"function": function, "worker": worker, "start_id": start_id}),
                 now,
             );
-            self.act(Act::Start { start_id, function, worker, memory_mb });
+            self.act(Act::Start { start_id, function, worker, memory_mb, steward_epoch });
         }
         while let Some((function, _)) = self.stewards.stops.front() {
-            let is_held = function.is_empty() || self.stewards.election.term(function, now).is_some();
-            if !is_held {
+            let term = self.stewards.election.term(function, now);
+            let Some(steward_epoch) = term.or_else(|| function.is_empty().then_some(0)) else {
                 self.stewards.stops.pop_front();
                 continue;
-            }
+            };
             if !self.stewards.rate.spend(now) {
                 return;
             }
             let Some((function, cell)) = self.stewards.stops.pop_front() else { return };
             self.journal.append("stop", json!({"function": function, "cell": cell}), now);
-            self.act(Act::Stop { cell });
+            self.act(Act::Stop { cell, steward_epoch });
         }
     }
 
--- a/packages/platform_client/src/lib.rs
+++ b/packages/platform_client/src/lib.rs
@@ -1,10 +1,12 @@
-//! The narrow client of the platform: list, start, stop. What it assumes of the platform's API is
-//! written down in `docs/design.md`; another platform needs only this package changed.
+//! The narrow seam to the platform: list, start, stop. [`PlatformApi`] is what the program needs of any
+//! platform; [`PlatformClient`] speaks vanelane's own form of it (`docs/design.md`).
 
 use awc::Client;
 use awc::http::StatusCode;
+use futures_util::future::LocalBoxFuture;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use steward_work::{ListedCell, ListedWorker};
 
@@ -58,6 +60,51 @@
     Unknown,
 }
 
+/// Who acts at the platform, and under which steward epoch. Example: `ActStamp { fence: 12, .. }`.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ActStamp {
+    /// The node.
+    pub holder: String,
+    /// The steward epoch; it rises with each steward of a function.
+    pub fence: u64,
+}
+
+/// Workers and cells as the platform shows them, perhaps late.
+pub type PlatformList = (Vec<ListedWorker>, Vec<ListedCell>);
+
+/// What any platform is asked. Example: `platform.list().await`.
+pub trait PlatformApi {
+    /// Workers and cells; `None` without a sound answer. Example: `platform.list().await.is_some()`.
+    fn list(&self) -> LocalBoxFuture<'static, Option<PlatformList>>;
+    /// Starts a cell; a repeated start id starts nothing twice. Example: `platform.start(stamp, start)`.
+    fn start(&self, stamp: ActStamp, start: StartDocument) -> LocalBoxFuture<'static, StartAnswer>;
+    /// Stops a cell; stopping one that is gone is no failure. Example: `platform.stop(stamp, "c1".into())`.
+    fn stop(&self, stamp: ActStamp, cell: String) -> LocalBoxFuture<'static, StopAnswer>;
+    /// The same platform at another address. Example: after a reload of the settings.
+    fn moved(&self, address: SocketAddr) -> Rc<dyn PlatformApi>;
+}
+
+impl PlatformApi for PlatformClient {
+    fn list(&self) -> LocalBoxFuture<'static, Option<PlatformList>> {
+        let client = self.clone();
+        Box::pin(async move { PlatformClient::list(&client).await })
+    }
+
+    fn start(&self, _: ActStamp, start: StartDocument) -> LocalBoxFuture<'static, StartAnswer> {
+        let client = self.clone();
+        Box::pin(async move { PlatformClient::start(&client, &start).await })
+    }
+
+    fn stop(&self, _: ActStamp, cell: String) -> LocalBoxFuture<'static, StopAnswer> {
+        let client = self.clone();
+        Box::pin(async move { PlatformClient::stop(&client, &cell).await })
+    }
+
+    fn moved(&self, address: SocketAddr) -> Rc<dyn PlatformApi> {
+        Rc::new(PlatformClient::new(address))
+    }
+}
+
 /// A client of one platform. Example: `PlatformClient::new("127.0.0.1:9000".parse().unwrap())`.
 #[derive(Clone)]
 pub struct PlatformClient {
@@ -89,6 +136,7 @@
                 draining: worker.state != "ready",
                 id: worker.id,
                 memory_mb: worker.memory_mb,
+                free_mb: None,
             })
             .collect();
         let cells = list
--- a/packages/steward_work/src/placement.rs
+++ b/packages/steward_work/src/placement.rs
@@ -3,13 +3,15 @@
 use std::collections::BTreeMap;
 
 /// A worker as the platform lists it.
-/// Example: `ListedWorker { id: "w1".into(), memory_mb: 6500, draining: false }`.
+/// Example: `ListedWorker { id: "w1".into(), memory_mb: 6500, free_mb: None, draining: false }`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListedWorker {
     /// The platform's name for it.
     pub id: String,
     /// All its memory.
     pub memory_mb: u64,
+    /// Memory that is free by the platform's own count, if it tells.
+    pub free_mb: Option<u64>,
     /// It takes no new cells, and those it has will leave.
     pub draining: bool,
 }
@@ -40,7 +42,13 @@
 impl Placement {
     /// Takes the platform's list: workers, and the memory its cells use on each.
     /// Example: `placement.take_list(workers, used)`.
-    pub fn take_list(&mut self, workers: Vec<ListedWorker>, used: BTreeMap<String, u64>) {
+    pub fn take_list(&mut self, workers: Vec<ListedWorker>, mut used: BTreeMap<String, u64>) {
+        // The platform's own count holds cells that boot, which are in no list yet.
+        for worker in &workers {
+            if let Some(free_mb) = worker.free_mb {
+                used.insert(worker.id.clone(), worker.memory_mb.saturating_sub(free_mb));
+            }
+        }
         self.workers = workers;
         self.used = used;
     }
--- a/packages/vanelane/src/colleague_links.rs
+++ b/packages/vanelane/src/colleague_links.rs
@@ -147,7 +147,7 @@
 }
 
 /// A connection that broke before it was accepted, or too many open files for now.
-fn is_passing(failure: &std::io::Error) -> bool {
+pub fn is_passing(failure: &std::io::Error) -> bool {
     use std::io::ErrorKind;
     matches!(
         failure.kind(),
--- a/packages/vanelane/src/control_pages.rs
+++ b/packages/vanelane/src/control_pages.rs
@@ -1,36 +1,37 @@
 //! The operators' pages: changes in, decisions out, status, health, readiness, metrics.
 
-use crate::colleague_links::FrameCounts;
-use crate::protocol_shell::{DecisionsReply, NodeFlags, ShellEvent};
+use crate::operator_port::{OperatorPages, OperatorPort, Page};
+use crate::protocol_shell::DecisionsReply;
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::header::{self, HeaderValue};
 use actix_http::{Method, Payload, Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use colleague_messages::NodeId;
-use configuration_check::{Change, ChangeOutcome, DOCUMENT_LIMIT, Reason, StoredConfiguration};
-use function_front::Front;
+use configuration_check::{Change, DOCUMENT_LIMIT, Reason};
 use futures_util::{Stream, StreamExt};
 use serde_json::{Value, json};
 use std::fmt::Write;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use futures_util::future::LocalBoxFuture;
 
 const LINE_LIMIT: usize = DOCUMENT_LIMIT + 64 * 1024;
-const ANSWER_WITHIN: Duration = Duration::from_secs(10);
 const FOLLOW_PAUSE: Duration = Duration::from_millis(500);
 const DECISIONS_AT_ONCE: u32 = 500;
 
-#[derive(Clone)]
-pub struct ControlPages {
-    pub inbox: mpsc::Sender<ShellEvent>,
-    pub front: Arc<Front>,
-    pub flags: Arc<NodeFlags>,
-    pub frames: Arc<FrameCounts>,
+/// Vanelane's own pages. Example: `ControlPages.answer(port, request).await`.
+pub struct ControlPages;
+
+impl OperatorPages for ControlPages {
+    fn answer(&self, port: OperatorPort, request: Request) -> LocalBoxFuture<'static, Page> {
+        Box::pin(NativePages { port }.answer(request))
+    }
 }
 
-type Page = Response<BoxBody>;
+#[derive(Clone)]
+struct NativePages {
+    port: OperatorPort,
+}
 
 fn page(status: StatusCode, kind: &'static str, body: impl Into<Bytes>) -> Page {
     let mut answer = Response::with_body(status, BoxBody::new(body.into()));
@@ -49,8 +50,8 @@
     answer
 }
 
-impl ControlPages {
-    pub async fn answer(self, mut request: Request) -> Page {
+impl NativePages {
+    async fn answer(self, mut request: Request) -> Page {
         let path = request.path().to_owned();
         match (request.method().clone(), path.as_str()) {
             (Method::POST, "/control/changes") => self.changes(request.take_payload()),
@@ -78,18 +79,12 @@
     }
 
     fn ready(&self) -> Page {
-        let is_draining = self.flags.draining.load(Ordering::Relaxed);
-        let is_ready = self.flags.ready.load(Ordering::Relaxed) && !is_draining;
+        let is_draining = self.port.is_draining();
+        let is_ready = self.port.is_ready();
         let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         json_page(status, &json!({"ready": is_ready, "draining": is_draining}))
     }
 
-    async fn ask<T>(&self, make: impl FnOnce(oneshot::Sender<T>) -> ShellEvent) -> Option<T> {
-        let (reply, answer) = oneshot::channel();
-        self.inbox.send(make(reply)).await.ok()?;
-        tokio::time::timeout(ANSWER_WITHIN, answer).await.ok()?.ok()
-    }
-
     /// Lines are taken one after another; each outcome leaves before the next line is looked at.
     fn changes(self, payload: Payload) -> Page {
         let begun = LineReader { payload, buffer: BytesMut::new(), is_over: false };
@@ -119,9 +114,7 @@
             }
         };
         let change_id = change.change_id.clone();
-        let outcome = self.ask(|reply| ShellEvent::Change { change, reply }).await;
-        let silence = ChangeOutcome::Unknown { reason: "the node did not answer in time".to_owned() };
-        outcome.unwrap_or(silence).line(&change_id)
+        self.port.change(change).await.line(&change_id)
     }
 
     async fn decisions(self, query: &str) -> Page {
@@ -150,7 +143,7 @@
             }
         }
         if !is_following {
-            let Some(reply) = self.ask(|reply| ShellEvent::Decisions { after, most, reply }).await else {
+            let Some(reply) = self.port.decisions(after, most).await else {
                 return json_page(StatusCode::SERVICE_UNAVAILABLE, &json!({"reason": "no answer"}));
             };
             return page(StatusCode::OK, "application/x-ndjson", decision_lines(&reply));
@@ -161,7 +154,7 @@
                     tokio::time::sleep(FOLLOW_PAUSE).await;
                 }
                 let asked = after.clone();
-                let reply = pages.ask(|reply| ShellEvent::Decisions { after: asked, most, reply }).await?;
+                let reply = pages.port.decisions(asked, most).await?;
                 let lines = if reply.lines.is_empty() { String::new() } else { decision_lines(&reply) };
                 Some((Ok::<Bytes, std::io::Error>(Bytes::from(lines)), (pages, reply.cursor, false)))
             });
@@ -173,7 +166,7 @@
     }
 
     async fn status(&self) -> Page {
-        let Some(status) = self.ask(|reply| ShellEvent::Status { reply }).await else {
+        let Some(status) = self.port.status().await else {
             return json_page(StatusCode::SERVICE_UNAVAILABLE, &json!({"reason": "no answer"}));
         };
         let members: Vec<Value> = status
@@ -208,32 +201,33 @@
                 "gate_refusals": status.election_counts.0,
                 "lost_races": status.election_counts.1,
                 "gates_passed_over": status.election_counts.2,
-                "open_calls": self.front.open_calls(),
+                "open_calls": self.port.front.open_calls(),
             }),
         )
     }
 
     async fn configuration(&self) -> Page {
-        let stored = self.ask(|reply| ShellEvent::Configuration { reply }).await;
-        let Some(stored) = stored.and_then(|bytes| StoredConfiguration::decode(&bytes)) else {
+        let Some(stored) = self.port.configuration().await else {
             return json_page(StatusCode::SERVICE_UNAVAILABLE, &json!({"reason": "no answer"}));
         };
-        json_page(StatusCode::OK, &json!({"generation": stored.generation, "document": stored.document}))
+        json_page(StatusCode::OK, &json!({
+                "generation": stored.generation, "version": stored.version, "document": stored.document
+            }))
     }
 
     async fn metrics(&self) -> Page {
-        let Some(status) = self.ask(|reply| ShellEvent::Status { reply }).await else {
+        let Some(status) = self.port.status().await else {
             return json_page(StatusCode::SERVICE_UNAVAILABLE, &json!({"reason": "no answer"}));
         };
         let mut text = String::new();
         let mut line = |name: &str, value: u64| {
             let _ = writeln!(text, "vanelane_{name} {value}");
         };
-        for (name, value) in self.front.counts.all() {
+        for (name, value) in self.port.front.counts.all() {
             line(&format!("calls_{name}"), value);
         }
-        line("calls_open", self.front.open_calls() as u64);
-        line("records_dropped", self.front.records_dropped());
+        line("calls_open", self.port.front.open_calls() as u64);
+        line("records_dropped", self.port.front.records_dropped());
         line("generation", status.generation);
         line("members", status.members.len() as u64);
         line("steward_of", status.held.len() as u64);
@@ -250,11 +244,11 @@
         line("deputy_tickets", status.counts.deputy_tickets);
         line("asks_refused", status.counts.asks_refused);
         let frames = [
-            ("frames_foreign", &self.frames.foreign),
-            ("frames_too_long", &self.frames.too_long),
-            ("frames_damaged", &self.frames.damaged),
-            ("frames_other_fleet", &self.frames.other_fleet),
-            ("frames_waitlist_full", &self.frames.waitlist_full),
+            ("frames_foreign", &self.port.frames.foreign),
+            ("frames_too_long", &self.port.frames.too_long),
+            ("frames_damaged", &self.port.frames.damaged),
+            ("frames_other_fleet", &self.port.frames.other_fleet),
+            ("frames_waitlist_full", &self.port.frames.waitlist_full),
         ];
         for (name, count) in frames {
             line(name, count.load(Ordering::Relaxed));
--- /dev/null
+++ b/packages/vanelane/src/lib.rs
@@ -0,0 +1,20 @@
+//! The node as a library: settings, sockets, disk thread, operators' pages. The program `vanelane` is a
+//! thin `main` over it; a program for another platform brings its own [`Seams`] and nothing else.
+
+pub mod command_line;
+pub mod operator_commands;
+pub mod operator_port;
+pub mod run_node;
+pub mod settings;
+
+mod colleague_links;
+mod control_pages;
+mod disk_thread;
+mod local_server;
+mod protocol_shell;
+mod settings_watch;
+
+pub use control_pages::ControlPages;
+pub use operator_port::{OperatorPages, OperatorPort, Page};
+pub use run_node::{Seams, start};
+pub use settings::{Settings, SettingsReason};
--- a/packages/vanelane/src/main.rs
+++ b/packages/vanelane/src/main.rs
@@ -1,15 +1,7 @@
 //! vanelane: one program for all machines. With a data folder it also holds the control state.
 
-mod colleague_links;
-mod command_line;
-mod control_pages;
-mod disk_thread;
-mod operator_commands;
-mod protocol_shell;
-mod run_node;
-mod settings;
-
 use std::process::ExitCode;
+use vanelane::{command_line, operator_commands, run_node};
 
 fn main() -> ExitCode {
     let command_line = command_line::Vanelane::from_env_or_exit();
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -8,8 +8,9 @@
 use error_stack::Report;
 use function_front::{Front, FrontLink, TicketAnswer};
 use node_protocol::{Act, Event, Node, NodeStatus, RefusedAs, StartResult, StopResult};
-use platform_client::{PlatformClient, StartAnswer, StartDocument, StopAnswer};
+use platform_client::{ActStamp, PlatformApi, StartAnswer, StartDocument, StopAnswer};
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -27,6 +28,7 @@
     Decisions { after: Vec<(NodeId, u64)>, most: u32, reply: oneshot::Sender<DecisionsReply> },
     Status { reply: oneshot::Sender<NodeStatus> },
     Configuration { reply: oneshot::Sender<Vec<u8>> },
+    ConfirmedConfiguration { reply: oneshot::Sender<Option<Vec<u8>>> },
     PlatformMoved { address: std::net::SocketAddr },
     Drain,
 }
@@ -52,14 +54,17 @@
     pub fleet: u64,
     pub links: ColleagueLinks,
     pub disk: Option<DiskThread>,
-    pub platform: PlatformClient,
+    pub platform: Rc<dyn PlatformApi>,
+    pub node_name: String,
     pub front: Arc<Front>,
     pub flags: Arc<NodeFlags>,
     pub inbox_sender: mpsc::Sender<ShellEvent>,
     pub tickets: HashMap<u64, oneshot::Sender<TicketAnswer>>,
     pub changes: HashMap<u64, oneshot::Sender<ChangeOutcome>>,
     pub decisions: HashMap<u64, oneshot::Sender<DecisionsReply>>,
+    pub confirmed: HashMap<u64, oneshot::Sender<Option<Vec<u8>>>>,
     pub next_request: u64,
+    pub logged_decision: u64,
 }
 
 impl ProtocolShell {
@@ -77,9 +82,11 @@
                 biased;
                 _ = ticker.tick() => {
                     let now = self.clock.now();
+                    self.front.tell_node_count(self.node.member_count());
                     self.front.tell_lag(now - ticked_at - Micros::from_millis(TICK.as_millis() as u64));
                     ticked_at = now;
                     self.handle(Event::Tick);
+                    self.log_decisions();
                 }
                 event = inbox.recv() => match event {
                     Some(event) => self.take(event),
@@ -93,6 +100,17 @@
         }
     }
 
+    /// Decisions go to the log as they are made, where it wants them.
+    fn log_decisions(&mut self) {
+        if !log::log_enabled!(log::Level::Debug) {
+            return;
+        }
+        for line in self.node.decisions_after(self.logged_decision) {
+            self.logged_decision = line.sequence;
+            log::debug!("{}", line.line.0);
+        }
+    }
+
     fn take(&mut self, event: ShellEvent) {
         self.next_request += 1;
         let request = self.next_request;
@@ -114,7 +132,11 @@
             ShellEvent::Configuration { reply } => {
                 let _ = reply.send(self.node.stored_configuration());
             }
-            ShellEvent::PlatformMoved { address } => self.platform = PlatformClient::new(address),
+            ShellEvent::PlatformMoved { address } => self.platform = self.platform.moved(address),
+            ShellEvent::ConfirmedConfiguration { reply } => {
+                self.confirmed.insert(request, reply);
+                self.handle(Event::ConfigurationAsked { request });
+            }
             ShellEvent::Drain => {
                 self.flags.draining.store(true, Ordering::Relaxed);
                 self.front.drain();
@@ -181,11 +203,13 @@
                     }
                 });
             }
-            Act::Start { start_id, function, worker, memory_mb } => {
+            Act::Start { start_id, function, worker, memory_mb, steward_epoch } => {
                 let platform = self.platform.clone();
+                let stamp = ActStamp { holder: self.node_name.clone(), fence: steward_epoch };
                 self.spawn(async move {
                     let start = StartDocument { start_id, function, worker, memory_mb };
-                    let result = match platform.start(&start).await {
+                    let start_id = start.start_id.clone();
+                    let result = match platform.start(stamp, start).await {
                         StartAnswer::Started(started) => {
                             StartResult::Started { cell: started.cell, address: started.address }
                         }
@@ -193,13 +217,14 @@
                         StartAnswer::Throttled => StartResult::Throttled,
                         StartAnswer::Unknown => StartResult::Unknown,
                     };
-                    Event::StartDone { start_id: start.start_id, result }
+                    Event::StartDone { start_id, result }
                 });
             }
-            Act::Stop { cell } => {
+            Act::Stop { cell, steward_epoch } => {
                 let platform = self.platform.clone();
+                let stamp = ActStamp { holder: self.node_name.clone(), fence: steward_epoch };
                 self.spawn(async move {
-                    let result = match platform.stop(&cell).await {
+                    let result = match platform.stop(stamp, cell.clone()).await {
                         StopAnswer::Stopped => StopResult::Stopped,
                         StopAnswer::Throttled => StopResult::Throttled,
                         StopAnswer::Unknown => StopResult::Unknown,
@@ -236,6 +261,11 @@
                     let _ = reply.send(outcome);
                 }
             }
+            Act::ConfigurationAnswered { request, stored } => {
+                if let Some(reply) = self.confirmed.remove(&request) {
+                    let _ = reply.send(stored);
+                }
+            }
             Act::DecisionsAnswered { request, lines, cursor } => {
                 if let Some(reply) = self.decisions.remove(&request) {
                     let _ = reply.send(DecisionsReply { lines, cursor });
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -3,6 +3,9 @@
 use crate::colleague_links::{self, ColleagueLinks, FrameCounts};
 use crate::command_line::Run;
 use crate::control_pages::ControlPages;
+use crate::local_server::{self, ClientPatience, LocalServer};
+use crate::operator_port::{OperatorPages, OperatorPort};
+use crate::settings_watch;
 use crate::disk_thread::{self, DiskThread};
 use crate::protocol_shell::{NodeFlags, ProtocolShell, ShellEvent};
 use crate::settings::{self, Settings, SettingsReason};
@@ -12,15 +15,17 @@
 use clock_events::{Micros, MonotonicClock};
 use colleague_messages::{Address, fleet_mark};
 use control_registers::DiskRegisters;
-use function_front::{Front, FrontSettings, Recorder};
+use configuration_check::VisitorLimits;
+use function_front::{CallDialect, DispatchSettings, Front, FrontSettings, Recorder};
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Root};
 use log4rs::encode::json::JsonEncoder;
 use node_protocol::{Event, Node, NodeSettings};
-use platform_client::PlatformClient;
+use platform_client::{PlatformApi, PlatformClient};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::TcpListener;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -29,30 +34,60 @@
 use steward_election::ElectionSettings;
 use supervisor::{Patience, Supervisor};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 const BAD_SETTINGS: u8 = 2;
 const BAD_START: u8 = 1;
 const INBOX_LIMIT: usize = 8_192;
-/// A planned stop is over by then, calls or not.
-const STOP_WITHIN: Duration = Duration::from_millis(5_600);
-/// New connections are still taken this long after the stop began, until visitors are elsewhere.
-const STILL_ACCEPTING: Duration = Duration::from_millis(700);
+const VISITOR_CONNECTIONS: usize = 4_096;
+const CONTROL_CONNECTIONS: usize = 256;
 
+/// What a platform brings of its own; everything else is the product's.
+pub struct Seams {
+    /// The headers that visitors and cells speak by.
+    pub dialect: CallDialect,
+    /// List, start and stop.
+    pub platform: Rc<dyn PlatformApi>,
+    /// The operators' pages, and the readiness page.
+    pub pages: Rc<dyn OperatorPages>,
+    /// Reads the settings again.
+    pub reread: Rc<dyn Fn() -> Result<Settings, Vec<SettingsReason>>>,
+    /// The file that the settings come from: looked at for changes without a signal.
+    pub settings_path: Option<PathBuf>,
+}
+
+/// `vanelane run`: the native program. Example: `run_node::run(flags)`.
 pub fn run(run: Run) -> ExitCode {
     let settings = match settings::read(&run) {
         Ok(settings) => settings,
-        Err(reasons) => {
-            for (field, reason) in reasons {
-                eprintln!("vanelane: setting {field}: {reason}");
-            }
-            return ExitCode::from(BAD_SETTINGS);
-        }
+        Err(reasons) => return bad_settings(reasons),
     };
     if run.check {
         println!("settings are sound");
         return ExitCode::SUCCESS;
     }
+    let platform_address = settings.platform_address;
+    let settings_path = run.settings.clone();
+    start(settings, move || Seams {
+        dialect: CallDialect::default(),
+        platform: Rc::new(PlatformClient::new(platform_address)),
+        pages: Rc::new(ControlPages),
+        reread: Rc::new(move || settings::read(&run)),
+        settings_path,
+    })
+}
+
+/// Tells every wrong setting, one a line. Example: `return bad_settings(reasons)`.
+pub fn bad_settings(reasons: Vec<SettingsReason>) -> ExitCode {
+    for (field, reason) in reasons {
+        eprintln!("vanelane: setting {field}: {reason}");
+    }
+    ExitCode::from(BAD_SETTINGS)
+}
+
+/// Runs a node to its end. The seams are made on the node's own thread, inside its runtime.
+/// Example: `start(settings, || Seams { .. })`.
+pub fn start(settings: Settings, make_seams: impl FnOnce() -> Seams) -> ExitCode {
     let logging = logging_config(settings.log_level);
     let log_handle = match logging.map(log4rs::init_config) {
         Ok(Ok(handle)) => handle,
@@ -61,7 +96,7 @@
             return ExitCode::from(BAD_START);
         }
     };
-    match actix_rt::System::new().block_on(serve(run, settings, log_handle)) {
+    match actix_rt::System::new().block_on(async { serve(settings, make_seams(), log_handle).await }) {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
             log::error!("{reason}");
@@ -86,13 +121,18 @@
     Ok(listener)
 }
 
-async fn serve(run: Run, settings: Settings, log_handle: log4rs::Handle) -> Result<(), String> {
+async fn serve(settings: Settings, seams: Seams, log_handle: log4rs::Handle) -> Result<(), String> {
     let (inbox_sender, inbox) = mpsc::channel(INBOX_LIMIT);
     let (link_sender, front_links) = mpsc::channel(INBOX_LIMIT);
     let front_settings = FrontSettings {
         body_limit: settings.body_limit_bytes,
         memory_limit: settings.memory_limit_bytes,
         calls_limit: settings.calls_limit,
+        dispatch: DispatchSettings {
+            idle_limit: settings.kept_connections,
+            dialect: Arc::new(seams.dialect.clone()),
+            ..DispatchSettings::default()
+        },
         ..FrontSettings::default()
     };
     let mut front = Front::new(front_settings, link_sender);
@@ -141,27 +181,64 @@
         fleet,
         links: ColleagueLinks::new(frames.clone()),
         disk: disk_thread,
-        platform: PlatformClient::new(settings.platform_address),
+        platform: seams.platform.clone(),
+        node_name: settings.node_name.clone(),
         front: front.clone(),
         flags: flags.clone(),
         inbox_sender: inbox_sender.clone(),
         tickets: HashMap::new(),
         changes: HashMap::new(),
         decisions: HashMap::new(),
+        confirmed: HashMap::new(),
         next_request: 0,
+        logged_decision: 0,
     };
 
-    let pages = ControlPages {
+    let port = OperatorPort {
         inbox: inbox_sender.clone(),
         front: front.clone(),
         flags: flags.clone(),
         frames: frames.clone(),
     };
-    let visitor_server = visitor_server(visitor_listener, front.clone(), settings.worker_threads)?;
-    let visitor_handle = visitor_server.handle();
-    let control_server = control_server(control_listener, pages)?;
-    let control_handle = control_server.handle();
-    let servers = Rc::new(RefCell::new(vec![visitor_server, control_server]));
+    let (closing, is_closing) = watch::channel(false);
+    // The operators' pages answer to the end.
+    let (pages_closing, are_pages_closing) = watch::channel(false);
+    let patience = ClientPatience {
+        idle: Duration::from_millis(settings.idle_millis),
+        header_wait: Duration::from_millis(settings.header_wait_millis),
+    };
+    let mut local_servers = Vec::new();
+    let mut threaded = None;
+    match settings.worker_threads {
+        0 => {
+            let called_front = front.clone();
+            let limits_front = front.clone();
+            local_servers.push(LocalServer {
+                listener: local_listener("visitor_address", visitor_listener)?,
+                answering: Rc::new(move |request| Box::pin(called_front.clone().call(request))),
+                patience: Rc::new(move || limited(patience, limits_front.visitor_limits())),
+                connections_limit: VISITOR_CONNECTIONS,
+                closing: is_closing.clone(),
+            });
+        }
+        threads => threaded = Some(visitor_server(visitor_listener, front.clone(), threads, patience)?),
+    }
+    let mut page_listeners = vec![("control_address", control_listener)];
+    if let Some(address) = settings.ready_address {
+        page_listeners.push(("ready_address", listen_on("ready_address", address)?));
+    }
+    for (field, listener) in page_listeners {
+        let (pages, port) = (seams.pages.clone(), port.clone());
+        local_servers.push(LocalServer {
+            listener: local_listener(field, listener)?,
+            answering: Rc::new(move |request| pages.answer(port.clone(), request)),
+            patience: Rc::new(move || patience),
+            connections_limit: CONTROL_CONNECTIONS,
+            closing: are_pages_closing.clone(),
+        });
+    }
+    let threaded_handle = threaded.as_ref().map(Server::handle);
+    let servers = Rc::new(RefCell::new((threaded, local_servers)));
 
     let colleague_listener = tokio::net::TcpListener::from_std(colleague_listener)
         .map_err(|failure| format!("setting colleague_address: {failure}"))?;
@@ -184,17 +261,33 @@
             colleague_links::listen(colleague_listener.clone(), fleet, listen_inbox.clone(), frames.clone())
         })
         .child("servers", move || {
-            let taken: Vec<Server> = servers.borrow_mut().drain(..).collect();
+            let threaded = servers.borrow_mut().0.take();
+            let local: Vec<LocalServer> = servers.borrow_mut().1.drain(..).collect();
             async move {
-                let ended = futures_util::future::join_all(taken).await;
-                match ended.into_iter().find_map(Result::err) {
-                    Some(failure) => Err(error_stack::Report::new(failure)
-                        .change_context(supervisor::ChildError("servers".to_owned()))),
-                    None => Ok(()),
-                }
+                let threaded = async move {
+                    match threaded {
+                        Some(server) => server
+                            .await
+                            .map_err(|failure| error_stack::Report::new(failure))
+                            .map_err(|report| report.change_context(supervisor::ChildError("servers".to_owned()))),
+                        None => Ok(()),
+                    }
+                };
+                let local = futures_util::future::try_join_all(local.into_iter().map(local_server::serve));
+                futures_util::try_join!(threaded, local).map(|_| ())
             }
         });
-    let stopping = watch_signals(run, inbox_sender, front, flags, visitor_handle, control_handle, log_handle);
+    let stop = PlannedStop {
+        inbox: inbox_sender,
+        front,
+        flags,
+        closing,
+        _pages_closing: pages_closing,
+        threaded: threaded_handle,
+        still_accepting: Duration::from_millis(settings.still_accepting_millis),
+        within: Duration::from_millis(settings.stop_within_millis),
+    };
+    let stopping = watch_signals(seams, stop, log_handle);
     tokio::select! {
         ended = tree.run() => ended.map_err(|failure| format!("{failure:?}")),
         stopped = stopping => stopped,
@@ -220,6 +313,8 @@
         zone: settings.zone.clone(),
         seeds: settings.seeds.iter().map(|seed| Address::from(*seed)).collect(),
         founding_disks: settings.founding_disks,
+        may_found: settings.may_found,
+        list_every: Micros::from_millis(settings.list_every_millis),
         replace_disk_after: Micros::from_secs(settings.replace_disk_after_seconds),
         acts_per_second: settings.acts_per_second,
         election: ElectionSettings {
@@ -234,18 +329,39 @@
     }
 }
 
-fn visitor_server(listener: TcpListener, front: Arc<Front>, worker_threads: usize) -> Result<Server, String> {
+fn local_listener(field: &str, listener: TcpListener) -> Result<Rc<tokio::net::TcpListener>, String> {
+    let listener = tokio::net::TcpListener::from_std(listener);
+    listener.map(Rc::new).map_err(|failure| format!("setting {field}: {failure}"))
+}
+
+/// What the configuration names of a visitor's limits goes ahead of the settings.
+fn limited(patience: ClientPatience, limits: Option<VisitorLimits>) -> ClientPatience {
+    let told = |named: Option<u64>, fallback: Duration| named.map_or(fallback, Duration::from_millis);
+    let Some(limits) = limits else { return patience };
+    ClientPatience {
+        idle: told(limits.idle_millis, patience.idle),
+        header_wait: told(limits.header_wait_millis, patience.header_wait),
+    }
+}
+
+/// Visitors on threads of their own.
+fn visitor_server(
+    listener: TcpListener,
+    front: Arc<Front>,
+    worker_threads: usize,
+    patience: ClientPatience,
+) -> Result<Server, String> {
     let builder = Server::build()
         .workers(worker_threads)
-        .max_concurrent_connections(4_096)
-        .shutdown_timeout(STOP_WITHIN.as_secs())
+        .max_concurrent_connections(VISITOR_CONNECTIONS)
+        .shutdown_timeout(6)
         .disable_signals();
     let bound = builder.listen("visitors", listener, move || {
         let front = front.clone();
         HttpService::build()
-            .client_request_timeout(Duration::from_secs(5))
+            .client_request_timeout(patience.header_wait)
             .client_disconnect_timeout(Duration::from_secs(1))
-            .keep_alive(KeepAlive::Timeout(Duration::from_secs(15)))
+            .keep_alive(KeepAlive::Timeout(patience.idle))
             .h1(move |request: Request| {
                 let front = front.clone();
                 async move { Ok::<_, std::convert::Infallible>(front.call(request).await) }
@@ -255,65 +371,65 @@
     Ok(bound.map_err(|failure| format!("visitors: {failure}"))?.run())
 }
 
-fn control_server(listener: TcpListener, pages: ControlPages) -> Result<Server, String> {
-    let builder =
-        Server::build().workers(1).max_concurrent_connections(256).shutdown_timeout(1).disable_signals();
-    let bound = builder.listen("control", listener, move || {
-        let pages = pages.clone();
-        HttpService::build()
-            .client_request_timeout(Duration::from_secs(5))
-            .keep_alive(KeepAlive::Timeout(Duration::from_secs(15)))
-            .h1(move |request: Request| {
-                let pages = pages.clone();
-                async move { Ok::<_, std::convert::Infallible>(pages.answer(request).await) }
-            })
-            .tcp()
-    });
-    Ok(bound.map_err(|failure| format!("control: {failure}"))?.run())
-}
-
-/// SIGHUP reads the settings again; SIGTERM and SIGINT begin the planned stop.
-async fn watch_signals(
-    run: Run,
+/// What a planned stop needs.
+struct PlannedStop {
     inbox: mpsc::Sender<ShellEvent>,
     front: Arc<Front>,
     flags: Arc<NodeFlags>,
-    visitor_handle: ServerHandle,
-    control_handle: ServerHandle,
-    log_handle: log4rs::Handle,
-) -> Result<(), String> {
+    closing: watch::Sender<bool>,
+    _pages_closing: watch::Sender<bool>,
+    threaded: Option<ServerHandle>,
+    /// New connections are still taken this long after the stop began, until visitors are elsewhere.
+    still_accepting: Duration,
+    /// It is over by then, calls or not.
+    within: Duration,
+}
+
+/// SIGHUP, and a settings file that changed without it, read the settings again; SIGTERM and SIGINT
+/// begin the planned stop.
+async fn watch_signals(seams: Seams, stop: PlannedStop, log_handle: log4rs::Handle) -> Result<(), String> {
     let watch = |kind| signal(kind).map_err(|failure| format!("signals: {failure}"));
     let mut reloads = watch(SignalKind::hangup())?;
     let mut terms = watch(SignalKind::terminate())?;
     let mut interrupts = watch(SignalKind::interrupt())?;
+    let mut known = seams.settings_path.as_ref().and_then(|path| std::fs::read(path).ok()).unwrap_or_default();
     loop {
+        let file_changed = async {
+            match &seams.settings_path {
+                Some(path) => settings_watch::changed(path, &mut known).await,
+                None => std::future::pending().await,
+            }
+        };
         tokio::select! {
-            _ = reloads.recv() => reload(&run, &inbox, &log_handle).await,
+            _ = reloads.recv() => {}
+            () = file_changed => {}
             _ = terms.recv() => break,
             _ = interrupts.recv() => break,
         }
+        reload(&seams, &stop.inbox, &log_handle).await;
     }
     let began = Instant::now();
     log::info!("stopping: leases are released and calls finished");
-    let _ = inbox.send(ShellEvent::Drain).await;
-    tokio::time::sleep(STILL_ACCEPTING).await;
+    let _ = stop.inbox.send(ShellEvent::Drain).await;
+    tokio::time::sleep(stop.still_accepting).await;
     // Accepts no more; connections that are open go on to the end of their calls.
-    let stopping = visitor_handle.stop(true);
-    actix_rt::spawn(stopping);
-    let is_done = || front.open_calls() == 0 && flags.drained.load(Ordering::Relaxed);
-    while !is_done() && began.elapsed() < STOP_WITHIN {
+    let _ = stop.closing.send(true);
+    if let Some(handle) = &stop.threaded {
+        actix_rt::spawn(handle.stop(true));
+    }
+    let is_done = || stop.front.open_calls() == 0 && stop.flags.drained.load(Ordering::Relaxed);
+    while !is_done() && began.elapsed() < stop.within {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     // Answers that were just handed over still have to leave.
     tokio::time::sleep(Duration::from_millis(100)).await;
-    control_handle.stop(false).await;
-    log::info!("stopped after {} ms with {} calls open", began.elapsed().as_millis(), front.open_calls());
+    log::info!("stopped after {} ms with {} calls open", began.elapsed().as_millis(), stop.front.open_calls());
     Ok(())
 }
 
 /// Seeds, the platform's address and the log level take effect at once; what cannot is named.
-async fn reload(run: &Run, inbox: &mpsc::Sender<ShellEvent>, log_handle: &log4rs::Handle) {
-    let settings = match settings::read(run) {
+async fn reload(seams: &Seams, inbox: &mpsc::Sender<ShellEvent>, log_handle: &log4rs::Handle) {
+    let settings = match (seams.reread)() {
         Ok(settings) => settings,
         Err(reasons) => {
             let told: Vec<String> =
