--- a/packages/configuration_check/src/lib.rs
+++ b/packages/configuration_check/src/lib.rs
@@ -73,8 +73,8 @@
         calls_at_once: u32,
         /// How long a cell boots, until that is learnt.
         #[serde(default = "default_boot")] boot_millis: u64,
-        /// How long a cell may idle before it is stopped.
-        #[serde(default = "default_idle")] idle_seconds: u64,
+        /// How long a cell may idle before it is stopped; without it the cost model decides.
+        #[serde(default, skip_serializing_if = "Option::is_none")] idle_seconds: Option<u64>,
         /// Cells kept even when idle.
         #[serde(default)] least_cells: u32,
         /// Cells never passed.
@@ -152,9 +152,6 @@
 fn default_boot() -> u64 {
     1_000
 }
-fn default_idle() -> u64 {
-    60
-}
 fn default_most() -> u32 {
     1_000
 }
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -421,6 +421,7 @@
             zone: self.nodes[number].zone.clone(),
             seeds: self.seeds.clone(),
             founding_disks: 3,
+            costs: steward_work::CostModel::default(),
             may_found: true,
             list_every: Micros::from_millis(900),
             replace_disk_after: self.settings.replace_disk_after,
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -19,7 +19,7 @@
 use configuration_check::{Change, ChangeOutcome, Configuration};
 use std::sync::Arc;
 use steward_election::ElectionSettings;
-use steward_work::{ListedCell, ListedWorker};
+use steward_work::{CostModel, ListedCell, ListedWorker};
 
 /// What a node is told at its start. Example: see `fleet_simulator`.
 #[derive(Clone, Debug)]
@@ -34,6 +34,8 @@
     pub seeds: Vec<Address>,
     /// How many disks found the first voter set.
     pub founding_disks: usize,
+    /// What cells, starts and late answers cost beside each other.
+    pub costs: CostModel,
     /// Whether this node may found the fleet's state, which happens once in the fleet's life.
     pub may_found: bool,
     /// Between two lists of the platform.
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use steward_election::{Election, ElectionSettings, TermChange};
 use steward_work::{
-    Demand, DeputyAsk, DeputyCell, DeputyWork, FunctionWork, HeldBackAs, ListedCell, ListedWorker, Placement,
+    CostModel, Demand, DeputyAsk, DeputyCell, DeputyWork, FunctionWork, HeldBackAs, ListedCell, ListedWorker, Placement,
     StartOutcome, StartRate, Totals, WorkAct, WorkSettings, allowance_split,
 };
 
@@ -66,6 +66,8 @@
     /// When the newest list was asked for.
     listed_at: Option<Micros>,
     balance_due: Micros,
+    /// The strictest target of the lanes that lead to each function, in milliseconds.
+    targets: BTreeMap<String, u64>,
 }
 
 impl StewardPart {
@@ -97,15 +99,19 @@
             is_list_stale: false,
             listed_at: None,
             balance_due: Micros(0),
+            targets: BTreeMap::new(),
         }
     }
 }
 
-fn work_settings(function: &Function) -> WorkSettings {
+fn work_settings(function: &Function, target: Option<u64>, costs: CostModel) -> WorkSettings {
     WorkSettings {
         calls_at_once: function.calls_at_once,
         boot: Micros::from_millis(function.boot_millis),
-        idle: Micros::from_secs(function.idle_seconds),
+        idle: function.idle_seconds.map(Micros::from_secs),
+        memory_mb: function.cell_memory_mb,
+        target: target.map(Micros::from_millis),
+        costs,
         least_cells: function.least_cells,
         most_cells: function.most_cells,
         waitlist: function.waitlist as usize,
@@ -178,11 +184,15 @@
 
     pub(crate) fn configuration_changed(&mut self) {
         let configuration = self.configuration.current();
+        let targets = configuration.function_targets();
         for (function, work) in &mut self.stewards.works {
             if let Some(settings) = configuration.functions.get(function) {
-                work.take_settings(work_settings(settings));
+                let target = targets.get(function.as_str()).copied();
+                work.take_settings(work_settings(settings, target, self.settings.costs));
             }
         }
+        self.stewards.targets =
+            targets.into_iter().map(|(function, target)| (function.to_owned(), target)).collect();
         let smallest_cell = configuration.functions.values().map(|function| function.cell_memory_mb).min();
         self.stewards.placement.keep_free(smallest_cell.unwrap_or(0));
         self.stewards.deputies.retain(|function, _| configuration.functions.contains_key(function));
@@ -244,7 +254,7 @@
             function,
             self.settings.node,
             steward_epoch,
-            work_settings(settings),
+            work_settings(settings, self.stewards.targets.get(function).copied(), self.settings.costs),
             unheard.clone(),
             now,
         );
--- /dev/null
+++ b/packages/steward_work/src/cell_demand/tests.rs
@@ -0,0 +1,83 @@
+use super::*;
+
+fn busy() -> CellShape {
+    CellShape {
+        memory_mb: 768.0,
+        boot: Micros::from_millis(1_400),
+        calls_at_once: 6,
+        target: Micros::from_millis(300),
+        costs: CostModel::default(),
+    }
+}
+
+fn rare() -> CellShape {
+    CellShape {
+        memory_mb: 128.0,
+        boot: Micros::from_millis(900),
+        calls_at_once: 1,
+        target: Micros::from_millis(1_500),
+        costs: CostModel::default(),
+    }
+}
+
+const LATENCY: Micros = Micros::from_millis(70);
+
+/// Calls come evenly at a rate; the load is rate times latency.
+fn run(demand: &mut CellDemand, rate: f64, from: u64, to: u64, shape: &CellShape) -> u32 {
+    let mut credit = 0.0;
+    let mut cells = 0;
+    for millis in (from..to).step_by(20) {
+        let now = Micros::from_millis(millis);
+        credit += rate * 0.02;
+        while credit >= 1.0 {
+            credit -= 1.0;
+            demand.called(now);
+        }
+        demand.note(now, (rate * 0.07).round() as u32);
+        cells = demand.kept(shape, LATENCY, now);
+    }
+    cells
+}
+
+#[test]
+fn erlang_c_meets_known_values() {
+    // Two servers at a load of one: a third of the calls wait; one server: as many as it is used.
+    assert!((erlang_c(2, 1.0) - 1.0 / 3.0).abs() < 1e-9);
+    assert!((erlang_c(1, 0.4) - 0.4).abs() < 1e-9);
+    assert_eq!((erlang_c(3, 0.0), erlang_c(2, 5.0)), (0.0, 1.0));
+}
+
+#[test]
+fn a_function_that_a_cold_start_makes_late_is_warm_before_its_first_call_and_others_are_not() {
+    let mut demand = CellDemand::new(Micros(0));
+    assert_eq!(demand.wanted(&busy(), LATENCY, Micros(1)), UNKNOWN_CELLS);
+    assert_eq!(demand.wanted(&rare(), LATENCY, Micros(1)), 0);
+    assert_eq!(demand.wanted(&busy(), LATENCY, UNCALLED_SPAN), 0, "nobody calls it");
+}
+
+#[test]
+fn cells_follow_the_load_and_a_rare_function_lets_its_cell_go_at_once() {
+    let mut demand = CellDemand::new(Micros(0));
+    assert_eq!(run(&mut demand, 40.0, 0, 10_000, &busy()), 1, "a load of three on six");
+    let crowd = run(&mut demand, 160.0, 10_000, 20_000, &busy());
+    assert!((2..=4).contains(&crowd), "{crowd} cells for a load of eleven");
+    let after = run(&mut demand, 40.0, 20_000, 21_000, &busy());
+    assert!(after >= 2, "not let go within a second");
+    assert_eq!(run(&mut demand, 40.0, 21_000, 45_000, &busy()), 1);
+    let mut once = CellDemand::new(Micros(0));
+    once.called(Micros(0));
+    once.note(Micros(0), 1);
+    assert_eq!(once.kept(&rare(), LATENCY, Micros::from_millis(40)), 0);
+    let mut often = CellDemand::new(Micros(0));
+    assert_eq!(run(&mut often, 2.0, 0, 20_000, &rare()), 1);
+    assert_eq!(run(&mut often, 0.0, 20_000, 60_000, &rare()), 0);
+}
+
+#[test]
+fn cells_that_were_found_hold_for_their_time() {
+    let mut demand = CellDemand::new(Micros(0));
+    demand.called(Micros(0));
+    demand.hold(3, Micros::from_secs(3));
+    assert_eq!(demand.kept(&busy(), LATENCY, Micros::from_secs(2)), 3);
+    assert!(demand.kept(&busy(), LATENCY, Micros::from_secs(4)) < 3);
+}
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -1,4 +1,4 @@
-use crate::{NOT_RUN, RAN, TURNED_AWAY, UNKNOWN};
+use crate::{CellDemand, CellShape, CostModel, NOT_RUN, RAN, TURNED_AWAY, UNKNOWN};
 use clock_events::Micros;
 use colleague_messages::{Address, NodeId, Ticket};
 use std::collections::{BTreeMap, VecDeque};
@@ -11,8 +11,14 @@
     pub calls_at_once: u32,
     /// The configured boot time, until a better one is learnt.
     pub boot: Micros,
-    /// How long surplus cells may idle.
-    pub idle: Micros,
+    /// How long surplus cells may idle; without it the cost model decides.
+    pub idle: Option<Micros>,
+    /// Memory of one cell in megabytes.
+    pub memory_mb: u64,
+    /// The time within which an answer is worth most, if a lane names it.
+    pub target: Option<Micros>,
+    /// What cells, starts and late answers cost beside each other.
+    pub costs: CostModel,
     /// Cells kept even when idle.
     pub least_cells: u32,
     /// Cells never passed.
@@ -165,6 +171,9 @@
     budget: [BudgetSecond; 10],
     peak: (u32, u32),
     peak_turned_at: Micros,
+    demand: CellDemand,
+    /// Cells that the cost model finds worth having now, and keeping.
+    worth: (u32, u32),
     no_room_until: Micros,
     turned_away: VecDeque<Micros>,
     /// The calls that the whole function is held to, until a time.
@@ -184,6 +193,10 @@
     acts: Vec<WorkAct>,
 }
 
+/// Where no lane names a target.
+const UNNAMED_TARGET: Micros = Micros::from_secs(1);
+/// Cells found by a new steward are kept for so long at the least.
+const FOUND_SPAN: Micros = Micros::from_secs(4);
 const DOUBT_SPAN: Micros = Micros::from_millis(500);
 /// After a turn-away a cell is held to the calls it has; twice as long with each further one.
 const FIRST_HOLD: Micros = Micros::from_millis(600);
@@ -242,6 +255,8 @@
             budget: [BudgetSecond::default(); 10],
             peak: (0, 0),
             peak_turned_at: now,
+            demand: CellDemand::new(now),
+            worth: (0, 0),
             no_room_until: Micros(0),
             turned_away: VecDeque::new(),
             held_to: (usize::MAX, Micros(0)),
@@ -282,7 +297,7 @@
     /// Example: nine calls on cells of four want three.
     pub fn wanted_cells(&self) -> u32 {
         let calls_at_once = self.settings.calls_at_once;
-        let waiting_cells = if self.knows_latency {
+        let waiting_cells = if self.knows_latency || self.settings.idle.is_none() {
             // A start is worth it where calls would wait for a quarter of a boot: short calls that
             // come together are through a few cells before more of them run.
             let turns = self.learnt_boot.0 / 4 / self.usual_latency.0.max(1);
@@ -292,15 +307,18 @@
             self.needed_calls().div_ceil(calls_at_once)
         };
         let open_cells = (self.open.len() as u32).div_ceil(calls_at_once);
-        let needed_cells = waiting_cells.max(open_cells);
+        let needed_cells = waiting_cells.max(open_cells).max(self.worth.0);
         needed_cells.max(self.settings.least_cells).min(self.settings.most_cells)
     }
 
     /// Cells to claim memory for: what is wanted now or was in the last idle span.
     /// Example: `work.demanded_cells() >= work.wanted_cells()`.
     pub fn demanded_cells(&self) -> u32 {
-        let peak_cells = self.peak.0.max(self.peak.1).div_ceil(self.settings.calls_at_once);
-        peak_cells.min(self.settings.most_cells).max(self.wanted_cells())
+        let kept_cells = match self.settings.idle {
+            Some(_) => self.peak.0.max(self.peak.1).div_ceil(self.settings.calls_at_once),
+            None => self.worth.1,
+        };
+        kept_cells.min(self.settings.most_cells).max(self.wanted_cells())
     }
 
     /// Nodes that have not yet told which tickets they hold. Example: `work.unheard().is_empty()`.
@@ -367,6 +385,11 @@
         now: Micros,
     ) {
         let is_extra = dispatches > 0;
+        let is_known = self.by_ask.contains_key(&(asker, ask))
+            || self.waitlist.iter().any(|waiting| (waiting.asker, waiting.ask) == (asker, ask));
+        if !is_extra && !is_known {
+            self.demand.called(now);
+        }
         if let Some(ticket_id) = self.by_ask.get(&(asker, ask)).copied()
             && let Some(open_ticket) = self.open.get_mut(&ticket_id)
         {
@@ -612,6 +635,7 @@
             // needed for one idle span.
             let usable_count = self.usable_cells().count() as u32;
             self.peak.0 = self.peak.0.max(usable_count * self.settings.calls_at_once);
+            self.demand.hold(usable_count, now + FOUND_SPAN);
         }
         // From now on it is known which cells run.
         if std::mem::take(&mut self.is_adopting) {
@@ -689,7 +713,26 @@
         // An asker that went silent is gone; one whose time is over refuses its call itself.
         self.waitlist.retain(|waiting| now < waiting.ends_at && now < waiting.seen_at + ASK_FORGOTTEN);
         self.starting.retain(|_, sent_at| now < *sent_at + START_FORGOTTEN);
-        if now >= self.peak_turned_at + Micros(self.settings.idle.0 / 2) {
+        self.note_load(now);
+    }
+
+    /// Judges how many cells to keep: by the peak of the last idle span where the configuration names
+    /// one, by the cost model otherwise.
+    fn note_load(&mut self, now: Micros) {
+        let Some(idle) = self.settings.idle else {
+            self.demand.note(now, self.needed_calls());
+            let shape = CellShape {
+                memory_mb: self.settings.memory_mb.max(1) as f64,
+                boot: self.settings.boot,
+                calls_at_once: self.settings.calls_at_once,
+                target: self.settings.target.unwrap_or(UNNAMED_TARGET),
+                costs: self.settings.costs,
+            };
+            let kept = self.demand.kept(&shape, self.usual_latency, now);
+            self.worth = (self.demand.wanted(&shape, self.usual_latency, now), kept);
+            return;
+        };
+        if now >= self.peak_turned_at + Micros(idle.0 / 2) {
             self.peak = (self.needed_calls(), self.peak.0);
             self.peak_turned_at = now;
         }
--- a/packages/steward_work/src/function_work/tests.rs
+++ b/packages/steward_work/src/function_work/tests.rs
@@ -5,7 +5,10 @@
     WorkSettings {
         calls_at_once: 2,
         boot: Micros::from_secs(1),
-        idle: Micros::from_secs(10),
+        idle: Some(Micros::from_secs(10)),
+        memory_mb: 128,
+        target: None,
+        costs: CostModel::default(),
         least_cells: 0,
         most_cells: 10,
         waitlist: 5,
--- a/packages/steward_work/src/lib.rs
+++ b/packages/steward_work/src/lib.rs
@@ -4,11 +4,13 @@
 //! All of it is pure: times and events come in, acts go out.
 
 mod allowance_split;
+mod cell_demand;
 mod deputy_work;
 mod function_work;
 mod placement;
 
 pub use allowance_split::{Demand, Share, Totals, allowance_split};
+pub use cell_demand::{CellDemand, CellShape, CostModel};
 pub use deputy_work::{DeputyAsk, DeputyCell, DeputyWork};
 pub use function_work::{
     FunctionWork, HeldBackAs, ListedCell, ReadyCell, StartOutcome, WorkAct, WorkSettings,
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -32,6 +32,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use steward_election::ElectionSettings;
+use steward_work::CostModel;
 use supervisor::{Patience, Supervisor};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
@@ -313,6 +314,7 @@
         zone: settings.zone.clone(),
         seeds: settings.seeds.iter().map(|seed| Address::from(*seed)).collect(),
         founding_disks: settings.founding_disks,
+        costs: CostModel { start: settings.start_cost, late_call: settings.late_call_cost },
         may_found: settings.may_found,
         list_every: Micros::from_millis(settings.list_every_millis),
         replace_disk_after: Micros::from_secs(settings.replace_disk_after_seconds),
--- a/packages/vanelane/src/settings.rs
+++ b/packages/vanelane/src/settings.rs
@@ -35,6 +35,8 @@
     replace_disk_after_seconds: u64,
     worker_threads: u64,
     kept_connections: u64,
+    start_cost: f64,
+    late_call_cost: f64,
     extra_ratio: f64,
     extra_fixed: u64,
     extra_window_seconds: u64,
@@ -77,6 +79,8 @@
     pub replace_disk_after_seconds: u64,
     pub worker_threads: usize,
     pub kept_connections: usize,
+    pub start_cost: f64,
+    pub late_call_cost: f64,
     pub extra_ratio: f64,
     pub extra_fixed: u64,
     pub extra_window_seconds: u64,
@@ -236,6 +240,16 @@
     if !(0.0..=10.0).contains(&extra_ratio) {
         checker.reasons.push(("extra_ratio", format!("{extra_ratio} is not within 0 to 10")));
     }
+    let costs = [
+        ("start_cost", file.start_cost.unwrap_or(110.0)),
+        ("late_call_cost", file.late_call_cost.unwrap_or(600.0)),
+    ];
+    for (field, cost) in costs {
+        if !(0.0..=1e9).contains(&cost) {
+            checker.reasons.push((field, format!("{cost} is not within 0 to 1000000000")));
+        }
+    }
+    let [(_, start_cost), (_, late_call_cost)] = costs;
     let own_name = file.node_name.unwrap_or_else(|| colleague_address.to_string());
     let settings = Settings {
         fleet,
@@ -264,6 +278,8 @@
         ),
         worker_threads: checker.number("worker_threads", file.worker_threads, 2, 0, 64) as usize,
         kept_connections: checker.number("kept_connections", file.kept_connections, 8, 0, 1_000) as usize,
+        start_cost,
+        late_call_cost,
         extra_ratio,
         extra_fixed: checker.number("extra_fixed", file.extra_fixed, 60, 0, 1_000_000),
         extra_window_seconds: checker.number(
