--- a/packages/configuration_check/src/changes/tests.rs
+++ b/packages/configuration_check/src/changes/tests.rs
@@ -65,11 +65,14 @@
         }
         other => panic!("{other:?}"),
     };
-    let stale = Change { change_id: "b".to_owned(), expected_version: Some(4), version: Some(7), ..first.clone() };
+    let stale =
+        Change { change_id: "b".to_owned(), expected_version: Some(4), version: Some(7), ..first.clone() };
     assert_eq!(reasons(stored.apply(&stale)), [EXPECTED_VERSION]);
-    let lower = Change { change_id: "c".to_owned(), expected_version: Some(5), version: Some(5), ..first.clone() };
+    let lower =
+        Change { change_id: "c".to_owned(), expected_version: Some(5), version: Some(5), ..first.clone() };
     assert_eq!(reasons(stored.apply(&lower)), ["/version"]);
-    let set = json!({ "lanes": { "proofs": { "function": "proof", "path_prefix": "/p", "target_millis": 300 } } });
+    let set =
+        json!({ "lanes": { "proofs": { "function": "proof", "path_prefix": "/p", "target_millis": 300 } } });
     let set = Change {
         change_id: "d".to_owned(),
         expected_version: Some(5),
--- a/packages/fleet_simulator/src/sim_platform.rs
+++ b/packages/fleet_simulator/src/sim_platform.rs
@@ -204,6 +204,7 @@
                 address: cell.address,
                 memory_mb: cell.memory_mb,
                 leaving: cell.leaving,
+                started: false,
             })
             .collect();
         self.lists.push_back((now, self.workers.clone(), cells));
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -424,6 +424,7 @@
             costs: steward_work::CostModel::default(),
             may_found: true,
             list_every: Micros::from_millis(900),
+            lists_per_second: 1_000.0,
             replace_disk_after: self.settings.replace_disk_after,
             acts_per_second: 80.0,
             election: self.settings.election.clone(),
--- a/packages/function_front/src/call_chart.rs
+++ b/packages/function_front/src/call_chart.rs
@@ -84,6 +84,9 @@
     GiveUp(CallState),
 }
 
+/// Dispatches of one call that may reach nobody, beside those that the lane allows.
+const MISSES_MOST: u32 = 8;
+
 /// One call's walk over the chart.
 /// Example: `let mut chart = CallChart::begin(); chart.step(CallState::Matched);`.
 #[derive(Clone, Debug)]
@@ -92,12 +95,14 @@
     /// Once true, the call is never refused as not run.
     may_have_run: bool,
     dispatches: u32,
+    /// Dispatches that reached a cell, or may have.
+    arrivals: u32,
 }
 
 impl CallChart {
     /// A call just received. Example: `CallChart::begin().state() == CallState::Received`.
     pub fn begin() -> CallChart {
-        CallChart { state: CallState::Received, may_have_run: false, dispatches: 0 }
+        CallChart { state: CallState::Received, may_have_run: false, dispatches: 0, arrivals: 0 }
     }
 
     /// The state it is in. Example: `chart.state()`.
@@ -161,7 +166,9 @@
             self.lost_track();
         }
         let may_go_on = end != DispatchEnd::TimedOut && (!is_unknown || repeatable);
-        if !may_go_on || self.dispatches >= dispatch_limit {
+        // A refused connection reached nobody: it counts for the bound of all dispatches alone.
+        self.arrivals += u32::from(end != DispatchEnd::NotRun);
+        if !may_go_on || self.arrivals >= dispatch_limit || self.dispatches >= dispatch_limit + MISSES_MOST {
             return NextStep::GiveUp(self.give_up());
         }
         NextStep::AskAgain
--- a/packages/function_front/src/call_chart/tests.rs
+++ b/packages/function_front/src/call_chart/tests.rs
@@ -24,9 +24,18 @@
         NextStep::GiveUp(CallState::Unknown)
     );
     assert_eq!(
-        chart.clone().dispatch_ended(DispatchEnd::NotRun, false, 2),
+        chart.clone().dispatch_ended(DispatchEnd::TurnedAway, false, 2),
         NextStep::GiveUp(CallState::Refused)
     );
+    // What reached nobody does not count against the lane's limit, and is bounded all the same.
+    let mut missed = chart.clone();
+    let mut misses = 0;
+    while missed.dispatch_ended(DispatchEnd::NotRun, false, 2) == NextStep::AskAgain {
+        misses += 1;
+        missed.step(CallState::TicketAsked);
+        assert_eq!(missed.ticket_came(true, true), NextStep::Dispatch);
+    }
+    assert_eq!((misses, missed.state()), (MISSES_MOST, CallState::Refused));
     assert_eq!(chart.dispatch_ended(DispatchEnd::Unknown, true, 4), NextStep::AskAgain);
     chart.step(CallState::TicketAsked);
     assert_eq!(chart.ticket_came(true, false), NextStep::GiveUp(CallState::Unknown));
--- a/packages/function_front/src/cell_dispatch.rs
+++ b/packages/function_front/src/cell_dispatch.rs
@@ -243,7 +243,12 @@
                 }
                 if body.len() > settings.buffer_limit {
                     let rest = Some((Box::new(payload), told_length));
-                    return DispatchOutcome::Answered(CellAnswer { status, headers, body: body.freeze(), rest });
+                    return DispatchOutcome::Answered(CellAnswer {
+                        status,
+                        headers,
+                        body: body.freeze(),
+                        rest,
+                    });
                 }
             }
             if told_length.is_some_and(|length| length != body.len() as u64) {
@@ -260,9 +265,9 @@
             framed = back;
             continue;
         }
-        let says_not_run = headers.get(&dialect.not_run.0).is_some_and(|value| {
-            dialect.not_run.1.is_none_or(|meant| value.as_bytes() == meant.as_bytes())
-        });
+        let says_not_run = headers
+            .get(&dialect.not_run.0)
+            .is_some_and(|value| dialect.not_run.1.is_none_or(|meant| value.as_bytes() == meant.as_bytes()));
         cell_pool::give_back(&cell, address, back, idle_span, settings.idle_limit);
         if says_not_run && !status.is_success() {
             return DispatchOutcome::TurnedAway;
--- a/packages/function_front/src/front.rs
+++ b/packages/function_front/src/front.rs
@@ -129,6 +129,8 @@
     memory_used: AtomicUsize,
     calls_open: AtomicUsize,
     draining: AtomicBool,
+    /// Until the node knows whether there is a configuration.
+    awaits_configuration: AtomicBool,
     node_count: AtomicUsize,
     lag_micros: AtomicU64,
     /// When the node's clock events last ran; zero before the first.
@@ -226,6 +228,7 @@
             memory_used: AtomicUsize::new(0),
             calls_open: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
+            awaits_configuration: AtomicBool::new(true),
             node_count: AtomicUsize::new(1),
             lag_micros: AtomicU64::new(0),
             ticked_at: AtomicU64::new(0),
@@ -276,6 +279,11 @@
         self.lanes.load().generation
     }
 
+    /// The node knows the newest configuration, even if there is none yet. Example: `front.know_lanes()`.
+    pub fn know_lanes(&self) {
+        self.awaits_configuration.store(false, Ordering::Relaxed);
+    }
+
     /// How many nodes share the connections that each cell takes. Example: `front.tell_node_count(10)`.
     pub fn tell_node_count(&self, node_count: usize) {
         self.node_count.store(node_count, Ordering::Relaxed);
@@ -354,6 +362,12 @@
         let lanes = self.lanes.load_full();
         let place = CallPlace::of(&request);
         let Some(mut lane) = place.find(&lanes).cloned() else {
+            // Before this process has a configuration it knows of no lane, and says no more than that.
+            if lanes.generation == 0 && self.awaits_configuration.load(Ordering::Relaxed) {
+                let refusal =
+                    Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "not ready yet", Some(NOT_READY_PAUSE));
+                return Err(refuse(chart, refusal));
+            }
             self.counts.no_lane.fetch_add(1, Ordering::Relaxed);
             return Err(refuse(chart, Refusal::new(StatusCode::NOT_FOUND, "no lane takes this call", None)));
         };
@@ -498,13 +512,8 @@
                 || (String::new(), dispatch_call.address),
                 |ticket| (ticket.cell.0.clone(), ticket.address.socket()),
             );
-            let own_dispatch = DispatchCall {
-                headers,
-                cell: cell.clone(),
-                address,
-                time_left,
-                ..dispatch_call.clone()
-            };
+            let own_dispatch =
+                DispatchCall { headers, cell: cell.clone(), address, time_left, ..dispatch_call.clone() };
             // A task of its own: a visitor that goes away ends neither the dispatch nor the count of
             // what the cell is running.
             let idle_limit = lanes.idle_limit(&lane.function, self.node_count.load(Ordering::Relaxed));
@@ -679,6 +688,9 @@
     }
 }
 
+/// When to come back to a node that does not know its lanes yet.
+const NOT_READY_PAUSE: Micros = Micros::from_millis(200);
+
 /// What visitors are told of their call's end.
 fn outcome_name(chart: &CallChart) -> &'static str {
     match chart.state() {
--- a/packages/node_protocol/src/call_part.rs
+++ b/packages/node_protocol/src/call_part.rs
@@ -207,12 +207,7 @@
 
     fn refuse_call(&mut self, call: u64, refused_as: RefusedAs, reason: &str, retry_after: Micros) {
         self.call_ends(call);
-        self.act(Act::CallRefused {
-            call,
-            refused_as,
-            reason: reason.to_owned(),
-            retry_after,
-        });
+        self.act(Act::CallRefused { call, refused_as, reason: reason.to_owned(), retry_after });
     }
 
     pub(crate) fn take_call_message(&mut self, from: NodeId, message: Message) {
@@ -274,9 +269,7 @@
         }
         let Some(ask) = self.calls.asks.remove(&call) else { return };
         let ends_at = ask.ends_at + Micros::from_secs(1);
-        self.calls
-            .held
-            .insert(ticket.id, HeldHere { ticket: ticket.clone(), ends_at, is_done: false });
+        self.calls.held.insert(ticket.id, HeldHere { ticket: ticket.clone(), ends_at, is_done: false });
         self.act(Act::CallGranted { call, ticket });
     }
 
--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -577,7 +577,12 @@
             }
             return;
         }
-        if !is_founder || !self.settings.may_found || own_set.generation != 0 || disk.is_broken || self.control.set.generation != 0 {
+        if !is_founder
+            || !self.settings.may_found
+            || own_set.generation != 0
+            || disk.is_broken
+            || self.control.set.generation != 0
+        {
             return;
         }
         if self.members.seeds_heard() * 2 < self.members.seed_count() {
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -40,6 +40,8 @@
     pub may_found: bool,
     /// Between two lists of the platform.
     pub list_every: Micros,
+    /// Lists a second that the platform takes from the whole fleet.
+    pub lists_per_second: f64,
     /// A voter whose machine is gone this long is replaced by a spare disk.
     pub replace_disk_after: Micros,
     /// Starts and stops a second that the platform takes from the whole fleet.
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -12,8 +12,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use steward_election::{Election, ElectionSettings, TermChange};
 use steward_work::{
-    CostModel, Demand, DeputyAsk, DeputyCell, DeputyWork, FunctionWork, HeldBackAs, ListedCell, ListedWorker, Placement,
-    StartOutcome, StartRate, Totals, WorkAct, WorkSettings, allowance_split,
+    CostModel, Demand, DeputyAsk, DeputyCell, DeputyWork, FunctionWork, HeldBackAs, ListedCell, ListedWorker,
+    Placement, StartOutcome, StartRate, Totals, WorkAct, WorkSettings, allowance_split,
 };
 
 const START_WAITLIST: usize = 2_048;
@@ -271,11 +271,7 @@
         work.held_elsewhere(self.settings.node, held_tickets, now);
         self.stewards.works.insert(function.to_owned(), work);
         for node in unheard {
-            let message = Message::HeldAsk {
-                ask: steward_epoch,
-                function: function.into(),
-                steward_epoch,
-            };
+            let message = Message::HeldAsk { ask: steward_epoch, function: function.into(), steward_epoch };
             self.send(node, message);
         }
     }
@@ -429,7 +425,9 @@
         if is_open || now < self.stewards.list_due {
             return;
         }
-        let list_every = self.settings.list_every;
+        // All nodes together stay below what the platform takes.
+        let fleet_pace = self.member_count() as f64 / self.settings.lists_per_second;
+        let list_every = self.settings.list_every.max(Micros((fleet_pace * 1e6) as u64));
         let jitter = Micros(self.dice.u64(..list_every.0 / 5 + 1));
         self.stewards.list_due = now + list_every + jitter;
         self.stewards.list_asked_at = Some(now);
--- a/packages/platform_client/src/lib.rs
+++ b/packages/platform_client/src/lib.rs
@@ -144,6 +144,7 @@
             .into_iter()
             .map(|cell| ListedCell {
                 leaving: cell.state != "running",
+                started: false,
                 id: cell.id,
                 function: cell.function,
                 worker: cell.worker,
--- a/packages/steward_election/src/lib.rs
+++ b/packages/steward_election/src/lib.rs
@@ -420,10 +420,8 @@
             let candidate_since =
                 copy.record.as_ref().map_or(copy.observed_at, |held| copy.observed_at + lease_of(held));
             self.passed_gate_over += u64::from(is_fallback);
-            self.claims.insert(
-                function,
-                Claim { record, sent_at: now, past_gate: is_fallback, candidate_since },
-            );
+            self.claims
+                .insert(function, Claim { record, sent_at: now, past_gate: is_fallback, candidate_since });
             cluster_count += 1;
             *counts.entry(self.own).or_default() += 1;
         }
--- a/packages/steward_work/src/allowance_split.rs
+++ b/packages/steward_work/src/allowance_split.rs
@@ -102,14 +102,7 @@
     let mut shares = BTreeMap::new();
     let root_grants = fill(total, roots.iter().map(|root| claim_of(&nodes[root])).collect());
     for (root, granted) in roots.iter().zip(root_grants) {
-        hand_down(
-            configuration,
-            &nodes,
-            root,
-            granted,
-            &Leaves { demand_of, unit_of },
-            &mut shares,
-        );
+        hand_down(configuration, &nodes, root, granted, &Leaves { demand_of, unit_of }, &mut shares);
     }
     shares
 }
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -51,6 +51,8 @@
     pub memory_mb: u64,
     /// It is leaving, or its worker is.
     pub leaving: bool,
+    /// The platform says that its boot is over; others may still boot.
+    pub started: bool,
 }
 
 /// How a start went. Example: `StartOutcome::NoRoom`.
@@ -210,6 +212,8 @@
 /// A cell that does not run after this is broken, not slow.
 const LONGEST_BOOT: Micros = Micros::from_secs(30);
 const TRIAL_BACKOFF: Micros = Micros::from_millis(150);
+const LEAST_TRIAL_PAUSE: Micros = Micros::from_millis(40);
+const MOST_TRIAL_PAUSE: Micros = Micros::from_millis(900);
 const LIST_PATIENCE: Micros = Micros::from_secs(10);
 const STOP_REPEAT: Micros = Micros::from_secs(8);
 const ASK_FORGOTTEN: Micros = Micros::from_millis(1_500);
@@ -451,13 +455,7 @@
         reason: &'static str,
         retry_after: Micros,
     ) {
-        self.acts.push(WorkAct::HoldBack {
-            asker,
-            ask,
-            held_back_as,
-            reason,
-            retry_after,
-        });
+        self.acts.push(WorkAct::HoldBack { asker, ask, held_back_as, reason, retry_after });
     }
 
     fn budget_second(&mut self, now: Micros) -> &mut BudgetSecond {
@@ -604,6 +602,17 @@
         for listed_cell in listed_cells {
             if let Some(cell) = self.cells.get_mut(&listed_cell.id) {
                 cell.listed = true;
+                if listed_cell.started
+                    && cell.booted_from.is_some()
+                    && !matches!(cell.phase, Phase::Leaving { .. })
+                {
+                    // Whether it serves is known without a first call.
+                    cell.booted_from = None;
+                    if matches!(cell.phase, Phase::Unproven { .. }) {
+                        cell.phase = Phase::Ready;
+                    }
+                    ready_changed = true;
+                }
                 if listed_cell.leaving && !matches!(cell.phase, Phase::Leaving { .. }) {
                     cell.phase = Phase::Leaving { stop_sent: None };
                     ready_changed = true;
@@ -612,11 +621,12 @@
             }
             // Adopted: in flight already are the tickets that other nodes told of.
             let in_flight = self.open.values().filter(|ticket| ticket.cell == listed_cell.id).count() as u32;
-            let phase = match (listed_cell.leaving, known_ready.contains(&listed_cell.id)) {
-                (true, _) => Phase::Leaving { stop_sent: None },
-                (false, true) => Phase::Ready,
-                (false, false) => Phase::Unproven { trial_at: now },
-            };
+            let phase =
+                match (listed_cell.leaving, listed_cell.started || known_ready.contains(&listed_cell.id)) {
+                    (true, _) => Phase::Leaving { stop_sent: None },
+                    (false, true) => Phase::Ready,
+                    (false, false) => Phase::Unproven { trial_at: now },
+                };
             let adopted_cell = Cell {
                 address: listed_cell.address,
                 phase,
@@ -664,7 +674,7 @@
             StartOutcome::Started { cell, address } => {
                 let started_cell = Cell {
                     address,
-                    phase: Phase::Unproven { trial_at: now + self.learnt_boot },
+                    phase: Phase::Unproven { trial_at: now + self.first_trial() },
                     in_flight: 0,
                     booted_from: Some(now),
                     known_at: now,
@@ -739,6 +749,15 @@
         self.peak.0 = self.peak.0.max(self.needed_calls());
     }
 
+    /// When a booting cell is first tried: boots differ, and where the cost model counts the calls that
+    /// are late a trial too early costs less than one too late.
+    fn first_trial(&self) -> Micros {
+        match self.settings.idle {
+            Some(_) => self.learnt_boot,
+            None => Micros(self.learnt_boot.0.min(self.settings.boot.0) * 7 / 10),
+        }
+    }
+
     fn is_careful(&self, now: Micros) -> bool {
         !self.unheard.is_empty() && now < self.careful_until
     }
@@ -946,6 +965,15 @@
     }
 }
 
+/// Until a booting cell that refused is tried again: soon while it may come up any moment, the longer
+/// the later it is.
+fn trial_pause(cell: &Cell, now: Micros) -> Micros {
+    match cell.booted_from {
+        Some(booted_from) => Micros((now - booted_from).0 / 12).clamp(LEAST_TRIAL_PAUSE, MOST_TRIAL_PAUSE),
+        None => Micros(TRIAL_BACKOFF.0 * u64::from(cell.errors_in_row.min(6))),
+    }
+}
+
 /// Learns from an outcome; true when the cell became known to run or ceased to be.
 fn take_outcome(cell: &mut Cell, how: u8, now: Micros) -> bool {
     let was_ready = cell.phase == Phase::Ready;
@@ -965,9 +993,7 @@
                 _ if cell.errors_in_row >= REPLACE_AFTER_ERRORS && !is_booting => {
                     Phase::Leaving { stop_sent: None }
                 }
-                Phase::Trial if how == NOT_RUN => Phase::Unproven {
-                    trial_at: now + Micros(TRIAL_BACKOFF.0 * u64::from(cell.errors_in_row.min(6))),
-                },
+                Phase::Trial if how == NOT_RUN => Phase::Unproven { trial_at: now + trial_pause(cell, now) },
                 _ if is_doubted => Phase::Unproven { trial_at: now + DOUBT_SPAN },
                 Phase::Trial => Phase::Unproven { trial_at: now },
                 phase => phase,
--- a/packages/steward_work/src/function_work/tests.rs
+++ b/packages/steward_work/src/function_work/tests.rs
@@ -110,6 +110,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 9000)),
         memory_mb: 1,
         leaving: false,
+        started: false,
     };
     work.listed(&[listed_cell], &[], Micros::from_secs(2), Micros::from_secs(2));
     for second in 3..=25 {
@@ -129,6 +130,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
         memory_mb: 1,
         leaving: false,
+        started: false,
     };
     let stops = |work: &mut FunctionWork| {
         work.take_acts().iter().filter(|act| matches!(act, WorkAct::Stop { .. })).count()
--- a/packages/steward_work/src/placement/tests.rs
+++ b/packages/steward_work/src/placement/tests.rs
@@ -2,7 +2,8 @@
 
 #[test]
 fn cells_go_where_room_is_and_not_where_they_were_just_refused() {
-    let worker = |id: &str, draining| ListedWorker { id: id.to_owned(), memory_mb: 1_000, free_mb: None, draining };
+    let worker =
+        |id: &str, draining| ListedWorker { id: id.to_owned(), memory_mb: 1_000, free_mb: None, draining };
     let mut placement = Placement::default();
     placement.take_list(
         vec![worker("w1", false), worker("w2", false), worker("w3", true)],
--- a/packages/vanelane/src/control_pages.rs
+++ b/packages/vanelane/src/control_pages.rs
@@ -8,12 +8,12 @@
 use bytes::{Bytes, BytesMut};
 use colleague_messages::NodeId;
 use configuration_check::{Change, DOCUMENT_LIMIT, Reason};
+use futures_util::future::LocalBoxFuture;
 use futures_util::{Stream, StreamExt};
 use serde_json::{Value, json};
 use std::fmt::Write;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use futures_util::future::LocalBoxFuture;
 
 const LINE_LIMIT: usize = DOCUMENT_LIMIT + 64 * 1024;
 const FOLLOW_PAUSE: Duration = Duration::from_millis(500);
@@ -210,9 +210,12 @@
         let Some(stored) = self.port.configuration().await else {
             return json_page(StatusCode::SERVICE_UNAVAILABLE, &json!({"reason": "no answer"}));
         };
-        json_page(StatusCode::OK, &json!({
+        json_page(
+            StatusCode::OK,
+            &json!({
                 "generation": stored.generation, "version": stored.version, "document": stored.document
-            }))
+            }),
+        )
     }
 
     async fn metrics(&self) -> Page {
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -273,6 +273,7 @@
             }
             Act::Ready => {
                 log::info!("ready");
+                self.front.know_lanes();
                 self.flags.ready.store(true, Ordering::Relaxed);
             }
             Act::Drained => self.flags.drained.store(true, Ordering::Relaxed),
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -3,19 +3,19 @@
 use crate::colleague_links::{self, ColleagueLinks, FrameCounts};
 use crate::command_line::Run;
 use crate::control_pages::ControlPages;
+use crate::disk_thread::{self, DiskThread};
 use crate::local_server::{self, ClientPatience, LocalServer};
 use crate::operator_port::{OperatorPages, OperatorPort};
-use crate::settings_watch;
-use crate::disk_thread::{self, DiskThread};
 use crate::protocol_shell::{NodeFlags, ProtocolShell, ShellEvent};
 use crate::settings::{self, Settings, SettingsReason};
+use crate::settings_watch;
 use actix_http::{HttpService, KeepAlive, Request};
 use actix_server::{Server, ServerHandle};
 use call_traces::TraceWriter;
 use clock_events::{Micros, MonotonicClock};
 use colleague_messages::{Address, fleet_mark};
-use control_registers::DiskRegisters;
 use configuration_check::VisitorLimits;
+use control_registers::DiskRegisters;
 use function_front::{CallDialect, DispatchSettings, Front, FrontSettings, Recorder};
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Root};
@@ -267,10 +267,11 @@
             async move {
                 let threaded = async move {
                     match threaded {
-                        Some(server) => server
-                            .await
-                            .map_err(|failure| error_stack::Report::new(failure))
-                            .map_err(|report| report.change_context(supervisor::ChildError("servers".to_owned()))),
+                        Some(server) => {
+                            server.await.map_err(|failure| error_stack::Report::new(failure)).map_err(
+                                |report| report.change_context(supervisor::ChildError("servers".to_owned())),
+                            )
+                        }
                         None => Ok(()),
                     }
                 };
@@ -316,6 +317,7 @@
         founding_disks: settings.founding_disks,
         costs: CostModel { start: settings.start_cost, late_call: settings.late_call_cost },
         may_found: settings.may_found,
+        lists_per_second: settings.lists_per_second,
         list_every: Micros::from_millis(settings.list_every_millis),
         replace_disk_after: Micros::from_secs(settings.replace_disk_after_seconds),
         acts_per_second: settings.acts_per_second,
@@ -394,7 +396,8 @@
     let mut reloads = watch(SignalKind::hangup())?;
     let mut terms = watch(SignalKind::terminate())?;
     let mut interrupts = watch(SignalKind::interrupt())?;
-    let mut known = seams.settings_path.as_ref().and_then(|path| std::fs::read(path).ok()).unwrap_or_default();
+    let mut known =
+        seams.settings_path.as_ref().and_then(|path| std::fs::read(path).ok()).unwrap_or_default();
     loop {
         let file_changed = async {
             match &seams.settings_path {
@@ -425,7 +428,11 @@
     }
     // Answers that were just handed over still have to leave.
     tokio::time::sleep(Duration::from_millis(100)).await;
-    log::info!("stopped after {} ms with {} calls open", began.elapsed().as_millis(), stop.front.open_calls());
+    log::info!(
+        "stopped after {} ms with {} calls open",
+        began.elapsed().as_millis(),
+        stop.front.open_calls()
+    );
     Ok(())
 }
 
--- a/packages/vanelane/src/settings.rs
+++ b/packages/vanelane/src/settings.rs
@@ -41,6 +41,7 @@
     extra_fixed: u64,
     extra_window_seconds: u64,
     list_every_millis: u64,
+    lists_per_second: f64,
     header_wait_millis: u64,
     idle_millis: u64,
     still_accepting_millis: u64,
@@ -85,6 +86,7 @@
     pub extra_fixed: u64,
     pub extra_window_seconds: u64,
     pub list_every_millis: u64,
+    pub lists_per_second: f64,
     pub header_wait_millis: u64,
     pub idle_millis: u64,
     pub still_accepting_millis: u64,
@@ -240,6 +242,11 @@
     if !(0.0..=10.0).contains(&extra_ratio) {
         checker.reasons.push(("extra_ratio", format!("{extra_ratio} is not within 0 to 10")));
     }
+    let lists_per_second = file.lists_per_second.unwrap_or(1_000.0);
+    if !(lists_per_second > 0.0 && lists_per_second <= 1_000_000.0) {
+        let reason = format!("{lists_per_second} is not above 0 and up to 1000000");
+        checker.reasons.push(("lists_per_second", reason));
+    }
     let costs = [
         ("start_cost", file.start_cost.unwrap_or(110.0)),
         ("late_call_cost", file.late_call_cost.unwrap_or(600.0)),
@@ -278,17 +285,12 @@
         ),
         worker_threads: checker.number("worker_threads", file.worker_threads, 2, 0, 64) as usize,
         kept_connections: checker.number("kept_connections", file.kept_connections, 8, 0, 1_000) as usize,
+        lists_per_second,
         start_cost,
         late_call_cost,
         extra_ratio,
         extra_fixed: checker.number("extra_fixed", file.extra_fixed, 60, 0, 1_000_000),
-        extra_window_seconds: checker.number(
-            "extra_window_seconds",
-            file.extra_window_seconds,
-            10,
-            1,
-            3_600,
-        ),
+        extra_window_seconds: checker.number("extra_window_seconds", file.extra_window_seconds, 10, 1, 3_600),
         list_every_millis: checker.number("list_every_millis", file.list_every_millis, 900, 100, 60_000),
         header_wait_millis: checker.number("header_wait_millis", file.header_wait_millis, 5_000, 1, 600_000),
         idle_millis: checker.number("idle_millis", file.idle_millis, 15_000, 1, 86_400_000),
