--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -203,6 +203,21 @@
     mix(running_hash)
 }
 
+const PROCESS_BITS: u32 = 24;
+
+/// A process's id: its place (the address colleagues reach it by) and a draw that tells it from the
+/// processes that were there before. Example: `node_id(own_address, fastrand::u64(..))`.
+pub fn node_id(address: Address, draw: u64) -> NodeId {
+    let place = stable_hash(address.socket().to_string().as_bytes()) >> PROCESS_BITS;
+    (place << PROCESS_BITS) | (draw & ((1 << PROCESS_BITS) - 1)).max(1)
+}
+
+/// Whether `other` was a process at the place of `own`, before it: two never run at one address, so
+/// that one has surely ended. Example: `is_former_life(own, own) == false`.
+pub fn is_former_life(own: NodeId, other: NodeId) -> bool {
+    own != other && own >> PROCESS_BITS == other >> PROCESS_BITS && own >> PROCESS_BITS != 0
+}
+
 /// The weight of one node for one name: the highest weight is the rendezvous choice.
 ///
 /// Example: `nodes.max_by_key(|node| rendezvous_weight("proof", *node))`.
--- a/packages/colleague_messages/src/tests.rs
+++ b/packages/colleague_messages/src/tests.rs
@@ -51,3 +51,11 @@
     })
     .seed(0x5eed_0001_0000_0040);
 }
+
+#[test]
+fn a_process_knows_those_that_were_at_its_address_before() {
+    let address = |port: u16| Address::from(std::net::SocketAddr::from(([10, 0, 0, 1], port)));
+    let (own, before, beside) = (node_id(address(1), 7), node_id(address(1), 8), node_id(address(2), 8));
+    assert!(is_former_life(own, before) && !is_former_life(own, own) && !is_former_life(own, beside));
+    assert!(!is_former_life(3, 4), "ids without a place are never taken for each other");
+}
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -2,7 +2,7 @@
 use crate::sim_disk::SimDisk;
 use crate::sim_platform::{SimPlatform, SimStart};
 use clock_events::Micros;
-use colleague_messages::{Address, Envelope, Message, NodeId, Ticket, fleet_mark};
+use colleague_messages::{Address, Envelope, Message, NodeId, Ticket, fleet_mark, node_id};
 use colleague_probes::ProbeSettings;
 use configuration_check::{Change, ChangeOutcome, Configuration};
 use control_registers::VoterSet;
@@ -414,7 +414,7 @@
         if self.nodes[number].is_up() {
             return;
         }
-        let id = self.dice.u64(1..);
+        let id = node_id(self.nodes[number].address, self.dice.u64(1..));
         let settings = NodeSettings {
             node: id,
             address: self.nodes[number].address,
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -486,6 +486,8 @@
             let own_cells = cells_of(&self.stewards.cells, &function);
             if let Some(work) = self.stewards.works.get_mut(&function) {
                 work.listed(&own_cells, &known_ready, asked_at, now);
+                let placement = &self.stewards.placement;
+                work.leave_workers(|worker| placement.is_usable(worker), now);
             }
         }
         self.stop_orphans();
@@ -757,7 +759,7 @@
         match result {
             StartResult::Started { cell, address } => {
                 self.stewards.rate.accepted();
-                self.end_start(&start, StartOutcome::Started { cell, address });
+                self.end_start(&start, StartOutcome::Started { cell, address, worker });
             }
             StartResult::NoRoom => {
                 let configuration = self.configuration.current();
--- a/packages/steward_election/src/lib.rs
+++ b/packages/steward_election/src/lib.rs
@@ -9,7 +9,7 @@
 //! rendezvous weight) claims without the gate.
 
 use clock_events::Micros;
-use colleague_messages::{LeaderRecord, NodeId, rendezvous_weight};
+use colleague_messages::{LeaderRecord, NodeId, is_former_life, rendezvous_weight};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The election's times and limits. Example: `ElectionSettings::default().lease == Micros::from_secs(3)`.
@@ -199,7 +199,8 @@
         }
         let copy = self.copies.get(function)?;
         let record = copy.record.as_ref()?;
-        if record.holder == self.own || now >= copy.observed_at + lease_of(record) {
+        let is_over = now >= copy.observed_at + lease_of(record);
+        if record.holder == self.own || is_over || is_former_life(self.own, record.holder) {
             return None;
         }
         Some((record.holder, record.steward_epoch))
@@ -254,7 +255,8 @@
     /// Whether this node's term on a copied record should be taken back up: after a lost answer the
     /// record may name this node although no term is known.
     fn names_own(&self, copy: &ObserverCopy) -> bool {
-        copy.record.as_ref().is_some_and(|record| record.holder == self.own)
+        let holder = copy.record.as_ref().map(|record| record.holder);
+        holder.is_some_and(|holder| holder == self.own || is_former_life(self.own, holder))
     }
 
     /// Stops claiming and gives every term back to nobody; the writes come with the next tick.
@@ -376,6 +378,8 @@
                 .record
                 .as_ref()
                 .is_some_and(|record| now < copy.observed_at + lease_of(record) && !self.names_own(copy));
+            // The holder was this very machine's process before: it has surely ended, and its lease
+            // need not run out.
             if is_held || self.terms.contains_key(function) || self.claims.contains_key(function) {
                 continue;
             }
--- a/packages/steward_election/src/tests.rs
+++ b/packages/steward_election/src/tests.rs
@@ -150,3 +150,19 @@
     assert_eq!(bench.nodes[0].held(Micros::from_millis(5_900)).len(), 3);
     assert!((1..3).contains(&taken_past_gate), "{taken_past_gate}");
 }
+
+#[test]
+fn a_process_takes_back_at_once_what_its_machine_held_before() {
+    let address = colleague_messages::Address::from(std::net::SocketAddr::from(([10, 0, 0, 1], 7)));
+    let (before, own) = (colleague_messages::node_id(address, 1), colleague_messages::node_id(address, 2));
+    let record = |holder| LeaderRecord { holder, renew_count: 3, lease_micros: 3_000_000, steward_epoch: 4 };
+    let claims = |holder: NodeId| {
+        let mut election = Election::new(own, ElectionSettings::default());
+        election.take_functions(BTreeSet::from(["proof".to_owned()]));
+        election.observe("proof", 9, Some(record(holder)), Micros(0));
+        let writes = election.tick(&[own, 5], Micros::from_millis(20));
+        (election.holder("proof", Micros::from_millis(20)), writes.len())
+    };
+    assert_eq!(claims(before), (None, 1), "the process before has surely ended");
+    assert_eq!(claims(5), (Some((5, 4)), 0), "anybody else's lease runs out first");
+}
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -59,7 +59,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum StartOutcome {
     /// The platform made the cell.
-    Started { cell: String, address: SocketAddr },
+    Started { cell: String, address: SocketAddr, worker: String },
     /// No worker has room, or the act was throttled: the start is wanted no more for now.
     NoRoom,
 }
@@ -108,6 +108,7 @@
 #[derive(Clone, Debug)]
 struct Cell {
     address: SocketAddr,
+    worker: String,
     phase: Phase,
     in_flight: u32,
     booted_from: Option<Micros>,
@@ -629,6 +630,7 @@
                 };
             let adopted_cell = Cell {
                 address: listed_cell.address,
+                worker: listed_cell.worker.clone(),
                 phase,
                 in_flight,
                 booted_from: None,
@@ -665,15 +667,32 @@
         self.serve(now);
     }
 
+    /// Cells on workers that drain or are gone leave with them, also those that boot and that no list
+    /// shows yet. Example: `work.leave_workers(|worker| placement.is_usable(worker), now)`.
+    pub fn leave_workers(&mut self, is_usable: impl Fn(&str) -> bool, now: Micros) {
+        let mut ready_changed = false;
+        for cell in self.cells.values_mut() {
+            if !matches!(cell.phase, Phase::Leaving { .. }) && !is_usable(&cell.worker) {
+                cell.phase = Phase::Leaving { stop_sent: None };
+                ready_changed = true;
+            }
+        }
+        if ready_changed {
+            self.acts.push(WorkAct::ReadyChanged);
+            self.start_wanted(now);
+        }
+    }
+
     /// The answer to a start. Example: `work.started("7-12-1", StartOutcome::NoRoom, now)`.
     pub fn started(&mut self, start_id: &str, outcome: StartOutcome, now: Micros) {
         if self.starting.remove(start_id).is_none() {
             return;
         }
         match outcome {
-            StartOutcome::Started { cell, address } => {
+            StartOutcome::Started { cell, address, worker } => {
                 let started_cell = Cell {
                     address,
+                    worker,
                     phase: Phase::Unproven { trial_at: now + self.first_trial() },
                     in_flight: 0,
                     booted_from: Some(now),
--- a/packages/steward_work/src/function_work/tests.rs
+++ b/packages/steward_work/src/function_work/tests.rs
@@ -23,7 +23,7 @@
 
 fn started(cell: &str) -> StartOutcome {
     let address = SocketAddr::from(([127, 0, 0, 1], 9000));
-    StartOutcome::Started { cell: cell.to_owned(), address }
+    StartOutcome::Started { cell: cell.to_owned(), address, worker: "w1".to_owned() }
 }
 
 fn grants(work: &mut FunctionWork) -> Vec<(u64, Ticket)> {
@@ -236,3 +236,18 @@
     assert!(!work.spend_extra(Micros::from_millis(1_500)));
     assert!(work.spend_extra(Micros::from_millis(12_000)), "the window moves on");
 }
+
+#[test]
+fn a_cell_that_boots_on_a_worker_that_drains_is_given_up_for_another() {
+    let mut work =
+        FunctionWork::new("proof", 7, 12, WorkSettings { idle: None, ..settings() }, Vec::new(), Micros(0));
+    work.allow_cells(10);
+    work.ask(9, 1, Micros::from_secs(4), 0, "", Micros(0));
+    work.tick(Micros(1));
+    let start_id = first_start(&mut work);
+    work.started(&start_id, started("c1"), Micros::from_millis(5));
+    work.leave_workers(|_| true, Micros::from_millis(300));
+    assert!(work.take_acts().is_empty());
+    work.leave_workers(|worker| worker != "w1", Micros::from_millis(500));
+    assert_ne!(first_start(&mut work), start_id, "another start, though no list showed the first");
+}
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -13,7 +13,7 @@
 use actix_server::{Server, ServerHandle};
 use call_traces::TraceWriter;
 use clock_events::{Micros, MonotonicClock};
-use colleague_messages::{Address, fleet_mark};
+use colleague_messages::{Address, fleet_mark, node_id};
 use configuration_check::VisitorLimits;
 use control_registers::DiskRegisters;
 use function_front::{CallDialect, DispatchSettings, Front, FrontSettings, Recorder};
@@ -310,7 +310,7 @@
 
 fn node_settings(settings: &Settings, own_address: Address) -> NodeSettings {
     NodeSettings {
-        node: fastrand::u64(1..u64::MAX),
+        node: node_id(own_address, fastrand::u64(..)),
         address: own_address,
         zone: settings.zone.clone(),
         seeds: settings.seeds.iter().map(|seed| Address::from(*seed)).collect(),
