The platform's list is asked for by few nodes and pulled by the others

Cause: each of 77 nodes listed cells and workers for itself, page by page, against one rate for all. Now the rendezvous choice among machines with disks asks the platform; all others pull what changed from it, by number, twice as often. An answer's age counts from the pull's own sending back by the lister's age, so it is never taken for younger than it is. Silent or failing listers are passed over (600 ms, 2 s of doubt); a node that slept, hears nobody, or found two listers wanting asks itself. Ruled out: the list as news (nine copies of each change a node; its age would not be known).

--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -93,6 +93,10 @@
         CellEntry { cell: Text, address: Address, }
         /// The cells a steward knows to run, as news for deputies.
         CellsNews { cells: List<CellEntry>, }
+        /// A cell of the platform's list, from a node that asked for it.
+        CellTold { cell: Text, function: Text, worker: Text, address: Address, memory_mb: u64, leaving: u8, }
+        /// A worker of the platform's list; `free_mb` counts if `tells_free` is 1.
+        WorkerTold { worker: Text, memory_mb: u64, tells_free: u8, free_mb: u64, draining: u8, }
         DecisionLine { node: NodeId, sequence: u64, line: Text, }
         CursorMark { node: NodeId, sequence: u64, }
     }
@@ -132,6 +136,11 @@
         /// `full` 1: every topic the sender has is in the list.
         "42" NewsMarks { full: u8, marks: List<NewsMark>, }
         "43" NewsAsk { topics: List<Text>, }
+        /// Pulls the platform's list as it changed since the lister's number; zero for all of it.
+        "60" ListAsk { since: u64, }
+        /// `base` 0: the whole list. The age counts from when the lister asked the platform. Workers
+        /// stand unchanged unless `has_workers` is 1.
+        "61" ListTold { failed: u8, base: u64, sequence: u64, age_micros: u64, has_workers: u8, workers: List<WorkerTold>, cells: List<CellTold>, gone: List<Text>, }
         "50" DecisionsAsk { ask: u64, after: List<CursorMark>, most: u32, }
         "51" DecisionsAnswer { ask: u64, lines: List<DecisionLine>, }
     }
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -7,6 +7,7 @@
 mod configuration_part;
 mod control_part;
 mod journal;
+mod list_part;
 mod node;
 mod steward_part;
 
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -97,7 +97,7 @@
     acts: Vec<Act>,
     upkeep_event: ClockEvent,
     ticked_at: Micros,
-    heard_at: Option<Micros>,
+    pub(crate) heard_at: Option<Micros>,
     /// Processes that were members and are none now.
     gone: BTreeSet<NodeId>,
 }
@@ -287,6 +287,7 @@
             Message::TicketGranted { .. } | Message::TicketHeldBack { .. } | Message::HeldAsk { .. } => {
                 self.take_call_message(from, message);
             }
+            Message::ListAsk { .. } | Message::ListTold { .. } => self.take_list_message(from, message),
             Message::DecisionsAsk { ask, after, most } => {
                 let after_own = after.0.iter().find(|mark| mark.node == self.settings.node);
                 let lines = self.journal.after(after_own.map_or(0, |mark| mark.sequence), most as usize);
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -1,5 +1,6 @@
 //! What this node does as steward and as deputy: terms, tickets, cells, the split of allowances.
 
+use crate::list_part::ListPart;
 use crate::node::Node;
 use crate::{Act, StartResult, StopResult};
 use clock_events::{ClockEvent, Micros};
@@ -48,8 +49,10 @@
     starts: VecDeque<WaitingStart>,
     starts_out: BTreeMap<String, WaitingStart>,
     stops: VecDeque<(String, String)>,
-    list_asked_at: Option<Micros>,
-    list_due: Micros,
+    /// When the platform was asked by this node itself, if its answer is still out.
+    pub(crate) list_asked_at: Option<Micros>,
+    pub(crate) list_due: Micros,
+    pub(crate) lists: ListPart,
     cells: Vec<ListedCell>,
     has_list: bool,
     poll_due: Micros,
@@ -64,9 +67,9 @@
     cells_sequence: u64,
     no_room_told: BTreeMap<String, Micros>,
     is_platform_silent: bool,
-    is_list_stale: bool,
-    /// When the newest list was asked for.
-    listed_at: Option<Micros>,
+    pub(crate) is_list_stale: bool,
+    /// When the newest list was asked for, by whichever node asked.
+    pub(crate) listed_at: Option<Micros>,
     balance_due: Micros,
 }
 
@@ -84,6 +87,7 @@
             stops: VecDeque::new(),
             list_asked_at: None,
             list_due: Micros(0),
+            lists: ListPart::default(),
             cells: Vec::new(),
             has_list: false,
             poll_due: Micros(0),
@@ -416,22 +420,33 @@
         }
     }
 
+    /// Whether this node itself waits for the platform's list.
+    pub(crate) fn is_platform_asked(&self) -> bool {
+        self.stewards.list_asked_at.is_some_and(|asked_at| self.now < asked_at + LIST_PATIENCE)
+    }
+
+    /// Gets the list when it is due, from the platform or from the colleague that asks the platform. A
+    /// pull is cheap and comes twice as often, so that both ages together stay below two lists'.
     fn ask_list(&mut self) {
         let now = self.now;
-        let is_open = self.stewards.list_asked_at.is_some_and(|asked_at| now < asked_at + LIST_PATIENCE);
-        if is_open || now < self.stewards.list_due {
+        if self.check_pull() || self.is_platform_asked() || now < self.stewards.list_due {
             return;
         }
-        let list_every = self.settings.list_every;
+        let lister = self.lister();
+        let is_own = lister == self.settings.node;
+        let list_every = if is_own { self.settings.list_every } else { Micros(self.settings.list_every.0 / 2) };
         let jitter = Micros(self.dice.u64(..list_every.0 / 5 + 1));
         self.stewards.list_due = now + list_every + jitter;
-        self.stewards.list_asked_at = Some(now);
-        self.act(Act::List);
+        match is_own {
+            true => self.ask_platform(),
+            false => self.pull_list(lister),
+        }
     }
 
     /// After a sleep nothing is granted before the platform was asked anew.
     pub(crate) fn woke_up(&mut self) {
         self.stewards.list_asked_at = None;
+        self.stewards.lists.forget_pull();
         self.stewards.list_due = self.now;
         self.stewards.is_list_stale = true;
         self.doubt_configuration();
@@ -446,12 +461,24 @@
             self.stewards.is_platform_silent = true;
             self.journal.append("platform_silent", json!({}), self.now);
         }
+        self.note_list_failed();
     }
 
-    pub(crate) fn listed(&mut self, workers: Vec<ListedWorker>, mut cells: Vec<ListedCell>) {
-        let now = self.now;
+    pub(crate) fn listed(&mut self, workers: Vec<ListedWorker>, cells: Vec<ListedCell>) {
         let Some(asked_at) = self.stewards.list_asked_at.take() else { return };
         self.stewards.is_list_stale = false;
+        self.note_list(&workers, &cells, asked_at);
+        self.take_list(workers, cells, asked_at);
+    }
+
+    /// Goes by a list that was asked for at a time, by this node or by a colleague.
+    pub(crate) fn take_list(
+        &mut self,
+        workers: Vec<ListedWorker>,
+        mut cells: Vec<ListedCell>,
+        asked_at: Micros,
+    ) {
+        let now = self.now;
         self.stewards.listed_at = Some(asked_at);
         if std::mem::take(&mut self.stewards.is_platform_silent) {
             self.journal.append("platform_answers", json!({}), now);
