News compared by buckets, long frames packed, holders of tickets asked in one message

Cause: digests of all topics differ at nearly any moment in a living fleet of 77, and each difference sent 1,030 marks of some 40 bytes; a configuration of 425 KB took 1.7 s over each 2 Mbit/s link; each taking asked 76 nodes for itself; each 100 ms the split went over the whole configuration. Ruled out: digests without what is fresh (two nodes never agree on what is); deltas of configurations (packed whole ones are small enough for now).

--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -7,6 +7,7 @@
 
 use deku::prelude::*;
 pub use parts::{Address, Bytes, List, Text};
+use std::borrow::Cow;
 
 #[cfg(target_endian = "big")]
 compile_error!("messages are laid out in the machine's order; vanelane's fleets are little-endian");
@@ -22,6 +23,12 @@
 pub const FRAME_HEAD: usize = 12;
 
 const FRAME_MARK: u32 = 0x314C_4E56; // "VNL1"
+/// The payload is packed (LZ4, its length in front).
+const PACKED_MARK: u32 = 0x5A4C_4E56; // "VNLZ"
+/// Shorter payloads are not worth packing.
+const PACKED_FROM: usize = 1_024;
+/// What LZ4 packs tightest: a length beyond this is a lie.
+const PACKED_RATIO: usize = 255;
 
 /// Declares message parts and the one enum of messages, all with the same derives.
 macro_rules! messages {
@@ -85,8 +92,12 @@
         /// The right to one dispatch to one cell.
         Ticket { id: u64, granted_by: NodeId, steward_epoch: u64, function: Text, cell: Text, address: Address, }
         HeldTicket { ticket: Ticket, ends_in_micros: u64, }
+        HeldAskEntry { function: Text, steward_epoch: u64, }
+        HeldAnswerEntry { function: Text, steward_epoch: u64, tickets: List<HeldTicket>, }
         NewsItem { topic: Text, origin: NodeId, sequence: u64, body: Bytes, }
         NewsMark { topic: Text, sequence: u64, }
+        /// The digest of one bucket of topics.
+        BucketDigest { bucket: u8, digest: u64, }
         DemandEntry { function: Text, memory_mb: u64, milli_starts: u64, }
         /// What a node's functions want, as news.
         DemandNews { entries: List<DemandEntry>, }
@@ -129,12 +140,13 @@
         /// `how`: 0 ran, 1 not run, 2 turned away, 3 unknown, 4 unused.
         "33" TicketReturn { ticket: Ticket, how: u8, latency_micros: u64, }
         "34" TicketWithdraw { ask: u64, function: Text, }
-        "35" HeldAsk { ask: u64, function: Text, steward_epoch: u64, }
-        "36" HeldAnswer { ask: u64, function: Text, tickets: List<HeldTicket>, }
+        /// A new steward asks which tickets are held of its functions.
+        "35" HeldAsk { functions: List<HeldAskEntry>, }
+        "36" HeldAnswer { functions: List<HeldAnswerEntry>, }
         "40" News { items: List<NewsItem>, }
-        "41" NewsDigest { digest: u64, }
-        /// `full` 1: every topic the sender has is in the list.
-        "42" NewsMarks { full: u8, marks: List<NewsMark>, }
+        "41" NewsDigest { digests: List<BucketDigest>, }
+        /// Every topic that the sender has in the named buckets is in the list.
+        "42" NewsMarks { full_buckets: List<u8>, marks: List<NewsMark>, }
         "43" NewsAsk { topics: List<Text>, }
         /// Pulls the platform's list as it changed since the lister's number; zero for all of it.
         "60" ListAsk { since: u64, }
@@ -240,18 +252,27 @@
         if payload_bytes.len() > FRAME_LIMIT {
             return None;
         }
-        let mut frame_bytes = Vec::with_capacity(FRAME_HEAD + payload_bytes.len());
-        frame_bytes.extend_from_slice(&FRAME_MARK.to_le_bytes());
-        frame_bytes.extend_from_slice(&(payload_bytes.len() as u32).to_le_bytes());
-        frame_bytes.extend_from_slice(&crc32fast::hash(&payload_bytes).to_le_bytes());
-        frame_bytes.extend_from_slice(&payload_bytes);
+        let packed_bytes = match payload_bytes.len() >= PACKED_FROM {
+            true => Some(lz4_flex::block::compress_prepend_size(&payload_bytes)),
+            false => None,
+        };
+        let packed_bytes = packed_bytes.filter(|packed| packed.len() < payload_bytes.len());
+        let (frame_mark, carried_bytes) = match packed_bytes {
+            Some(packed_bytes) => (PACKED_MARK, packed_bytes),
+            None => (FRAME_MARK, payload_bytes),
+        };
+        let mut frame_bytes = Vec::with_capacity(FRAME_HEAD + carried_bytes.len());
+        frame_bytes.extend_from_slice(&frame_mark.to_le_bytes());
+        frame_bytes.extend_from_slice(&(carried_bytes.len() as u32).to_le_bytes());
+        frame_bytes.extend_from_slice(&crc32fast::hash(&carried_bytes).to_le_bytes());
+        frame_bytes.extend_from_slice(&carried_bytes);
         Some(frame_bytes)
     }
 }
 
 /// The payload length that a frame's head announces. Example: `frame_length(&frame[..12]) == Ok(n)`.
 pub fn frame_length(head_bytes: &[u8; FRAME_HEAD]) -> Result<usize, FrameError> {
-    if head_bytes[0..4] != FRAME_MARK.to_le_bytes() {
+    if head_bytes[0..4] != FRAME_MARK.to_le_bytes() && !is_packed(head_bytes) {
         return Err(FrameError::Foreign);
     }
     let payload_length =
@@ -262,13 +283,30 @@
     Ok(payload_length)
 }
 
+fn is_packed(head_bytes: &[u8; FRAME_HEAD]) -> bool {
+    head_bytes[0..4] == PACKED_MARK.to_le_bytes()
+}
+
+fn unpack(packed_bytes: &[u8]) -> Option<Cow<'_, [u8]>> {
+    let (length_bytes, block_bytes) = packed_bytes.split_first_chunk::<4>()?;
+    let length = u32::from_le_bytes(*length_bytes) as usize;
+    if length > FRAME_LIMIT || length > block_bytes.len().saturating_mul(PACKED_RATIO) {
+        return None;
+    }
+    lz4_flex::block::decompress(block_bytes, length).ok().map(Cow::Owned)
+}
+
 /// Reads a payload against its frame head. Example: `decode_payload(&head, &payload)?.message`.
 pub fn decode_payload(head_bytes: &[u8; FRAME_HEAD], payload_bytes: &[u8]) -> Result<Envelope, FrameError> {
     let wanted_checksum = [head_bytes[8], head_bytes[9], head_bytes[10], head_bytes[11]];
     if crc32fast::hash(payload_bytes).to_le_bytes() != wanted_checksum {
         return Err(FrameError::Checksum);
     }
-    match Envelope::from_bytes((payload_bytes, 0)) {
+    let unpacked_bytes = match is_packed(head_bytes) {
+        true => unpack(payload_bytes).ok_or(FrameError::Malformed)?,
+        false => Cow::Borrowed(payload_bytes),
+    };
+    match Envelope::from_bytes((&unpacked_bytes, 0)) {
         Ok((([], _), envelope)) => Ok(envelope),
         _ => Err(FrameError::Malformed),
     }
--- a/packages/colleague_messages/src/tests.rs
+++ b/packages/colleague_messages/src/tests.rs
@@ -51,3 +51,40 @@
     })
     .seed(0x5eed_0001_0000_0040);
 }
+
+#[test]
+fn long_payloads_are_packed_and_come_back_whole() {
+    let mut sent_envelope = example_envelope();
+    let body = Bytes(br#"{"name":"r-1","host":"a.example"}"#.repeat(12_000));
+    sent_envelope.message = Message::ChangeCarry { ask: 1, change: body.clone() };
+    let sent_frame = sent_envelope.frame().expect("a frame");
+    assert!(sent_frame.len() < body.0.len() / 20, "{} bytes", sent_frame.len());
+    assert_eq!(decode_frame(&sent_frame), Ok(sent_envelope.clone()));
+    for damaged_place in (0..sent_frame.len()).step_by(97) {
+        let mut damaged_frame = sent_frame.clone();
+        damaged_frame[damaged_place] ^= 0x10;
+        assert!(decode_frame(&damaged_frame).is_err(), "byte {damaged_place}");
+    }
+    // What does not pack is sent as it is.
+    let mut dice = fastrand::Rng::with_seed(1);
+    let noise = Bytes((0..5_000).map(|_| dice.u8(..)).collect());
+    sent_envelope.message = Message::ChangeCarry { ask: 1, change: noise };
+    let plain_frame = sent_envelope.frame().expect("a frame");
+    assert_eq!(plain_frame[0..4], FRAME_MARK.to_le_bytes());
+    assert_eq!(decode_frame(&plain_frame), Ok(sent_envelope));
+}
+
+#[test]
+fn no_packed_bytes_make_the_decoder_panic_or_reserve_much() {
+    arbtest::arbtest(|source| {
+        let payload_bytes: Vec<u8> = source.arbitrary()?;
+        let mut head_bytes = [0u8; FRAME_HEAD];
+        head_bytes[0..4].copy_from_slice(&PACKED_MARK.to_le_bytes());
+        head_bytes[4..8].copy_from_slice(&(payload_bytes.len() as u32).to_le_bytes());
+        head_bytes[8..12].copy_from_slice(&crc32fast::hash(&payload_bytes).to_le_bytes());
+        let _ = decode_payload(&head_bytes, &payload_bytes);
+        Ok(())
+    })
+    .seed(0x5eed_0001_0000_0041);
+    assert_eq!(unpack(&[0xff, 0xff, 0xff, 0, 1, 2]), None, "a length that lies");
+}
--- a/packages/node_protocol/src/call_part.rs
+++ b/packages/node_protocol/src/call_part.rs
@@ -3,7 +3,7 @@
 use crate::node::Node;
 use crate::{Act, RefusedAs};
 use clock_events::Micros;
-use colleague_messages::{CellsNews, HeldTicket, List, Message, NodeId, Ticket};
+use colleague_messages::{CellsNews, HeldAnswerEntry, HeldAskEntry, HeldTicket, List, Message, NodeId, Ticket};
 use deku::DekuContainerRead;
 use std::collections::BTreeMap;
 use steward_work::{ReadyCell, UNUSED};
@@ -242,11 +242,15 @@
                     call_ask.asked_deputy = true;
                 }
             }
-            Message::HeldAsk { ask, function, steward_epoch } => {
-                let newest_epoch = self.calls.newest_epochs.entry(function.0.clone()).or_default();
-                *newest_epoch = steward_epoch.max(*newest_epoch);
-                let tickets = List(self.calls.held_for(&function.0, self.now));
-                self.send(from, Message::HeldAnswer { ask, function, tickets });
+            Message::HeldAsk { functions } => {
+                let mut answers = Vec::new();
+                for HeldAskEntry { function, steward_epoch } in functions.0 {
+                    let newest_epoch = self.calls.newest_epochs.entry(function.0.clone()).or_default();
+                    *newest_epoch = steward_epoch.max(*newest_epoch);
+                    let tickets = List(self.calls.held_for(&function.0, self.now));
+                    answers.push(HeldAnswerEntry { function, steward_epoch, tickets });
+                }
+                self.send(from, Message::HeldAnswer { functions: List(answers) });
             }
             _ => {}
         }
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -5,7 +5,7 @@
 use crate::{Act, StartResult, StopResult};
 use clock_events::{ClockEvent, Micros};
 use colleague_messages::{
-    Address, Bytes, CellEntry, CellsNews, DemandEntry, DemandNews, List, Message, NodeId, Ticket,
+    Address, Bytes, CellEntry, CellsNews, DemandEntry, DemandNews, HeldAnswerEntry, HeldAskEntry, List, Message, NodeId, Ticket,
 };
 use configuration_check::Function;
 use deku::{DekuContainerRead, DekuContainerWrite};
@@ -22,6 +22,11 @@
 /// After a failed list the next is asked for sooner.
 const LIST_AGAIN: Micros = Micros::from_millis(300);
 const LIST_PATIENCE: Micros = Micros::from_secs(3);
+/// Whoever did not tell which tickets it holds is asked again after this.
+const HELD_PATIENCE: Micros = Micros::from_millis(300);
+/// Between two splits that only other nodes' news asks for, and between two that nothing asks for.
+const SPLIT_PAUSE: Micros = Micros::from_millis(300);
+const IDLE_SPLIT_PAUSE: Micros = Micros::from_secs(1);
 const NO_ROOM_TOLD: Micros = Micros::from_secs(5);
 const UNSETTLED_POLL: Micros = Micros::from_millis(100);
 const FRESH_LIST_AGE: Micros = Micros::from_millis(2_200);
@@ -30,6 +35,17 @@
 /// Until the first list is in, a new steward may not know of cells that run: it starts none.
 const ADOPTION_SPAN: Micros = Micros::from_millis(1_500);
 
+/// What the last split of allowances rested on: the generation, the workers' memory, the counts of
+/// members and of own works, and what the own functions want.
+type SplitBasis = (u64, u64, usize, usize, BTreeMap<String, Demand>);
+
+#[derive(Debug, Default)]
+struct Split {
+    basis: SplitBasis,
+    news_mark: u64,
+    done_at: Micros,
+}
+
 #[derive(Debug)]
 struct WaitingStart {
     function: String,
@@ -60,8 +76,12 @@
     /// As of the last look: going through all functions is not done at each clock event.
     is_unsettled: bool,
     split_event: ClockEvent,
+    split: Split,
     work_event: ClockEvent,
     held_event: ClockEvent,
+    /// When holders of tickets were last asked about a function.
+    held_asked: BTreeMap<String, Micros>,
+    is_held_ask_due: bool,
     orphan_since: BTreeMap<String, Micros>,
     demand_told: (Micros, DemandNews),
     cells_sequence: u64,
@@ -94,8 +114,11 @@
             unsettled_poll: ClockEvent::each(UNSETTLED_POLL),
             is_unsettled: true,
             split_event: ClockEvent::each(Micros::from_millis(100)),
+            split: Split::default(),
             work_event: ClockEvent::each(Micros::from_millis(40)),
-            held_event: ClockEvent::each(Micros::from_millis(300)),
+            held_event: ClockEvent::each(Micros::from_millis(100)),
+            held_asked: BTreeMap::new(),
+            is_held_ask_due: false,
             orphan_since: BTreeMap::new(),
             demand_told: (Micros(0), DemandNews { entries: List(Vec::new()) }),
             cells_sequence: 0,
@@ -138,7 +161,7 @@
         self.take_term_changes();
         self.balance(&members, is_unsettled);
         self.ask_list();
-        if self.stewards.held_event.due(now) {
+        if self.stewards.held_event.due(now) || self.stewards.is_held_ask_due {
             self.ask_held();
         }
         if self.stewards.split_event.due(now) {
@@ -256,7 +279,7 @@
             self.settings.node,
             steward_epoch,
             work_settings(settings),
-            unheard.clone(),
+            unheard,
             now,
         );
         let known_ready: Vec<String> = self.known_ready(function).into_iter().map(|cell| cell.id).collect();
@@ -271,10 +294,9 @@
             own_held.into_iter().map(|held| (held.ticket, Micros(held.ends_in_micros))).collect();
         work.held_elsewhere(self.settings.node, held_tickets, now);
         self.stewards.works.insert(function.to_owned(), work);
-        for node in unheard {
-            let message = Message::HeldAsk { ask: steward_epoch, function: function.into(), steward_epoch };
-            self.send(node, message);
-        }
+        // Asked with the next clock event, together with those of other functions taken by then.
+        self.stewards.held_asked.remove(function);
+        self.stewards.is_held_ask_due = true;
     }
 
     /// Deputies beyond a cut worked on the same cells: a colleague that is back is asked at once which
@@ -284,18 +306,35 @@
         for work in self.stewards.works.values_mut() {
             work.colleague_back(node, now);
         }
+        self.stewards.held_asked.clear();
         self.ask_held();
     }
 
+    /// Asks which tickets are held, one message for each node.
     fn ask_held(&mut self) {
-        let mut asks = Vec::new();
-        for (function, work) in &self.stewards.works {
-            let steward_epoch = work.steward_epoch();
-            asks.extend(work.unheard().iter().map(|node| (*node, function.clone(), steward_epoch)));
+        let now = self.now;
+        let stewards = &mut self.stewards;
+        stewards.is_held_ask_due = false;
+        let mut groups: BTreeMap<NodeId, Vec<HeldAskEntry>> = BTreeMap::new();
+        for (function, work) in &stewards.works {
+            let asked_at = stewards.held_asked.get(function);
+            let is_due = asked_at.is_none_or(|asked_at| now >= *asked_at + HELD_PATIENCE);
+            if !is_due || work.unheard().is_empty() {
+                continue;
+            }
+            stewards.held_asked.insert(function.clone(), now);
+            for node in work.unheard() {
+                let entry = HeldAskEntry {
+                    function: function.as_str().into(),
+                    steward_epoch: work.steward_epoch(),
+                };
+                groups.entry(*node).or_default().push(entry);
+            }
         }
-        for (node, function, steward_epoch) in asks {
-            let function = function.into();
-            self.send(node, Message::HeldAsk { ask: steward_epoch, function, steward_epoch });
+        let works = &stewards.works;
+        stewards.held_asked.retain(|function, _| works.contains_key(function));
+        for (node, entries) in groups {
+            self.send(node, Message::HeldAsk { functions: List(entries) });
         }
     }
 
@@ -350,22 +389,30 @@
                     work.withdraw(from, ask);
                 }
             }
-            Message::HeldAnswer { ask, function, tickets } => {
-                let Some(work) = self.stewards.works.get_mut(&function.0) else { return };
-                if work.steward_epoch() != ask || !work.unheard().contains(&from) {
-                    return;
+            Message::HeldAnswer { functions } => {
+                for answer in functions.0 {
+                    self.held_answered(from, answer);
                 }
-                let held_tickets = tickets
-                    .0
-                    .into_iter()
-                    .map(|held| (held.ticket, Micros(held.ends_in_micros.min(120_000_000))))
-                    .collect();
-                work.held_elsewhere(from, held_tickets, now);
             }
             _ => {}
         }
     }
 
+    fn held_answered(&mut self, from: NodeId, answer: HeldAnswerEntry) {
+        let now = self.now;
+        let Some(work) = self.stewards.works.get_mut(&answer.function.0) else { return };
+        if work.steward_epoch() != answer.steward_epoch || !work.unheard().contains(&from) {
+            return;
+        }
+        let held_tickets = answer
+            .tickets
+            .0
+            .into_iter()
+            .map(|held| (held.ticket, Micros(held.ends_in_micros.min(120_000_000))))
+            .collect();
+        work.held_elsewhere(from, held_tickets, now);
+    }
+
     fn deputy_ticket(
         &mut self,
         function: &str,
@@ -557,7 +604,28 @@
                 own_demands.insert(function.clone(), demand);
             }
         }
-        self.tell_demand(&own_demands);
+        self.tell_demand(&own_demands, members.len());
+        // The split goes over the whole configuration: it is done when something it rests on changed.
+        let news_mark = self.news.topics("demand/").fold(0u64, |sum, item| {
+            sum.rotate_left(5) ^ item.sequence.wrapping_add(item.origin)
+        });
+        let basis = (
+            self.configuration.generation(),
+            self.stewards.placement.total_memory_mb(),
+            members.len(),
+            self.stewards.works.len(),
+            own_demands.clone(),
+        );
+        let split = &self.stewards.split;
+        let pause = match (split.basis == basis, split.news_mark == news_mark) {
+            (false, _) => Micros(0),
+            (true, false) => SPLIT_PAUSE,
+            (true, true) => IDLE_SPLIT_PAUSE,
+        };
+        if now < split.done_at + pause {
+            return;
+        }
+        self.stewards.split = Split { basis, news_mark, done_at: now };
         let mut demands = own_demands.clone();
         for item in self.news.topics("demand/") {
             if item.origin == self.settings.node || !members.contains(&item.origin) {
@@ -591,7 +659,7 @@
         self.stewards.rate.take_rate(own_acts, now);
     }
 
-    fn tell_demand(&mut self, own_demands: &BTreeMap<String, Demand>) {
+    fn tell_demand(&mut self, own_demands: &BTreeMap<String, Demand>, member_count: usize) {
         let now = self.now;
         let entries: List<DemandEntry> = own_demands
             .iter()
@@ -603,7 +671,9 @@
             .collect();
         let demand_news = DemandNews { entries };
         let (told_at, told_news) = &self.stewards.demand_told;
-        if *told_news == demand_news || now < *told_at + Micros::from_millis(300) {
+        // All nodes' news reaches every node: in a large fleet each tells its own less often.
+        let pause = Micros::from_millis(300.max(member_count as u64 * 13));
+        if *told_news == demand_news || now < *told_at + pause {
             return;
         }
         let topic = format!("demand/{:016x}", self.settings.node);
