--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -97,7 +97,7 @@
     acts: Vec<Act>,
     upkeep_event: ClockEvent,
     ticked_at: Micros,
-    heard_at: Option<Micros>,
+    pub(crate) heard_at: Option<Micros>,
     /// Processes that were members and are none now.
     gone: BTreeSet<NodeId>,
 }
@@ -248,7 +248,11 @@
 
     fn take_message(&mut self, from: NodeId, from_address: Address, message: Message) {
         match message {
-            Message::Probe { .. } | Message::ProbeAnswer { .. } | Message::ProbeFor { .. } => {
+            Message::Probe { .. }
+            | Message::ProbeAnswer { .. }
+            | Message::ProbeFor { .. }
+            | Message::MembersDigest { .. }
+            | Message::MembersTold { .. } => {
                 let now = self.now;
                 for (address, answer) in self.members.received(from, from_address, message, now) {
                     self.send_to_address(address, answer);
@@ -287,6 +291,7 @@
             Message::TicketGranted { .. } | Message::TicketHeldBack { .. } | Message::HeldAsk { .. } => {
                 self.take_call_message(from, message);
             }
+            Message::ListAsk { .. } | Message::ListTold { .. } => self.take_list_message(from, message),
             Message::DecisionsAsk { ask, after, most } => {
                 let after_own = after.0.iter().find(|mark| mark.node == self.settings.node);
                 let lines = self.journal.after(after_own.map_or(0, |mark| mark.sequence), most as usize);
