A list that fills up starts cells for all that wait, not one after the other

Short calls that wait count a seventh each when cells are wanted, so cells came one a quarter of a boot: three by 7.5 s, and the first of them ran at 8.2 s. By then 256 calls waited, the list was full, and 181 of 5470 were refused.

Now a list that is an eighth full for an eighth of a boot counts its calls in full. Ruled out: a longer list (it is the operator's), counting in full at once (short crowds would start cells for nothing). wanted_cells, demanded_cells and stop_surplus are as they were; start_wanted has one term more.

--- a/packages/fleet_simulator/tests/scenarios.rs
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -57,7 +57,8 @@
     lossy_network: 1..=20;
     frozen_past_the_lease: 1..=20;
     rare_functions_wake: 1..=20;
-    busy_function_jumps: 1..=20;
+    // 91026: cells started one after the other while the list of waiting calls filled up.
+    busy_function_jumps: (1..=20).chain([91_026]);
     answers_lost: 1..=20;
     // 80001: a new steward granted its whole part beside that of the one before.
     answers_lost_often: (1..=20).chain([80_001]);
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -827,6 +827,16 @@
         }
     }
 
+    /// A list that fills up turns calls away before the cells of one start after the other run: from an
+    /// eighth on, and for an eighth of a boot, each call that waits counts in full.
+    fn pressed_cells(&self, now: Micros) -> u32 {
+        let is_filling = self.waitlist.len() * 8 >= self.settings.waitlist.max(8);
+        let patience = Micros(self.learnt_boot.0 / 8);
+        let is_lasting = self.waiting_since.is_some_and(|since| now >= since + patience);
+        let needed_cells = self.needed_calls().div_ceil(self.settings.calls_at_once);
+        if is_filling && is_lasting { needed_cells.min(self.settings.most_cells) } else { 0 }
+    }
+
     fn start_wanted(&mut self, now: Micros) {
         if now < self.no_room_until {
             return;
@@ -836,8 +846,12 @@
         let patience = Micros(self.learnt_boot.0 / 4);
         let is_behind = self.waiting_since.is_some_and(|since| now >= since + patience);
         let behind_cells = if is_behind { self.cell_count() + 1 } else { 0 };
-        let wanted =
-            self.wanted_cells().max(behind_cells.min(self.settings.most_cells)).min(self.allowed_cells);
+        let pressed_cells = self.pressed_cells(now);
+        let wanted = self
+            .wanted_cells()
+            .max(behind_cells.min(self.settings.most_cells))
+            .max(pressed_cells)
+            .min(self.allowed_cells);
         if self.cell_count() < wanted {
             self.waiting_since = None;
         }
--- a/packages/steward_work/src/function_work/tests.rs
+++ b/packages/steward_work/src/function_work/tests.rs
@@ -260,3 +260,26 @@
     }
     assert_eq!(refused, 20 - EXTRAS_WAITING_MOST);
 }
+
+#[test]
+fn a_list_that_fills_up_starts_cells_for_all_that_wait() {
+    let mut work =
+        FunctionWork::new("proof", 7, 12, WorkSettings { waitlist: 40, ..settings() }, Vec::new(), Micros(0));
+    work.allow_cells(10);
+    let ms = Micros::from_millis;
+    work.ask(9, 1, LONG, 0, "", Micros(0));
+    let start_id = first_start(&mut work);
+    work.started(&start_id, started("c1"), Micros(0));
+    work.tick(ms(1_000));
+    let trial = grants(&mut work);
+    work.returned(&trial[0].1, RAN, ms(20), ms(1_020));
+    for ask in 2..12 {
+        work.ask(9, ask, LONG, 0, "", ms(1_100));
+    }
+    let starts = |work: &mut FunctionWork| {
+        work.take_acts().iter().filter(|act| matches!(act, WorkAct::Start { .. })).count()
+    };
+    assert_eq!(starts(&mut work), 0, "calls this short may be through at once");
+    work.tick(ms(1_240));
+    assert_eq!(starts(&mut work), 4, "ten calls are five cells of two");
+}
