Registers: several voters change at once, and one set of a generation stands

Ruled out: refusing another set of the same generation for every key; two disks that each hold another joint set could then never agree. So the key `disks` stays open to both, and its register decides.

Before: begin_change took one pair; a disk compared generations only. After: begin_changes takes several; senders tell generation and mark, a disk refuses another set of its generation but for `disks`, and takes the later stored of two. Unit tests: two_voters_are_replaced_in_one_change, of_two_joint_sets_of_one_generation_one_stands. In a_restored_disk_keeps_promises the sender's set is told by its mark (was the bare generation 1, which is now refused for another reason than the one tested).

--- a/packages/control_registers/src/disk_registers.rs
+++ b/packages/control_registers/src/disk_registers.rs
@@ -60,9 +60,10 @@
         register.epoch = disk_record.epoch;
         register.version = disk_record.version;
         register.value = disk_record.value;
+        // Of two sets of one generation the later one stands: the other was never on a majority.
         if disk_record.key.0 == DISKS_KEY
             && let Some(stored_set) = VoterSet::decode(&register.value)
-            && stored_set.generation > self.set.generation
+            && stored_set.generation >= self.set.generation
         {
             self.set = stored_set;
         }
@@ -107,14 +108,25 @@
         Some(vec![record_bytes])
     }
 
+    /// Whether a sender may use a key under the set whose mark it tells: not under an older set, and not
+    /// under another one of the same generation, but that the key of the set itself is how such two come
+    /// to be one.
+    fn admits(&self, sender_set: u64, key: &str) -> bool {
+        let sender_generation = sender_set >> 32;
+        sender_generation > self.set.generation
+            || sender_set == self.set.mark()
+            || (key == DISKS_KEY && sender_generation == self.set.generation)
+    }
+
     /// Promises each key to the epoch unless a higher one stands or the sender's set is outdated.
-    /// Example: `registers.promise(set.generation, &entries)`.
+    /// Example: `registers.promise(set.mark(), &entries)`.
     pub fn promise(&mut self, sender_set: u64, entries: &List<PromiseEntry>) -> Answered<PromisedEntry> {
         let mut answers = Vec::new();
         let mut records = Vec::new();
         for entry in &entries.0 {
             let standing = self.registers.get(&entry.key.0).cloned().unwrap_or_default();
-            let granted = sender_set >= self.set.generation && entry.epoch.rank() >= standing.promised.rank();
+            let granted =
+                self.admits(sender_set, &entry.key.0) && entry.epoch.rank() >= standing.promised.rank();
             if granted && entry.epoch.rank() > standing.promised.rank() {
                 let disk_record = DiskRecord {
                     kind: 0,
@@ -139,14 +151,14 @@
     }
 
     /// Stores each value unless a higher epoch was promised or the sender's set is outdated.
-    /// Example: `registers.store(set.generation, &entries)`.
+    /// Example: `registers.store(set.mark(), &entries)`.
     pub fn store(&mut self, sender_set: u64, entries: &List<StoreEntry>) -> Answered<StoredEntry> {
         let mut answers = Vec::new();
         let mut records = Vec::new();
         for entry in &entries.0 {
             let promised =
                 self.registers.get(&entry.key.0).map_or(Epoch::none(), |standing| standing.promised.clone());
-            let granted = sender_set >= self.set.generation && entry.epoch.rank() >= promised.rank();
+            let granted = self.admits(sender_set, &entry.key.0) && entry.epoch.rank() >= promised.rank();
             if granted && !self.already_stored(entry) {
                 let disk_record = DiskRecord {
                     kind: 1,
--- a/packages/control_registers/src/key_owner.rs
+++ b/packages/control_registers/src/key_owner.rs
@@ -96,10 +96,10 @@
         }
     }
 
-    /// Tells which disks vote; a newer set makes every key start over under a higher epoch.
+    /// Tells which disks vote; a newer set, or another of the same generation, makes every key start over under a higher epoch.
     /// Example: `owner.take_set(registers.set())`.
     pub fn take_set(&mut self, known_set: &VoterSet) {
-        if known_set.generation <= self.set.generation {
+        if known_set.generation < self.set.generation || *known_set == self.set {
             return;
         }
         self.set = known_set.clone();
@@ -360,7 +360,7 @@
                 _ => {}
             }
         }
-        let fleet_set = self.set.generation;
+        let fleet_set = self.set.mark();
         let mut acts = std::mem::take(&mut self.answers);
         acts.extend(promise_groups.into_iter().map(|(disk, entries)| OwnerAct::Promise {
             disk,
--- a/packages/control_registers/src/tests.rs
+++ b/packages/control_registers/src/tests.rs
@@ -169,7 +169,7 @@
     let low_epoch = colleague_messages::Epoch { counter: 0, owner: 99 };
     let low_entry = colleague_messages::PromiseEntry { key: CONFIGURATION_KEY.into(), epoch: low_epoch };
     let mut restored = restored;
-    let (answers, _) = restored.promise(1, &colleague_messages::List(vec![low_entry]));
+    let (answers, _) = restored.promise(set.mark(), &colleague_messages::List(vec![low_entry]));
     assert_eq!(answers[0].granted, 0);
 }
 
@@ -211,3 +211,75 @@
     old_owner.write(5, entry(9, 1, "stale"), Micros(0));
     assert_eq!(outcome_of(settle(&mut old_owner, &mut disks, Micros(0))).0, UNKNOWN);
 }
+
+#[test]
+fn two_voters_are_replaced_in_one_change() {
+    let set = VoterSet::founding(&[1, 2, 3, 4, 5]);
+    let joint_set = set.begin_changes(&[(5, 8), (2, 9)]).expect("no change under way");
+    assert_eq!(joint_set.joining.0, [1, 9, 3, 4, 8]);
+    // A majority of both: what stays is one of the set before and one of the set after.
+    assert!(joint_set.quorum(&[1, 3, 4].into()));
+    assert!(!joint_set.quorum(&[1, 8, 9].into()));
+    assert_eq!(set.begin_changes(&[]), None);
+    assert_eq!(set.begin_changes(&[(5, 4)]), None);
+    assert_eq!(set.begin_changes(&[(6, 8)]), None);
+    assert_eq!(set.begin_changes(&[(5, 8), (4, 8)]), None);
+    assert_eq!(joint_set.begin_changes(&[(1, 7)]), None);
+}
+
+/// An owner stored a joint set on its own disk alone and went; another one was taken by the others.
+/// Under the first nothing can be stored any more, and its disk takes the second.
+#[test]
+fn of_two_joint_sets_of_one_generation_one_stands() {
+    let (mut disks, set) = founded_disks();
+    disks.insert(8, DiskRegisters::default());
+    disks.insert(9, DiskRegisters::default());
+    let write = |ask, expected, value| WriteEntry { ask, key: DISKS_KEY.into(), expected, value, hasty: 1 };
+    let lone_set = set.begin_change(3, 8).expect("no change under way");
+    let mut lone_owner = KeyOwner::new(10);
+    lone_owner.take_set(&set);
+    lone_owner.write(7, write(1, 1, lone_set.encode()), Micros(0));
+    // All promise; the store reaches the first disk alone.
+    let mut is_stored = false;
+    while !is_stored {
+        for act in lone_owner.flush(Micros(0)) {
+            match act {
+                OwnerAct::Promise { disk, fleet_set, entries } => {
+                    let (answers, _) = disks.get_mut(&disk).expect("a disk").promise(fleet_set, &entries);
+                    lone_owner.promised(disk, colleague_messages::List(answers), Micros(0));
+                }
+                OwnerAct::Store { disk, fleet_set, entries } => {
+                    let is_opening = entries.0[0].version == 1;
+                    if is_opening || disk == 1 {
+                        let (answers, _) = disks.get_mut(&disk).expect("a disk").store(fleet_set, &entries);
+                        lone_owner.stored(disk, colleague_messages::List(answers), Micros(0));
+                    }
+                    is_stored |= !is_opening;
+                }
+                OwnerAct::Answer { .. } => panic!("one disk is no majority"),
+            }
+        }
+    }
+    assert_eq!(disks[&1].set(), &lone_set);
+    let first_disk = disks.remove(&1).expect("a disk");
+    let standing_set = set.begin_change(1, 9).expect("no change under way");
+    let mut owner = KeyOwner::new(11);
+    owner.take_set(&set);
+    owner.write(7, write(2, 1, standing_set.encode()), Micros(0));
+    assert_eq!(outcome_of(settle(&mut owner, &mut disks, Micros(0))).0, WRITTEN);
+    disks.insert(1, first_disk);
+    // Under the set that does not stand no key is stored, and reading the set's key tells the other.
+    let mut late_owner = KeyOwner::new(12);
+    late_owner.take_set(&lone_set);
+    late_owner.write(5, entry(3, 0, "a"), Micros(0));
+    assert!(settle(&mut late_owner, &mut disks, Micros(0)).is_empty());
+    late_owner.read_confirmed(5, 4, DISKS_KEY.into(), Micros(0));
+    let outcomes = settle(&mut late_owner, &mut disks, Micros(0));
+    assert_eq!(VoterSet::decode(&outcomes[0].value), Some(standing_set.clone()));
+    assert_eq!(disks[&1].set(), &standing_set);
+    late_owner.take_set(&standing_set);
+    late_owner.write(5, entry(5, 0, "a"), Micros::from_secs(3));
+    assert!(
+        settle(&mut late_owner, &mut disks, Micros::from_secs(3)).iter().any(|told| told.outcome == WRITTEN)
+    );
+}
--- a/packages/control_registers/src/voter_set.rs
+++ b/packages/control_registers/src/voter_set.rs
@@ -1,4 +1,4 @@
-use colleague_messages::{Bytes, List};
+use colleague_messages::{Bytes, List, stable_hash};
 use deku::prelude::*;
 use std::collections::BTreeSet;
 
@@ -40,10 +40,23 @@
     /// The set that begins to replace `lost` by `fresh`; `None` while a change is under way.
     /// Example: `set.begin_change(3, 9).unwrap().joining.0 == [1, 2, 9]`.
     pub fn begin_change(&self, lost: u64, fresh: u64) -> Option<VoterSet> {
-        if !self.joining.0.is_empty() || !self.disks.0.contains(&lost) || self.disks.0.contains(&fresh) {
+        self.begin_changes(&[(lost, fresh)])
+    }
+
+    /// The set that begins to replace each first disk of these pairs by the second; `None` without a
+    /// pair, for a pair that does not fit, and while a change is under way.
+    /// Example: `set.begin_changes(&[(3, 9), (2, 8)]).unwrap().joining.0 == [1, 8, 9]`.
+    pub fn begin_changes(&self, swaps: &[(u64, u64)]) -> Option<VoterSet> {
+        if !self.joining.0.is_empty() || swaps.is_empty() {
             return None;
         }
-        let joining = self.disks.0.iter().map(|disk| if *disk == lost { fresh } else { *disk }).collect();
+        let mut joining = self.disks.clone();
+        for (lost, fresh) in swaps {
+            if self.disks.0.contains(fresh) || joining.0.contains(fresh) {
+                return None;
+            }
+            *joining.0.iter_mut().find(|disk| *disk == lost)? = *fresh;
+        }
         Some(VoterSet { generation: self.generation + 1, disks: self.disks.clone(), joining })
     }
 
@@ -59,6 +72,12 @@
         })
     }
 
+    /// The generation, and below it a mark that tells sets of one generation apart.
+    /// Example: `set.mark() >> 32 == set.generation`.
+    pub fn mark(&self) -> u64 {
+        (self.generation << 32) | (stable_hash(&self.encode().0) & 0xffff_ffff)
+    }
+
     /// The set as register bytes. Example: `VoterSet::decode(&set.encode()) == Some(set)`.
     pub fn encode(&self) -> Bytes {
         Bytes(self.to_bytes().unwrap_or_default())
