A blank disk machine has its vote within about two seconds of being back

Cause: a gone voter was replaced after replace_disk_after (20 s), then keys were copied 64 a half second. With three voters the next wipe, 4 s after the first is back, took the majority. And a lowest seed without disk kept the fleet from being founded.

Ruled out: going back from a joint set, or on to another one: an uncommitted final set known from one disk could then stand beside it. A joint set has one successor and can be finished while f disks are lost at the most. Waiting for removal from membership: seen up to 5 s late at the owner. A diskless founder that only proposes: it forgets.

A machine back with another disk gets its vote at once, a voter unanswering for 0.8 s gives it to a free disk; replace_disk_after is for a live machine with a failed disk. The owner reads `disks` under its set before each step. Copying goes on with each clock event, 256 keys at a time, configuration first. The founder is the lowest seed with a disk, each lower one heard and without.

--- a/packages/fleet_simulator/src/disk_scenarios.rs
+++ b/packages/fleet_simulator/src/disk_scenarios.rs
@@ -1,4 +1,5 @@
-//! Disks that fill up and stall, alone and two at once, and come back without anybody's help.
+//! Disks that fill up and stall, alone and two at once, and come back without anybody's help; disks
+//! that are wiped and disk machines that are replaced, one after the other.
 
 use crate::scenarios::{Trial, Verdict};
 use crate::{World, WorldSettings};
@@ -108,3 +109,144 @@
     trial.must_accept(7, "after", 6.0);
     trial.verdict()
 }
+
+impl Trial {
+    /// Each of these disk machines loses its disk, or is replaced by an empty one at a new address.
+    fn wipe(&mut self, victims: &[usize], dice: &mut Rng) {
+        for victim in victims {
+            match dice.bool() {
+                true => self.world.lose_disk(*victim),
+                false => self.world.replace_machine(*victim),
+            }
+        }
+        // Whoever starts is told where the seeds are now.
+        self.world.take_seeds(&[0, 1, 2]);
+    }
+
+    /// Power of these is lost at the very moment at which a change is acknowledged, give or take a
+    /// fifth of a millisecond; they are back half a second later.
+    fn must_accept_then_lose_power(&mut self, number: usize, change_id: &str, victims: &[usize]) {
+        self.world.mark(number, change_id);
+        for _ in 0..30_000 {
+            if self.world.is_accepted(change_id) {
+                break;
+            }
+            self.world.run_for(0.000_2);
+        }
+        let is_accepted = self.world.is_accepted(change_id);
+        self.must(is_accepted, "changes are taken", &format!("{change_id} was not accepted"));
+        for victim in victims {
+            self.world.kill(*victim);
+        }
+        self.world.run_for(0.5);
+        for victim in victims {
+            self.world.start(*victim);
+        }
+    }
+
+    /// These are started again; the set must be whole, with as many voters as before, within the time
+    /// for which they count as lost after that.
+    fn must_vote_again(&mut self, victims: &[usize]) {
+        let back_at = self.world.now();
+        for victim in victims {
+            self.world.start(*victim);
+        }
+        let is_whole = self.world.run_until(4.0, World::has_whole_set);
+        self.must(is_whole, "votes within 4 s", "the voter set is not whole");
+        let passed = (self.world.now() - back_at) as f64 / 1e6;
+        self.figures.push(("vote_seconds", passed));
+        if passed < 2.0 {
+            self.world.run_for(2.0 - passed);
+        }
+    }
+}
+
+/// All three disk machines in turn, and the first once more, lose their disks or are replaced by
+/// empty ones, away for one to three seconds. Two seconds after it is back, or once it has its vote,
+/// power of the others is lost at an acknowledgement, and 1.5 s after that the next one goes.
+pub(crate) fn disks_wiped_in_turn(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    let mut dice = Rng::with_seed(seed ^ 0x317e);
+    // A handful for each of four herds.
+    trial.checks.refusals_fixed = 20;
+    for round in 0..4 {
+        let victim = (seed as usize + round) % 3;
+        trial.wipe(&[victim], &mut dice);
+        trial.world.run_for(1.0 + dice.f64() * 2.0);
+        trial.must_vote_again(&[victim]);
+        let others: Vec<usize> = (0..3).filter(|number| *number != victim).collect();
+        trial.must_accept_then_lose_power(3 + round, &format!("wiped-{round}"), &others);
+        trial.world.run_for(1.0);
+    }
+    trial.must_settle();
+    trial.must_accept(8, "after", 6.0);
+    trial.verdict()
+}
+
+/// Five voters and three spares; two voters at once lose their disks or are replaced, three times.
+pub(crate) fn two_of_five_wiped(seed: u64) -> Verdict {
+    let settings = WorldSettings { disks: 8, founding_disks: 5, ..WorldSettings::default() };
+    let mut trial = Trial::founded(settings, seed);
+    let mut dice = Rng::with_seed(seed ^ 0x25f5);
+    trial.checks.refusals_fixed = 20;
+    for round in 0..3 {
+        let mut voters = trial.world.voter_numbers();
+        dice.shuffle(&mut voters);
+        let Some((victims, others)) = voters.split_at_checked(2) else { break };
+        trial.wipe(victims, &mut dice);
+        trial.world.run_for(1.0 + dice.f64() * 2.0);
+        trial.must_vote_again(victims);
+        let is_five = trial.world.voter_numbers().len() == 5;
+        trial.must(is_five, "votes within 4 s", "there are not five voters");
+        trial.must_accept_then_lose_power(8 + round % 2, &format!("wiped-{round}"), others);
+        trial.world.run_for(1.0);
+    }
+    trial.must_settle();
+    trial.must_accept(9, "after", 6.0);
+    trial.verdict()
+}
+
+/// Whoever changes the set is wiped itself, or the disk that is being taken in is, at any moment of the
+/// change: what was begun is finished, and then the next is taken in.
+pub(crate) fn wiped_amid_a_vote_change(seed: u64) -> Verdict {
+    let settings = WorldSettings { disks: 8, founding_disks: 5, rare: 60, ..WorldSettings::default() };
+    let mut trial = Trial::founded(settings, seed);
+    let mut dice = Rng::with_seed(seed ^ 0xa31d);
+    trial.checks.count_refusals = false;
+    for round in 0..3 {
+        trial.must_accept(8, &format!("before-{round}"), 6.0);
+        let voters = trial.world.voter_numbers();
+        let Some(first) = dice.choice(voters) else { break };
+        trial.wipe(&[first], &mut dice);
+        trial.world.run_for(1.0);
+        trial.world.start(first);
+        // A change takes a few tenths of a second, some time in the next two.
+        let is_begun = trial.world.run_until_closely(4.0, World::is_set_changing);
+        trial.must(is_begun, "votes within 4 s", "no change of the set was begun");
+        trial.world.run_for(dice.f64() * 0.06);
+        let owner = trial.world.voters_owner();
+        let second = match dice.bool() {
+            true => owner.unwrap_or(first),
+            false => trial.world.joining_number().unwrap_or(first),
+        };
+        trial.wipe(&[second], &mut dice);
+        trial.world.run_for(1.0 + dice.f64());
+        trial.must_vote_again(&[second]);
+    }
+    trial.must_settle();
+    trial.must_accept(9, "after", 6.0);
+    trial.verdict()
+}
+
+/// The lowest seeds carry no disk: the lowest that does founds the state.
+pub(crate) fn lowest_seeds_without_disk(seed: u64) -> Verdict {
+    let first_disk = 1 + (seed % 2) as usize;
+    let settings = WorldSettings { disks: 4, first_disk, ..WorldSettings::default() };
+    let mut trial = Trial::founded(settings, seed);
+    trial.must_accept(5, "founded", 4.0);
+    trial.world.kill(first_disk);
+    trial.must_accept(6, "one-down", 6.0);
+    trial.world.start(first_disk);
+    trial.must_settle();
+    trial.verdict()
+}
--- a/packages/fleet_simulator/src/scenarios.rs
+++ b/packages/fleet_simulator/src/scenarios.rs
@@ -2,7 +2,8 @@
 
 use crate::allowance_scenarios::{allowances_contended, allowances_moved, lone_start_beside_hunger};
 use crate::disk_scenarios::{
-    disk_full_and_room_again, two_disks_full, two_disks_stalled, vote_change_with_owner_lost,
+    disk_full_and_room_again, disks_wiped_in_turn, lowest_seeds_without_disk, two_disks_full,
+    two_disks_stalled, two_of_five_wiped, vote_change_with_owner_lost, wiped_amid_a_vote_change,
 };
 use crate::lane_scenarios::{lanes_moved, lanes_moved_while_nodes_sleep};
 use crate::machine_scenarios::{clocks_drift, frozen_in_the_act, full_size};
@@ -88,6 +89,10 @@
     frozen_in_the_act,
     clocks_drift,
     full_size,
+    disks_wiped_in_turn,
+    two_of_five_wiped,
+    wiped_amid_a_vote_change,
+    lowest_seeds_without_disk,
 }
 
 /// A scenario under way.
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -50,8 +50,12 @@
     pub workers: (usize, u64),
     /// How much faster or slower the nodes' clocks run, at the most.
     pub clock_drift: f64,
-    /// Nodes with disks; the first three found the state, the others are spare.
+    /// Nodes with disks; `founding_disks` of them found the state, the others are spare.
     pub disks: usize,
+    /// The first node with a disk: the seeds before it carry none.
+    pub first_disk: usize,
+    /// Disks that found the state.
+    pub founding_disks: usize,
     /// The rare functions' memory ceiling, if they have one.
     pub rare_ceiling_mb: Option<f64>,
 }
@@ -76,6 +80,8 @@
             workers: (12, 6_500),
             clock_drift: 0.0,
             disks: 3,
+            first_disk: 0,
+            founding_disks: 3,
             rare_ceiling_mb: None,
         }
     }
@@ -226,7 +232,10 @@
             refusals: BTreeMap::new(),
         };
         for (number, address) in addresses.into_iter().enumerate() {
-            let disk = (number < world.settings.disks).then(|| SimDisk::blank(world.dice.u64(1..)));
+            let first_disk = world.settings.first_disk;
+            let disk = (first_disk..first_disk + world.settings.disks)
+                .contains(&number)
+                .then(|| SimDisk::blank(world.dice.u64(1..)));
             world.nodes.push(SimNode {
                 address,
                 zone: format!("zone-{}", number % 3),
@@ -343,6 +352,15 @@
         holds(self)
     }
 
+    /// As `run_until`, to the millisecond. Example: `world.run_until_closely(4.0, World::is_set_changing)`.
+    pub fn run_until_closely(&mut self, seconds: f64, holds: impl Fn(&World) -> bool) -> bool {
+        let end = self.now + (seconds * 1e6) as u64;
+        while self.now < end && !holds(self) {
+            self.run_for(0.001);
+        }
+        holds(self)
+    }
+
     fn happen(&mut self, happening: Happening) {
         match happening {
             Happening::Tick { node, life } => self.node_ticks(node, life),
@@ -420,7 +438,7 @@
             address: self.nodes[number].address,
             zone: self.nodes[number].zone.clone(),
             seeds: self.seeds.clone(),
-            founding_disks: 3,
+            founding_disks: self.settings.founding_disks,
             may_found: true,
             list_every: Micros::from_millis(900),
             replace_disk_after: self.settings.replace_disk_after,
@@ -626,6 +644,33 @@
             && sets.iter().all(|set| set.generation == first.generation)
     }
 
+    /// Whether a change of the voter set is under way at any node.
+    /// Example: `world.run_until(4.0, World::is_set_changing)`.
+    pub fn is_set_changing(&self) -> bool {
+        let mut sets = self.up().into_iter().filter_map(|number| self.voters(number));
+        sets.any(|set| !set.joining.0.is_empty())
+    }
+
+    /// The node whose disk is being taken in by a change of the voter set.
+    /// Example: `world.lose_disk(world.joining_number().unwrap())`.
+    pub fn joining_number(&self) -> Option<usize> {
+        let sets = self.up().into_iter().filter_map(|number| self.voters(number));
+        let joint = sets.filter(|set| !set.joining.0.is_empty()).max_by_key(|set| set.generation)?;
+        let disk = joint.joining.0.iter().find(|disk| !joint.disks.0.contains(disk))?;
+        let is_its = |number: &usize| self.nodes[*number].disk.as_ref().is_some_and(|own| own.id == *disk);
+        (0..self.nodes.len()).find(is_its)
+    }
+
+    /// Numbers of the nodes whose disks vote, in the eyes of the first node that is up.
+    /// Example: `world.lose_disk(world.voter_numbers()[0])`.
+    pub fn voter_numbers(&self) -> Vec<usize> {
+        let first = self.up().first().and_then(|number| self.voters(*number));
+        let voters = first.map(|set| set.disks.0.clone()).unwrap_or_default();
+        (0..self.nodes.len())
+            .filter(|number| self.nodes[*number].disk.as_ref().is_some_and(|disk| voters.contains(&disk.id)))
+            .collect()
+    }
+
     /// The node that owns the key of the voter set, as far as another one can tell.
     /// Example: `world.kill(world.voters_owner().unwrap())`.
     pub fn voters_owner(&self) -> Option<usize> {
--- a/packages/fleet_simulator/tests/scenarios.rs
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -86,6 +86,10 @@
     frozen_in_the_act: 1..=20;
     clocks_drift: 1..=20;
     full_size: 1..=4;
+    disks_wiped_in_turn: 1..=20;
+    two_of_five_wiped: 1..=20;
+    wiped_amid_a_vote_change: 1..=20;
+    lowest_seeds_without_disk: 1..=20;
 }
 
 /// Clocks that jump can only matter where somebody reads them.
--- a/packages/node_protocol/src/configuration_part.rs
+++ b/packages/node_protocol/src/configuration_part.rs
@@ -313,7 +313,8 @@
         self.send_write(CONFIGURATION_KEY, 0, Bytes::default(), WritePurpose::ConfigurationRead);
     }
 
-    fn take_base(&mut self, outcome: &WriteOutcome) {
+    /// Takes the configuration's register as a majority confirmed it.
+    pub(crate) fn take_base(&mut self, outcome: &WriteOutcome) {
         if outcome.version < self.configuration.base.0 {
             return;
         }
--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -3,6 +3,7 @@
 
 use crate::Act;
 use crate::node::Node;
+use crate::vote_swaps::DiskSightings;
 use clock_events::{ClockEvent, Micros};
 use colleague_messages::{
     Bytes, LeaderRecord, List, MemberNews, Message, NodeId, PolledRecord, Text, WriteEntry, WriteOutcome,
@@ -20,12 +21,16 @@
 pub(crate) const DISK_VOTING: u8 = 2;
 /// A disk that voted once and is no longer in the set.
 pub(crate) const DISK_SPARE: u8 = 3;
+/// A disk that fails now, whatever it was before.
+pub(crate) const DISK_FAILED: u8 = 4;
 
 /// After this an owner that does not answer is passed over for a while.
 const OWNER_PATIENCE: Micros = Micros::from_millis(600);
 /// An operator that reads asks elsewhere after about a second.
 const ASKED_PATIENCE: Micros = Micros::from_millis(900);
 const OWNER_DOUBT: Micros = Micros::from_secs(2);
+/// So many keys are copied at a time while the voter set changes.
+const COPY_WINDOW: usize = 256;
 const REWRITE_SLACK: usize = 4 * 1024 * 1024;
 /// A disk that failed is tried again, whole, each time after this.
 const REPAIR_PAUSE: Micros = Micros::from_secs(1);
@@ -38,6 +43,7 @@
     ConfigurationRead,
     ConfigurationCheck,
     ConfigurationAsked { request: u64 },
+    DisksRead,
     DisksChange,
     DisksCopy { key: String },
 }
@@ -66,9 +72,7 @@
 /// The copying that a change of the voter set needs.
 #[derive(Debug)]
 struct SetCopy {
-    generation: u64,
-    wanted: BTreeSet<String>,
-    asked: BTreeMap<String, Micros>,
+    asked: BTreeSet<String>,
     copied: BTreeSet<String>,
 }
 
@@ -81,10 +85,13 @@
     flights: BTreeMap<u64, WriteFlight>,
     doubted: BTreeMap<NodeId, Micros>,
     polls: BTreeMap<NodeId, Micros>,
-    missing_since: BTreeMap<u64, Micros>,
+    sightings: DiskSightings,
+    /// The set that this node knows to stand on a majority.
+    confirmed_set: VoterSet,
     copy: Option<SetCopy>,
     found_event: ClockEvent,
     is_wait_told: bool,
+    upkeep_event: ClockEvent,
     replace_event: ClockEvent,
 }
 
@@ -108,11 +115,13 @@
             flights: BTreeMap::new(),
             doubted: BTreeMap::new(),
             polls: BTreeMap::new(),
-            missing_since: BTreeMap::new(),
+            sightings: DiskSightings::default(),
+            confirmed_set: VoterSet::default(),
             copy: None,
             found_event: ClockEvent::each(Micros::from_millis(200)),
             is_wait_told: false,
-            replace_event: ClockEvent::each(Micros::from_millis(500)),
+            upkeep_event: ClockEvent::each(Micros::from_millis(500)),
+            replace_event: ClockEvent::each(Micros::from_millis(100)),
         }
     }
 
@@ -137,28 +146,32 @@
         let newest_set = [news_set, disk_set].into_iter().flatten().max_by_key(|set| set.generation);
         let Some(newest_set) = newest_set.filter(|set| set.generation > 0) else { return };
         if newest_set.generation > self.control.set.generation {
-            self.control.set = newest_set.clone();
-            self.control.copy = None;
-            self.control.owner.take_set(&newest_set);
-            self.journal.append(
-                "voters",
-                json!({
-                    "generation": newest_set.generation,
-                    "disks": hex_list(&newest_set.disks.0),
-                    "joining": hex_list(&newest_set.joining.0),
-                }),
-                self.now,
-            );
+            self.adopt_set(&newest_set);
         }
         self.news.publish(DISKS_KEY, self.settings.node, newest_set.generation, newest_set.encode());
         self.tell_disk_state();
     }
 
+    fn adopt_set(&mut self, next_set: &VoterSet) {
+        self.control.set = next_set.clone();
+        self.control.copy = None;
+        self.control.owner.take_set(next_set);
+        self.journal.append(
+            "voters",
+            json!({
+                "generation": next_set.generation,
+                "disks": hex_list(&next_set.disks.0),
+                "joining": hex_list(&next_set.joining.0),
+            }),
+            self.now,
+        );
+    }
+
     fn tell_disk_state(&mut self) {
         let Some(disk) = &self.control.disk else { return };
         let is_voting = self.control.set.all().contains(&disk.id);
         let state = match (disk.is_broken, is_voting, disk.registers.set().generation) {
-            (true, ..) => 0,
+            (true, ..) => DISK_FAILED,
             (false, true, 1..) => DISK_VOTING,
             (false, _, 0) => DISK_BLANK,
             (false, false, _) => DISK_SPARE,
@@ -209,6 +222,7 @@
             WritePurpose::ConfigurationRead
                 | WritePurpose::ConfigurationCheck
                 | WritePurpose::ConfigurationAsked { .. }
+                | WritePurpose::DisksRead
                 | WritePurpose::DisksCopy { .. }
         );
         let message = match is_read {
@@ -454,13 +468,20 @@
                 let stored = (outcome.outcome == WRITTEN).then_some(outcome.value.0);
                 self.act(Act::ConfigurationAnswered { request, stored });
             }
-            WritePurpose::DisksChange => self.disks_changed(outcome),
+            WritePurpose::DisksRead => self.disks_read(&outcome),
+            WritePurpose::DisksChange => self.disks_changed(&outcome),
             WritePurpose::DisksCopy { key } => {
                 let Some(copy) = &mut self.control.copy else { return };
                 // A key that its owner took back meanwhile is asked for again in the next round.
                 copy.asked.remove(&key);
-                if outcome.outcome == WRITTEN {
-                    copy.copied.insert(key);
+                if outcome.outcome != WRITTEN {
+                    return;
+                }
+                let is_configuration = key == CONFIGURATION_KEY;
+                copy.copied.insert(key);
+                if is_configuration {
+                    // Which functions have records is known by this, whatever was known before.
+                    self.take_base(&outcome);
                 }
             }
         }
@@ -515,7 +536,7 @@
                 WritePurpose::ConfigurationAsked { request } => {
                     self.act(Act::ConfigurationAnswered { request, stored: None });
                 }
-                WritePurpose::ConfigurationRead | WritePurpose::DisksChange => {}
+                WritePurpose::ConfigurationRead | WritePurpose::DisksRead | WritePurpose::DisksChange => {}
             }
         }
     }
@@ -526,9 +547,12 @@
         if self.control.found_event.due(now) {
             self.try_founding();
         }
-        if self.control.replace_event.due(now) {
+        if self.control.upkeep_event.due(now) {
             self.try_repair();
             self.hand_over_keys();
+        }
+        // A change that was begun goes on with each clock event.
+        if self.control.replace_event.due(now) || !self.control.set.joining.0.is_empty() {
             self.try_replacing();
         }
     }
@@ -550,11 +574,22 @@
         });
     }
 
-    /// The one node that may found: the seed with the lowest address. Any other rule by what a node
-    /// sees lets two nodes with different views found two sets that share disks.
+    /// The one node that may found: the seed with the lowest address among those that carry a disk. Each
+    /// lower one must be heard, and carry none: a process never changes that, so no two nodes can be it.
+    /// Any rule by what a node sees of the disks lets two found two sets that share disks.
     fn is_founder(&self) -> bool {
         let own = self.settings.address;
-        self.settings.seeds.iter().min().is_none_or(|lowest| *lowest == own)
+        if self.settings.seeds.is_empty() {
+            return true;
+        }
+        let is_seed = self.settings.seeds.contains(&own);
+        is_seed && self.settings.seeds.iter().filter(|seed| **seed < own).all(|seed| self.lacks_disk(*seed))
+    }
+
+    fn lacks_disk(&self, address: colleague_messages::Address) -> bool {
+        self.members
+            .colleagues()
+            .any(|news| news.address == address && news.disk == 0 && news.disk_state == 0)
     }
 
     /// Founds the first voter set, once: the founder's own disk and others that are blank, all live;
@@ -562,10 +597,17 @@
     fn try_founding(&mut self) {
         let is_founder = self.is_founder();
         let Some(disk) = &self.control.disk else {
-            let is_missing = is_founder && self.control.set.generation == 0 && !self.control.is_wait_told;
+            let no_seed_can = is_founder
+                && self
+                    .settings
+                    .seeds
+                    .iter()
+                    .filter(|seed| **seed != self.settings.address)
+                    .all(|seed| self.lacks_disk(*seed));
+            let is_missing = no_seed_can && self.control.set.generation == 0 && !self.control.is_wait_told;
             if is_missing && self.members.live().len() > 1 {
                 self.control.is_wait_told = true;
-                let reason = "the seed with the lowest address founds the state, and it has no data folder";
+                let reason = "a seed founds the state, and none has a data folder";
                 self.journal.append("founding_waits", json!({"reason": reason}), self.now);
             }
             return;
@@ -577,7 +619,12 @@
             }
             return;
         }
-        if !is_founder || !self.settings.may_found || own_set.generation != 0 || disk.is_broken || self.control.set.generation != 0 {
+        if !is_founder
+            || !self.settings.may_found
+            || own_set.generation != 0
+            || disk.is_broken
+            || self.control.set.generation != 0
+        {
             return;
         }
         if self.members.seeds_heard() * 2 < self.members.seed_count() {
@@ -643,62 +690,84 @@
         );
     }
 
-    /// Replaces a voter whose machine is gone for the set time by a spare disk: first the joint set,
-    /// then a copy of every key under it, then the new set. One change at a time.
+    /// Gives the votes of lost disks to others: first the joint set, then a copy of every key under it,
+    /// then the new set. One change at a time, and each step rests on the set that stands on a majority.
+    /// A joint set has one successor, whoever goes on with it: it needs majorities of both sets, so while
+    /// no more disks are lost than either may lose it can be finished, also without the joining ones.
     fn try_replacing(&mut self) {
         let now = self.now;
         let set = self.control.set.clone();
-        let live_disks: BTreeSet<u64> =
-            self.members.live().iter().filter(|news| news.disk != 0).map(|news| news.disk).collect();
-        self.control.missing_since.retain(|disk, _| !live_disks.contains(disk));
-        for disk in set.all() {
-            if !live_disks.contains(&disk) {
-                self.control.missing_since.entry(disk).or_insert(now);
-            }
+        let live: Vec<MemberNews> = self.members.live().into_iter().cloned().collect();
+        self.control.sightings.update(&set, &live, now);
+        if set.generation == 0 {
+            return;
         }
-        if set.generation == 0 || self.key_owner(DISKS_KEY) != Some(self.settings.node) || !self.owns_keys() {
+        let owner = self.key_owner(DISKS_KEY);
+        if owner != Some(self.settings.node) || !self.owns_keys() {
             self.control.copy = None;
+            let told = self.control.sightings.untold(&set, &live);
+            if let Some(owner) = owner.filter(|_| !told.is_empty()) {
+                self.send(owner, Message::Probe { sequence: 0, target: 0, members: List(told) });
+            }
             return;
         }
-        if !set.joining.0.is_empty() {
+        let is_joint = !set.joining.0.is_empty();
+        let patience = self.settings.replace_disk_after;
+        let swaps = self.control.sightings.swaps(&set, &live, patience, now);
+        if (is_joint || !swaps.is_empty()) && self.control.confirmed_set != set {
+            self.read_disks();
+        } else if is_joint {
             self.continue_copy(&set);
-            return;
+        } else if let Some(joint_set) = set.begin_changes(&swaps) {
+            self.write_disks(&joint_set);
+        } else if live.iter().any(|news| news.disk_state == DISK_BLANK && set.disks.0.contains(&news.disk)) {
+            // A voter that did not hear of the set: reading it stores it anew.
+            self.read_disks();
+        }
+    }
+
+    fn is_set_asked(&self) -> bool {
+        let mut purposes = self.control.flights.values().map(|flight| &flight.purpose);
+        purposes.any(|purpose| matches!(purpose, WritePurpose::DisksRead | WritePurpose::DisksChange))
+    }
+
+    fn read_disks(&mut self) {
+        if !self.is_set_asked() {
+            self.send_write(DISKS_KEY, 0, Bytes::default(), WritePurpose::DisksRead);
         }
-        let is_lost = |disk: &u64| {
-            self.control
-                .missing_since
-                .get(disk)
-                .is_some_and(|since| now >= *since + self.settings.replace_disk_after)
-        };
-        let Some(lost_disk) = set.disks.0.iter().copied().find(is_lost) else { return };
-        let spare_disk = self
-            .members
-            .live()
-            .iter()
-            .filter(|news| [DISK_BLANK, DISK_SPARE].contains(&news.disk_state) && news.draining == 0)
-            .map(|news| news.disk)
-            // The lowest, so that owners that follow one another pick the same.
-            .filter(|disk| !set.disks.0.contains(disk))
-            .min();
-        let Some(spare_disk) = spare_disk else { return };
-        let Some(joint_set) = set.begin_change(lost_disk, spare_disk) else { return };
-        self.write_disks(&joint_set);
     }
 
     fn write_disks(&mut self, next_set: &VoterSet) {
-        let is_open = self.control.flights.values().any(|flight| flight.purpose == WritePurpose::DisksChange);
-        if is_open {
-            return;
+        if !self.is_set_asked() {
+            let expected = self.control.set_version;
+            self.send_write(DISKS_KEY, expected, next_set.encode(), WritePurpose::DisksChange);
         }
-        let expected = self.control.set_version.max(1);
-        self.send_write(DISKS_KEY, expected, next_set.encode(), WritePurpose::DisksChange);
     }
 
-    fn disks_changed(&mut self, outcome: WriteOutcome) {
-        // Whatever stands now is learnt; the next round goes on from there.
-        if outcome.outcome == WRITTEN || outcome.outcome == DIFFERS {
-            self.control.set_version = outcome.version;
+    /// What stands on a majority. Of a set that this node knows from one disk alone nothing was begun
+    /// yet: it is written if what it came from still stands, and dropped if another does.
+    fn disks_read(&mut self, outcome: &WriteOutcome) {
+        if outcome.outcome != WRITTEN {
+            return;
         }
+        self.control.set_version = outcome.version;
+        let standing_set = VoterSet::decode(&outcome.value).unwrap_or_default();
+        let set = self.control.set.clone();
+        if standing_set.generation < set.generation {
+            self.write_disks(&set);
+            return;
+        }
+        self.control.confirmed_set = standing_set.clone();
+        if standing_set != set {
+            self.adopt_set(&standing_set);
+        }
+        self.news.publish(DISKS_KEY, self.settings.node, standing_set.generation, standing_set.encode());
+        self.tell_disk_state();
+    }
+
+    /// The next round reads what stands now and goes on from there.
+    fn disks_changed(&mut self, outcome: &WriteOutcome) {
+        self.control.confirmed_set = VoterSet::default();
         if let Some(standing_set) = VoterSet::decode(&outcome.value) {
             let generation = standing_set.generation;
             self.news.publish(DISKS_KEY, self.settings.node, generation, standing_set.encode());
@@ -709,10 +778,6 @@
     fn continue_copy(&mut self, joint_set: &VoterSet) {
         let now = self.now;
         let configuration = self.configuration.current();
-        let is_ready = self.configuration.is_ready();
-        if !is_ready {
-            return;
-        }
         let wanted: BTreeSet<String> = configuration
             .functions
             .keys()
@@ -721,33 +786,25 @@
             .chain([CONFIGURATION_KEY.to_owned()])
             .filter(|key| key != DISKS_KEY)
             .collect();
-        let copy = self.control.copy.get_or_insert_with(|| SetCopy {
-            generation: joint_set.generation,
-            wanted: BTreeSet::new(),
-            asked: BTreeMap::new(),
-            copied: BTreeSet::new(),
-        });
-        if copy.generation != joint_set.generation {
-            self.control.copy = None;
-            return;
-        }
-        copy.wanted = wanted;
-        if copy.wanted.is_subset(&copy.copied) {
+        let copy = self
+            .control
+            .copy
+            .get_or_insert_with(|| SetCopy { asked: BTreeSet::new(), copied: BTreeSet::new() });
+        if wanted.is_subset(&copy.copied) {
             if let Some(final_set) = joint_set.end_change() {
                 self.write_disks(&final_set);
             }
             return;
         }
-        let due_keys: Vec<String> = copy
-            .wanted
+        // The configuration comes first: by its bytes the others are known.
+        let room = COPY_WINDOW.saturating_sub(copy.asked.len());
+        let due_keys: Vec<String> = wanted
             .difference(&copy.copied)
-            .filter(|key| copy.asked.get(*key).is_none_or(|asked_at| now >= *asked_at + Micros::from_secs(3)))
-            .take(64)
+            .filter(|key| !copy.asked.contains(*key))
+            .take(room)
             .cloned()
             .collect();
-        for key in &due_keys {
-            copy.asked.insert(key.clone(), now);
-        }
+        copy.asked.extend(due_keys.iter().cloned());
         // This node itself takes the keys: under the joint set each is stored anew on both majorities.
         let own = self.settings.node;
         for key in due_keys {
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -9,6 +9,7 @@
 mod journal;
 mod node;
 mod steward_part;
+mod vote_swaps;
 
 pub use journal::Journal;
 pub use node::{Node, NodeCounts, NodeStatus};
@@ -38,7 +39,7 @@
     pub may_found: bool,
     /// Between two lists of the platform.
     pub list_every: Micros,
-    /// A voter whose machine is gone this long is replaced by a spare disk.
+    /// A voter whose machine lives, but whose disk failed for this long, is replaced by a spare disk.
     pub replace_disk_after: Micros,
     /// Starts and stops a second that the platform takes from the whole fleet.
     pub acts_per_second: f64,
--- a/packages/vanelane/src/control_pages.rs
+++ b/packages/vanelane/src/control_pages.rs
@@ -178,7 +178,7 @@
                     "address": news.address.socket().to_string(),
                     "zone": news.zone.0,
                     "state": (["alive", "suspected", "gone"].get(news.state as usize)),
-                    "disk": (["none", "blank", "voting", "spare"].get(news.disk_state as usize)),
+                    "disk": (["none", "blank", "voting", "spare", "failed"].get(news.disk_state as usize)),
                     "disk_id": hex(news.disk),
                     "draining": news.draining == 1,
                 })
