--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -10,6 +10,7 @@
 mod list_part;
 mod node;
 mod steward_part;
+mod vote_swaps;
 
 pub use journal::Journal;
 pub use node::{Node, NodeCounts, NodeStatus};
@@ -43,7 +44,7 @@
     pub list_every: Micros,
     /// Lists a second that the platform takes from the whole fleet.
     pub lists_per_second: f64,
-    /// A voter whose machine is gone this long is replaced by a spare disk.
+    /// A voter whose machine lives, but whose disk failed for this long, is replaced by a spare disk.
     pub replace_disk_after: Micros,
     /// Starts and stops a second that the platform takes from the whole fleet.
     pub acts_per_second: f64,
