--- a/packages/scale_run/src/hollow_fleet.rs
+++ b/packages/scale_run/src/hollow_fleet.rs
@@ -8,7 +8,8 @@
 use node_protocol::{Act, Event, Node, NodeSettings, StartResult, StopResult};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 use steward_election::ElectionSettings;
 use steward_work::{ListedCell, ListedWorker, RAN, UNUSED};
@@ -32,6 +33,8 @@
     pub wall: Duration,
     /// How long the steady state is counted, in simulated seconds.
     pub steady_seconds: u64,
+    /// Whether each frame passes through a real TCP connection on loopback.
+    pub sockets: bool,
 }
 
 const DISKS: usize = 3;
@@ -79,12 +82,28 @@
     asked: BTreeMap<u64, (u64, String)>,
     called: BTreeSet<String>,
     is_calling: bool,
+    socket: Option<(TcpStream, TcpStream)>,
     /// Waits for a ticket, in microseconds: first calls of a function, and the others.
     cold_waits: Vec<u64>,
     warm_waits: Vec<u64>,
     refused: u64,
 }
 
+/// No more than this is written before it is read: a connection's buffers hold it.
+const SOCKET_STEP: usize = 16 * 1024;
+
+fn socket_pair() -> Option<(TcpStream, TcpStream)> {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).ok()?;
+    let writer = TcpStream::connect(listener.local_addr().ok()?).ok()?;
+    let (reader, _) = listener.accept().ok()?;
+    writer.set_nodelay(true).ok()?;
+    for stream in [&writer, &reader] {
+        stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+        stream.set_write_timeout(Some(Duration::from_secs(5))).ok()?;
+    }
+    Some((writer, reader))
+}
+
 fn address_of(number: usize) -> Address {
     let bytes = (number as u32 + 1).to_be_bytes();
     Address::from(SocketAddr::from(([10, bytes[1], bytes[2], bytes[3]], 7_000)))
@@ -121,6 +140,7 @@
             asked: BTreeMap::new(),
             called: BTreeSet::new(),
             is_calling: false,
+            socket: size.sockets.then(socket_pair).flatten(),
             cold_waits: Vec::new(),
             warm_waits: Vec::new(),
             refused: 0,
@@ -359,10 +379,29 @@
         let Some(frame) = frame else { return };
         let sent = self.nodes[number].sums.sent.entry(name).or_default();
         *sent = (sent.0 + 1, sent.1 + frame.len() as u64);
+        self.pass_socket(number, address, &frame);
         let travel = self.dice.u64(250..750);
         self.after(travel, Happening::Arrives { to: address, frame, name });
     }
 
+    /// Sends a frame through the connection; the sender pays for writing, the receiver for reading.
+    fn pass_socket(&mut self, sender: usize, to: Address, frame: &[u8]) {
+        let Some((mut writer, mut reader)) = self.socket.take() else { return };
+        let receiver = self.places.get(&to).copied().unwrap_or(sender);
+        let mut read_bytes = [0u8; SOCKET_STEP];
+        let mut is_whole = true;
+        for step in frame.chunks(SOCKET_STEP) {
+            let begun = Instant::now();
+            is_whole &= writer.write_all(step).is_ok();
+            self.spend(sender, "socket", begun);
+            let begun = Instant::now();
+            is_whole &= reader.read_exact(&mut read_bytes[..step.len()]).is_ok();
+            self.spend(receiver, "socket", begun);
+        }
+        // A connection that broke leaves the socket's time out from here on, which the table shows.
+        self.socket = is_whole.then_some((writer, reader));
+    }
+
     fn call_comes(&mut self, node: usize) {
         if !self.is_calling {
             return;
@@ -552,6 +591,8 @@
             figures[format!("{name}_core_ms_s")] = json!(self.core_millis(group) / count / per_second);
             let listing = *self.groups[group].spent.get("list").unwrap_or(&0) as f64 / 1e6 * self.share;
             figures[format!("{name}_list_core_ms_s")] = json!(listing / count / per_second);
+            let passing = *self.groups[group].spent.get("socket").unwrap_or(&0) as f64 / 1e6 * self.share;
+            figures[format!("{name}_socket_core_ms_s")] = json!(passing / count / per_second);
             let sent = self.groups[group].sent_total().1 as f64;
             figures[format!("{name}_sent_kb_s")] = json!(sent / 1e3 / count / per_second);
         }
--- a/packages/scale_run/src/main.rs
+++ b/packages/scale_run/src/main.rs
@@ -12,7 +12,7 @@
         default cmd table {
             /// Small sizes that take seconds.
             optional --quick
-            /// One sweep only: nodes, functions, cells or calls.
+            /// One sweep only: nodes, sockets, functions, cells or calls.
             optional --sweep sweep: String
             /// Runs of each size, with other seeds; 3 if not given.
             optional --repeats repeats: u64
@@ -35,6 +35,8 @@
             optional --wall-seconds wall_seconds: u64
             /// Simulated seconds of the steady state; 10 if not given.
             optional --steady-seconds steady_seconds: u64
+            /// Passes each frame through a TCP connection on loopback.
+            optional --sockets
             /// Kills a tenth of the nodes at the end and starts them again.
             optional --kill-tenth
         }
@@ -43,6 +45,8 @@
 
 struct Sweep {
     name: &'static str,
+    /// The flag that its sizes are given to.
+    flag: &'static str,
     sizes: &'static [u64],
     quick_sizes: &'static [u64],
     others: &'static [&'static str],
@@ -52,6 +56,7 @@
 const SWEEPS: &[Sweep] = &[
     Sweep {
         name: "nodes",
+        flag: "--nodes",
         sizes: &[10, 30, 60, 100, 200, 300],
         quick_sizes: &[4, 6, 8, 10],
         others: &["--functions", "100", "--kill-tenth"],
@@ -73,8 +78,23 @@
             "resident_mb",
         ],
     },
+    Sweep {
+        name: "sockets",
+        flag: "--nodes",
+        sizes: &[10, 30, 60, 100],
+        quick_sizes: &[4, 6, 8, 10],
+        others: &["--functions", "100", "--sockets"],
+        columns: &[
+            "messages_per_node_s",
+            "plain_core_ms_s",
+            "plain_socket_core_ms_s",
+            "disk_core_ms_s",
+            "disk_socket_core_ms_s",
+        ],
+    },
     Sweep {
         name: "functions",
+        flag: "--functions",
         sizes: &[100, 300, 1_000, 3_000],
         quick_sizes: &[10, 20, 40, 80],
         others: &["--nodes", "10"],
@@ -97,6 +117,7 @@
     },
     Sweep {
         name: "cells",
+        flag: "--cells",
         sizes: &[300, 1_000, 3_000, 10_000],
         quick_sizes: &[20, 40, 80, 160],
         others: &["--nodes", "10", "--functions", "100"],
@@ -111,6 +132,7 @@
     },
     Sweep {
         name: "calls",
+        flag: "--calls",
         sizes: &[50, 100, 200, 400, 800],
         quick_sizes: &[20, 40, 80, 160],
         others: &["--nodes", "10", "--functions", "50"],
@@ -137,6 +159,7 @@
                 calls: one.calls.unwrap_or(0.0),
                 seed: one.seed.unwrap_or(1),
                 kill_tenth: one.kill_tenth,
+                sockets: one.sockets,
                 wall: Duration::from_secs(one.wall_seconds.unwrap_or(120)),
                 steady_seconds: one.steady_seconds.unwrap_or(10).max(1),
             });
@@ -183,13 +206,10 @@
     let wall_seconds = table.wall_seconds.unwrap_or(if table.quick { 20 } else { 120 });
     let mut command = Command::new(own_program);
     command.arg("one").args(sweep.others);
-    command.args([format!("--{}", sweep.name), size.to_string()]);
+    command.args([sweep.flag, &size.to_string()]);
     command.args(["--seed".into(), seed.to_string(), "--wall-seconds".into(), wall_seconds.to_string()]);
     if table.quick {
         command.args(["--steady-seconds", "3"]);
-        if !sweep.others.contains(&"--functions") && sweep.name != "functions" {
-            command.args(["--functions", "20"]);
-        }
     }
     let output = command.stderr(Stdio::inherit()).output().map_err(|failure| failure.to_string())?;
     if !output.status.success() {
