--- a/packages/scale_run/src/hollow_fleet.rs
+++ b/packages/scale_run/src/hollow_fleet.rs
@@ -25,6 +25,8 @@
     pub cells: usize,
     /// Calls a second in the whole fleet, at random functions.
     pub calls: f64,
+    /// Changes that come at once after the steady state, each of one function.
+    pub changes: usize,
     /// Seeds all choices.
     pub seed: u64,
     /// Whether a tenth of the nodes is killed and started again at the end.
@@ -513,7 +515,7 @@
     let mut fleet = HollowFleet::new(size);
     let seconds = |span: Option<u64>| span.map(|span| span as f64 / 1e6);
     let mut figures = json!({
-        "nodes": size.nodes, "functions": size.functions, "cells": size.cells, "calls": size.calls,
+        "nodes": size.nodes, "functions": size.functions, "cells": size.cells, "calls": size.calls, "changes": size.changes,
         "seed": size.seed,
     });
     let met = fleet.run_until(PHASE / 2, HollowFleet::is_met);
@@ -630,13 +632,19 @@
         Some(Window { groups: self.take_sums(), share })
     }
 
-    /// One changed function: until it is in force everywhere, and what it costs above the steady rate.
+    /// Changed functions: until they are in force everywhere, and what they cost above the steady rate.
     fn tell_change(&mut self, figures: &mut Value, steady_rate: (f64, f64)) {
         self.take_sums();
         let (begun, wall_begun, nanos_begun) = (self.now, Instant::now(), thread_nanos());
-        let items = json!({"functions": {function_name(0): function_document(BOOT / 1_000 + 1)}});
-        self.change(Change { change_id: "second".into(), items: Some(items), ..Change::default() });
-        let taken = self.run_until(PHASE, |fleet| fleet.holds_generation(2));
+        let changes = self.size.changes.max(1);
+        for number in 0..changes {
+            let name = function_name(number % self.size.functions);
+            let items = json!({"functions": {name: function_document(BOOT / 1_000 + 1)}});
+            let change_id = format!("later-{number}");
+            self.change(Change { change_id, items: Some(items), ..Change::default() });
+        }
+        let last_generation = 1 + changes as u64;
+        let taken = self.run_until(PHASE, |fleet| fleet.holds_generation(last_generation));
         figures["change_everywhere_s"] = json!(taken.map(|span| span as f64 / 1e6));
         if taken.is_none() || !self.run_for(1_000_000) {
             return;
--- a/packages/scale_run/src/main.rs
+++ b/packages/scale_run/src/main.rs
@@ -12,7 +12,7 @@
         default cmd table {
             /// Small sizes that take seconds.
             optional --quick
-            /// One sweep only: nodes, sockets, functions, cells or calls.
+            /// One sweep only: nodes, sockets, functions, changes, cells or calls.
             optional --sweep sweep: String
             /// Runs of each size, with other seeds; 3 if not given.
             optional --repeats repeats: u64
@@ -29,6 +29,8 @@
             optional --cells cells: usize
             /// Calls a second; none if not given.
             optional --calls calls: f64
+            /// Changes of configuration that come at once; 1 if not given.
+            optional --changes changes: usize
             /// The seed; 1 if not given.
             optional --seed seed: u64
             /// The most wall seconds; 120 if not given.
@@ -115,6 +117,14 @@
             "resident_mb",
         ],
     },
+    Sweep {
+        name: "changes",
+        flag: "--changes",
+        sizes: &[1, 4, 16, 64, 128],
+        quick_sizes: &[1, 2, 4, 8],
+        others: &["--nodes", "30", "--functions", "300"],
+        columns: &["change_everywhere_s", "change_kb_per_node", "change_core_ms_per_node"],
+    },
     Sweep {
         name: "cells",
         flag: "--cells",
@@ -157,6 +167,7 @@
                 functions: one.functions.unwrap_or(100).max(1),
                 cells: one.cells.unwrap_or(0),
                 calls: one.calls.unwrap_or(0.0),
+                changes: one.changes.unwrap_or(1),
                 seed: one.seed.unwrap_or(1),
                 kill_tenth: one.kill_tenth,
                 sockets: one.sockets,
--- a/packages/scale_run/tests/quick.rs
+++ b/packages/scale_run/tests/quick.rs
@@ -42,7 +42,7 @@
 #[test]
 fn the_quick_table_has_every_sweep_with_four_sizes_and_a_slope() {
     let tables = run(&["--quick"]);
-    for sweep in ["nodes", "sockets", "functions", "cells", "calls"] {
+    for sweep in ["nodes", "sockets", "functions", "changes", "cells", "calls"] {
         assert!(tables.contains(&format!("sweep {sweep}:")), "{tables}");
     }
     let line = tables.lines().find(|line| line.starts_with("| plain_core_ms_s |")).expect("a figure's line");
