--- a/packages/scale_run/src/hollow_fleet.rs
+++ b/packages/scale_run/src/hollow_fleet.rs
@@ -180,6 +180,7 @@
             address: SocketAddr::from(([11, bytes[1], bytes[2], bytes[3]], 80)),
             memory_mb: 128,
             leaving: false,
+            started: false,
         };
         self.cells.insert(cell.id.clone(), cell.clone());
         cell
@@ -194,8 +195,11 @@
             zone: format!("zone-{}", number % 6),
             seeds: (0..seed_count).map(address_of).collect(),
             founding_disks: DISKS.min(self.size.nodes),
+            costs: steward_work::CostModel::default(),
             may_found: true,
             list_every: Micros::from_millis(900),
+            lists_per_second: 1_000.0,
+            extra_bound: steward_work::ExtraBound::default(),
             replace_disk_after: Micros::from_secs(600),
             acts_per_second: 80.0,
             election: ElectionSettings::default(),
