--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -165,6 +165,8 @@
     pub(crate) next_call: u64,
     /// Calls that ran, were refused, are unknown, got no answer.
     pub outcomes: [u64; 4],
+    /// Messages and bytes on the network by kind, while they are counted; `List` counts the platform's.
+    pub traffic: Option<BTreeMap<&'static str, (u64, u64)>>,
     happenings: BTreeMap<(u64, u64), Happening>,
     next_happening: u64,
     lines: Vec<Line>,
@@ -206,6 +208,7 @@
             calls: BTreeMap::new(),
             next_call: 0,
             outcomes: [0; 4],
+            traffic: None,
             happenings: BTreeMap::new(),
             next_happening: 0,
             lines: Vec::new(),
@@ -701,6 +704,15 @@
         is_ready && self.run_until(20.0, |world| world.is_settled() && world.is_accepted("first"))
     }
 
+    fn count_traffic(&mut self, number: usize, message: &Message) {
+        let Some(traffic) = &mut self.traffic else { return };
+        let from_address = self.nodes[number].address;
+        let envelope = Envelope { fleet: 1, from: 1, from_address, to: 1, message: message.clone() };
+        let (count, bytes) = traffic.entry(message.name()).or_default();
+        *count += 1;
+        *bytes += envelope.frame().map_or(0, |frame| frame.len() as u64);
+    }
+
     /// A small change that leaves its mark in the document. Example: `world.mark(2, "m1")`.
     pub fn mark(&mut self, number: usize, change_id: &str) {
         let mut partial = json!({"lanes": {}});
@@ -822,7 +834,10 @@
             self.freeze(number, seconds);
         }
         match act {
-            Act::Send { address, to, message } => self.send(number, address, to, message),
+            Act::Send { address, to, message } => {
+                self.count_traffic(number, &message);
+                self.send(number, address, to, message);
+            }
             Act::WriteDisk { token, records, is_rewrite } => {
                 self.disk_groups += 1;
                 if let Some(disk) = &mut self.nodes[number].disk {
@@ -832,6 +847,9 @@
                 self.after(span, Happening::Synced { node: number, life, token });
             }
             Act::List => {
+                if let Some(traffic) = &mut self.traffic {
+                    traffic.entry("List").or_default().0 += 1;
+                }
                 let event = match self.nodes[number].is_isolated {
                     true => Event::ListFailed,
                     false => {
