--- a/packages/scale_run/src/main.rs
+++ b/packages/scale_run/src/main.rs
@@ -52,6 +52,7 @@
     sizes: &'static [u64],
     quick_sizes: &'static [u64],
     others: &'static [&'static str],
+    quick_others: &'static [&'static str],
     columns: &'static [&'static str],
 }
 
@@ -62,6 +63,7 @@
         sizes: &[10, 30, 60, 100, 200, 300],
         quick_sizes: &[4, 6, 8, 10],
         others: &["--functions", "100", "--kill-tenth"],
+        quick_others: &["--functions", "20", "--kill-tenth"],
         columns: &[
             "members_seen_least",
             "all_see_all_s",
@@ -86,6 +88,7 @@
         sizes: &[10, 30, 60, 100],
         quick_sizes: &[4, 6, 8, 10],
         others: &["--functions", "100", "--sockets"],
+        quick_others: &["--functions", "20", "--sockets"],
         columns: &[
             "messages_per_node_s",
             "plain_core_ms_s",
@@ -100,6 +103,7 @@
         sizes: &[100, 300, 1_000, 3_000],
         quick_sizes: &[10, 20, 40, 80],
         others: &["--nodes", "10"],
+        quick_others: &["--nodes", "5"],
         columns: &[
             "document_bytes",
             "first_configuration_s",
@@ -123,6 +127,7 @@
         sizes: &[1, 4, 16, 64, 128],
         quick_sizes: &[1, 2, 4, 8],
         others: &["--nodes", "30", "--functions", "300"],
+        quick_others: &["--nodes", "5", "--functions", "20"],
         columns: &["change_everywhere_s", "change_kb_per_node", "change_core_ms_per_node"],
     },
     Sweep {
@@ -131,6 +136,7 @@
         sizes: &[300, 1_000, 3_000, 10_000],
         quick_sizes: &[20, 40, 80, 160],
         others: &["--nodes", "10", "--functions", "100"],
+        quick_others: &["--nodes", "5", "--functions", "20"],
         columns: &[
             "list_bytes",
             "plain_core_ms_s",
@@ -146,6 +152,7 @@
         sizes: &[50, 100, 200, 400, 800],
         quick_sizes: &[20, 40, 80, 160],
         others: &["--nodes", "10", "--functions", "50"],
+        quick_others: &["--nodes", "5", "--functions", "20"],
         columns: &[
             "plain_core_ms_s",
             "kb_per_node_s",
@@ -206,7 +213,7 @@
             }
             points.push((*size, runs));
         }
-        tell_sweep(sweep, &points);
+        tell_sweep(sweep, if table.quick { sweep.quick_others } else { sweep.others }, &points);
     }
     ExitCode::SUCCESS
 }
@@ -216,11 +223,11 @@
     let own_program = std::env::current_exe().map_err(|failure| failure.to_string())?;
     let wall_seconds = table.wall_seconds.unwrap_or(if table.quick { 20 } else { 120 });
     let mut command = Command::new(own_program);
-    command.arg("one").args(sweep.others);
+    command.arg("one").args(if table.quick { sweep.quick_others } else { sweep.others });
     command.args([sweep.flag, &size.to_string()]);
     command.args(["--seed".into(), seed.to_string(), "--wall-seconds".into(), wall_seconds.to_string()]);
     if table.quick {
-        command.args(["--steady-seconds", "3"]);
+        command.args(["--steady-seconds", "2"]);
     }
     let output = command.stderr(Stdio::inherit()).output().map_err(|failure| failure.to_string())?;
     if !output.status.success() {
@@ -230,8 +237,8 @@
 }
 
 /// The median of the runs, with the least and the most where they differ.
-fn tell_sweep(sweep: &Sweep, points: &[(u64, Vec<Value>)]) {
-    println!("sweep {}: {}", sweep.name, sweep.others.join(" "));
+fn tell_sweep(sweep: &Sweep, others: &[&str], points: &[(u64, Vec<Value>)]) {
+    println!("sweep {}: {}", sweep.name, others.join(" "));
     let sizes: Vec<String> = points.iter().map(|(size, _)| size.to_string()).collect();
     println!("| figure | {} | base | slope | residual | power |", sizes.join(" | "));
     println!("| --- |{}", " --- |".repeat(points.len() + 4));
