--- /dev/null
+++ b/packages/function_front/tests/kept_connections.rs
@@ -0,0 +1,136 @@
+//! Kept connections never mix answers: a cell that sends an extra answer, late, at every point.
+
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, Uri};
+use bytes::Bytes;
+use clock_events::Micros;
+use function_front::{CallDialect, DispatchCall, DispatchOutcome, DispatchSettings, dispatch};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// When the cell sends its extra answer, beside the answers that are due.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Extra {
+    Never,
+    /// In one piece with the answer it belongs to.
+    WithAnswer,
+    /// Once the answer has been read, before the next call.
+    AfterAnswer,
+    /// In the place where the next call's answer should come.
+    BeforeNext,
+    /// Bytes that are no answer, behind the answer.
+    Garbage,
+}
+
+fn answer(id: &str) -> String {
+    let body = format!("answer to {id}");
+    format!(
+        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nkeep-alive: timeout=5\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn cell(extra: Extra, connections: Arc<AtomicUsize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            connections.fetch_add(1, Ordering::SeqCst);
+            std::thread::spawn(move || {
+                let mut lines = BufReader::new(stream.try_clone().expect("a clone"));
+                let mut previous: Option<String> = None;
+                loop {
+                    let mut id = String::new();
+                    loop {
+                        let mut line = String::new();
+                        if lines.read_line(&mut line).unwrap_or(0) == 0 {
+                            return;
+                        }
+                        if let Some(value) = line.to_ascii_lowercase().strip_prefix("request-id: ") {
+                            id = value.trim().to_owned();
+                        }
+                        if line == "\r\n" {
+                            break;
+                        }
+                    }
+                    let mut text = String::new();
+                    if let (Extra::BeforeNext, Some(earlier)) = (extra, previous.take()) {
+                        text.push_str(&answer(&earlier));
+                    }
+                    text.push_str(&answer(&id));
+                    if extra == Extra::WithAnswer {
+                        text.push_str(&answer(&id));
+                    }
+                    if extra == Extra::Garbage {
+                        text.push_str("\u{1}garbage");
+                    }
+                    if stream.write_all(text.as_bytes()).is_err() {
+                        return;
+                    }
+                    if extra == Extra::AfterAnswer {
+                        let _ = stream.write_all(answer(&id).as_bytes());
+                    }
+                    previous = Some(id);
+                }
+            });
+        }
+    });
+    address
+}
+
+async fn call(address: SocketAddr, id: &str, settings: &DispatchSettings) -> Option<Bytes> {
+    let mut headers = HeaderMap::new();
+    headers.insert(HeaderName::from_static("request-id"), HeaderValue::from_str(id).expect("a value"));
+    let call = DispatchCall {
+        method: Method::GET,
+        uri: Uri::from_static("/x"),
+        headers,
+        body: Bytes::new(),
+        function: "f".to_owned(),
+        cell: format!("cell at {address}"),
+        address,
+        time_left: Micros::from_secs(4),
+    };
+    match dispatch(call, settings).await {
+        DispatchOutcome::Answered(answered) => Some(answered.body),
+        _ => None,
+    }
+}
+
+#[test]
+fn an_extra_answer_at_any_point_is_never_handed_on() {
+    let dialect = CallDialect { call_id: Some(HeaderName::from_static("request-id")), ..CallDialect::default() };
+    let settings = DispatchSettings {
+        idle_limit: 2,
+        dialect: Arc::new(dialect),
+        connect_within: Duration::from_secs(5),
+        ..DispatchSettings::default()
+    };
+    for extra in [Extra::Never, Extra::WithAnswer, Extra::AfterAnswer, Extra::BeforeNext, Extra::Garbage] {
+        let connections = Arc::new(AtomicUsize::new(0));
+        let address = cell(extra, connections.clone());
+        actix_rt::System::new().block_on(async {
+            for number in 0..20 {
+                let id = format!("{extra:?}-{number}").to_ascii_lowercase();
+                // One answer to an earlier call may stand before the right one, which then follows; any
+                // other surplus may cost the call its answer, and never gives it another's.
+                if let Some(body) = call(address, &id, &settings).await {
+                    assert_eq!(body, format!("answer to {id}"), "{extra:?}");
+                } else {
+                    assert_ne!(extra, Extra::Never);
+                    assert_ne!(extra, Extra::BeforeNext, "it is known by its id and passed over");
+                }
+            }
+        });
+        let opened = connections.load(Ordering::SeqCst);
+        match extra {
+            Extra::Never | Extra::BeforeNext => assert_eq!(opened, 1, "{extra:?} is kept"),
+            Extra::WithAnswer | Extra::Garbage => assert_eq!(opened, 20, "{extra:?} is closed"),
+            Extra::AfterAnswer => assert!(opened >= 1),
+        }
+    }
+}
