Calls that can still be answered in time go first, then by rank

A ticket ask carries the time until the answer is late, counted from the visitor's first try, and the lane's rank.

--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -136,7 +136,17 @@
         "25" ChangeCarry { ask: u64, change: Bytes, }
         /// Its outcome (JSON) on the way back.
         "26" ChangeSettled { ask: u64, outcome: Bytes, }
-        "30" TicketAsk { ask: u64, function: Text, time_left_micros: u64, extra: u8, avoid: Text, deputy: u8, }
+        /// `target_left_micros`: until the answer is late, all ones where the lane names no target.
+        "30" TicketAsk {
+            ask: u64,
+            function: Text,
+            time_left_micros: u64,
+            extra: u8,
+            avoid: Text,
+            deputy: u8,
+            target_left_micros: u64,
+            rank: u8,
+        }
         "31" TicketGranted { ask: u64, ticket: Ticket, }
         /// `outcome`: 0 waiting, 1 refused for good, 2 not the steward.
         "32" TicketHeldBack { ask: u64, outcome: u8, reason: Text, retry_after_millis: u64, }
--- a/packages/fleet_simulator/src/sim_calls.rs
+++ b/packages/fleet_simulator/src/sim_calls.rs
@@ -120,6 +120,8 @@
             time_left: Micros(sim_call.ends_at.saturating_sub(now)),
             dispatches: sim_call.chart.dispatches(),
             avoid,
+            target_left: None,
+            rank: 0,
         };
         let node = sim_call.node;
         self.give(node, event);
--- a/packages/function_front/src/front.rs
+++ b/packages/function_front/src/front.rs
@@ -72,6 +72,10 @@
         time_left: Micros,
         dispatches: u32,
         avoid: String,
+        /// Until its answer is late, if its lane names a target.
+        target_left: Option<Micros>,
+        /// Zero goes first.
+        rank: u8,
         reply: oneshot::Sender<TicketAnswer>,
     },
     /// The call is over before a ticket came.
@@ -588,6 +592,10 @@
             time_left: ends_at - asked_at,
             dispatches,
             avoid: avoid.to_owned(),
+            // A visitor that comes back names less time than the lane's patience: its first try, from
+            // which lateness counts, was that much earlier.
+            target_left: lane.target.map(|target| (ends_at + target) - lane.patience - asked_at),
+            rank: u8::try_from(lane.rank).unwrap_or(u8::MAX),
             reply,
         };
         let retry_after = Some(Micros::from_secs(1));
--- a/packages/function_front/tests/kept_connections.rs
+++ b/packages/function_front/tests/kept_connections.rs
@@ -103,7 +103,8 @@
 
 #[test]
 fn an_extra_answer_at_any_point_is_never_handed_on() {
-    let dialect = CallDialect { call_id: Some(HeaderName::from_static("request-id")), ..CallDialect::default() };
+    let dialect =
+        CallDialect { call_id: Some(HeaderName::from_static("request-id")), ..CallDialect::default() };
     let settings = DispatchSettings {
         idle_limit: 2,
         dialect: Arc::new(dialect),
--- a/packages/node_protocol/src/call_part.rs
+++ b/packages/node_protocol/src/call_part.rs
@@ -8,7 +8,7 @@
 };
 use deku::DekuContainerRead;
 use std::collections::BTreeMap;
-use steward_work::{ReadyCell, UNUSED};
+use steward_work::{ReadyCell, UNUSED, Urgency};
 
 /// A steward that leaves an ask unanswered this long is passed over for the deputy.
 const STEWARD_PATIENCE: Micros = Micros::from_millis(200);
@@ -25,6 +25,7 @@
     ends_at: Micros,
     dispatches: u32,
     avoid: String,
+    urgency: Urgency,
     asked: Option<NodeId>,
     asked_at: Micros,
     asked_deputy: bool,
@@ -100,12 +101,14 @@
         time_left: Micros,
         dispatches: u32,
         avoid: String,
+        urgency: Urgency,
     ) {
         let ask = CallAsk {
             function,
             ends_at: self.now + time_left,
             dispatches,
             avoid,
+            urgency,
             asked: None,
             asked_at: self.now,
             asked_deputy: false,
@@ -187,6 +190,11 @@
             extra: u8::try_from(ask.dispatches).unwrap_or(u8::MAX),
             avoid: ask.avoid.as_str().into(),
             deputy: u8::from(is_deputy),
+            target_left_micros: match ask.urgency.late_at {
+                Micros(u64::MAX) => u64::MAX,
+                late_at => (late_at - now).0,
+            },
+            rank: ask.urgency.rank,
         };
         self.send(node, message);
     }
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -90,7 +90,15 @@
     /// A colleague speaks.
     Heard(Envelope),
     /// A call on this node needs a ticket, after so many dispatches.
-    CallAsks { call: u64, function: String, time_left: Micros, dispatches: u32, avoid: String },
+    CallAsks {
+        call: u64,
+        function: String,
+        time_left: Micros,
+        dispatches: u32,
+        avoid: String,
+        target_left: Option<Micros>,
+        rank: u8,
+    },
     /// The call is over; a ticket that still comes is returned unused.
     CallEnds { call: u64 },
     /// A dispatch under a ticket ended.
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -15,6 +15,7 @@
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
+use steward_work::Urgency;
 
 /// Counts for metrics. Example: `node.status(now).counts.messages_heard`.
 #[derive(Clone, Debug, Default)]
@@ -172,8 +173,9 @@
         match event {
             Event::Tick => self.tick(),
             Event::Heard(envelope) => self.heard(envelope),
-            Event::CallAsks { call, function, time_left, dispatches, avoid } => {
-                self.call_asks(call, function, time_left, dispatches, avoid);
+            Event::CallAsks { call, function, time_left, dispatches, avoid, target_left, rank } => {
+                let late_at = target_left.map_or(Micros(u64::MAX), |left| self.now + left);
+                self.call_asks(call, function, time_left, dispatches, avoid, Urgency { late_at, rank });
             }
             Event::CallEnds { call } => self.call_ends(call),
             Event::TicketDone { ticket, how, latency } => self.ticket_done(&ticket, how, latency),
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -15,7 +15,7 @@
 use steward_election::{Election, ElectionSettings, TermChange};
 use steward_work::{
     CostModel, Demand, DeputyAsk, DeputyCell, DeputyWork, FunctionWork, HeldBackAs, ListedCell, ListedWorker,
-    Placement, StartOutcome, StartRate, Totals, WorkAct, WorkSettings, allowance_split,
+    Placement, StartOutcome, StartRate, Totals, Urgency, WorkAct, WorkSettings, allowance_split,
 };
 
 const START_WAITLIST: usize = 2_048;
@@ -362,14 +362,25 @@
     pub(crate) fn take_steward_message(&mut self, from: NodeId, message: Message) {
         let now = self.now;
         match message {
-            Message::TicketAsk { ask, function, time_left_micros, extra, avoid, deputy } => {
+            Message::TicketAsk {
+                ask,
+                function,
+                time_left_micros,
+                extra,
+                avoid,
+                deputy,
+                target_left_micros,
+                rank,
+            } => {
                 let time_left = Micros(time_left_micros);
                 let is_extra = extra > 0;
                 let is_steward =
                     self.stewards.election.term(&function.0, now).is_some() && !self.stewards.is_list_stale;
                 let work = self.stewards.works.get_mut(&function.0).filter(|_| is_steward);
                 if let Some(work) = work {
-                    work.ask(from, ask, time_left, u32::from(extra), &avoid.0, now);
+                    let late_at = Micros(now.0.saturating_add(target_left_micros));
+                    let wanted = (avoid.0.as_str(), Urgency { late_at, rank });
+                    work.ask_urgently(from, ask, time_left, u32::from(extra), wanted, now);
                     return;
                 }
                 let holder = self.stewards.election.holder(&function.0, now);
--- a/packages/scale_run/src/hollow_fleet.rs
+++ b/packages/scale_run/src/hollow_fleet.rs
@@ -420,7 +420,15 @@
         let call = self.next_call;
         self.asked.insert(call, (self.now, function.clone()));
         let time_left = Micros::from_secs(4);
-        let event = Event::CallAsks { call, function, time_left, dispatches: 0, avoid: String::new() };
+        let event = Event::CallAsks {
+            call,
+            function,
+            time_left,
+            dispatches: 0,
+            avoid: String::new(),
+            target_left: None,
+            rank: 0,
+        };
         self.give(node, event, "call");
     }
 
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -130,6 +130,22 @@
     ends_at: Micros,
     seen_at: Micros,
     avoid: String,
+    urgency: Urgency,
+}
+
+/// Which of the calls that wait goes first. Example: `Urgency::default()` where no lane says anything.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Urgency {
+    /// An answer after this is late.
+    pub late_at: Micros,
+    /// Zero goes first.
+    pub rank: u8,
+}
+
+impl Default for Urgency {
+    fn default() -> Urgency {
+        Urgency { late_at: Micros(u64::MAX), rank: 0 }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -392,6 +408,20 @@
         dispatches: u32,
         avoid: &str,
         now: Micros,
+    ) {
+        self.ask_urgently(asker, ask, time_left, dispatches, (avoid, Urgency::default()), now);
+    }
+
+    /// The same with what the call's lane says of its urgency.
+    /// Example: `work.ask_urgently(9, 1, Micros::from_secs(4), 0, ("", urgency), now)`.
+    pub fn ask_urgently(
+        &mut self,
+        asker: NodeId,
+        ask: u64,
+        time_left: Micros,
+        dispatches: u32,
+        (avoid, urgency): (&str, Urgency),
+        now: Micros,
     ) {
         let is_extra = dispatches > 0;
         let is_known = self.by_ask.contains_key(&(asker, ask))
@@ -436,6 +466,7 @@
             ends_at: now + time_left,
             seen_at: now,
             avoid: avoid.to_owned(),
+            urgency,
         };
         match is_extra {
             // A call that was turned away has waited its turn already.
@@ -810,11 +841,16 @@
 
     /// Whose turn it is: a new steward's extra dispatches let others pass until they are granted.
     fn next_place(&mut self, now: Micros) -> Option<usize> {
-        let is_extra_first = self.waitlist.front()?.dispatches > 0;
-        if !is_extra_first || !self.extras.is_young(now) || self.extras.may_spend(now) {
-            return Some(0);
-        }
-        self.waitlist.iter().position(|waiting| waiting.dispatches == 0)
+        let is_extra_held = self.extras.is_young(now) && !self.extras.may_spend(now);
+        // Who can still be answered in time goes before who cannot: in a crowd that is late already
+        // everybody else would be late as well. Then rank, then who came first.
+        let answered_at = now + self.usual_latency;
+        let eligible = self.waitlist.iter().enumerate();
+        let eligible = eligible.filter(|(_, waiting)| waiting.dispatches == 0 || !is_extra_held);
+        let first = eligible.min_by_key(|(place, waiting)| {
+            (answered_at > waiting.urgency.late_at, waiting.urgency.rank, *place)
+        });
+        first.map(|(place, _)| place)
     }
 
     fn serve(&mut self, now: Micros) {
--- a/packages/steward_work/src/function_work/tests.rs
+++ b/packages/steward_work/src/function_work/tests.rs
@@ -237,6 +237,29 @@
     assert!(work.spend_extra(Micros::from_millis(12_000)), "the window moves on");
 }
 
+#[test]
+fn who_can_still_be_answered_in_time_goes_first_then_rank_then_who_came_first() {
+    let mut work = work();
+    let ms = Micros::from_millis;
+    work.ask(9, 1, LONG, 0, "", Micros(0));
+    let start_id = first_start(&mut work);
+    work.started(&start_id, started("c1"), Micros(0));
+    work.tick(ms(1_000));
+    let trial = grants(&mut work);
+    for (ask, late_at, rank) in [(2, 1_010, 0), (3, 9_000, 2), (4, 9_000, 1), (5, 9_000, 1)] {
+        work.ask_urgently(9, ask, LONG, 0, ("", Urgency { late_at: ms(late_at), rank }), ms(1_005));
+    }
+    work.returned(&trial[0].1, RAN, ms(20), ms(1_020));
+    let mut order = Vec::new();
+    for step in 0..4 {
+        for (ask, ticket) in grants(&mut work) {
+            order.push(ask);
+            work.returned(&ticket, RAN, ms(20), ms(1_040 + step));
+        }
+    }
+    assert_eq!(order, [4, 5, 3, 2]);
+}
+
 #[test]
 fn a_cell_that_boots_on_a_worker_that_drains_is_given_up_for_another() {
     let mut work =
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -147,9 +147,17 @@
 
     fn take_front(&mut self, link: FrontLink) {
         match link {
-            FrontLink::Ask { call, function, time_left, dispatches, avoid, reply } => {
+            FrontLink::Ask { call, function, time_left, dispatches, avoid, target_left, rank, reply } => {
                 self.tickets.insert(call, reply);
-                self.handle(Event::CallAsks { call, function, time_left, dispatches, avoid });
+                self.handle(Event::CallAsks {
+                    call,
+                    function,
+                    time_left,
+                    dispatches,
+                    avoid,
+                    target_left,
+                    rank,
+                });
             }
             FrontLink::End { call } => {
                 self.tickets.remove(&call);
