--- a/packages/steward_election/src/lib.rs
+++ b/packages/steward_election/src/lib.rs
@@ -454,7 +454,8 @@
                 continue;
             }
             let own_count = counts.get(&self.own).copied().unwrap_or(0);
-            let passes_gate = !self.settings.gate
+            let passes_gate = is_own_before
+                || !self.settings.gate
                 || own_count as f64 <= (cluster_count as f64 + 1.0) / members.len() as f64;
             looks += usize::from(!passes_gate);
             if looks > FALLBACK_LOOKS {
