The native default keeps cells by idling again; the cost model is asked for by kept_by

Cause: one_node's full disk test met 503: without idle_seconds the cost model let the only cell go, and without a majority none can be started.

--- a/packages/configuration_check/src/lib.rs
+++ b/packages/configuration_check/src/lib.rs
@@ -36,6 +36,17 @@
     }
 }
 
+/// What decides how many cells of a function are kept. Example: `"kept_by": "cost"`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum KeptBy {
+    /// The peak of the last idle span.
+    #[default]
+    Idle,
+    /// Load and target latency, weighed by the cost model.
+    Cost,
+}
+
 /// Declares a part of the document, with serde derives and defaults.
 macro_rules! document_parts {
     ($($(#[$note:meta])* $part:ident { $($(#[$field_note:meta])* $field:ident: $type:ty,)* })*) => {
@@ -73,8 +84,10 @@
         calls_at_once: u32,
         /// How long a cell boots, until that is learnt.
         #[serde(default = "default_boot")] boot_millis: u64,
-        /// How long a cell may idle before it is stopped; without it the cost model decides.
-        #[serde(default, skip_serializing_if = "Option::is_none")] idle_seconds: Option<u64>,
+        /// How long a cell may idle before it is stopped, where cells are kept by idling.
+        #[serde(default = "default_idle")] idle_seconds: u64,
+        /// What decides how many cells are kept.
+        #[serde(default)] kept_by: KeptBy,
         /// Cells kept even when idle.
         #[serde(default)] least_cells: u32,
         /// Cells never passed.
@@ -149,6 +162,9 @@
 fn default_weight() -> f64 {
     1.0
 }
+fn default_idle() -> u64 {
+    60
+}
 fn default_boot() -> u64 {
     1_000
 }
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -8,7 +8,7 @@
     Address, Bytes, CellEntry, CellsNews, DemandEntry, DemandNews, HeldAnswerEntry, HeldAskEntry, List,
     Message, NodeId, Ticket,
 };
-use configuration_check::Function;
+use configuration_check::{Function, KeptBy};
 use deku::{DekuContainerRead, DekuContainerWrite};
 use serde_json::json;
 use std::collections::{BTreeMap, VecDeque};
@@ -145,7 +145,10 @@
     WorkSettings {
         calls_at_once: function.calls_at_once,
         boot: Micros::from_millis(function.boot_millis),
-        idle: function.idle_seconds.map(Micros::from_secs),
+        idle: match function.kept_by {
+            KeptBy::Idle => Some(Micros::from_secs(function.idle_seconds)),
+            KeptBy::Cost => None,
+        },
         memory_mb: function.cell_memory_mb,
         target: target.map(Micros::from_millis),
         costs,
