Read again: one wish for a ticket, the cost model reckoned once, twins called

Behaviour as it was. The cost model's Erlang C ran twice at each clock event of a function (kept called wanted, and wanted was called again): kept now takes what wanted said. A ticket ask looked through its waitlist twice. Front, event and protocol shell each spelt out the same seven fields: steward_work::TicketWish. member_count copied and sorted the members only to count them, and tick_stewards counted them beside it. A patience was matched through two flags.

--- a/packages/fleet_simulator/src/sim_calls.rs
+++ b/packages/fleet_simulator/src/sim_calls.rs
@@ -6,7 +6,7 @@
 use function_front::{CallChart, CallState, DispatchEnd, NextStep};
 use history_checks::{Line, Outcome};
 use node_protocol::Event;
-use steward_work::UNUSED;
+use steward_work::{TicketWish, UNUSED};
 
 const DISPATCH_LIMIT: u32 = 4;
 const CONNECT_WITHIN: u64 = 1_000_000;
@@ -114,8 +114,7 @@
         let now = self.now;
         let Some(sim_call) = self.calls.get_mut(&call) else { return };
         sim_call.chart.step(CallState::TicketAsked);
-        let event = Event::CallAsks {
-            call,
+        let wish = TicketWish {
             function: sim_call.function.clone(),
             time_left: Micros(sim_call.ends_at.saturating_sub(now)),
             dispatches: sim_call.chart.dispatches(),
@@ -124,7 +123,7 @@
             rank: 0,
         };
         let node = sim_call.node;
-        self.give(node, event);
+        self.give(node, Event::CallAsks { call, wish });
     }
 
     pub(crate) fn call_granted(&mut self, node: usize, call: u64, ticket: Ticket) {
--- a/packages/function_front/src/front.rs
+++ b/packages/function_front/src/front.rs
@@ -20,7 +20,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::task::{Context, Poll};
-use steward_work::{RAN, UNKNOWN, UNUSED};
+use steward_work::{RAN, TicketWish, UNKNOWN, UNUSED};
 use tokio::sync::{mpsc, oneshot};
 
 /// Limits of the front. Example: `FrontSettings::default().body_limit == 4 << 20`.
@@ -66,18 +66,7 @@
 #[derive(Debug)]
 pub enum FrontLink {
     /// A call needs a ticket.
-    Ask {
-        call: u64,
-        function: String,
-        time_left: Micros,
-        dispatches: u32,
-        avoid: String,
-        /// Until its answer is late, if its lane names a target.
-        target_left: Option<Micros>,
-        /// Zero goes first.
-        rank: u8,
-        reply: oneshot::Sender<TicketAnswer>,
-    },
+    Ask { call: u64, wish: TicketWish, reply: oneshot::Sender<TicketAnswer> },
     /// The call is over before a ticket came.
     End { call: u64 },
     /// A dispatch ended.
@@ -586,8 +575,7 @@
     ) -> Result<Ticket, Refusal> {
         let asked_at = self.clock.now();
         let (reply, answer) = oneshot::channel();
-        let ask = FrontLink::Ask {
-            call,
+        let wish = TicketWish {
             function: lane.function.clone(),
             time_left: ends_at - asked_at,
             dispatches,
@@ -596,10 +584,9 @@
             // which lateness counts, was that much earlier.
             target_left: lane.target.map(|target| (ends_at + target) - lane.patience - asked_at),
             rank: u8::try_from(lane.rank).unwrap_or(u8::MAX),
-            reply,
         };
         let retry_after = Some(Micros::from_secs(1));
-        if self.link.try_send(ask).is_err() {
+        if self.link.try_send(FrontLink::Ask { call, wish, reply }).is_err() {
             return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "the node is overloaded", retry_after));
         }
         let mut guard = AskGuard { front: self.clone(), call, is_open: true };
--- a/packages/node_protocol/src/call_part.rs
+++ b/packages/node_protocol/src/call_part.rs
@@ -8,7 +8,7 @@
 };
 use deku::DekuContainerRead;
 use std::collections::BTreeMap;
-use steward_work::{ReadyCell, UNUSED, Urgency};
+use steward_work::{ReadyCell, TicketWish, UNUSED, Urgency};
 
 /// A steward that leaves an ask unanswered this long is passed over for the deputy.
 const STEWARD_PATIENCE: Micros = Micros::from_millis(200);
@@ -94,21 +94,14 @@
 }
 
 impl Node {
-    pub(crate) fn call_asks(
-        &mut self,
-        call: u64,
-        function: String,
-        time_left: Micros,
-        dispatches: u32,
-        avoid: String,
-        urgency: Urgency,
-    ) {
+    pub(crate) fn call_asks(&mut self, call: u64, wish: TicketWish) {
+        let late_at = wish.target_left.map_or(Micros(u64::MAX), |left| self.now + left);
         let ask = CallAsk {
-            function,
-            ends_at: self.now + time_left,
-            dispatches,
-            avoid,
-            urgency,
+            function: wish.function,
+            ends_at: self.now + wish.time_left,
+            dispatches: wish.dispatches,
+            avoid: wish.avoid,
+            urgency: Urgency { late_at, rank: wish.rank },
             asked: None,
             asked_at: self.now,
             asked_deputy: false,
--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -617,13 +617,11 @@
             .flights
             .iter()
             .filter(|(_, flight)| {
-                let is_hasty = matches!(flight.purpose, WritePurpose::Leader { .. });
-                // A renewal waits up to the owner's group time; another voter is tried after that.
-                let is_asked = matches!(flight.purpose, WritePurpose::ConfigurationAsked { .. });
-                let patience = match (is_hasty, is_asked) {
-                    (true, _) => OWNER_PATIENCE,
-                    (false, true) => ASKED_PATIENCE,
-                    (false, false) => Micros::from_millis(2_500),
+                let patience = match flight.purpose {
+                    // A renewal waits up to the owner's group time; another voter is tried after that.
+                    WritePurpose::Leader { .. } => OWNER_PATIENCE,
+                    WritePurpose::ConfigurationAsked { .. } => ASKED_PATIENCE,
+                    _ => Micros::from_millis(2_500),
                 };
                 now >= flight.sent_at + patience
             })
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -21,7 +21,7 @@
 use configuration_check::{Change, ChangeOutcome, Configuration};
 use std::sync::Arc;
 use steward_election::ElectionSettings;
-use steward_work::{CostModel, ExtraBound, ListedCell, ListedWorker};
+use steward_work::{CostModel, ExtraBound, ListedCell, ListedWorker, TicketWish};
 
 /// What a node is told at its start. Example: see `fleet_simulator`.
 #[derive(Clone, Debug)]
@@ -90,15 +90,7 @@
     /// A colleague speaks.
     Heard(Envelope),
     /// A call on this node needs a ticket, after so many dispatches.
-    CallAsks {
-        call: u64,
-        function: String,
-        time_left: Micros,
-        dispatches: u32,
-        avoid: String,
-        target_left: Option<Micros>,
-        rank: u8,
-    },
+    CallAsks { call: u64, wish: TicketWish },
     /// The call is over; a ticket that still comes is returned unused.
     CallEnds { call: u64 },
     /// A dispatch under a ticket ended.
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -15,7 +15,6 @@
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
-use steward_work::Urgency;
 
 /// Counts for metrics. Example: `node.status(now).counts.messages_heard`.
 #[derive(Clone, Debug, Default)]
@@ -173,10 +172,7 @@
         match event {
             Event::Tick => self.tick(),
             Event::Heard(envelope) => self.heard(envelope),
-            Event::CallAsks { call, function, time_left, dispatches, avoid, target_left, rank } => {
-                let late_at = target_left.map_or(Micros(u64::MAX), |left| self.now + left);
-                self.call_asks(call, function, time_left, dispatches, avoid, Urgency { late_at, rank });
-            }
+            Event::CallAsks { call, wish } => self.call_asks(call, wish),
             Event::CallEnds { call } => self.call_ends(call),
             Event::TicketDone { ticket, how, latency } => self.ticket_done(&ticket, how, latency),
             Event::DiskDone { token, is_synced } => self.disk_done(token, is_synced),
@@ -503,7 +499,7 @@
 
     /// Live members, this node included. Example: `node.member_count() == 10`.
     pub fn member_count(&self) -> usize {
-        self.members.live().len()
+        self.members.colleagues().count() + 1
     }
 
     /// The voter set this node goes by. Example: `node.voters().generation == 0` before the founding.
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -162,7 +162,7 @@
     pub(crate) fn tick_stewards(&mut self) {
         let now = self.now;
         let members = self.serving_members();
-        self.stewards.most_nodes = self.stewards.most_nodes.max(self.members.colleagues().count() + 1);
+        self.stewards.most_nodes = self.stewards.most_nodes.max(self.member_count());
         let is_look_due = self.stewards.unsettled_poll.due(now);
         if is_look_due {
             self.stewards.is_unsettled = self.stewards.election.is_unsettled(&members, now);
--- a/packages/scale_run/src/hollow_fleet.rs
+++ b/packages/scale_run/src/hollow_fleet.rs
@@ -12,7 +12,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 use steward_election::ElectionSettings;
-use steward_work::{ListedCell, ListedWorker, RAN, UNUSED};
+use steward_work::{ListedCell, ListedWorker, RAN, TicketWish, UNUSED};
 
 /// How large a fleet is and what it does. Example: `FleetSize { nodes: 10, functions: 100, .. }`.
 #[derive(Clone, Copy, Debug)]
@@ -420,8 +420,7 @@
         let call = self.next_call;
         self.asked.insert(call, (self.now, function.clone()));
         let time_left = Micros::from_secs(4);
-        let event = Event::CallAsks {
-            call,
+        let wish = TicketWish {
             function,
             time_left,
             dispatches: 0,
@@ -429,6 +428,7 @@
             target_left: None,
             rank: 0,
         };
+        let event = Event::CallAsks { call, wish };
         self.give(node, event, "call");
     }
 
--- a/packages/steward_work/src/cell_demand.rs
+++ b/packages/steward_work/src/cell_demand.rs
@@ -137,9 +137,8 @@
     }
 
     /// Cells wanted now or so lately that stopping them would not pay. The last one is let go as soon
-    /// as the rate of calls does not pay for it. Example: `demand.kept(&shape, latency, now)`.
-    pub fn kept(&mut self, shape: &CellShape, latency: Micros, now: Micros) -> u32 {
-        let wanted = self.wanted(shape, latency, now);
+    /// as the rate of calls does not pay for it. Example: `demand.kept(wanted, now)`.
+    pub fn kept(&mut self, wanted: u32, now: Micros) -> u32 {
         while self.held.front().is_some_and(|(until, _)| now >= *until) {
             self.held.pop_front();
         }
--- a/packages/steward_work/src/cell_demand/tests.rs
+++ b/packages/steward_work/src/cell_demand/tests.rs
@@ -22,6 +22,11 @@
 
 const LATENCY: Micros = Micros::from_millis(70);
 
+fn kept(demand: &mut CellDemand, shape: &CellShape, now: Micros) -> u32 {
+    let wanted = demand.wanted(shape, LATENCY, now);
+    demand.kept(wanted, now)
+}
+
 /// Calls come evenly at a rate; the load is rate times latency.
 fn run(demand: &mut CellDemand, rate: f64, from: u64, to: u64, shape: &CellShape) -> u32 {
     let mut credit = 0.0;
@@ -34,7 +39,7 @@
             demand.called(now);
         }
         demand.note(now, (rate * 0.07).round() as u32);
-        cells = demand.kept(shape, LATENCY, now);
+        cells = kept(demand, shape, now);
     }
     cells
 }
@@ -67,7 +72,7 @@
     let mut once = CellDemand::new(Micros(0));
     once.called(Micros(0));
     once.note(Micros(0), 1);
-    assert_eq!(once.kept(&rare(), LATENCY, Micros::from_millis(40)), 0);
+    assert_eq!(kept(&mut once, &rare(), Micros::from_millis(40)), 0);
     let mut often = CellDemand::new(Micros(0));
     assert_eq!(run(&mut often, 2.0, 0, 20_000, &rare()), 1);
     assert_eq!(run(&mut often, 0.0, 20_000, 60_000, &rare()), 0);
@@ -78,6 +83,6 @@
     let mut demand = CellDemand::new(Micros(0));
     demand.called(Micros(0));
     demand.hold(3, Micros::from_secs(3));
-    assert_eq!(demand.kept(&busy(), LATENCY, Micros::from_secs(2)), 3);
-    assert!(demand.kept(&busy(), LATENCY, Micros::from_secs(4)) < 3);
+    assert_eq!(kept(&mut demand, &busy(), Micros::from_secs(2)), 3);
+    assert!(kept(&mut demand, &busy(), Micros::from_secs(4)) < 3);
 }
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -133,6 +133,23 @@
     urgency: Urgency,
 }
 
+/// What a call's front wants of a steward or deputy. Example: see `node_protocol::Event::CallAsks`.
+#[derive(Clone, Debug)]
+pub struct TicketWish {
+    /// The function.
+    pub function: String,
+    /// Until the call's time is over.
+    pub time_left: Micros,
+    /// Dispatches of the call so far.
+    pub dispatches: u32,
+    /// The cell that the last of them failed on; empty for none.
+    pub avoid: String,
+    /// Until the call's answer is late, if its lane names a target.
+    pub target_left: Option<Micros>,
+    /// Zero goes first.
+    pub rank: u8,
+}
+
 /// Which of the calls that wait goes first. Example: `Urgency::default()` where no lane says anything.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Urgency {
@@ -424,11 +441,6 @@
         now: Micros,
     ) {
         let is_extra = dispatches > 0;
-        let is_known = self.by_ask.contains_key(&(asker, ask))
-            || self.waitlist.iter().any(|waiting| (waiting.asker, waiting.ask) == (asker, ask));
-        if !is_extra && !is_known {
-            self.demand.called(now);
-        }
         if let Some(ticket_id) = self.by_ask.get(&(asker, ask)).copied()
             && let Some(open_ticket) = self.open.get_mut(&ticket_id)
         {
@@ -448,6 +460,9 @@
             self.hold_back(asker, ask, HeldBackAs::Waiting, "waiting", Micros(0));
             return;
         }
+        if !is_extra {
+            self.demand.called(now);
+        }
         let extras_waiting = self.waitlist.iter().filter(|waiting| waiting.dispatches > 0).count();
         let may_wait = self.extras.is_young(now) && extras_waiting < EXTRAS_WAITING_MOST;
         if is_extra && !may_wait && !self.extras.may_spend(now) {
@@ -788,8 +803,8 @@
                 target: self.settings.target.unwrap_or(UNNAMED_TARGET),
                 costs: self.settings.costs,
             };
-            let kept = self.demand.kept(&shape, self.usual_latency, now);
-            self.worth = (self.demand.wanted(&shape, self.usual_latency, now), kept);
+            let wanted = self.demand.wanted(&shape, self.usual_latency, now);
+            self.worth = (wanted, self.demand.kept(wanted, now));
             return;
         };
         if now >= self.peak_turned_at + Micros(idle.0 / 2) {
--- a/packages/steward_work/src/function_work/tests.rs
+++ b/packages/steward_work/src/function_work/tests.rs
@@ -45,6 +45,17 @@
     .expect("a start")
 }
 
+/// The work once its first call was answered by its first cell, at 1.02 s.
+fn proved(mut work: FunctionWork) -> FunctionWork {
+    work.ask(9, 1, LONG, 0, "", Micros(0));
+    let start_id = first_start(&mut work);
+    work.started(&start_id, started("c1"), Micros(0));
+    work.tick(Micros::from_millis(1_000));
+    let trial = grants(&mut work);
+    work.returned(&trial[0].1, RAN, Micros::from_millis(20), Micros::from_millis(1_020));
+    work
+}
+
 const LONG: Micros = Micros::from_secs(60);
 
 #[test]
@@ -277,14 +288,8 @@
 
 #[test]
 fn a_new_stewards_extra_dispatch_waits_for_its_part_and_lets_first_ones_pass() {
-    let mut work = work();
+    let mut work = proved(work());
     let ms = Micros::from_millis;
-    work.ask(9, 1, LONG, 0, "", Micros(0));
-    let start_id = first_start(&mut work);
-    work.started(&start_id, started("c1"), Micros(0));
-    work.tick(ms(1_000));
-    let trial = grants(&mut work);
-    work.returned(&trial[0].1, RAN, ms(20), ms(1_020));
     // Another steward takes over: the one before may have granted its whole part just now.
     work.bound_extras(ExtraBound::default(), ms(2_000));
     work.ask(9, 2, LONG, 1, "", ms(2_000));
@@ -309,13 +314,8 @@
     let mut work =
         FunctionWork::new("proof", 7, 12, WorkSettings { waitlist: 40, ..settings() }, Vec::new(), Micros(0));
     work.allow_cells(10);
+    let mut work = proved(work);
     let ms = Micros::from_millis;
-    work.ask(9, 1, LONG, 0, "", Micros(0));
-    let start_id = first_start(&mut work);
-    work.started(&start_id, started("c1"), Micros(0));
-    work.tick(ms(1_000));
-    let trial = grants(&mut work);
-    work.returned(&trial[0].1, RAN, ms(20), ms(1_020));
     for ask in 2..12 {
         work.ask(9, ask, LONG, 0, "", ms(1_100));
     }
--- a/packages/steward_work/src/lib.rs
+++ b/packages/steward_work/src/lib.rs
@@ -15,7 +15,7 @@
 pub use deputy_work::{DeputyAsk, DeputyCell, DeputyWork};
 pub use extra_budget::ExtraBound;
 pub use function_work::{
-    FunctionWork, HeldBackAs, ListedCell, ReadyCell, StartOutcome, Urgency, WorkAct, WorkSettings,
+    FunctionWork, HeldBackAs, ListedCell, ReadyCell, StartOutcome, TicketWish, Urgency, WorkAct, WorkSettings,
 };
 pub use placement::{ListedWorker, Placement, StartRate};
 
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -147,17 +147,9 @@
 
     fn take_front(&mut self, link: FrontLink) {
         match link {
-            FrontLink::Ask { call, function, time_left, dispatches, avoid, target_left, rank, reply } => {
+            FrontLink::Ask { call, wish, reply } => {
                 self.tickets.insert(call, reply);
-                self.handle(Event::CallAsks {
-                    call,
-                    function,
-                    time_left,
-                    dispatches,
-                    avoid,
-                    target_left,
-                    rank,
-                });
+                self.handle(Event::CallAsks { call, wish });
             }
             FrontLink::End { call } => {
                 self.tickets.remove(&call);
