Whose an answer on a kept connection is, is one pure decision

Cause: the reuse of connections was decided in three places of cell_pool and cell_dispatch, and let through: an answer without an id to a call that has one; a late answer to a call without an id; the reuse of connections whose answers bear no ids at all; a 503, 429 or 408 of a cell that does not say that it did not run, though visitors read these as that promise. The word of a native cell that it did not run was never seen, as its header is one of ours and was stripped first. A connection that did not come up within the call's time was told as of unknown fate, though it carried nothing, and cells were told the time left from before connecting.

Ruled out: an id asked of every answer. The platform shows its 503 and 421 without one; they are taken as the awaited answer where they say that nothing ran.

--- a/packages/function_front/src/call_dialect.rs
+++ b/packages/function_front/src/call_dialect.rs
@@ -1,3 +1,4 @@
+use actix_http::StatusCode;
 use actix_http::header::HeaderName;
 
 /// The headers by which visitors, cells and this front speak: plain data, so that a platform with
@@ -24,6 +25,22 @@
     pub own_prefix: &'static str,
 }
 
+impl CallDialect {
+    /// Whether visitors read this status alone as a promise that the call did not run and never will.
+    /// Where an outcome header tells it, no status does.
+    /// Example: `dialect.promises_not_run(StatusCode::TOO_MANY_REQUESTS)`.
+    pub fn promises_not_run(&self, status: StatusCode) -> bool {
+        self.outcome.is_none() && PROMISING_STATUSES.contains(&status)
+    }
+}
+
+const PROMISING_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 impl Default for CallDialect {
     fn default() -> CallDialect {
         CallDialect {
--- a/packages/function_front/src/cell_dispatch.rs
+++ b/packages/function_front/src/cell_dispatch.rs
@@ -1,12 +1,13 @@
 //! One dispatch to one cell, over a kept connection to that very cell or a fresh one.
 //!
-//! Nothing is resent behind our back, and a refused connection is the only failure before any byte is
-//! out. Where calls have ids an answer to another call is known by its id and never handed on.
+//! Nothing is resent behind our back, and a connection that does not come up is the only failure before
+//! any byte is out. Whose an answer is, is decided by [`crate::connection_use`].
 //! `actix-http`'s client codec reads the answer; the end of the stream before the end of the framing
 //! is seen here as a cut, never as an end.
 
 use crate::call_dialect::CallDialect;
-use crate::cell_pool::{self, CellConnection};
+use crate::cell_pool::{self, CellConnection, CellStream};
+use crate::connection_use::AnswerOwner;
 use actix_codec::Framed;
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
@@ -22,6 +23,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// What is carried to the cell. Example: see `Front`.
 #[derive(Clone, Debug)]
@@ -99,22 +101,49 @@
     TurnedAway,
     /// Bytes may have reached the cell and no whole answer came.
     Unknown(&'static str),
+    /// The same, and the call's time is over.
+    TimedOut,
 }
 
-/// Dispatches once; the caller bounds it by the call's time left.
+/// Dispatches once, within the call's time left. A connection that is not up by then carried nothing.
 /// Example: `dispatch(call, &DispatchSettings::default()).await`.
 pub async fn dispatch(call: DispatchCall, settings: &DispatchSettings) -> DispatchOutcome {
-    let pooled = cell_pool::take(&call.cell, call.address);
-    let mut framed = match pooled {
-        Some(framed) => framed,
-        None => {
-            let connecting = tokio::time::timeout(settings.connect_within, TcpStream::connect(call.address));
-            let Ok(Ok(cell_stream)) = connecting.await else { return DispatchOutcome::NotRun };
-            let _ = cell_stream.set_nodelay(true);
-            let _ = SockRef::from(&cell_stream).set_tcp_user_timeout(Some(settings.silence_within));
-            Framed::new(cell_stream, ClientCodec::default())
-        }
-    };
+    let ends_at = Instant::now() + call.time_left.duration();
+    let Some(connection) = connect(&call, settings, ends_at).await else { return DispatchOutcome::NotRun };
+    // Connecting took a part of the call's time.
+    let time_left = Micros(ends_at.saturating_duration_since(Instant::now()).as_micros() as u64);
+    if time_left.millis() == 0 {
+        return DispatchOutcome::NotRun;
+    }
+    let call = DispatchCall { time_left, ..call };
+    let exchanged = tokio::time::timeout_at(ends_at, exchange(call, connection, settings));
+    exchanged.await.unwrap_or(DispatchOutcome::TimedOut)
+}
+
+/// A kept connection to the cell, or a new one that came up in time.
+async fn connect(
+    call: &DispatchCall,
+    settings: &DispatchSettings,
+    ends_at: Instant,
+) -> Option<CellConnection> {
+    if let Some(kept) = cell_pool::take(&call.cell, call.address) {
+        return Some(kept);
+    }
+    let connects_until = ends_at.min(Instant::now() + settings.connect_within);
+    let connecting = tokio::time::timeout_at(connects_until, TcpStream::connect(call.address));
+    let stream = connecting.await.ok()?.ok()?;
+    let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(settings.silence_within));
+    Some(CellConnection::fresh(stream))
+}
+
+/// Sends the call and reads its answer. From here on bytes may reach the cell: nothing may say that it
+/// did not run, except the cell itself.
+async fn exchange(
+    call: DispatchCall,
+    mut connection: CellConnection,
+    settings: &DispatchSettings,
+) -> DispatchOutcome {
     let is_head = call.method == Method::HEAD;
     let body = call.body.clone();
     let body_size = match body.is_empty() && !has_body(&call.method) {
@@ -124,19 +153,18 @@
     let place = (call.cell.clone(), call.address);
     let head = request_head(call, settings);
     let call_id = settings.dialect.call_id.as_ref().and_then(|name| head.headers.get(name).cloned());
-    // From here on bytes may reach the cell: nothing below may say that it did not run, except the
-    // cell itself.
-    if framed.write_whole(head, body_size, body).await.is_err() {
+    connection.usage.request_sent(call_id);
+    if connection.stream.write_whole(head, body_size, body).await.is_err() {
         return DispatchOutcome::Unknown("the connection broke while sending");
     }
-    read_answer(framed, is_head, call_id, place, settings).await
+    read_answer(connection, is_head, place, settings).await
 }
 
 trait WriteWhole {
     async fn write_whole(&mut self, head: RequestHead, size: BodySize, body: Bytes) -> std::io::Result<()>;
 }
 
-impl WriteWhole for CellConnection {
+impl WriteWhole for CellStream {
     /// Head and body leave together, in one write where the connection takes it.
     async fn write_whole(&mut self, head: RequestHead, size: BodySize, body: Bytes) -> std::io::Result<()> {
         self.feed(Message::Item((RequestHeadType::from(head), size))).await?;
@@ -181,20 +209,51 @@
     head
 }
 
-/// Answers to calls before this one that may come late on a connection, each known by its id.
-const LATE_ANSWERS: usize = 1;
+/// How an answer's body is told to end.
+struct AnswerFraming {
+    told_length: Option<u64>,
+    has_no_body: bool,
+}
+
+/// The framing of an answer, unless it is ambiguous or ends with the connection alone.
+fn framing(head: &ResponseHead, is_head: bool) -> Result<AnswerFraming, &'static str> {
+    let lengths: Vec<&HeaderValue> = head.headers.get_all(header::CONTENT_LENGTH).collect();
+    let told_length: Option<u64> =
+        lengths.first().and_then(|value| value.to_str().ok()).and_then(|text| text.trim().parse().ok());
+    let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+    let has_no_body = is_head
+        || head.status == StatusCode::NO_CONTENT
+        || head.status == StatusCode::NOT_MODIFIED
+        || (told_length == Some(0) && !is_chunked);
+    if lengths.len() > 1 || (is_chunked && !lengths.is_empty()) {
+        return Err("the answer's length is told twice");
+    }
+    if !has_no_body && told_length.is_none() && !is_chunked {
+        return Err("the answer is framed by the connection's end alone");
+    }
+    Ok(AnswerFraming { told_length, has_no_body })
+}
+
+/// Whether the answer says that the cell did not run the call.
+fn says_not_run(head: &ResponseHead, dialect: &CallDialect) -> bool {
+    let (name, meant) = &dialect.not_run;
+    let is_said = head
+        .headers
+        .get(name)
+        .is_some_and(|value| meant.is_none_or(|meant| value.as_bytes() == meant.as_bytes()));
+    is_said && !head.status.is_success()
+}
 
 async fn read_answer(
-    mut framed: CellConnection,
+    connection: CellConnection,
     is_head: bool,
-    call_id: Option<HeaderValue>,
     (cell, address): (String, SocketAddr),
     settings: &DispatchSettings,
 ) -> DispatchOutcome {
     let dialect = &settings.dialect;
-    let mut late_answers = 0;
+    let CellConnection { mut stream, mut usage } = connection;
     loop {
-        let head: ResponseHead = match framed.next().await {
+        let head: ResponseHead = match stream.next().await {
             Some(Ok(head)) => head,
             Some(Err(_)) => return DispatchOutcome::Unknown("the answer is no HTTP"),
             None => return DispatchOutcome::Unknown("the connection ended without an answer"),
@@ -202,34 +261,32 @@
         if head.status.is_informational() {
             return DispatchOutcome::Unknown("an answer that nobody asked for");
         }
-        let id_name = dialect.call_id.as_ref();
-        let answered_id = id_name.and_then(|name| head.headers.get(name));
-        let is_other = call_id.is_some() && answered_id.is_some() && answered_id != call_id.as_ref();
-        if !is_other && head.status == StatusCode::MISDIRECTED_REQUEST {
-            return DispatchOutcome::NotRun;
+        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        let was_not_run = says_not_run(&head, dialect);
+        let answered_id = dialect.call_id.as_ref().and_then(|name| head.headers.get(name));
+        let owner = usage.answer_began(answered_id, was_not_run || is_misdirected);
+        if owner == AnswerOwner::Nobody {
+            return DispatchOutcome::Unknown("an answer that nobody asked for");
         }
-        let lengths: Vec<&HeaderValue> = head.headers.get_all(header::CONTENT_LENGTH).collect();
-        let told_length: Option<u64> =
-            lengths.first().and_then(|value| value.to_str().ok()).and_then(|text| text.trim().parse().ok());
-        let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
-        let has_no_body = is_head
-            || head.status == StatusCode::NO_CONTENT
-            || head.status == StatusCode::NOT_MODIFIED
-            || (told_length == Some(0) && !is_chunked);
-        if lengths.len() > 1 || (is_chunked && !lengths.is_empty()) {
-            return DispatchOutcome::Unknown("the answer's length is told twice");
+        let is_awaited = owner == AnswerOwner::Awaited;
+        if is_awaited && is_misdirected {
+            return DispatchOutcome::NotRun;
         }
-        if !has_no_body && told_length.is_none() && !is_chunked {
-            return DispatchOutcome::Unknown("the answer is framed by the connection's end alone");
+        if is_awaited && !was_not_run && dialect.promises_not_run(head.status) {
+            return DispatchOutcome::Unknown("a status that promises what the cell does not say");
         }
+        let AnswerFraming { told_length, has_no_body } = match framing(&head, is_head) {
+            Ok(framing) => framing,
+            Err(reason) => return DispatchOutcome::Unknown(reason),
+        };
         let status = head.status;
         let idle_span = idle_span(&head, settings);
         let headers = end_to_end(head.headers(), dialect.own_prefix);
-        let is_bodiless = has_no_body || framed.codec_ref().message_type() == MessageType::None;
+        let is_bodiless = has_no_body || stream.codec_ref().message_type() == MessageType::None;
         let (body, back) = if is_bodiless {
-            (Bytes::new(), framed)
+            (Bytes::new(), stream)
         } else {
-            let mut payload = framed.into_map_codec(ClientCodec::into_payload_codec);
+            let mut payload = stream.into_map_codec(ClientCodec::into_payload_codec);
             let mut body = BytesMut::new();
             loop {
                 match payload.next().await {
@@ -238,38 +295,29 @@
                     Some(Err(_)) => return DispatchOutcome::Unknown("the answer's body is damaged"),
                     None => return DispatchOutcome::Unknown("the answer was cut"),
                 }
-                if body.len() > settings.buffer_limit && is_other {
-                    return DispatchOutcome::Unknown("an answer that nobody asked for");
+                if body.len() <= settings.buffer_limit {
+                    continue;
                 }
-                if body.len() > settings.buffer_limit {
-                    let rest = Some((Box::new(payload), told_length));
-                    return DispatchOutcome::Answered(CellAnswer {
-                        status,
-                        headers,
-                        body: body.freeze(),
-                        rest,
-                    });
+                if !is_awaited {
+                    return DispatchOutcome::Unknown("an answer that nobody asked for");
                 }
+                let rest = Some((Box::new(payload), told_length));
+                let body = body.freeze();
+                return DispatchOutcome::Answered(CellAnswer { status, headers, body, rest });
             }
             if told_length.is_some_and(|length| length != body.len() as u64) {
                 return DispatchOutcome::Unknown("the answer's length differs from what it says");
             }
             (body.freeze(), payload.into_map_codec(ClientPayloadCodec::into_message_codec))
         };
-        if is_other {
-            // A second answer to an earlier call stands where this call's should come.
-            late_answers += 1;
-            if late_answers > LATE_ANSWERS {
-                return DispatchOutcome::Unknown("answers that nobody asked for");
-            }
-            framed = back;
+        if !is_awaited {
+            // The late answer to an earlier call is read to its end; this call's follows.
+            stream = back;
             continue;
         }
-        let says_not_run = headers
-            .get(&dialect.not_run.0)
-            .is_some_and(|value| dialect.not_run.1.is_none_or(|meant| value.as_bytes() == meant.as_bytes()));
-        cell_pool::give_back(&cell, address, back, idle_span, settings.idle_limit);
-        if says_not_run && !status.is_success() {
+        let connection = CellConnection { stream: back, usage };
+        cell_pool::give_back(&cell, address, connection, idle_span, settings.idle_limit);
+        if was_not_run {
             return DispatchOutcome::TurnedAway;
         }
         return DispatchOutcome::Answered(CellAnswer { status, headers, body, rest: None });
--- a/packages/function_front/src/cell_pool.rs
+++ b/packages/function_front/src/cell_pool.rs
@@ -1,10 +1,12 @@
 //! Connections kept between dispatches, each to one cell of one id at one address.
 //!
-//! A connection that has anything to read when it is taken is closed: bytes that nobody asked for
-//! belong to no call.
+//! Whether a connection is kept and taken up again is decided by [`ConnectionUse`]; here the idle ones
+//! are stored and the system is asked what it knows of them.
 
+use crate::connection_use::{AnswerEnd, ConnectionUse, IdleCheck};
 use actix_codec::Framed;
 use actix_http::h1::ClientCodec;
+use actix_http::header::HeaderValue;
 use socket2::SockRef;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -13,8 +15,22 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
-/// A connection to a cell, with the codec that reads its answers.
-pub(crate) type CellConnection = Framed<TcpStream, ClientCodec>;
+/// A stream to a cell, with the codec that reads its answers.
+pub(crate) type CellStream = Framed<TcpStream, ClientCodec>;
+
+/// A connection to a cell.
+pub(crate) struct CellConnection {
+    pub stream: CellStream,
+    /// Whose answers it may bring.
+    pub usage: ConnectionUse<HeaderValue>,
+}
+
+impl CellConnection {
+    /// A connection that carried nothing yet.
+    pub fn fresh(stream: TcpStream) -> CellConnection {
+        CellConnection { stream: Framed::new(stream, ClientCodec::default()), usage: ConnectionUse::fresh() }
+    }
+}
 
 struct IdleConnection {
     address: SocketAddr,
@@ -42,7 +58,12 @@
         let now = Instant::now();
         let connections = idle.by_cell.get_mut(cell)?;
         while let Some(kept) = connections.pop() {
-            if kept.address == address && now < kept.ends_at && is_quiet(&kept.connection) {
+            let check = IdleCheck {
+                is_same_address: kept.address == address,
+                is_expired: now >= kept.ends_at,
+                has_unread_bytes: !is_quiet(&kept.connection.stream),
+            };
+            if kept.connection.usage.may_take_up(check) {
                 return Some(kept.connection);
             }
         }
@@ -55,11 +76,16 @@
 pub(crate) fn give_back(
     cell: &str,
     address: SocketAddr,
-    connection: CellConnection,
+    mut connection: CellConnection,
     idle_span: Duration,
     idle_limit: usize,
 ) {
-    if idle_span.is_zero() || !connection.is_read_buf_empty() || !connection.is_write_buf_empty() {
+    let end = AnswerEnd {
+        has_unread_bytes: !connection.stream.is_read_buf_empty(),
+        has_unsent_bytes: !connection.stream.is_write_buf_empty(),
+        cell_keeps_it: !idle_span.is_zero(),
+    };
+    if !connection.usage.answer_ended(end) {
         return;
     }
     IDLE.with_borrow_mut(|idle| {
@@ -79,9 +105,9 @@
 }
 
 /// Asks the system itself, not what the reactor last saw: nothing to read and not closed.
-fn is_quiet(connection: &CellConnection) -> bool {
+fn is_quiet(stream: &CellStream) -> bool {
     let mut byte = [MaybeUninit::<u8>::uninit()];
-    match SockRef::from(connection.io_ref()).peek(&mut byte) {
+    match SockRef::from(stream.io_ref()).peek(&mut byte) {
         Ok(_) => false,
         Err(failure) => failure.kind() == std::io::ErrorKind::WouldBlock,
     }
--- a/packages/function_front/src/front.rs
+++ b/packages/function_front/src/front.rs
@@ -513,9 +513,8 @@
             let kept = self.settings.dispatch.idle_limit.min(idle_limit);
             let dispatch_settings = DispatchSettings { idle_limit: kept, ..self.settings.dispatch.clone() };
             let dispatching = actix_rt::spawn(async move {
-                let dispatched = dispatch(own_dispatch, &dispatch_settings);
-                let outcome = tokio::time::timeout(time_left.duration(), dispatched).await;
-                if let Ok(DispatchOutcome::Answered(cell_answer)) = &outcome {
+                let outcome = dispatch(own_dispatch, &dispatch_settings).await;
+                if let DispatchOutcome::Answered(cell_answer) = &outcome {
                     guard.how = if cell_answer.rest.is_none() { RAN } else { UNUSED };
                 }
                 (outcome, guard)
@@ -530,24 +529,24 @@
                 return Err(Refusal::new(StatusCode::BAD_GATEWAY, "the dispatch broke down", None));
             };
             let end = match outcome {
-                Err(_) => {
+                DispatchOutcome::TimedOut => {
                     last_reason = "no answer in the time left";
                     DispatchEnd::TimedOut
                 }
-                Ok(DispatchOutcome::Answered(cell_answer)) => {
+                DispatchOutcome::Answered(cell_answer) => {
                     chart.dispatch_ended(DispatchEnd::Answered, lane.repeatable, limit);
                     return Ok((cell_answer, guard, ends_at));
                 }
-                Ok(DispatchOutcome::NotRun) => {
+                DispatchOutcome::NotRun => {
                     last_reason = "the cell could not be reached";
                     DispatchEnd::NotRun
                 }
-                Ok(DispatchOutcome::TurnedAway) => {
+                DispatchOutcome::TurnedAway => {
                     self.counts.turned_away.fetch_add(1, Ordering::Relaxed);
                     last_reason = "the cell turned the call away";
                     DispatchEnd::TurnedAway
                 }
-                Ok(DispatchOutcome::Unknown(reason)) => {
+                DispatchOutcome::Unknown(reason) => {
                     last_reason = reason;
                     DispatchEnd::Unknown
                 }
--- /dev/null
+++ b/packages/function_front/tests/scripted_cell/mod.rs
@@ -0,0 +1,162 @@
+//! A cell on loopback whose every reply is written by the test.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, Uri};
+use bytes::Bytes;
+use clock_events::Micros;
+use function_front::{CallDialect, DispatchCall, DispatchSettings};
+use socket2::SockRef;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// What the cell does once its bytes are sent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum After {
+    /// Waits for the next request on the connection.
+    Next,
+    /// Closes in order.
+    Close,
+    /// Resets the connection.
+    Reset,
+    /// Keeps the connection open and sends nothing more.
+    Silence,
+}
+
+/// The answer to one request.
+pub struct Reply {
+    pub bytes: Vec<u8>,
+    pub after: After,
+}
+
+/// Replies by the request's number on its connection and its id.
+type Script = Box<dyn Fn(usize, &str) -> Reply + Send + Sync>;
+
+/// A running cell, with what it saw.
+pub struct ScriptedCell {
+    pub address: SocketAddr,
+    connections: Arc<AtomicUsize>,
+    requests: Arc<Mutex<Vec<String>>>,
+}
+
+impl ScriptedCell {
+    pub fn start(script: impl Fn(usize, &str) -> Reply + Send + Sync + 'static) -> ScriptedCell {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let (connections, requests) = (Arc::new(AtomicUsize::new(0)), Arc::new(Mutex::new(Vec::new())));
+        let script: Arc<Script> = Arc::new(Box::new(script));
+        let (seen_connections, seen_requests) = (connections.clone(), requests.clone());
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let Ok(stream) = stream else { return };
+                seen_connections.fetch_add(1, Ordering::SeqCst);
+                let (script, requests) = (script.clone(), seen_requests.clone());
+                std::thread::spawn(move || converse(stream, &script, &requests));
+            }
+        });
+        ScriptedCell { address, connections, requests }
+    }
+
+    /// Connections accepted so far.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+
+    /// The ids of all requests read whole so far, in order.
+    pub fn requests(&self) -> Vec<String> {
+        self.requests.lock().expect("no cell thread broke").clone()
+    }
+}
+
+fn converse(mut stream: TcpStream, script: &Script, requests: &Mutex<Vec<String>>) {
+    let mut lines = BufReader::new(stream.try_clone().expect("a clone"));
+    for number in 0.. {
+        let Some(id) = read_request(&mut lines) else { return };
+        requests.lock().expect("no cell thread broke").push(id.clone());
+        let reply = script(number, &id);
+        if stream.write_all(&reply.bytes).is_err() {
+            return;
+        }
+        match reply.after {
+            After::Next => {}
+            After::Close => return,
+            After::Reset => {
+                let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                return;
+            }
+            After::Silence => {
+                let _ = lines.read(&mut [0]);
+                return;
+            }
+        }
+    }
+}
+
+/// Reads a head and a body with a length. Returns the request's id.
+fn read_request(lines: &mut BufReader<TcpStream>) -> Option<String> {
+    let (mut id, mut length) = (String::new(), 0);
+    loop {
+        let mut line = String::new();
+        if lines.read_line(&mut line).unwrap_or(0) == 0 {
+            return None;
+        }
+        let line = line.to_ascii_lowercase();
+        if let Some(value) = line.strip_prefix("request-id: ") {
+            id = value.trim().to_owned();
+        }
+        if let Some(value) = line.strip_prefix("content-length: ") {
+            length = value.trim().parse().ok()?;
+        }
+        if line == "\r\n" {
+            break;
+        }
+    }
+    lines.read_exact(&mut vec![0; length]).ok()?;
+    Some(id)
+}
+
+/// A whole answer with these headers (each with its line end).
+pub fn answer(status: &str, headers: &str, body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {status}\r\n{headers}content-length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+/// The sound answer to a request, on a connection that may be kept.
+pub fn sound_answer(id: &str) -> Vec<u8> {
+    answer("200 OK", &format!("request-id: {id}\r\nkeep-alive: timeout=5\r\n"), &format!("answer to {id}"))
+}
+
+/// Words of a platform whose calls have ids and whose statuses are promises.
+pub fn platform_words() -> CallDialect {
+    CallDialect {
+        call_id: Some(HeaderName::from_static("request-id")),
+        not_run: (HeaderName::from_static("not-run"), None),
+        outcome: None,
+        ..CallDialect::default()
+    }
+}
+
+/// Dispatch settings that keep connections.
+pub fn keeping(dialect: CallDialect) -> DispatchSettings {
+    DispatchSettings { idle_limit: 2, dialect: Arc::new(dialect), ..DispatchSettings::default() }
+}
+
+/// A call for the cell at this address; an empty id is none.
+pub fn call_to(address: SocketAddr, id: &str, time_left: Micros) -> DispatchCall {
+    let mut headers = HeaderMap::new();
+    if !id.is_empty() {
+        headers.insert(HeaderName::from_static("request-id"), HeaderValue::from_str(id).expect("a value"));
+    }
+    DispatchCall {
+        method: Method::POST,
+        uri: Uri::from_static("/x"),
+        headers,
+        body: Bytes::from_static(b"body"),
+        function: "f".to_owned(),
+        cell: format!("cell at {address}"),
+        address,
+        time_left,
+    }
+}
