Tickets a node holds are a pure ledger of their own

Cause: whether a grant is used, returned or a repeat was decided inside the node's message handling, where a model of calls could not drive it.

--- a/packages/node_protocol/src/call_part.rs
+++ b/packages/node_protocol/src/call_part.rs
@@ -1,6 +1,7 @@
 //! This node's own calls: asking stewards and deputies for tickets, and the tickets it holds.
 
 use crate::node::Node;
+use crate::ticket_ledger::{TicketAdmission, TicketLedger};
 use crate::{Act, RefusedAs};
 use clock_events::Micros;
 use colleague_messages::{
@@ -33,20 +34,11 @@
     tries: u32,
 }
 
-/// A ticket that this node has, or had: a late repeat of its grant is no second ticket.
-#[derive(Debug)]
-struct HeldHere {
-    ticket: Ticket,
-    ends_at: Micros,
-    is_done: bool,
-}
-
 #[derive(Debug)]
 pub(crate) struct CallPart {
     /// By call: a call has one ask at a time and the ask's number is the call's.
     asks: BTreeMap<u64, CallAsk>,
-    held: BTreeMap<u64, HeldHere>,
-    newest_epochs: BTreeMap<String, u64>,
+    tickets: TicketLedger,
     /// When each node was last heard, and since when it is silent.
     heard_at: BTreeMap<NodeId, Micros>,
     silent_since: BTreeMap<NodeId, Micros>,
@@ -56,8 +48,7 @@
     pub(crate) fn new() -> CallPart {
         CallPart {
             asks: BTreeMap::new(),
-            held: BTreeMap::new(),
-            newest_epochs: BTreeMap::new(),
+            tickets: TicketLedger::default(),
             heard_at: BTreeMap::new(),
             silent_since: BTreeMap::new(),
         }
@@ -85,11 +76,7 @@
     }
 
     pub(crate) fn held_for(&self, function: &str, now: Micros) -> Vec<HeldTicket> {
-        self.held
-            .values()
-            .filter(|held| !held.is_done && held.ticket.function.0 == function)
-            .map(|held| HeldTicket { ticket: held.ticket.clone(), ends_in_micros: (held.ends_at - now).0 })
-            .collect()
+        self.tickets.held_for(function, now)
     }
 }
 
@@ -243,8 +230,7 @@
             Message::HeldAsk { functions } => {
                 let mut answers = Vec::new();
                 for HeldAskEntry { function, steward_epoch } in functions.0 {
-                    let newest_epoch = self.calls.newest_epochs.entry(function.0.clone()).or_default();
-                    *newest_epoch = steward_epoch.max(*newest_epoch);
+                    self.calls.tickets.saw_epoch(&function.0, steward_epoch);
                     let tickets = List(self.calls.held_for(&function.0, self.now));
                     answers.push(HeldAnswerEntry { function, steward_epoch, tickets });
                 }
@@ -256,34 +242,26 @@
 
     fn ticket_granted(&mut self, from: NodeId, call: u64, ticket: Ticket) {
         let now = self.now;
-        let newest_epoch = self.calls.newest_epochs.entry(ticket.function.0.clone()).or_default();
-        let is_stale = ticket.steward_epoch != 0 && ticket.steward_epoch < *newest_epoch;
-        *newest_epoch = ticket.steward_epoch.max(*newest_epoch);
-        if self.calls.held.contains_key(&ticket.id) {
-            return;
-        }
-        let is_wanted = self
-            .calls
-            .asks
-            .get(&call)
-            .is_some_and(|ask| ask.function == ticket.function.0 && now < ask.ends_at);
-        if !is_wanted || is_stale || self.configuration.is_doubted() || self.is_barred(&ticket) {
-            self.send(from, Message::TicketReturn { ticket, how: UNUSED, latency_micros: 0 });
-            if is_wanted {
-                self.put_off(call, ASK_AGAIN);
+        let ask = self.calls.asks.get(&call).filter(|ask| ask.function == ticket.function.0);
+        let ask_ends_at = ask.map(|ask| ask.ends_at);
+        let is_barred = self.configuration.is_doubted() || self.is_barred(&ticket);
+        match self.calls.tickets.admit(&ticket, ask_ends_at, is_barred, now) {
+            TicketAdmission::Repeated => {}
+            TicketAdmission::Returned { is_wanted } => {
+                self.send(from, Message::TicketReturn { ticket, how: UNUSED, latency_micros: 0 });
+                if is_wanted {
+                    self.put_off(call, ASK_AGAIN);
+                }
+            }
+            TicketAdmission::Used => {
+                self.calls.asks.remove(&call);
+                self.act(Act::CallGranted { call, ticket });
             }
-            return;
         }
-        let Some(ask) = self.calls.asks.remove(&call) else { return };
-        let ends_at = ask.ends_at + Micros::from_secs(1);
-        self.calls.held.insert(ticket.id, HeldHere { ticket: ticket.clone(), ends_at, is_done: false });
-        self.act(Act::CallGranted { call, ticket });
     }
 
     pub(crate) fn ticket_done(&mut self, ticket: &Ticket, how: u8, latency: Micros) {
-        if let Some(held) = self.calls.held.get_mut(&ticket.id) {
-            held.is_done = true;
-        }
+        self.calls.tickets.done(ticket.id);
         let message = Message::TicketReturn { ticket: ticket.clone(), how, latency_micros: latency.0 };
         // The steward of now may count a ticket that a deputy, or the steward before, granted.
         let steward = self.stewards.election.holder(&ticket.function.0, self.now).map(|(node, _)| node);
@@ -317,7 +295,7 @@
         for call in due_calls {
             self.drive_ask(call);
         }
-        self.calls.held.retain(|_, held| now < held.ends_at);
+        self.calls.tickets.expire(now);
         self.calls.silent_since.retain(|_, since| now < *since + SILENCE_REMEMBERED);
     }
 }
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -10,10 +10,12 @@
 mod list_part;
 mod node;
 mod steward_part;
+mod ticket_ledger;
 mod vote_swaps;
 
 pub use journal::Journal;
 pub use node::{Node, NodeCounts, NodeStatus};
+pub use ticket_ledger::{TicketAdmission, TicketLedger};
 
 use clock_events::Micros;
 use colleague_messages::{Address, DecisionLine, Envelope, Message, NodeId, Ticket};
