Record file: only a place proved synced is damage; format 2, each open writes anew

Cause: a file was called damaged whenever a sound record stood behind an unreadable place. After a loss of power each unsynced write is found whole, missing or torn by itself, so append, sync, append, append with the third write lost and the fourth whole was Damaged: the disk was set aside with all it had synced, and its vote. Two more faults found on the way: (1) after the end of a process, files standing, the next process answered by records that it read and that no sync had covered; a loss of power then took them. Each open now writes what it read as a new file, synced with its name, before it returns; that also takes up format 1, gets rid of old bytes behind a cut, and needs no truncation. (2) rewrite returned an error after the rename (folder sync) with the old, unlinked file still open and trusted: later appends were acknowledged into it. Now the writer is dropped before a rewrite begins and comes back only when all of it succeeded. Also: the folder's own name is synced when it is made; a leftover rewrite name is unlinked, never truncated (it may be a second name of the file in use).

Format 2: each append is one group that carries its offset, the length known synced when it was written, and salted checksums; the head carries the length that was synced before the file got its name. An unreadable place is damage only below such a length; everything else is the tail, cut at the first unreadable place. Format 1 tells no such length: there a sound record behind a hole still counts as damage, since it may have been synced.

Ruled out: a chain of checksums from group to group (no place of a file is written twice, so salt and offset do); truncation at open (a write more to lose, and old bytes stay behind it).

Tests: tests/power_loss loses every subset of unsynced writes and name changes, and each tear point, at every step of eight histories, again in the recovery, after the end of a process, and with each operation failing.

Replaced test: damage to a record with a later one in the same synced group was told by the old reader; now the last synced group with nothing behind it cannot be told from a torn tail.

--- /dev/null
+++ b/packages/record_file/src/record_file.rs
@@ -0,0 +1,159 @@
+//! The open file: append, sync, rewrite, and the recovery at open.
+
+use crate::RecordError;
+use crate::folder::{DiskFolder, Folder};
+use crate::framing::{Contents, Framer, read_file};
+use error_stack::{Report, ResultExt};
+use std::path::Path;
+
+/// The name of the file in its folder.
+pub const FILE_NAME: &str = "records";
+/// The name of a new file until it replaces the old one.
+pub const REWRITE_NAME: &str = "records.rewrite";
+/// What a damaged file is called once it was set aside, with a number behind it.
+pub const DAMAGED_NAME: &str = "records.damaged-";
+
+/// An open record file. Example: `let (file, records) = RecordFile::open(folder, fleet_mark)?;`.
+#[derive(Debug)]
+pub struct RecordFile<F: Folder = DiskFolder> {
+    folder: F,
+    fleet: u64,
+    disk: u64,
+    /// `None` while the file is not trusted: nothing may be appended until a rewrite succeeded.
+    writer: Option<Writer<F::File>>,
+    rewritten_length: u64,
+}
+
+/// An open file with its records in order.
+pub type Opened<F> = (RecordFile<F>, Vec<Vec<u8>>);
+
+#[derive(Debug)]
+struct Writer<T> {
+    file: T,
+    framer: Framer,
+}
+
+impl RecordFile {
+    /// Locks the folder, then opens or formats its file and returns the records in order.
+    ///
+    /// Errors: as [`RecordFile::open_in`], and `InUse` if another process holds the folder.
+    /// Example: `RecordFile::open(Path::new("data"), 7)` formats an empty folder with a new disk id.
+    pub fn open(folder: &Path, fleet: u64) -> Result<Opened<DiskFolder>, Report<RecordError>> {
+        RecordFile::open_in(DiskFolder::lock(folder)?, fleet)
+    }
+}
+
+impl<F: Folder> RecordFile<F> {
+    /// Opens or formats the folder's file and returns its records in order; those up to the last sync
+    /// are always among them.
+    ///
+    /// What was read is written as a new file first: after the end of a process, or of a sync that
+    /// failed, records may be readable and not be synced. If the disk refuses that, the file is returned
+    /// without trust, and its records must not be answered for before a rewrite succeeded.
+    ///
+    /// Errors: `Damaged` if synced bytes cannot be read (the file is left as it is), `OtherFleet`,
+    /// `NewerFormat`; `Storage` if the file cannot be read, or not be formatted.
+    /// Example: `RecordFile::open_in(folder, 7)?.0.is_trusted()`.
+    pub fn open_in(folder: F, fleet: u64) -> Result<Opened<F>, Report<RecordError>> {
+        let found_bytes = folder.read(FILE_NAME).change_context(RecordError::Storage)?;
+        let is_new = found_bytes.is_none();
+        let contents = match found_bytes {
+            Some(file_bytes) => read_file(&file_bytes, fleet)?,
+            None => Contents { disk: fastrand::u64(1..u64::MAX), records: Vec::new() },
+        };
+        let mut file = RecordFile { folder, fleet, disk: contents.disk, writer: None, rewritten_length: 0 };
+        let is_written = file.rewrite(&contents.records);
+        if is_new {
+            is_written?;
+        }
+        Ok((file, contents.records))
+    }
+
+    /// The disk's id, drawn when it was formatted. Example: `file.disk() != 0`.
+    pub fn disk(&self) -> u64 {
+        self.disk
+    }
+
+    /// Whether records may be appended; otherwise the file must be rewritten first.
+    /// Example: `file.is_trusted()`.
+    pub fn is_trusted(&self) -> bool {
+        self.writer.is_some()
+    }
+
+    /// Bytes in the file; zero without trust. Example: `file.length() >= 52`.
+    pub fn length(&self) -> u64 {
+        self.writer.as_ref().map_or(0, |writer| writer.framer.length())
+    }
+
+    /// Whether the file has outgrown its last rewrite by `slack_bytes` and doubled.
+    ///
+    /// Example: `if file.wants_rewrite(1 << 20) { file.rewrite(&live)?; }`.
+    pub fn wants_rewrite(&self, slack_bytes: u64) -> bool {
+        self.length() > self.rewritten_length * 2 + slack_bytes
+    }
+
+    /// Appends records as one group; they last only after [`RecordFile::sync`].
+    ///
+    /// Errors: `TooLong`, `Distrusted`, `Storage`; after the last the file is not trusted.
+    /// Example: `file.append(&[body])?`.
+    pub fn append(&mut self, records: &[Vec<u8>]) -> Result<(), Report<RecordError>> {
+        let Some(writer) = &mut self.writer else { return Err(Report::new(RecordError::Distrusted)) };
+        let group_bytes = writer.framer.group(records)?;
+        let outcome = self.folder.append(&mut writer.file, &group_bytes);
+        self.trust_if(outcome)
+    }
+
+    /// Makes all that was appended last.
+    ///
+    /// Errors: `Distrusted`, `Storage`; after the latter the file is not trusted.
+    /// Example: `file.append(&group)?; file.sync()?;`.
+    pub fn sync(&mut self) -> Result<(), Report<RecordError>> {
+        let Some(writer) = &mut self.writer else { return Err(Report::new(RecordError::Distrusted)) };
+        let outcome = self.folder.sync(&mut writer.file);
+        if outcome.is_ok() {
+            writer.framer.all_synced();
+        }
+        self.trust_if(outcome)
+    }
+
+    fn trust_if(&mut self, outcome: std::io::Result<()>) -> Result<(), Report<RecordError>> {
+        if outcome.is_err() {
+            self.writer = None;
+        }
+        outcome.change_context(RecordError::Storage)
+    }
+
+    /// Replaces the file by one that holds just `records`: it is synced before it takes the name, and the
+    /// name is synced before anything is appended to it. That also makes a file trusted again whose last
+    /// write or sync failed.
+    ///
+    /// Errors: `TooLong`, `Storage`. After an error the old file or the new one has the name, which
+    /// of the two is unknown, and the file is not trusted.
+    /// Example: `file.rewrite(&live_records)?` keeps the disk id.
+    pub fn rewrite(&mut self, records: &[Vec<u8>]) -> Result<(), Report<RecordError>> {
+        self.writer = None;
+        match self.write_whole(records) {
+            Ok(writer) => {
+                self.rewritten_length = writer.framer.length();
+                self.writer = Some(writer);
+                Ok(())
+            }
+            Err(failure) => {
+                // What was written of the new file gives its room back.
+                let _ = self.folder.remove(REWRITE_NAME);
+                Err(failure)
+            }
+        }
+    }
+
+    fn write_whole(&self, records: &[Vec<u8>]) -> Result<Writer<F::File>, Report<RecordError>> {
+        let salt = fastrand::u64(..);
+        let (framer, whole_bytes) = Framer::whole(self.fleet, self.disk, salt, records)?;
+        let mut file = self.folder.create(REWRITE_NAME).change_context(RecordError::Storage)?;
+        self.folder.append(&mut file, &whole_bytes).change_context(RecordError::Storage)?;
+        self.folder.sync(&mut file).change_context(RecordError::Storage)?;
+        self.folder.rename(REWRITE_NAME, FILE_NAME).change_context(RecordError::Storage)?;
+        self.folder.sync_names().change_context(RecordError::Storage)?;
+        Ok(Writer { file, framer })
+    }
+}
--- /dev/null
+++ b/packages/record_file/src/set_aside.rs
@@ -0,0 +1,39 @@
+//! Moving a damaged file out of the way, on an operator's word only.
+
+use crate::folder::{DiskFolder, Folder};
+use crate::{DAMAGED_NAME, FILE_NAME, RecordError};
+use error_stack::{Report, ResultExt};
+use std::io;
+use std::path::{Path, PathBuf};
+
+const SET_ASIDE_LIMIT: usize = 1_000;
+
+/// Gives the folder's record file a name that it is not opened by; the next open formats a new disk with
+/// a new id. Returns the new path.
+///
+/// Errors: `InUse` while a node runs on the folder, `Storage` if there is no file, no free name, or the
+/// system refuses.
+/// Example: `set_aside(Path::new("data"))? == Path::new("data/records.damaged-0")`.
+pub fn set_aside(folder: &Path) -> Result<PathBuf, Report<RecordError>> {
+    let locked_folder = DiskFolder::lock(folder)?;
+    let free_name = (0..SET_ASIDE_LIMIT)
+        .map(|number| format!("{DAMAGED_NAME}{number}"))
+        .find(|name| !folder.join(name).exists())
+        .ok_or_else(|| Report::new(RecordError::Storage))?;
+    locked_folder.rename(FILE_NAME, &free_name).change_context(RecordError::Storage)?;
+    locked_folder.sync_names().change_context(RecordError::Storage)?;
+    Ok(folder.join(free_name))
+}
+
+/// Whether a file of the folder was set aside: its state may be the fleet's last copy, so a node on this
+/// folder must not found a new state.
+///
+/// Errors: the folder cannot be listed. Example: `has_set_aside(Path::new("data"))?`.
+pub fn has_set_aside(folder: &Path) -> io::Result<bool> {
+    for entry in std::fs::read_dir(folder)? {
+        if entry?.file_name().to_string_lossy().starts_with(DAMAGED_NAME) {
+            return Ok(true);
+        }
+    }
+    Ok(false)
+}
--- /dev/null
+++ b/packages/record_file/tests/power_loss/memory_folder.rs
@@ -0,0 +1,300 @@
+//! A folder in memory that can lose power: each write since the file's last sync, and each change of a name
+//! since the folder's last sync, is kept or lost by itself.
+
+use record_file::Folder;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+
+/// What became of one write that was not synced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// Not there; a later write that is there leaves zeros in its place.
+    Missing,
+    /// The length is there, the bytes are zeros.
+    Zeros,
+    /// The length is there, the bytes are old ones: those that stand before it in the file, again.
+    OldBytes,
+    Whole,
+    /// So many first bytes.
+    First(usize),
+    /// So many first bytes, then zeros.
+    FirstThenZeros(usize),
+    /// So many zeros, then the last bytes.
+    ZerosThenLast(usize),
+}
+
+impl Fate {
+    /// Every fate of a write: the plain ones, and each tear point.
+    pub fn all(length: usize) -> Vec<Fate> {
+        let torn = |place| [Fate::First(place), Fate::FirstThenZeros(place), Fate::ZerosThenLast(place)];
+        Fate::plain().into_iter().chain((1..length).flat_map(torn)).collect()
+    }
+
+    pub fn plain() -> Vec<Fate> {
+        vec![Fate::Missing, Fate::Zeros, Fate::OldBytes, Fate::Whole]
+    }
+
+    fn leave(self, file_bytes: &mut Vec<u8>, place: usize, written: &[u8]) {
+        let (kept, length) = match self {
+            Fate::Missing => return,
+            Fate::OldBytes => {
+                let before = file_bytes.len().min(place);
+                let old_bytes = file_bytes[before.saturating_sub(written.len())..before].to_vec();
+                file_bytes.resize(file_bytes.len().max(place + written.len()), 0);
+                file_bytes[place..place + old_bytes.len()].copy_from_slice(&old_bytes);
+                return;
+            }
+            Fate::Zeros => (0..0, written.len()),
+            Fate::Whole => (0..written.len(), written.len()),
+            Fate::First(count) => (0..count, count),
+            Fate::FirstThenZeros(count) => (0..count, written.len()),
+            Fate::ZerosThenLast(count) => (count..written.len(), written.len()),
+        };
+        if file_bytes.len() < place + length {
+            file_bytes.resize(place + length, 0);
+        }
+        file_bytes[place + kept.start..place + kept.end].copy_from_slice(&written[kept]);
+    }
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Inode {
+    synced: Vec<u8>,
+    unsynced: Vec<Vec<u8>>,
+}
+
+impl Inode {
+    fn view(&self) -> Vec<u8> {
+        [&self.synced[..], &self.unsynced.concat()].concat()
+    }
+
+    fn after(&self, fates: &[Fate]) -> Inode {
+        let mut synced = self.synced.clone();
+        let mut place = synced.len();
+        for (written, fate) in self.unsynced.iter().zip(fates) {
+            fate.leave(&mut synced, place, written);
+            place += written.len();
+        }
+        Inode { synced, unsynced: Vec::new() }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct NameChange {
+    name: String,
+    inode: Option<usize>,
+    is_creation: bool,
+}
+
+/// The state of the folder.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Files {
+    inodes: Vec<Inode>,
+    names: BTreeMap<String, usize>,
+    lasting_names: BTreeMap<String, usize>,
+    name_changes: Vec<NameChange>,
+}
+
+impl Files {
+    fn change_name(&mut self, name: &str, inode: Option<usize>, is_creation: bool) {
+        match inode {
+            Some(inode) => self.names.insert(name.to_owned(), inode),
+            None => self.names.remove(name),
+        };
+        self.name_changes.push(NameChange { name: name.to_owned(), inode, is_creation });
+    }
+
+    /// A new file endures by its own sync.
+    fn sync_file(&mut self, inode: usize) {
+        let synced = self.inodes[inode].view();
+        self.inodes[inode] = Inode { synced, unsynced: Vec::new() };
+        let made =
+            self.name_changes.iter().position(|change| change.is_creation && change.inode == Some(inode));
+        let Some(made) = made else { return };
+        let name = self.name_changes[made].name.clone();
+        self.lasting_names.insert(name.clone(), inode);
+        let later = self.name_changes.split_off(made + 1);
+        self.name_changes.retain(|change| change.name != name);
+        self.name_changes.extend(later);
+    }
+
+    /// Every subset of the name changes that were not synced: which of them are kept.
+    pub fn name_choices(&self) -> Vec<Vec<bool>> {
+        (0..1_usize << self.name_changes.len())
+            .map(|kept| (0..self.name_changes.len()).map(|place| kept >> place & 1 == 1).collect())
+            .collect()
+    }
+
+    fn names_after(&self, kept: &[bool]) -> BTreeMap<String, usize> {
+        let mut names = self.lasting_names.clone();
+        for (change, _) in self.name_changes.iter().zip(kept).filter(|(_, is_kept)| **is_kept) {
+            match change.inode {
+                Some(inode) => names.insert(change.name.clone(), inode),
+                None => names.remove(&change.name),
+            };
+        }
+        names
+    }
+
+    /// Lengths of the unsynced writes of a name's file, if these name changes are kept.
+    pub fn unsynced(&self, kept: &[bool], name: &str) -> Vec<usize> {
+        let names = self.names_after(kept);
+        let inode = names.get(name).map(|inode| &self.inodes[*inode]);
+        inode.map_or_else(Vec::new, |inode| inode.unsynced.iter().map(Vec::len).collect())
+    }
+
+    /// The files after a loss of power with these name changes kept, and these fates for the unsynced writes
+    /// of a name's file; those of other files are whole.
+    pub fn after_power_loss(&self, kept: &[bool], name: &str, fates: &[Fate]) -> Files {
+        let names = self.names_after(kept);
+        let chosen = names.get(name);
+        let inodes = self.inodes.iter().enumerate().map(|(number, inode)| match chosen {
+            Some(chosen) if *chosen == number => inode.after(fates),
+            _ => inode.after(&vec![Fate::Whole; inode.unsynced.len()]),
+        });
+        Files { inodes: inodes.collect(), lasting_names: names.clone(), names, name_changes: Vec::new() }
+    }
+
+    /// Nothing that was not synced remains.
+    pub fn after_full_loss(&self) -> Files {
+        let inodes = self.inodes.iter().map(|inode| inode.after(&[])).collect();
+        let names = self.lasting_names.clone();
+        Files { inodes, lasting_names: names.clone(), names, name_changes: Vec::new() }
+    }
+
+    pub fn name_change_count(&self) -> usize {
+        self.name_changes.len()
+    }
+}
+
+/// One operation that fails, with or without its effect; the others go on.
+#[derive(Clone, Copy, Debug)]
+pub struct Fault {
+    pub step: usize,
+    pub has_effect: bool,
+}
+
+#[derive(Debug, Default)]
+struct Machine {
+    files: Files,
+    steps: usize,
+    /// No operation is carried out from this step on.
+    dead_from: Option<usize>,
+    fault: Option<Fault>,
+}
+
+/// A handle of the folder.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryFolder {
+    machine: Rc<RefCell<Machine>>,
+}
+
+impl MemoryFolder {
+    pub fn with(files: Files) -> MemoryFolder {
+        let machine = Machine { files, ..Machine::default() };
+        MemoryFolder { machine: Rc::new(RefCell::new(machine)) }
+    }
+
+    /// The machine ends after so many steps.
+    pub fn ending_after(files: Files, steps: usize) -> MemoryFolder {
+        let folder = MemoryFolder::with(files);
+        folder.machine.borrow_mut().dead_from = Some(steps);
+        folder
+    }
+
+    pub fn failing(files: Files, fault: Fault) -> MemoryFolder {
+        let folder = MemoryFolder::with(files);
+        folder.machine.borrow_mut().fault = Some(fault);
+        folder
+    }
+
+    pub fn files(&self) -> Files {
+        self.machine.borrow().files.clone()
+    }
+
+    /// Steps that were asked for.
+    pub fn steps(&self) -> usize {
+        self.machine.borrow().steps
+    }
+
+    fn step<T>(&self, act: impl FnOnce(&mut Files) -> io::Result<T>) -> io::Result<T> {
+        let mut machine = self.machine.borrow_mut();
+        let step = machine.steps;
+        machine.steps += 1;
+        if machine.dead_from.is_some_and(|dead_from| step >= dead_from) {
+            return Err(io::Error::other("the machine has no power"));
+        }
+        match machine.fault.filter(|fault| fault.step == step) {
+            Some(fault) => {
+                if fault.has_effect {
+                    let _ = act(&mut machine.files);
+                }
+                Err(io::Error::other("the disk refused"))
+            }
+            None => act(&mut machine.files),
+        }
+    }
+}
+
+impl Folder for MemoryFolder {
+    type File = usize;
+
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        let machine = self.machine.borrow();
+        let inode = machine.files.names.get(name);
+        Ok(inode.map(|inode| machine.files.inodes[*inode].view()))
+    }
+
+    fn create(&self, name: &str) -> io::Result<usize> {
+        self.remove(name)?;
+        self.step(|files| {
+            files.inodes.push(Inode::default());
+            let inode = files.inodes.len() - 1;
+            files.change_name(name, Some(inode), true);
+            Ok(inode)
+        })
+    }
+
+    fn append(&self, file: &mut usize, added_bytes: &[u8]) -> io::Result<()> {
+        self.step(|files| {
+            files.inodes[*file].unsynced.push(added_bytes.to_vec());
+            Ok(())
+        })
+    }
+
+    fn sync(&self, file: &mut usize) -> io::Result<()> {
+        self.step(|files| {
+            files.sync_file(*file);
+            Ok(())
+        })
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        self.step(|files| {
+            let inode = files.names.get(from).copied().ok_or(io::ErrorKind::NotFound)?;
+            files.change_name(to, Some(inode), false);
+            files.change_name(from, None, false);
+            Ok(())
+        })
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        if !self.machine.borrow().files.names.contains_key(name) {
+            return Ok(());
+        }
+        self.step(|files| {
+            files.change_name(name, None, false);
+            Ok(())
+        })
+    }
+
+    fn sync_names(&self) -> io::Result<()> {
+        self.step(|files| {
+            files.lasting_names = files.names.clone();
+            files.name_changes.clear();
+            Ok(())
+        })
+    }
+}
