A damaged disk is left as it is: the node starts without a vote and says so

Cause: where synced records were damaged the file was set aside and a new disk formatted at once, told by one line of the log. A node cannot know at its start whether a majority of the others lives; where several are damaged at once the machines come up blank, and blank disks are what a new state is founded with.

Now the node starts as one without a disk: it serves, its vote is missing, the file is not touched. Told by the log, the decision disk_unusable, disk_trouble on the status page, vanelane_disk_unusable, and disk failed among the members (which keeps others from founding, and lets a spare disk take the vote over). vanelane set-aside-records renames the file for a node that is stopped, and refuses a sound file; the disk formatted then has a new id, tells itself a spare one while the damaged file is in the folder, and no state is founded with it.

Ruled out, with reasons in disk_opening: refusing to start (ends again and again), formatting at once, voting with what can be read.

Found by the end-to-end test: the folder's lock was given back when the file could not be used, so the operator's command ran beside a live node; the lock is held now.

--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -97,6 +97,10 @@
 #[derive(Debug)]
 pub(crate) struct ControlPart {
     disk: Option<Disk>,
+    /// Why there is a data folder and no disk.
+    disk_trouble: Option<String>,
+    /// The disk was formatted in the place of a damaged one.
+    replaces_damaged: bool,
     owner: KeyOwner,
     set: VoterSet,
     set_version: u64,
@@ -128,6 +132,8 @@
                 repair_token: None,
                 repair_due: Micros(0),
             }),
+            disk_trouble: None,
+            replaces_damaged: false,
             owner: KeyOwner::new(own),
             set: VoterSet::default(),
             set_version: 0,
@@ -149,6 +155,10 @@
         &self.set
     }
 
+    pub(crate) fn disk_trouble(&self) -> Option<&str> {
+        self.disk_trouble.as_deref()
+    }
+
     pub(crate) fn owned_count(&self) -> usize {
         self.owner.owned_count()
     }
@@ -193,6 +203,8 @@
         let state = match (disk.is_broken, is_voting, disk.registers.set().generation) {
             (true, ..) => DISK_FAILED,
             (false, true, 1..) => DISK_VOTING,
+            // The damaged one may be the fleet's last copy: no state is founded beside it.
+            (false, false, 0) if self.control.replaces_damaged => DISK_SPARE,
             (false, _, 0) => DISK_BLANK,
             (false, false, _) => DISK_SPARE,
         };
@@ -542,6 +554,25 @@
         self.act(Act::WriteDisk { token, records, is_rewrite: true });
     }
 
+    /// The node goes on as one without a disk. Its state keeps others from founding anew, and lets a spare
+    /// disk take its vote.
+    pub(crate) fn disk_unusable(&mut self, reason: String) {
+        self.journal.append("disk_unusable", json!({"reason": reason}), self.now);
+        self.control.disk = None;
+        self.control.disk_trouble = Some(reason);
+        self.members.update_own(|own| {
+            own.disk_state = DISK_FAILED;
+            own.disk = 0;
+        });
+    }
+
+    /// A disk that was formatted after damage may be taken in by a majority, and founds nothing.
+    pub(crate) fn disk_set_aside(&mut self) {
+        self.control.replaces_damaged = true;
+        self.settings.may_found = false;
+        self.tell_disk_state();
+    }
+
     fn write_answered(&mut self, from: NodeId, outcome: WriteOutcome) {
         self.control.doubted.remove(&from);
         let Some(flight) = self.control.flights.remove(&outcome.ask) else { return };
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -54,6 +54,8 @@
     pub unheld: usize,
     /// Voting disks.
     pub voters: Vec<u64>,
+    /// Why this node's own disk cannot be used, and what to do; `None` if it can, or there is none.
+    pub disk_trouble: Option<String>,
     /// Keys this node owns.
     pub owned_keys: usize,
     /// Gate refusals, lost races, gates passed over.
@@ -176,6 +178,8 @@
             Event::CallEnds { call } => self.call_ends(call),
             Event::TicketDone { ticket, how, latency } => self.ticket_done(&ticket, how, latency),
             Event::DiskDone { token, is_synced } => self.disk_done(token, is_synced),
+            Event::DiskUnusable { reason } => self.disk_unusable(reason),
+            Event::DiskSetAside => self.disk_set_aside(),
             Event::Listed { workers, cells } => self.listed(workers, cells),
             Event::ListFailed => self.list_failed(),
             Event::StartDone { start_id, result } => self.start_done(&start_id, result),
@@ -485,6 +489,7 @@
                 })
                 .count(),
             voters: self.control.voters().disks.0.clone(),
+            disk_trouble: self.control.disk_trouble().map(str::to_owned),
             owned_keys: self.control.owned_count(),
             election_counts: self.stewards.election.counts(),
             decisions: self.journal.counts().clone(),
--- a/packages/record_file/src/folder.rs
+++ b/packages/record_file/src/folder.rs
@@ -5,6 +5,7 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 const LOCK_NAME: &str = "lock";
 
@@ -38,16 +39,16 @@
     fn sync_names(&self) -> io::Result<()>;
 }
 
-/// A folder of the operating system, locked against other processes.
+/// A folder of the operating system, locked against other processes as long as one copy of this lives.
 /// Example: `DiskFolder::lock(Path::new("data"))?`.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct DiskFolder {
     path: PathBuf,
-    _lock: File,
+    _lock: Arc<File>,
 }
 
 impl DiskFolder {
-    /// Makes the folder if need be and locks it until the value is dropped.
+    /// Makes the folder if need be and locks it until the value and its copies are dropped.
     ///
     /// Errors: `InUse` if another process holds it, `Storage` if the system refuses.
     /// Example: `DiskFolder::lock(Path::new("data"))?`.
@@ -62,7 +63,7 @@
         if lock_file.try_lock().is_err() {
             return Err(Report::new(RecordError::InUse));
         }
-        Ok(DiskFolder { path: path.to_path_buf(), _lock: lock_file })
+        Ok(DiskFolder { path: path.to_path_buf(), _lock: Arc::new(lock_file) })
     }
 }
 
--- a/packages/record_file/src/framing.rs
+++ b/packages/record_file/src/framing.rs
@@ -25,6 +25,7 @@
 const FORMAT: u32 = 2;
 /// The head that all formats begin with.
 pub(crate) const COMMON_HEAD_LENGTH: usize = 32;
+const FLEET_OFFSET: usize = 12;
 const HEAD_LENGTH: usize = 52;
 const GROUP_HEADER_LENGTH: usize = 32;
 
@@ -148,6 +149,13 @@
     Ok(Contents { disk, records })
 }
 
+/// Whether synced bytes of a whole file cannot be read, whichever fleet's it is.
+pub(crate) fn is_damaged(file_bytes: &[u8]) -> bool {
+    let fleet = read_u64(file_bytes, FLEET_OFFSET).unwrap_or_default();
+    let outcome = read_file(file_bytes, fleet);
+    outcome.is_err_and(|failure| matches!(failure.current_context(), RecordError::Damaged(_)))
+}
+
 fn damaged_at(offset: usize) -> Report<RecordError> {
     Report::new(RecordError::Damaged(offset as u64))
 }
@@ -157,7 +165,7 @@
     let is_sound = file_bytes.get(..8) == Some(FILE_MARK)
         && file_bytes.get(..28).map(crc32fast::hash) == read_u32(file_bytes, 28);
     let (true, Some(format), Some(file_fleet), Some(disk)) =
-        (is_sound, read_u32(file_bytes, 8), read_u64(file_bytes, 12), read_u64(file_bytes, 20))
+        (is_sound, read_u32(file_bytes, 8), read_u64(file_bytes, FLEET_OFFSET), read_u64(file_bytes, 20))
     else {
         return Err(damaged_at(0));
     };
--- a/packages/record_file/src/lib.rs
+++ b/packages/record_file/src/lib.rs
@@ -21,7 +21,7 @@
 pub use folder::{DiskFolder, Folder};
 pub use record_error::RecordError;
 pub use record_file::{DAMAGED_NAME, FILE_NAME, Opened, REWRITE_NAME, RecordFile};
-pub use set_aside::{has_set_aside, set_aside};
+pub use set_aside::{has_set_aside, set_aside_damaged};
 
 /// The longest record body.
 pub const RECORD_LIMIT: usize = 16 * 1024 * 1024;
--- a/packages/record_file/src/set_aside.rs
+++ b/packages/record_file/src/set_aside.rs
@@ -1,6 +1,7 @@
 //! Moving a damaged file out of the way, on an operator's word only.
 
 use crate::folder::{DiskFolder, Folder};
+use crate::framing::is_damaged;
 use crate::{DAMAGED_NAME, FILE_NAME, RecordError};
 use error_stack::{Report, ResultExt};
 use std::io;
@@ -8,21 +9,24 @@
 
 const SET_ASIDE_LIMIT: usize = 1_000;
 
-/// Gives the folder's record file a name that it is not opened by; the next open formats a new disk with
-/// a new id. Returns the new path.
+/// Gives the folder's record file, if it is damaged, a name that it is not opened by, and returns the new
+/// path; the next open formats a new disk with a new id. `None` if the file is sound or there is none.
 ///
-/// Errors: `InUse` while a node runs on the folder, `Storage` if there is no file, no free name, or the
-/// system refuses.
-/// Example: `set_aside(Path::new("data"))? == Path::new("data/records.damaged-0")`.
-pub fn set_aside(folder: &Path) -> Result<PathBuf, Report<RecordError>> {
+/// Errors: `InUse` while a node runs on the folder, `Storage` if there is no free name or the system refuses.
+/// Example: `set_aside_damaged(Path::new("data"))? == Some(PathBuf::from("data/records.damaged-0"))`.
+pub fn set_aside_damaged(folder: &Path) -> Result<Option<PathBuf>, Report<RecordError>> {
     let locked_folder = DiskFolder::lock(folder)?;
+    let found_bytes = locked_folder.read(FILE_NAME).change_context(RecordError::Storage)?;
+    if !found_bytes.is_some_and(|file_bytes| is_damaged(&file_bytes)) {
+        return Ok(None);
+    }
     let free_name = (0..SET_ASIDE_LIMIT)
         .map(|number| format!("{DAMAGED_NAME}{number}"))
         .find(|name| !folder.join(name).exists())
         .ok_or_else(|| Report::new(RecordError::Storage))?;
     locked_folder.rename(FILE_NAME, &free_name).change_context(RecordError::Storage)?;
     locked_folder.sync_names().change_context(RecordError::Storage)?;
-    Ok(folder.join(free_name))
+    Ok(Some(folder.join(free_name)))
 }
 
 /// Whether a file of the folder was set aside: its state may be the fleet's last copy, so a node on this
--- a/packages/vanelane/src/command_line.rs
+++ b/packages/vanelane/src/command_line.rs
@@ -33,6 +33,12 @@
             /// off, error, warn, info, debug or trace.
             optional --log-level log_level: String
         }
+        /// Renames a data folder's damaged record file to records.damaged-N, for a node that is stopped: at
+        /// its next start it formats a new disk, which a majority of the others takes in.
+        cmd set-aside-records {
+            /// The folder that holds state.
+            required --data-folder data_folder: PathBuf
+        }
         /// Prints the configuration's JSON schema.
         cmd schema {}
         /// Checks a configuration document and prints every reason against it.
--- a/packages/vanelane/src/control_pages.rs
+++ b/packages/vanelane/src/control_pages.rs
@@ -197,6 +197,7 @@
                 "tally": tally,
                 "functions_without_steward": status.unheld,
                 "voters": status.voters.iter().map(|disk| hex(*disk)).collect::<Vec<String>>(),
+                "disk_trouble": status.disk_trouble,
                 "owned_keys": status.owned_keys,
                 "gate_refusals": status.election_counts.0,
                 "lost_races": status.election_counts.1,
@@ -235,6 +236,7 @@
         line("members", status.members.len() as u64);
         line("steward_of", status.held.len() as u64);
         line("functions_without_steward", status.unheld as u64);
+        line("disk_unusable", u64::from(status.disk_trouble.is_some()));
         line("owned_keys", status.owned_keys as u64);
         line("gate_refusals", status.election_counts.0);
         line("lost_races", status.election_counts.1);
--- /dev/null
+++ b/packages/vanelane/src/disk_opening/tests.rs
@@ -0,0 +1,84 @@
+use super::*;
+use std::fs;
+use std::path::PathBuf;
+
+const FLEET: u64 = 7;
+
+/// A folder with a disk that took the founding set, and the disk's id.
+fn founded_folder(name: &str) -> (PathBuf, u64) {
+    let folder = std::env::temp_dir().join(format!("vanelane-opening-{name}-{}", std::process::id()));
+    let _ = fs::remove_dir_all(&folder);
+    let opened = open(&folder, FLEET).expect("formatted");
+    assert!(opened.first_events.is_empty());
+    let (mut file, mut registers) = opened.disk.expect("a disk");
+    let founding_set = control_registers::VoterSet::founding(&[file.disk(), 2, 3]);
+    let records = registers.found(&founding_set).expect("taken");
+    file.append(&records).expect("append");
+    file.sync().expect("sync");
+    (folder, file.disk())
+}
+
+fn damage(folder: &Path) -> Vec<u8> {
+    // Opening writes the records as the base of a new file, which is never torn.
+    open(folder, FLEET).expect("sound");
+    let path = folder.join(FILE_NAME);
+    let mut file_bytes = fs::read(&path).expect("read");
+    let last = file_bytes.len() - 1;
+    file_bytes[last] ^= 1;
+    fs::write(&path, &file_bytes).expect("damage");
+    file_bytes
+}
+
+#[test]
+fn a_damaged_disk_is_left_as_it_is_and_the_node_starts_without_it() {
+    let (folder, disk) = founded_folder("damaged");
+    let damaged_bytes = damage(&folder);
+    for _ in 0..2 {
+        let opened = open(&folder, FLEET).expect("the node starts");
+        assert!(opened.disk.is_none());
+        let [Event::DiskUnusable { reason }] = &opened.first_events[..] else {
+            panic!("{:?}", opened.first_events);
+        };
+        assert!(reason.contains("damaged at byte") && reason.contains("vanelane set-aside-records"));
+        assert_eq!(fs::read(folder.join(FILE_NAME)).expect("read"), damaged_bytes);
+    }
+    // On the operator's word a new disk is formatted, which says what it replaces at each start.
+    let kept_path = record_file::set_aside_damaged(&folder).expect("renamed").expect("damaged");
+    assert_eq!(fs::read(kept_path).expect("read"), damaged_bytes);
+    for _ in 0..2 {
+        let opened = open(&folder, FLEET).expect("formatted");
+        let (file, registers) = opened.disk.expect("a disk");
+        assert!(file.disk() != disk && registers.set().generation == 0);
+        assert!(matches!(opened.first_events[..], [Event::DiskSetAside]));
+    }
+    let _ = fs::remove_dir_all(&folder);
+}
+
+/// Append, sync, append, append; the first unsynced append is lost and the second whole.
+#[test]
+fn a_hole_in_the_unsynced_tail_costs_neither_the_disk_nor_its_vote() {
+    let (folder, disk) = founded_folder("hole");
+    let (mut file, registers) = open(&folder, FLEET).expect("sound").disk.expect("a disk");
+    let before = file.length() as usize;
+    file.append(&registers.live_records()).expect("append");
+    let after = file.length() as usize;
+    file.append(&registers.live_records()).expect("append");
+    drop(file);
+    let path = folder.join(FILE_NAME);
+    let mut file_bytes = fs::read(&path).expect("read");
+    file_bytes[before..after].fill(0);
+    fs::write(&path, &file_bytes).expect("a hole");
+    let opened = open(&folder, FLEET).expect("sound");
+    assert!(opened.first_events.is_empty());
+    let (file, registers) = opened.disk.expect("a disk");
+    assert_eq!((file.disk(), registers.set().generation), (disk, 1));
+    let _ = fs::remove_dir_all(&folder);
+}
+
+#[test]
+fn a_foreign_folder_is_refused() {
+    let (folder, _) = founded_folder("foreign");
+    let reason = open(&folder, FLEET + 1).err().expect("refused");
+    assert!(reason.contains("belongs to another fleet"), "{reason}");
+    let _ = fs::remove_dir_all(&folder);
+}
--- a/packages/vanelane/src/disk_thread.rs
+++ b/packages/vanelane/src/disk_thread.rs
@@ -2,7 +2,6 @@
 
 use error_stack::Report;
 use record_file::{RecordError, RecordFile};
-use std::path::Path;
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 
 const WAITLIST_LIMIT: usize = 4_096;
@@ -44,7 +43,7 @@
             group.push(next_work);
         }
         let newest_token = group.last().map_or(0, |work| work.token);
-        if let Err(failure) = write_group(&mut file, group) {
+        if let Err(failure) = write_group(&mut file, &group) {
             // Nothing more is appended until a rewrite has made the file whole again.
             log::error!("the disk failed and is not trusted until it is rewritten: {failure:?}");
             done(newest_token, false);
@@ -54,8 +53,10 @@
     }
 }
 
-fn write_group(file: &mut RecordFile, group: Vec<DiskWork>) -> Result<(), Report<RecordError>> {
-    for work in group {
+fn write_group(file: &mut RecordFile, group: &[DiskWork]) -> Result<(), Report<RecordError>> {
+    // A rewrite holds all that was to be appended before it.
+    let first = group.iter().rposition(|work| work.is_rewrite).unwrap_or(0);
+    for work in &group[first..] {
         match work.is_rewrite {
             true => file.rewrite(&work.records)?,
             false => file.append(&work.records)?,
@@ -63,22 +64,3 @@
     }
     file.sync()
 }
-
-/// Opens the folder's file. Where synced records are damaged the file is set aside and a new disk is
-/// formatted: it has a new id and no vote until it is taken in.
-pub fn open(folder: &Path, fleet: u64) -> Result<(RecordFile, Vec<Vec<u8>>), Report<RecordError>> {
-    let failure = match RecordFile::open(folder, fleet) {
-        Ok(opened) => return Ok(opened),
-        Err(failure) => failure,
-    };
-    let RecordError::Damaged(offset) = failure.current_context() else { return Err(failure) };
-    let set_aside = (0..1_000)
-        .map(|number| folder.join(format!("records.damaged-{number}")))
-        .find(|path| !path.exists())
-        .unwrap_or_else(|| folder.join("records.damaged"));
-    log::error!("records are damaged at byte {offset}; the file is set aside as {}", set_aside.display());
-    if std::fs::rename(folder.join("records"), set_aside).is_err() {
-        return Err(failure);
-    }
-    RecordFile::open(folder, fleet)
-}
--- a/packages/vanelane/src/lib.rs
+++ b/packages/vanelane/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod colleague_links;
 mod control_pages;
+mod disk_opening;
 mod disk_thread;
 mod local_server;
 mod protocol_shell;
--- a/packages/vanelane/src/operator_commands.rs
+++ b/packages/vanelane/src/operator_commands.rs
@@ -30,6 +30,18 @@
     ExitCode::SUCCESS
 }
 
+/// Sets a damaged record file aside, and no other: a sound one is a vote.
+pub fn set_aside_records(folder: &Path) -> ExitCode {
+    match record_file::set_aside_damaged(folder) {
+        Ok(Some(path)) => {
+            say(format!("{}\n", json!({"outcome": "set aside", "file": path})).as_bytes());
+            ExitCode::SUCCESS
+        }
+        Ok(None) => complain(format!("{}: the records are sound or missing", folder.display()), REFUSED),
+        Err(failure) => complain(format!("{}: {}", folder.display(), failure.current_context()), REFUSED),
+    }
+}
+
 pub fn check_configuration(path: &Path) -> ExitCode {
     let bytes = match std::fs::read(path) {
         Ok(bytes) => bytes,
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -161,7 +161,8 @@
         }
     }
 
-    fn handle(&mut self, event: Event) {
+    /// Gives an event to the node and carries its acts out, until nothing is left.
+    pub fn handle(&mut self, event: Event) {
         let mut waiting = vec![event];
         while let Some(event) = waiting.pop() {
             for act in self.node.handle(event, self.clock.now()) {
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -3,7 +3,8 @@
 use crate::colleague_links::{self, ColleagueLinks, FrameCounts};
 use crate::command_line::Run;
 use crate::control_pages::ControlPages;
-use crate::disk_thread::{self, DiskThread};
+use crate::disk_opening;
+use crate::disk_thread::DiskThread;
 use crate::local_server::{self, ClientPatience, LocalServer};
 use crate::operator_port::{OperatorPages, OperatorPort};
 use crate::protocol_shell::{NodeFlags, ProtocolShell, ShellEvent};
@@ -15,7 +16,6 @@
 use clock_events::{Micros, MonotonicClock};
 use colleague_messages::{Address, fleet_mark, node_id};
 use configuration_check::VisitorLimits;
-use control_registers::DiskRegisters;
 use function_front::{CallDialect, DispatchSettings, Front, FrontSettings, Recorder};
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Root};
@@ -159,14 +159,20 @@
 
     let mut disk = None;
     let mut disk_thread = None;
+    let mut first_events = Vec::new();
+    let mut _locked_folder = None;
     if let Some(folder) = &settings.data_folder {
-        let (file, registers) = open_disk(folder, fleet)?;
-        disk = Some((file.disk(), registers));
-        let disk_inbox = inbox_sender.clone();
-        let started = DiskThread::start(file, move |token, is_synced| {
-            let _ = disk_inbox.blocking_send(ShellEvent::DiskDone { token, is_synced });
-        });
-        disk_thread = Some(started.map_err(|failure| format!("disk thread: {failure}"))?);
+        let opened = disk_opening::open(folder, fleet)?;
+        first_events = opened.first_events;
+        _locked_folder = Some(opened.folder);
+        if let Some((file, registers)) = opened.disk {
+            disk = Some((file.disk(), registers));
+            let disk_inbox = inbox_sender.clone();
+            let started = DiskThread::start(file, move |token, is_synced| {
+                let _ = disk_inbox.blocking_send(ShellEvent::DiskDone { token, is_synced });
+            });
+            disk_thread = Some(started.map_err(|failure| format!("disk thread: {failure}"))?);
+        }
     }
 
     let clock = MonotonicClock::start();
@@ -174,7 +180,7 @@
     let node_settings = node_settings(&settings, own_address);
     let own_node = node_settings.node;
     log::info!("node {own_node:016x} starts at {}", settings.colleague_address);
-    let shell = ProtocolShell {
+    let mut shell = ProtocolShell {
         node: Node::new(node_settings, disk, clock.now()),
         clock,
         own_node,
@@ -194,6 +200,7 @@
         next_request: 0,
         logged_decision: 0,
     };
+    first_events.into_iter().for_each(|event| shell.handle(event));
 
     let port = OperatorPort {
         inbox: inbox_sender.clone(),
@@ -296,18 +303,6 @@
     }
 }
 
-fn open_disk(
-    folder: &std::path::Path,
-    fleet: u64,
-) -> Result<(record_file::RecordFile, DiskRegisters), String> {
-    let refused = |reason: String| format!("setting data_folder: {}: {reason}", folder.display());
-    let (file, records) =
-        disk_thread::open(folder, fleet).map_err(|failure| refused(failure.current_context().to_string()))?;
-    let registers = DiskRegisters::restore(&records)
-        .ok_or_else(|| refused("a record is none of this version's".to_owned()))?;
-    Ok((file, registers))
-}
-
 fn node_settings(settings: &Settings, own_address: Address) -> NodeSettings {
     NodeSettings {
         node: node_id(own_address, fastrand::u64(..)),
--- a/packages/vanelane/tests/one_node.rs
+++ b/packages/vanelane/tests/one_node.rs
@@ -52,14 +52,24 @@
     start_node_by(vanelane(), name, platform)
 }
 
-fn start_node_by(mut program: Command, name: &str, platform: SocketAddr) -> RunningNode {
+fn start_node_by(program: Command, name: &str, platform: SocketAddr) -> RunningNode {
+    let folder = std::env::temp_dir().join(format!("vanelane-test-{name}-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    start_node_in(program, folder, platform, "\"message\":\"ready\"")
+}
+
+/// Starts a lone node on a folder as it is, and waits for a line of its log.
+fn start_node_in(
+    mut program: Command,
+    folder: std::path::PathBuf,
+    platform: SocketAddr,
+    awaited: &str,
+) -> RunningNode {
     let holders: Vec<TcpListener> =
         (0..3).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
     let addresses: Vec<SocketAddr> =
         holders.iter().map(|holder| holder.local_addr().expect("bound")).collect();
     drop(holders);
-    let folder = std::env::temp_dir().join(format!("vanelane-test-{name}-{}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&folder);
     let mut child = program
         .args(["run", "--zone", "a", "--founding-disks", "1"])
         .args(["--visitor-address", &addresses[0].to_string()])
@@ -74,9 +84,9 @@
         .expect("the program");
     let mut log = BufReader::new(child.stderr.take().expect("piped"));
     let mut line = String::new();
-    while !line.contains("\"message\":\"ready\"") {
+    while !line.contains(awaited) {
         line.clear();
-        assert!(log.read_line(&mut line).expect("a log") > 0, "the node ended before it was ready");
+        assert!(log.read_line(&mut line).expect("a log") > 0, "the node ended before it told {awaited}");
     }
     // The rest of the log is read away, so that the node never waits on a full pipe.
     std::thread::spawn(move || {
@@ -301,3 +311,60 @@
     assert_eq!(output.status.code(), Some(1), "{text}");
     assert!(text.contains("another process holds the data folder"), "{text}");
 }
+
+fn read_page(node: &RunningNode, path: &str) -> String {
+    let request = format!("GET {path} HTTP/1.1\r\nhost: here\r\nconnection: close\r\n\r\n");
+    split(&exchange(node.control, request.as_bytes())).1
+}
+
+fn set_aside(folder: &std::path::Path) -> (Option<i32>, String) {
+    let output =
+        vanelane().arg("set-aside-records").arg("--data-folder").arg(folder).output().expect("the program");
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code(), String::from_utf8_lossy(&text).into_owned())
+}
+
+/// A machine whose synced records are damaged: the process stays up, formats nothing and says so; only an
+/// operator's word makes a new disk, which founds no new state beside the old file.
+#[test]
+fn a_damaged_disk_is_told_and_left_as_it_is() {
+    let history = Arc::new(History::default());
+    let platform = platform(&history);
+    let mut node = start_node("damaged", platform.address());
+    let outcome = change(&node, &format!("{}\n", WHOLE.replace('\n', " ")));
+    assert!(outcome.contains("\"outcome\":\"accepted\""), "{outcome}");
+    node.child.kill().expect("ended");
+    node.child.wait().expect("ended");
+    let folder = node.folder.clone();
+    // Its drop would remove the folder.
+    std::mem::forget(node);
+    assert_eq!(set_aside(&folder).0, Some(1), "a sound file stays");
+    let records = folder.join("records");
+    let mut damaged_bytes = std::fs::read(&records).expect("records");
+    // A byte of the salt in the head, which was synced before the file got its name.
+    damaged_bytes[33] ^= 1;
+    std::fs::write(&records, &damaged_bytes).expect("damage");
+
+    let mut node = start_node_in(vanelane(), folder.clone(), platform.address(), "damaged at byte");
+    let status = read_page(&node, "/control/status");
+    assert!(
+        status.contains("\"disk\":\"failed\"") && status.contains("vanelane set-aside-records"),
+        "{status}"
+    );
+    assert!(read_page(&node, "/metrics").contains("vanelane_disk_unusable 1\n"));
+    assert!(read_page(&node, "/control/decisions").contains("\"disk_unusable\""));
+    assert_eq!(std::fs::read(&records).expect("records"), damaged_bytes);
+    let (code, text) = set_aside(&folder);
+    assert!(code == Some(1) && text.contains("another process holds the data folder"), "{text}");
+    node.child.kill().expect("ended");
+    node.child.wait().expect("ended");
+    std::mem::forget(node);
+
+    let (code, text) = set_aside(&folder);
+    assert!(code == Some(0) && text.contains("records.damaged-0"), "{text}");
+    assert_eq!(std::fs::read(folder.join("records.damaged-0")).expect("kept"), damaged_bytes);
+    let node = start_node_in(vanelane(), folder, platform.address(), "founds nothing");
+    let status = read_page(&node, "/control/status");
+    assert!(status.contains("\"disk\":\"spare\"") && status.contains("\"disk_trouble\":null"), "{status}");
+    assert!(read_page(&node, "/metrics").contains("vanelane_disk_unusable 0\n"));
+}
