A node's start only reads its records; the disk votes once they are rewritten

And what was read must not be answered for before it is synced.

Now read_in only reads (it formats a folder without a file); the node is told DiskUnsynced, gives the rewrite to the disk's thread at once, and says nothing for the disk until it succeeded. No disk_failed is told for that; a rewrite that fails is told as before and tried again each second. The hollow fleet's bytes of a disk group follow the new framing.

--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -60,7 +60,10 @@
 struct Disk {
     id: u64,
     registers: DiskRegisters,
+    /// It failed, or was not rewritten since the start: it answers nothing before a rewrite succeeded.
     is_broken: bool,
+    /// The decision stream was told that it failed.
+    is_failure_told: bool,
     next_token: u64,
     synced_token: u64,
     answers: BTreeMap<u64, Vec<(NodeId, Message)>>,
@@ -125,6 +128,7 @@
                 id,
                 registers,
                 is_broken: false,
+                is_failure_told: false,
                 next_token: 1,
                 synced_token: 0,
                 answers: BTreeMap::new(),
@@ -502,7 +506,7 @@
             disk.repair_due = now + REPAIR_PAUSE;
             disk.answers.clear();
             self.control.owner.keep_only(|_| false);
-            self.journal.append("disk_failed", json!({}), now);
+            self.tell_disk_failure();
             self.tell_disk_state();
             return;
         }
@@ -529,13 +533,34 @@
         disk.repair_token = None;
         disk.repair_due = now + REPAIR_PAUSE;
         if !is_synced {
+            self.tell_disk_failure();
             return;
         }
         disk.is_broken = false;
         disk.synced_token = token;
         disk.appended_bytes = 0;
-        self.journal.append("disk_sound_again", json!({}), now);
+        if std::mem::take(&mut disk.is_failure_told) {
+            self.journal.append("disk_sound_again", json!({}), now);
+        }
+        self.tell_disk_state();
+    }
+
+    fn tell_disk_failure(&mut self) {
+        let Some(disk) = &mut self.control.disk else { return };
+        if !std::mem::replace(&mut disk.is_failure_told, true) {
+            self.journal.append("disk_failed", json!({}), self.now);
+        }
+    }
+
+    /// What a process before this one wrote may not be synced, nor is it known by any answer: the disk
+    /// says nothing until all of it stands in a new file.
+    pub(crate) fn disk_unsynced(&mut self) {
+        let now = self.now;
+        let Some(disk) = &mut self.control.disk else { return };
+        disk.is_broken = true;
+        disk.repair_due = now;
         self.tell_disk_state();
+        self.try_repair();
     }
 
     /// A disk that failed, because it was full perhaps, is tried with the whole of its registers as a
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -97,6 +97,8 @@
     TicketDone { ticket: Ticket, how: u8, latency: Micros },
     /// The disk synced the records of a token, or failed.
     DiskDone { token: u64, is_synced: bool },
+    /// The disk's records were read, and may not be synced: they are rewritten before the disk votes.
+    DiskUnsynced,
     /// The data folder's disk cannot be used in this process's life; the reason is for the operator.
     DiskUnusable { reason: String },
     /// The data folder holds a file that was set aside: its disk was formatted after damage.
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -178,6 +178,7 @@
             Event::CallEnds { call } => self.call_ends(call),
             Event::TicketDone { ticket, how, latency } => self.ticket_done(&ticket, how, latency),
             Event::DiskDone { token, is_synced } => self.disk_done(token, is_synced),
+            Event::DiskUnsynced => self.disk_unsynced(),
             Event::DiskUnusable { reason } => self.disk_unusable(reason),
             Event::DiskSetAside => self.disk_set_aside(),
             Event::Listed { workers, cells } => self.listed(workers, cells),
--- a/packages/record_file/src/record_file.rs
+++ b/packages/record_file/src/record_file.rs
@@ -44,17 +44,30 @@
 }
 
 impl<F: Folder> RecordFile<F> {
-    /// Opens or formats the folder's file and returns its records in order; those up to the last sync
-    /// are always among them.
+    /// Reads the folder's file as [`RecordFile::read_in`] does, and writes what it read as a new file, so
+    /// that all of it lasts. If the disk refuses that, the file is returned without trust.
     ///
-    /// What was read is written as a new file first: after the end of a process, or of a sync that
-    /// failed, records may be readable and not be synced. If the disk refuses that, the file is returned
-    /// without trust, and its records must not be answered for before a rewrite succeeded.
+    /// Errors: as [`RecordFile::read_in`]. Example: `RecordFile::open_in(folder, 7)?.0.is_trusted()`.
+    pub fn open_in(folder: F, fleet: u64) -> Result<Opened<F>, Report<RecordError>> {
+        let (mut file, records) = RecordFile::read_in(folder, fleet)?;
+        if !file.is_trusted() {
+            // Without trust nothing is appended, and the caller sees it.
+            let _ = file.rewrite(&records);
+        }
+        Ok((file, records))
+    }
+
+    /// Returns the records of the folder's file in order; those up to the last sync are always among them.
+    /// Nothing is written, so a disk that stalls holds nobody up, but that a folder without a file is formatted.
+    ///
+    /// After the end of a process, or after a sync that failed, records may be readable and not be synced:
+    /// the file is not trusted, and its records must not be answered for, until a rewrite succeeded.
+    /// Only a file that was just formatted is trusted.
     ///
     /// Errors: `Damaged` if synced bytes cannot be read (the file is left as it is), `OtherFleet`,
     /// `NewerFormat`; `Storage` if the file cannot be read, or not be formatted.
-    /// Example: `RecordFile::open_in(folder, 7)?.0.is_trusted()`.
-    pub fn open_in(folder: F, fleet: u64) -> Result<Opened<F>, Report<RecordError>> {
+    /// Example: `let (mut file, records) = RecordFile::read_in(folder, 7)?; file.rewrite(&records)?;`.
+    pub fn read_in(folder: F, fleet: u64) -> Result<Opened<F>, Report<RecordError>> {
         let found_bytes = folder.read(FILE_NAME).change_context(RecordError::Storage)?;
         let is_new = found_bytes.is_none();
         let contents = match found_bytes {
@@ -62,9 +75,8 @@
             None => Contents { disk: fastrand::u64(1..u64::MAX), records: Vec::new() },
         };
         let mut file = RecordFile { folder, fleet, disk: contents.disk, writer: None, rewritten_length: 0 };
-        let is_written = file.rewrite(&contents.records);
         if is_new {
-            is_written?;
+            file.rewrite(&[])?;
         }
         Ok((file, contents.records))
     }
--- a/packages/scale_run/src/hollow_fleet.rs
+++ b/packages/scale_run/src/hollow_fleet.rs
@@ -323,8 +323,8 @@
             Act::Send { address, to, message } => self.carry_message(number, address, to, message),
             Act::WriteDisk { token, records, is_rewrite } => {
                 let hollow = &mut self.nodes[number];
-                // As the record file: eight bytes before each record.
-                let byte_count: usize = records.iter().map(|record| record.len() + 8).sum();
+                // As the record file: 32 bytes before each group, four before each record.
+                let byte_count = 32 + records.iter().map(|record| record.len() + 4).sum::<usize>();
                 let sums = &mut hollow.sums.disk;
                 *sums = (sums.0 + byte_count as u64, sums.1 + 1, sums.2 + u64::from(is_rewrite));
                 let event = Box::new(Event::DiskDone { token, is_synced: true });
--- a/packages/vanelane/src/disk_opening.rs
+++ b/packages/vanelane/src/disk_opening.rs
@@ -16,8 +16,8 @@
 //!   and starts it: it formats a disk with a new id, which a majority takes in. While the file that was set
 //!   aside is in the folder, the disk tells itself a spare one, and no state is founded with it.
 //!
-//! A disk that refuses writes at the start begins as one that failed: it is rewritten each second until that
-//! succeeds.
+//! A disk's records are only read at the start. They may never have been synced, so the node rewrites the
+//! file, on the disk's thread, before the disk votes; a disk that stalls or refuses then does not hold the node up.
 
 use control_registers::DiskRegisters;
 use error_stack::Report;
@@ -43,7 +43,7 @@
     let refused = |reason: String| format!("setting data_folder: {}: {reason}", folder.display());
     let told = |failure: Report<RecordError>| refused(failure.current_context().to_string());
     let locked_folder = DiskFolder::lock(folder).map_err(told)?;
-    let (file, records) = match RecordFile::open_in(locked_folder.clone(), fleet) {
+    let (file, records) = match RecordFile::read_in(locked_folder.clone(), fleet) {
         Ok(opened) => opened,
         Err(failure) => match unusable_reason(failure.current_context(), folder) {
             Some(reason) => return Ok(unusable(locked_folder, reason)),
@@ -60,8 +60,7 @@
         first_events.push(Event::DiskSetAside);
     }
     if !file.is_trusted() {
-        log::error!("{}: the disk refuses writes; it has no vote until they succeed", folder.display());
-        first_events.push(Event::DiskDone { token: 0, is_synced: false });
+        first_events.push(Event::DiskUnsynced);
     }
     Ok(OpenedDisk { disk: Some((file, registers)), folder: locked_folder, first_events })
 }
