--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -60,7 +60,10 @@
 struct Disk {
     id: u64,
     registers: DiskRegisters,
+    /// It failed, or was not rewritten since the start: it answers nothing before a rewrite succeeded.
     is_broken: bool,
+    /// The decision stream was told that it failed.
+    is_failure_told: bool,
     next_token: u64,
     synced_token: u64,
     answers: BTreeMap<u64, Vec<(NodeId, Message)>>,
@@ -97,6 +100,10 @@
 #[derive(Debug)]
 pub(crate) struct ControlPart {
     disk: Option<Disk>,
+    /// Why there is a data folder and no disk.
+    disk_trouble: Option<String>,
+    /// The disk was formatted in the place of a damaged one.
+    replaces_damaged: bool,
     owner: KeyOwner,
     set: VoterSet,
     set_version: u64,
@@ -121,6 +128,7 @@
                 id,
                 registers,
                 is_broken: false,
+                is_failure_told: false,
                 next_token: 1,
                 synced_token: 0,
                 answers: BTreeMap::new(),
@@ -128,6 +136,8 @@
                 repair_token: None,
                 repair_due: Micros(0),
             }),
+            disk_trouble: None,
+            replaces_damaged: false,
             owner: KeyOwner::new(own),
             set: VoterSet::default(),
             set_version: 0,
@@ -149,6 +159,10 @@
         &self.set
     }
 
+    pub(crate) fn disk_trouble(&self) -> Option<&str> {
+        self.disk_trouble.as_deref()
+    }
+
     pub(crate) fn owned_count(&self) -> usize {
         self.owner.owned_count()
     }
@@ -199,6 +213,8 @@
         let state = match (disk.is_broken, is_voting, disk.registers.set().generation) {
             (true, ..) => DISK_FAILED,
             (false, true, 1..) => DISK_VOTING,
+            // The damaged one may be the fleet's last copy: no state is founded beside it.
+            (false, false, 0) if self.control.replaces_damaged => DISK_SPARE,
             (false, _, 0) => DISK_BLANK,
             (false, false, _) => DISK_SPARE,
         };
@@ -503,7 +519,7 @@
             disk.repair_due = now + REPAIR_PAUSE;
             disk.answers.clear();
             self.control.owner.keep_only(|_| false);
-            self.journal.append("disk_failed", json!({}), now);
+            self.tell_disk_failure();
             self.tell_disk_state();
             return;
         }
@@ -530,15 +546,36 @@
         disk.repair_token = None;
         disk.repair_due = now + REPAIR_PAUSE;
         if !is_synced {
+            self.tell_disk_failure();
             return;
         }
         disk.is_broken = false;
         disk.synced_token = token;
         disk.appended_bytes = 0;
-        self.journal.append("disk_sound_again", json!({}), now);
+        if std::mem::take(&mut disk.is_failure_told) {
+            self.journal.append("disk_sound_again", json!({}), now);
+        }
         self.tell_disk_state();
     }
 
+    fn tell_disk_failure(&mut self) {
+        let Some(disk) = &mut self.control.disk else { return };
+        if !std::mem::replace(&mut disk.is_failure_told, true) {
+            self.journal.append("disk_failed", json!({}), self.now);
+        }
+    }
+
+    /// What a process before this one wrote may not be synced, nor is it known by any answer: the disk
+    /// says nothing until all of it stands in a new file.
+    pub(crate) fn disk_unsynced(&mut self) {
+        let now = self.now;
+        let Some(disk) = &mut self.control.disk else { return };
+        disk.is_broken = true;
+        disk.repair_due = now;
+        self.tell_disk_state();
+        self.try_repair();
+    }
+
     /// A disk that failed, because it was full perhaps, is tried with the whole of its registers as a
     /// new file. No answer was given for what it did not sync, so it is as good as before.
     fn try_repair(&mut self) {
@@ -555,6 +592,25 @@
         self.act(Act::WriteDisk { token, records, is_rewrite: true });
     }
 
+    /// The node goes on as one without a disk. Its state keeps others from founding anew, and lets a spare
+    /// disk take its vote.
+    pub(crate) fn disk_unusable(&mut self, reason: String) {
+        self.journal.append("disk_unusable", json!({"reason": reason}), self.now);
+        self.control.disk = None;
+        self.control.disk_trouble = Some(reason);
+        self.members.update_own(|own| {
+            own.disk_state = DISK_FAILED;
+            own.disk = 0;
+        });
+    }
+
+    /// A disk that was formatted after damage may be taken in by a majority, and founds nothing.
+    pub(crate) fn disk_set_aside(&mut self) {
+        self.control.replaces_damaged = true;
+        self.settings.may_found = false;
+        self.tell_disk_state();
+    }
+
     fn write_answered(&mut self, from: NodeId, outcome: WriteOutcome) {
         self.control.doubted.remove(&from);
         let Some(flight) = self.control.flights.remove(&outcome.ask) else { return };
--- a/packages/vanelane/src/control_pages.rs
+++ b/packages/vanelane/src/control_pages.rs
@@ -197,6 +197,7 @@
                 "tally": tally,
                 "functions_without_steward": status.unheld,
                 "voters": status.voters.iter().map(|disk| hex(*disk)).collect::<Vec<String>>(),
+                "disk_trouble": status.disk_trouble,
                 "owned_keys": status.owned_keys,
                 "majority_read_age_millis": status.majority_read_age.map(|age| age.millis()),
                 "gate_refusals": status.election_counts.0,
@@ -236,6 +237,7 @@
         line("members", status.members.len() as u64);
         line("steward_of", status.held.len() as u64);
         line("functions_without_steward", status.unheld as u64);
+        line("disk_unusable", u64::from(status.disk_trouble.is_some()));
         line("owned_keys", status.owned_keys as u64);
         if let Some(age) = status.majority_read_age {
             line("majority_read_age_millis", age.millis());
