Histories judge the configuration register: linearizable, and orders by rule

The history told of changes by id and generation alone: two orders under one version, a stale confirmed read, a refused repeat or a slow answer could not be seen. Orders and confirmed reads are now lines with begin and end for each sending.

A search after Wing and Gong with a memo judges a whole history; an order of unknown fate takes effect at any time after its begin or never, and must have been applied once a node goes by it. Reads and refusals are done greedily, since they change nothing.

Ruled out: judging by generation alone, which the operators never see.

--- a/packages/history_checks/src/checkers.rs
+++ b/packages/history_checks/src/checkers.rs
@@ -1,3 +1,5 @@
+use crate::linearizability::check_register;
+use crate::order_rules::check_orders;
 use crate::{Line, Outcome};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -27,6 +29,8 @@
     pub ceiling_lag: u64,
     /// Starts and stops beyond the platform's rate in a second, over the whole fleet: a tenth of it.
     pub acts_throttled_in_a_second: usize,
+    /// Microseconds within which a node that is awake answers an order or a read, if only that it cannot.
+    pub order_answered_within: u64,
     /// Refusals allowed besides one in 500.
     pub refusals_fixed: usize,
     /// Whether refusals are counted at all: runs that overload on purpose do not.
@@ -43,6 +47,7 @@
             admitted_within: 50_000,
             ceiling_lag: 3_000_000,
             acts_throttled_in_a_second: 8,
+            order_answered_within: 1_500_000,
             refusals_fixed: 5,
             count_refusals: true,
         }
@@ -69,10 +74,12 @@
     check_voters(lines, &mut breaches);
     check_matched(lines, settings, &mut breaches);
     check_admission(lines, settings, &mut breaches);
+    check_orders(lines, settings, &mut breaches);
+    check_register(lines, &mut breaches);
     breaches
 }
 
-fn broken(breaches: &mut Vec<Breach>, rule: &'static str, seen: String) {
+pub(crate) fn broken(breaches: &mut Vec<Breach>, rule: &'static str, seen: String) {
     breaches.push(Breach { rule, seen });
 }
 
--- a/packages/history_checks/src/lib.rs
+++ b/packages/history_checks/src/lib.rs
@@ -2,8 +2,13 @@
 //! that must hold over it. Every checker is shown to fail on a doctored history.
 
 mod checkers;
+mod linearizability;
+mod order_lines;
+mod order_rules;
+mod register_operations;
 
 pub use checkers::{Breach, CheckSettings, check_all};
+pub use order_lines::{OrderAnswer, ReadAnswer};
 
 use serde::{Deserialize, Serialize};
 use std::sync::Mutex;
@@ -63,6 +68,25 @@
     ChangeAccepted { at: u64, change: String, generation: u64 },
     /// An operator's change was refused.
     ChangeRefused { at: u64, change: String },
+    /// An operator sends an order to a node, for the first time or again under the same name. An order
+    /// that is not proper has a fault of its own and has to be refused.
+    OrderSent {
+        at: u64,
+        order: String,
+        attempt: u64,
+        node: String,
+        expected_version: Option<u64>,
+        version: Option<u64>,
+        is_proper: bool,
+    },
+    /// One sending of an order ends.
+    OrderAnswered { at: u64, order: String, attempt: u64, answer: OrderAnswer },
+    /// An operator asks a node for the configuration as a majority of the disks confirms it.
+    ReadSent { at: u64, read: u64, node: String },
+    /// An operator's read ends.
+    ReadAnswered { at: u64, read: u64, answer: ReadAnswer },
+    /// A node goes by a configuration whose last applied order is this one.
+    ConfigurationHeld { at: u64, node: String, generation: u64, last_order: String },
     /// What a generation changes: path prefixes with the function their calls go to, none for no lane.
     LanesChanged { at: u64, generation: u64, lanes: Vec<(String, Option<String>)> },
     /// A node holds a generation. `life` tells a node's processes apart.
--- /dev/null
+++ b/packages/history_checks/src/linearizability/tests.rs
@@ -0,0 +1,179 @@
+use super::*;
+use crate::{OrderAnswer, ReadAnswer};
+
+fn order(name: &str, attempt: u64, at: u64, expected: u64, version: u64) -> Line {
+    Line::OrderSent {
+        at,
+        order: name.into(),
+        attempt,
+        node: "n1".into(),
+        expected_version: Some(expected),
+        version: Some(version),
+        is_proper: true,
+    }
+}
+
+fn answered(name: &str, attempt: u64, at: u64, answer: OrderAnswer) -> Line {
+    Line::OrderAnswered { at, order: name.into(), attempt, answer }
+}
+
+fn accepted(name: &str, attempt: u64, at: u64, generation: u64) -> Line {
+    answered(name, attempt, at, OrderAnswer::Accepted { generation })
+}
+
+fn read(read: u64, from: u64, until: u64, version: u64, last_order: Option<&str>) -> [Line; 2] {
+    let answer = ReadAnswer::Confirmed { version, last_order: last_order.map(str::to_owned) };
+    [Line::ReadSent { at: from, read, node: "n1".into() }, Line::ReadAnswered { at: until, read, answer }]
+}
+
+/// `a` makes version 1 of 0 between 10 and 20.
+fn taken_a() -> Vec<Line> {
+    vec![order("a", 0, 10, 0, 1), accepted("a", 0, 20, 1)]
+}
+
+fn breaches(lines: Vec<Line>) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    check_register(&lines, &mut breaches);
+    breaches
+}
+
+fn is_sound(lines: Vec<Line>) -> bool {
+    breaches(lines).is_empty()
+}
+
+#[test]
+fn sound_histories_pass() {
+    assert!(is_sound(Vec::new()));
+    assert!(is_sound(taken_a()));
+    let mut lines = taken_a();
+    lines.extend(read(1, 5, 12, 0, None));
+    lines.extend(read(2, 5, 12, 1, Some("a")));
+    lines.extend([order("b", 0, 15, 0, 1), answered("b", 0, 30, OrderAnswer::RefusedVersion)]);
+    lines.extend([order("a", 1, 40, 0, 1), accepted("a", 1, 50, 1)]);
+    lines.extend(read(3, 60, 70, 1, Some("a")));
+    assert!(is_sound(lines));
+}
+
+#[test]
+fn an_order_of_unknown_fate_takes_effect_late_or_never() {
+    let lost = [order("u", 0, 30, 1, 2), answered("u", 0, 40, OrderAnswer::Unclear)];
+    let with = |more: Vec<Line>| [taken_a(), lost.to_vec(), more].concat();
+    assert!(is_sound(with(Vec::new())));
+    assert!(is_sound(with(read(1, 90, 99, 1, Some("a")).to_vec())));
+    assert!(is_sound(with(read(1, 90, 99, 2, Some("u")).to_vec())));
+    // First not yet, then in effect; the other way round it would have gone again.
+    let late = [read(1, 50, 60, 1, Some("a")), read(2, 70, 80, 2, Some("u"))].concat();
+    assert!(is_sound(with(late)));
+    let undone = [read(1, 50, 60, 2, Some("u")), read(2, 70, 80, 1, Some("a"))].concat();
+    assert!(!is_sound(with(undone)));
+    // Sent before it begins nothing takes effect.
+    assert!(!is_sound(with(read(1, 22, 28, 2, Some("u")).to_vec())));
+    // Another order took its place: only one of the two can have been applied to version 1.
+    let passed = vec![order("v", 0, 50, 1, 2), accepted("v", 0, 60, 2)];
+    assert!(is_sound(with(passed.clone())));
+    let both = [passed, read(1, 70, 80, 2, Some("u")).to_vec()].concat();
+    assert!(!is_sound(with(both)));
+}
+
+#[test]
+fn both_confirmed_under_one_number_is_found() {
+    let lines = [taken_a(), vec![order("b", 0, 11, 0, 1), accepted("b", 0, 19, 1)]].concat();
+    assert_eq!(breaches(lines)[0].rule, RULE);
+}
+
+#[test]
+fn a_stale_read_is_found() {
+    let lines = [taken_a(), read(1, 21, 25, 0, None).to_vec()].concat();
+    let found = breaches(lines);
+    assert_eq!(found.len(), 1);
+    assert!(found[0].seen.contains("a read showed 0"), "{found:?}");
+}
+
+#[test]
+fn a_read_of_what_was_never_sent_is_found() {
+    assert!(!is_sound([taken_a(), read(1, 21, 25, 7, Some("ghost")).to_vec()].concat()));
+    assert!(!is_sound([taken_a(), read(1, 21, 25, 1, Some("ghost")).to_vec()].concat()));
+}
+
+#[test]
+fn a_refused_repeat_is_found() {
+    let repeat = vec![order("a", 1, 30, 0, 1), answered("a", 1, 40, OrderAnswer::RefusedVersion)];
+    assert!(!is_sound([taken_a(), repeat].concat()));
+    // Its answer was lost, a read shows that it was taken, and the repeat is refused.
+    let lost = vec![order("a", 0, 10, 0, 1), answered("a", 0, 20, OrderAnswer::Lost)];
+    let repeat = vec![order("a", 1, 50, 0, 1), answered("a", 1, 60, OrderAnswer::RefusedVersion)];
+    assert!(!is_sound([lost, read(1, 30, 40, 1, Some("a")).to_vec(), repeat].concat()));
+}
+
+#[test]
+fn a_lost_update_is_found() {
+    // `b` was accepted on top of `a`, and later `a` stands again.
+    let lines = [taken_a(), vec![order("b", 0, 30, 1, 2), accepted("b", 0, 40, 2)]].concat();
+    assert!(is_sound(lines.clone()));
+    assert!(!is_sound([lines.clone(), read(1, 50, 60, 1, Some("a")).to_vec()].concat()));
+    let after = vec![order("c", 0, 50, 1, 3), accepted("c", 0, 60, 3)];
+    assert!(!is_sound([lines, after].concat()));
+}
+
+#[test]
+fn a_refusal_although_the_number_was_free_is_found() {
+    let refused = |expected, version| {
+        vec![order("b", 0, 30, expected, version), answered("b", 0, 40, OrderAnswer::RefusedVersion)]
+    };
+    assert!(!is_sound([taken_a(), refused(1, 2)].concat()));
+    assert!(is_sound([taken_a(), refused(0, 1)].concat()));
+    assert!(is_sound([taken_a(), refused(1, 1)].concat()), "a version has to rise");
+}
+
+#[test]
+fn a_node_that_goes_by_an_order_shows_that_it_was_applied() {
+    let held = Line::ConfigurationHeld { at: 45, node: "n2".into(), generation: 2, last_order: "u".into() };
+    let unclear = vec![order("u", 0, 30, 1, 2), answered("u", 0, 40, OrderAnswer::Unclear), held];
+    let lines = [taken_a(), unclear].concat();
+    assert!(is_sound(lines.clone()));
+    let lost = read(1, 50, 60, 1, Some("a")).to_vec();
+    assert!(!is_sound([lines, lost].concat()), "the node went by what no majority had");
+}
+
+#[test]
+fn long_histories_with_many_unknown_orders_are_judged() {
+    let mut lines = Vec::new();
+    for version in 1..=300u64 {
+        let at = version * 100;
+        for operator in 0..4 {
+            let name = format!("o{version}-{operator}");
+            lines.push(order(&name, 0, at, version - 1, version));
+            lines.push(match operator {
+                0 => accepted(&name, 0, at + 50, version),
+                1 => answered(&name, 0, at + 50, OrderAnswer::RefusedVersion),
+                _ => answered(&name, 0, at + 50, OrderAnswer::Lost),
+            });
+        }
+    }
+    assert!(is_sound(lines.clone()));
+    lines.extend(read(1, 40_000, 40_001, 299, Some("o299-0")));
+    assert!(!is_sound(lines));
+}
+
+#[test]
+fn a_search_that_is_given_up_says_so() {
+    // Eight orders without conditions of unknown fate, and a read that none of them explains.
+    let mut lines = Vec::new();
+    for number in 0..8 {
+        let (order, node) = (format!("u{number}"), "n1".to_owned());
+        let (expected_version, version) = (None, None);
+        lines.push(Line::OrderSent {
+            at: 1,
+            order,
+            attempt: 0,
+            node,
+            expected_version,
+            version,
+            is_proper: true,
+        });
+    }
+    lines.extend(read(1, 10, 20, 5, None));
+    let mut found = Vec::new();
+    judge(&lines, 50, &mut found);
+    assert!(found[0].seen.starts_with("not decided after 50"), "{found:?}");
+}
--- /dev/null
+++ b/packages/history_checks/src/order_rules.rs
@@ -0,0 +1,178 @@
+//! Rules over single orders and their answers: a taken order is never refused when it is sent again,
+//! a proper one is refused for its version alone, one version is one order, and answers come in time.
+
+use crate::checkers::{Breach, CheckSettings, broken};
+use crate::register_operations::{SentOrder, sent_orders};
+use crate::{Line, OrderAnswer};
+use std::collections::BTreeMap;
+
+/// Every rule over orders.
+pub(crate) fn check_orders(lines: &[Line], settings: &CheckSettings, breaches: &mut Vec<Breach>) {
+    let orders = sent_orders(lines);
+    for order in orders.values() {
+        check_repeats(order, breaches);
+        check_reasons(order, breaches);
+        check_one_generation(order, breaches);
+    }
+    check_versions(&orders, breaches);
+    check_held(lines, breaches);
+    check_answer_times(lines, &orders, settings, breaches);
+}
+
+/// An order that was accepted is accepted again, or left without a clear answer, when it is sent again.
+fn check_repeats(order: &SentOrder, breaches: &mut Vec<Breach>) {
+    let Some(accepted_at) = order.accepted_at() else { return };
+    for (number, attempt) in &order.attempts {
+        let Some((_, answer)) = attempt.answer else { continue };
+        if answer.is_refusal() && attempt.sent_at >= accepted_at {
+            let seen = format!(
+                "{} was accepted at {accepted_at}; sent again as attempt {number} at {}, to {}: {answer:?}",
+                order.name, attempt.sent_at, attempt.node
+            );
+            broken(breaches, "a taken order is never refused", seen);
+        }
+    }
+}
+
+/// Only the version that stands, or a fault of the order's own, is a reason to refuse it.
+fn check_reasons(order: &SentOrder, breaches: &mut Vec<Breach>) {
+    for attempt in order.attempts.values() {
+        match attempt.answer {
+            Some((at, OrderAnswer::RefusedInvalid { reason })) if order.is_proper => {
+                let seen = format!("{} was refused by {} at {at}: {reason}", order.name, attempt.node);
+                broken(breaches, "proper orders are refused for their version alone", seen);
+            }
+            Some((at, OrderAnswer::Accepted { .. })) if !order.is_proper => {
+                let seen = format!("{} was accepted by {} at {at}", order.name, attempt.node);
+                broken(breaches, "improper orders are never accepted", seen);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn check_one_generation(order: &SentOrder, breaches: &mut Vec<Breach>) {
+    let mut generations: Vec<u64> = order.acceptances().map(|(_, generation)| generation).collect();
+    generations.sort_unstable();
+    generations.dedup();
+    if generations.len() > 1 {
+        let seen = format!("{} was accepted as {generations:?}", order.name);
+        broken(breaches, "one order, one generation", seen);
+    }
+}
+
+/// No two orders are accepted under one version of the operators'.
+fn check_versions(orders: &BTreeMap<&str, SentOrder>, breaches: &mut Vec<Breach>) {
+    let mut accepted: BTreeMap<u64, &str> = BTreeMap::new();
+    for order in orders.values().filter(|order| order.accepted_at().is_some()) {
+        let Some(version) = order.version else { continue };
+        if let Some(first) = accepted.insert(version, order.name) {
+            let seen = format!("{first} and {} were both accepted as version {version}", order.name);
+            broken(breaches, "one order a version", seen);
+        }
+    }
+}
+
+/// All nodes that go by a generation go by the same configuration.
+fn check_held(lines: &[Line], breaches: &mut Vec<Breach>) {
+    let mut held: BTreeMap<u64, (&str, &str)> = BTreeMap::new();
+    for line in lines {
+        let Line::ConfigurationHeld { node, generation, last_order, .. } = line else { continue };
+        let (first_node, first_order) = *held.entry(*generation).or_insert((node, last_order));
+        if first_order != last_order {
+            let seen = format!(
+                "generation {generation} is by {first_order} at {first_node}, by {last_order} at {node}"
+            );
+            broken(breaches, "one configuration a generation", seen);
+        }
+    }
+}
+
+/// An order or a read on its way to its answer.
+struct Exchange<'a> {
+    what: String,
+    node: &'a str,
+    sent_at: u64,
+    ended_at: u64,
+}
+
+/// A node that is awake answers within the time, if only that it cannot.
+fn check_answer_times(
+    lines: &[Line],
+    orders: &BTreeMap<&str, SentOrder>,
+    settings: &CheckSettings,
+    breaches: &mut Vec<Breach>,
+) {
+    let frozen = frozen_spans(lines);
+    let was_frozen = |exchange: &Exchange| {
+        let spans = frozen.get(exchange.node);
+        spans.is_some_and(|spans| {
+            spans.iter().any(|(from, until)| *from <= exchange.ended_at && exchange.sent_at <= *until)
+        })
+    };
+    let mut exchanges = order_exchanges(orders);
+    exchanges.extend(read_exchanges(lines));
+    let exchange_count = exchanges.len();
+    let is_late = |exchange: &&Exchange| {
+        exchange.ended_at > exchange.sent_at.saturating_add(settings.order_answered_within)
+    };
+    let late: Vec<&Exchange> = exchanges.iter().filter(is_late).filter(|late| !was_frozen(late)).collect();
+    let Some(first) = late.iter().min_by_key(|exchange| exchange.sent_at) else { return };
+    let seen = format!(
+        "{} of {exchange_count} had no answer after {} ms; the first was {} sent to {} at {}, {}",
+        late.len(),
+        settings.order_answered_within / 1_000,
+        first.what,
+        first.node,
+        first.sent_at,
+        match first.ended_at {
+            u64::MAX => "never answered".to_owned(),
+            ended_at => format!("answered after {} ms", (ended_at - first.sent_at) / 1_000),
+        },
+    );
+    broken(breaches, "operators are answered in time", seen);
+}
+
+fn order_exchanges<'a>(orders: &BTreeMap<&str, SentOrder<'a>>) -> Vec<Exchange<'a>> {
+    let mut exchanges = Vec::new();
+    for order in orders.values() {
+        for (number, attempt) in &order.attempts {
+            let ended_at = attempt.answer.map_or(u64::MAX, |(at, _)| at);
+            let what = format!("attempt {number} of {}", order.name);
+            exchanges.push(Exchange { what, node: attempt.node, sent_at: attempt.sent_at, ended_at });
+        }
+    }
+    exchanges
+}
+
+fn read_exchanges(lines: &[Line]) -> Vec<Exchange<'_>> {
+    let mut reads: BTreeMap<u64, Exchange> = BTreeMap::new();
+    for line in lines {
+        match line {
+            Line::ReadSent { at, read, node } => {
+                let what = format!("read {read}");
+                reads.insert(*read, Exchange { what, node, sent_at: *at, ended_at: u64::MAX });
+            }
+            Line::ReadAnswered { at, read, .. } => {
+                if let Some(exchange) = reads.get_mut(read) {
+                    exchange.ended_at = *at;
+                }
+            }
+            _ => {}
+        }
+    }
+    reads.into_values().collect()
+}
+
+fn frozen_spans(lines: &[Line]) -> BTreeMap<&str, Vec<(u64, u64)>> {
+    let mut spans: BTreeMap<&str, Vec<(u64, u64)>> = BTreeMap::new();
+    for line in lines {
+        if let Line::NodeFrozen { at, node, until } = line {
+            spans.entry(node).or_default().push((*at, *until));
+        }
+    }
+    spans
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/packages/history_checks/src/order_rules/tests.rs
@@ -0,0 +1,92 @@
+use super::*;
+use crate::ReadAnswer;
+
+fn sent(order: &str, attempt: u64, at: u64, version: u64) -> Line {
+    let (order, node) = (order.to_owned(), "n1".to_owned());
+    Line::OrderSent {
+        at,
+        order,
+        attempt,
+        node,
+        expected_version: None,
+        version: Some(version),
+        is_proper: true,
+    }
+}
+
+fn answered(order: &str, attempt: u64, at: u64, answer: OrderAnswer) -> Line {
+    Line::OrderAnswered { at, order: order.to_owned(), attempt, answer }
+}
+
+fn accepted(order: &str, attempt: u64, at: u64, generation: u64) -> Line {
+    answered(order, attempt, at, OrderAnswer::Accepted { generation })
+}
+
+fn rules(lines: &[Line]) -> Vec<&'static str> {
+    let mut breaches = Vec::new();
+    check_orders(lines, &CheckSettings::default(), &mut breaches);
+    breaches.into_iter().map(|breach| breach.rule).collect()
+}
+
+fn taken() -> Vec<Line> {
+    vec![sent("a", 0, 10, 1), accepted("a", 0, 20, 1)]
+}
+
+#[test]
+fn taken_orders_are_acknowledged_again_or_left_unclear() {
+    assert_eq!(rules(&taken()), [""; 0]);
+    for answer in [OrderAnswer::Accepted { generation: 1 }, OrderAnswer::Unclear, OrderAnswer::Lost] {
+        let lines = [taken(), vec![sent("a", 1, 30, 1), answered("a", 1, 40, answer)]].concat();
+        assert_eq!(rules(&lines), [""; 0]);
+    }
+    let refused = [taken(), vec![sent("a", 1, 30, 1), answered("a", 1, 40, OrderAnswer::RefusedVersion)]];
+    assert_eq!(rules(&refused.concat()), ["a taken order is never refused"]);
+    let other = [taken(), vec![sent("a", 1, 30, 1), accepted("a", 1, 40, 2)]].concat();
+    assert_eq!(rules(&other), ["one order, one generation"]);
+}
+
+#[test]
+fn busy_is_no_reason_to_refuse() {
+    let busy = OrderAnswer::RefusedInvalid { reason: "too many changes wait at this node".to_owned() };
+    let lines = vec![sent("a", 0, 10, 1), answered("a", 0, 20, busy.clone())];
+    assert_eq!(rules(&lines), ["proper orders are refused for their version alone"]);
+    let Line::OrderSent { at, order, attempt, node, expected_version, version, .. } = sent("a", 0, 10, 1)
+    else {
+        panic!("an order");
+    };
+    let improper = Line::OrderSent { at, order, attempt, node, expected_version, version, is_proper: false };
+    assert_eq!(rules(&[improper.clone(), answered("a", 0, 20, busy)]), [""; 0]);
+    assert_eq!(rules(&[improper, accepted("a", 0, 20, 1)]), ["improper orders are never accepted"]);
+}
+
+#[test]
+fn one_version_is_one_order() {
+    let lines = [taken(), vec![sent("b", 0, 12, 1), accepted("b", 0, 22, 2)]].concat();
+    assert_eq!(rules(&lines), ["one order a version"]);
+}
+
+#[test]
+fn one_generation_is_one_configuration() {
+    let held = |node: &str, last_order: &str| Line::ConfigurationHeld {
+        at: 5,
+        node: node.into(),
+        generation: 3,
+        last_order: last_order.into(),
+    };
+    assert_eq!(rules(&[held("n1", "a"), held("n2", "a")]), [""; 0]);
+    assert_eq!(rules(&[held("n1", "a"), held("n2", "b")]), ["one configuration a generation"]);
+}
+
+#[test]
+fn silence_is_found_unless_the_node_stood_still() {
+    let late = vec![sent("a", 0, 10, 1), answered("a", 0, 1_600_000, OrderAnswer::Unclear)];
+    assert_eq!(rules(&late), ["operators are answered in time"]);
+    assert_eq!(rules(&[sent("a", 0, 10, 1)]), ["operators are answered in time"]);
+    let frozen = Line::NodeFrozen { at: 500_000, node: "n1".into(), until: 900_000 };
+    assert_eq!(rules(&[late, vec![frozen]].concat()), [""; 0]);
+    let read = Line::ReadSent { at: 10, read: 1, node: "n1".into() };
+    let in_time = Line::ReadAnswered { at: 1_000_000, read: 1, answer: ReadAnswer::NoMajority };
+    assert_eq!(rules(&[read.clone(), in_time]), [""; 0]);
+    let too_late = Line::ReadAnswered { at: 2_000_000, read: 1, answer: ReadAnswer::NoMajority };
+    assert_eq!(rules(&[read, too_late]), ["operators are answered in time"]);
+}
