An order that may have been taken and forgotten is answered unknown, not refused

Only the last 256 accepted ids are remembered. An older order, sent again after its answer was lost, was refused because its version is not above the standing one, although it had been taken.

The highest version ever forgotten is stored with the configuration (serde default 0): at or below it nobody can tell, and the answer is Unknown. Versions rise, so every accepted one above it is remembered; what can never have been taken (no id, not exactly one document) is refused as before. Ruled out: remembering all ids, which grows without end.

--- a/packages/configuration_check/src/changes.rs
+++ b/packages/configuration_check/src/changes.rs
@@ -5,6 +5,8 @@
 /// How many accepted change ids are remembered with the configuration.
 const REMEMBERED_CHANGES: usize = 256;
 const CHANGE_ID_LIMIT: usize = 128;
+/// Why the fate of an order that may have been taken and forgotten is not told.
+const TOO_OLD: &str = "too old to tell: it may have been taken and forgotten since; read the configuration";
 /// The path of the one reason that tells of another version, not of a fault in the change.
 pub const EXPECTED_VERSION: &str = "/expected_version";
 
@@ -41,6 +43,9 @@
 struct RememberedChange {
     change_id: String,
     generation: u64,
+    /// The operator's version of it; none for a change without one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    version: Option<u64>,
 }
 
 /// What stands in the configuration's register: the document, its generation, the recent changes.
@@ -56,6 +61,9 @@
     /// The whole document.
     pub document: Value,
     recent: Vec<RememberedChange>,
+    /// The highest version of an accepted change that is no longer in `recent`.
+    #[serde(default)]
+    forgotten_version: u64,
 }
 
 /// What became of a change. Example: `ChangeOutcome::Accepted { generation: 5, repeated: false }`.
@@ -65,7 +73,8 @@
     Accepted { generation: u64, repeated: bool },
     /// It changed nothing; the reasons are all that were found.
     Refused { generation: u64, reasons: Vec<Reason> },
-    /// The state could not be reached or its answer was lost: ask again under the same id.
+    /// The state could not be reached, its answer was lost, or the change is too old to tell: ask again
+    /// under the same id.
     Unknown { reason: String },
 }
 
@@ -87,6 +96,13 @@
     }
 }
 
+impl Change {
+    /// Whether exactly one of `whole`, `partial` and `items` is given.
+    fn names_one_document(&self) -> bool {
+        [&self.whole, &self.partial, &self.items].into_iter().flatten().count() == 1
+    }
+}
+
 impl StoredConfiguration {
     /// What stands before any change. Example: `StoredConfiguration::empty().generation == 0`.
     pub fn empty() -> StoredConfiguration {
@@ -95,6 +111,7 @@
             version: 0,
             document: json!({ "allowances": {}, "functions": {}, "lanes": {} }),
             recent: Vec::new(),
+            forgotten_version: 0,
         }
     }
 
@@ -125,6 +142,11 @@
 
     /// Applies a change to what stands. On `Accepted` without repetition `self` is the next value to
     /// write; otherwise `self` is untouched.
+    ///
+    /// A change that was accepted is never refused when it is sent again, if it names a `version`: it is
+    /// accepted again while it is remembered, and `Unknown` once it may have been forgotten. One without
+    /// a version is only known while it is among the last 256: after that it counts as a new change, is
+    /// refused if its `expected_generation` is over, and otherwise applies a second time.
     /// Example: `stored.apply(&change) == ChangeOutcome::Accepted { generation: 1, repeated: false }`.
     pub fn apply(&mut self, change: &Change) -> ChangeOutcome {
         if let Some(known) = self.recent.iter().find(|known| known.change_id == change.change_id) {
@@ -132,9 +154,14 @@
         }
         let refused = |reasons: Vec<Reason>| ChangeOutcome::Refused { generation: self.generation, reasons };
         let mut reasons = Vec::new();
-        if change.change_id.is_empty() || change.change_id.len() > CHANGE_ID_LIMIT {
+        let has_proper_id = (1..=CHANGE_ID_LIMIT).contains(&change.change_id.len());
+        if !has_proper_id {
             reasons.push(Reason::at("/change_id", format!("must have 1 to {CHANGE_ID_LIMIT} bytes")));
         }
+        // What can never have been accepted is refused however old it is.
+        if has_proper_id && change.names_one_document() && self.may_be_forgotten(change) {
+            return ChangeOutcome::Unknown { reason: TOO_OLD.to_owned() };
+        }
         if let Some(expected_generation) = change.expected_generation
             && expected_generation != self.generation
         {
@@ -174,12 +201,27 @@
         self.generation += 1;
         self.version = change.version.unwrap_or(self.version);
         self.document = next_document;
-        self.recent
-            .push(RememberedChange { change_id: change.change_id.clone(), generation: self.generation });
-        let surplus_count = self.recent.len().saturating_sub(REMEMBERED_CHANGES);
-        self.recent.drain(..surplus_count);
+        self.remember(change);
         ChangeOutcome::Accepted { generation: self.generation, repeated: false }
     }
+
+    /// Whether a change that is not remembered may have been accepted all the same. Versions rise, so
+    /// that every accepted one above the highest forgotten version is remembered.
+    fn may_be_forgotten(&self, change: &Change) -> bool {
+        change.version.is_some_and(|version| version <= self.forgotten_version)
+    }
+
+    /// Remembers a change that was just accepted, and forgets the oldest beyond the limit.
+    fn remember(&mut self, change: &Change) {
+        self.recent.push(RememberedChange {
+            change_id: change.change_id.clone(),
+            generation: self.generation,
+            version: change.version,
+        });
+        let surplus_count = self.recent.len().saturating_sub(REMEMBERED_CHANGES);
+        let forgotten_versions = self.recent.drain(..surplus_count).filter_map(|known| known.version);
+        self.forgotten_version = forgotten_versions.fold(self.forgotten_version, u64::max);
+    }
 }
 
 /// The document with named items replaced whole, and those that are null removed.
--- a/packages/configuration_check/src/changes/tests.rs
+++ b/packages/configuration_check/src/changes/tests.rs
@@ -94,3 +94,77 @@
     assert_eq!((lane.target_millis, lane.shares()), (None, vec![("proof", 2.0)]));
     assert_eq!(stored.version, 9, "a change without a version keeps the one that stands");
 }
+
+/// An order under a version; the first makes version 1 of version 0.
+fn numbered(version: u64) -> Change {
+    Change {
+        change_id: format!("order-{version}"),
+        expected_version: Some(version - 1),
+        version: Some(version),
+        partial: Some(json!({})),
+        ..Change::default()
+    }
+}
+
+fn stored_after(order_count: u64) -> StoredConfiguration {
+    let mut stored = StoredConfiguration::empty();
+    for version in 1..=order_count {
+        let outcome = stored.apply(&numbered(version));
+        assert_eq!(outcome, ChangeOutcome::Accepted { generation: version, repeated: false });
+    }
+    stored
+}
+
+#[test]
+fn an_order_that_may_be_forgotten_is_never_refused() {
+    let mut stored = stored_after(300);
+    let before = stored.clone();
+    let forgotten_count = 300 - REMEMBERED_CHANGES as u64;
+    for version in 1..=300 {
+        let outcome = stored.apply(&numbered(version));
+        match version <= forgotten_count {
+            true => assert_eq!(outcome, ChangeOutcome::Unknown { reason: TOO_OLD.to_owned() }, "{version}"),
+            false => assert_eq!(outcome, ChangeOutcome::Accepted { generation: version, repeated: true }),
+        }
+    }
+    assert_eq!(stored, before);
+    // The loser of a race long ago can't be told from the winner; of one that is remembered it can.
+    let lost = |version| Change { change_id: "lost".to_owned(), ..numbered(version) };
+    assert!(matches!(stored.apply(&lost(forgotten_count)), ChangeOutcome::Unknown { .. }));
+    assert!(matches!(stored.apply(&lost(forgotten_count + 1)), ChangeOutcome::Refused { .. }));
+    // What was never proper was never taken.
+    let improper = Change { whole: Some(json!({})), ..numbered(1) };
+    assert!(matches!(stored.apply(&improper), ChangeOutcome::Refused { .. }));
+    let unnamed = Change { change_id: String::new(), ..numbered(1) };
+    assert!(matches!(stored.apply(&unnamed), ChangeOutcome::Refused { .. }));
+}
+
+#[test]
+fn the_highest_forgotten_version_is_stored_and_outlasts_changes_without_versions() {
+    let mut stored = stored_after(10);
+    for number in 0..REMEMBERED_CHANGES {
+        let native = change(&format!("native-{number}"), None, None, Some(json!({})));
+        assert!(matches!(stored.apply(&native), ChangeOutcome::Accepted { repeated: false, .. }));
+    }
+    let mut restored = StoredConfiguration::decode(&stored.encode()).expect("stored bytes");
+    assert_eq!(restored, stored);
+    for version in 1..=10 {
+        assert!(matches!(restored.apply(&numbered(version)), ChangeOutcome::Unknown { .. }), "{version}");
+    }
+    assert!(matches!(restored.apply(&numbered(11)), ChangeOutcome::Accepted { repeated: false, .. }));
+    // A change without a version that was forgotten is a new one; its generation, if named, tells.
+    let native = change("native-0", None, None, Some(json!({})));
+    assert!(matches!(restored.apply(&native), ChangeOutcome::Accepted { repeated: false, .. }));
+    let expecting = change("native-1", Some(11), None, Some(json!({})));
+    assert!(matches!(restored.apply(&expecting), ChangeOutcome::Refused { .. }));
+}
+
+#[test]
+fn what_was_stored_before_versions_were_remembered_is_read() {
+    let older = r#"{"generation":2,"version":7,"document":{"allowances":{},"functions":{},"lanes":{}},
+        "recent":[{"change_id":"a","generation":1},{"change_id":"b","generation":2}]}"#;
+    let mut stored = StoredConfiguration::decode(older.as_bytes()).expect("older bytes");
+    let repeated = Change { change_id: "b".to_owned(), ..numbered(7) };
+    assert_eq!(stored.apply(&repeated), ChangeOutcome::Accepted { generation: 2, repeated: true });
+    assert!(matches!(stored.apply(&numbered(8)), ChangeOutcome::Accepted { generation: 3, .. }));
+}
