Operators in the simulator: orders sent again, confirmed reads, and scenarios of control

The simulator's operators sent a change once and never named a version, so races on one number, lost answers, repeats and reads of a machine that is cut off were never brought about.

Operators now send orders with expected_version and version to any node, again and unchanged after silence or an unclear answer, up to eight at once, with a share of the answers lost, and read the configuration confirmed; each sending is in the history with its begin and end. Thirteen scenarios use them. A verdict keeps the first three breaches of each rule, where six of one rule hid all others.

Before: none of this was judged.

--- a/packages/fleet_simulator/src/bin/simulate.rs
+++ b/packages/fleet_simulator/src/bin/simulate.rs
@@ -1,7 +1,7 @@
 //! Runs simulated scenarios over many seeds and tells what broke.
 
 use fleet_simulator::scenarios;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -79,6 +79,8 @@
         let mut figures: Vec<(&str, Vec<f64>)> = Vec::new();
         let mut refusals: BTreeMap<String, u64> = BTreeMap::new();
         let mut broken_count = 0;
+        // For each rule in how many runs it was broken.
+        let mut broken_rules: BTreeMap<&str, u64> = BTreeMap::new();
         for (seed, verdict) in verdicts {
             let Some(verdict) = verdict else { continue };
             for (total, count) in outcomes.iter_mut().zip(verdict.outcomes) {
@@ -96,7 +98,9 @@
             if !verdict.breaches.is_empty() {
                 broken_count += 1;
                 is_sound = false;
-                for breach in verdict.breaches.iter().take(3) {
+                let mut told: BTreeSet<&str> = BTreeSet::new();
+                for breach in verdict.breaches.iter().filter(|breach| told.insert(breach.rule)) {
+                    *broken_rules.entry(breach.rule).or_default() += 1;
                     println!("  {name} seed {seed}: {}: {}", breach.rule, breach.seen);
                 }
             }
@@ -112,6 +116,9 @@
             line.push_str(&format!("; {figure} median {median:.1} most {most:.1}"));
         }
         println!("{line}");
+        for (rule, count) in broken_rules {
+            println!("    {count} of {seeds} broke: {rule}");
+        }
         for (reason, count) in refusals {
             println!("    {count} refused: {reason}");
         }
--- a/packages/fleet_simulator/src/lib.rs
+++ b/packages/fleet_simulator/src/lib.rs
@@ -4,16 +4,23 @@
 //! The same seed gives the same history, byte for byte. What is seen goes into a history that
 //! `history_checks` judges after the fact.
 
+mod acknowledgement_scenarios;
 mod allowance_scenarios;
+mod catch_up_scenarios;
+mod control_scenarios;
 mod disk_scenarios;
 mod lane_scenarios;
 mod machine_scenarios;
+mod operator_desk;
+mod order_scenarios;
 pub mod scenarios;
 mod sim_calls;
 mod sim_disk;
+mod sim_operators;
 mod sim_platform;
 mod world;
 
 pub use sim_disk::SimDisk;
+pub use sim_operators::{OrderPlan, Repeat};
 pub use sim_platform::SimPlatform;
 pub use world::{FreezeIn, World, WorldSettings};
--- /dev/null
+++ b/packages/fleet_simulator/src/order_scenarios.rs
@@ -0,0 +1,153 @@
+//! Orders that are under way at once, race on one version, or are sent again after a lost answer.
+
+use crate::scenarios::{Trial, Verdict};
+use crate::sim_operators::OrderPlan;
+use clock_events::Micros;
+use fastrand::Rng;
+
+/// Orders that operators have under way at once.
+const AT_ONCE: u64 = 8;
+
+/// Which of eight orders may have a fault of its own.
+const FAULTY: usize = 3;
+
+/// Eight orders at once with rising versions, or all on one version, ten times; a node is killed and
+/// started again amid some.
+pub(crate) fn eight_orders_at_once(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    let mut dice = Rng::with_seed(seed ^ 0x8a71);
+    let mut version = 0;
+    for round in 0..10 {
+        let is_race = dice.bool();
+        let names: Vec<String> = (0..AT_ONCE).map(|number| format!("eight-{round}-{number}")).collect();
+        for (number, name) in names.iter().enumerate() {
+            let (expected, next) = match is_race {
+                true => (Some(version), version + 1),
+                false => (None, version + 1 + number as u64),
+            };
+            let mut plan = OrderPlan::new(name.clone(), dice.usize(..10), expected, next);
+            // One of the middle now and then has a fault of its own.
+            plan.is_proper = is_race || number != FAULTY || dice.bool();
+            trial.world.send_order(plan);
+        }
+        trial.world.run_for(dice.f64() * 0.02);
+        let victim = (round % 3 == 2).then(|| dice.usize(..10));
+        if let Some(victim) = victim {
+            trial.world.kill(victim);
+        }
+        let is_over = trial.world.run_until(10.0, |world| names.iter().all(|name| world.is_order_over(name)));
+        trial.must(is_over, "orders are answered clearly", "eight orders were not answered after 10 s");
+        match is_race {
+            true => trial.must_have_one_winner(&names),
+            false => {
+                let is_highest_taken = trial.world.is_order_accepted(&names[names.len() - 1]);
+                trial.must(is_highest_taken, "proper orders are taken", "the highest version was refused");
+            }
+        }
+        version += if is_race { 1 } else { AT_ONCE };
+        if let Some(victim) = victim {
+            trial.world.start(victim);
+            trial.must_settle();
+        }
+    }
+    trial.must_settle();
+    trial.verdict()
+}
+
+/// Two operators are always both on one version, within a few milliseconds, at one node or at two, with
+/// disks that lose their power and answers that are lost now and then.
+pub(crate) fn orders_race_on_one_version(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    let mut dice = Rng::with_seed(seed ^ 0x2ace);
+    trial.checks.refusals_fixed = 20;
+    for version in 0..25 {
+        trial.world.lose_answers(if dice.u8(..3) == 0 { 0.3 } else { 0.0 });
+        let names = [format!("race-{version}-a"), format!("race-{version}-b")];
+        for name in &names {
+            let mut plan = OrderPlan::new(name.clone(), dice.usize(..10), Some(version), version + 1);
+            plan.wanted_for = Micros::from_secs(40);
+            trial.world.send_order(plan);
+            trial.world.run_for(dice.f64() * 0.004);
+        }
+        if version % 8 == 7 {
+            let victim = trial.world.configuration_owner().unwrap_or(dice.usize(..3));
+            trial.world.kill(victim);
+            trial.must_have_one_winner(&names);
+            trial.world.start(victim);
+            trial.must_settle();
+            continue;
+        }
+        trial.must_have_one_winner(&names);
+    }
+    trial.must_settle();
+    trial.verdict()
+}
+
+/// What happens between an order's first sending and the next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Between {
+    Nothing,
+    /// The owner of the configuration's key is killed, and back two seconds later.
+    OwnerKilled,
+    /// Every node is killed and started again.
+    AllRestarted,
+    /// The order is sent again after a few milliseconds, before the first sending is settled.
+    SentAtOnce,
+}
+
+/// Half of all answers are lost, and orders are sent again to other nodes: across a change of the
+/// owner, a restart of everything, and before the first is settled. Older ones are sent again as well.
+pub(crate) fn lost_answers_repeated(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    let mut dice = Rng::with_seed(seed ^ 0x105e);
+    trial.checks.count_refusals = false;
+    trial.world.lose_answers(0.5);
+    let kinds = [Between::Nothing, Between::OwnerKilled, Between::AllRestarted, Between::SentAtOnce];
+    for version in 0..12 {
+        let between = kinds[(seed as usize + version as usize) % kinds.len()];
+        let name = format!("lost-{version}");
+        let mut plan = OrderPlan::new(name.clone(), dice.usize(..10), Some(version), version + 1);
+        plan.wanted_for = Micros::from_secs(60);
+        if between == Between::SentAtOnce {
+            plan.silence = Micros::from_millis(1 + dice.u64(..12));
+        }
+        trial.world.send_order(plan);
+        trial.world.run_for(0.001 + dice.f64() * 0.03);
+        trial.interrupt(between);
+        let is_accepted = trial.world.run_until(20.0, |world| world.is_order_accepted(&name));
+        let seen = format!("{name} ({between:?}): {:?}", trial.world.order_answer(&name));
+        trial.must(is_accepted, "a proper order is taken", &seen);
+        // Another operator repeats what he ordered long ago.
+        for _ in 0..2 {
+            let older = format!("lost-{}", dice.u64(..=version));
+            let node = dice.usize(..10);
+            trial.world.repeat_order(&older, node);
+        }
+        trial.world.run_for(1.6);
+    }
+    trial.must_settle();
+    trial.verdict()
+}
+
+impl Trial {
+    fn interrupt(&mut self, between: Between) {
+        match between {
+            Between::Nothing | Between::SentAtOnce => {}
+            Between::OwnerKilled => {
+                let Some(owner) = self.world.configuration_owner() else { return };
+                self.world.kill(owner);
+                self.world.run_for(2.0);
+                self.world.start(owner);
+            }
+            Between::AllRestarted => {
+                for number in 0..10 {
+                    self.world.kill(number);
+                }
+                self.world.run_for(0.5);
+                for number in 0..10 {
+                    self.world.start(number);
+                }
+            }
+        }
+    }
+}
--- a/packages/fleet_simulator/src/scenarios.rs
+++ b/packages/fleet_simulator/src/scenarios.rs
@@ -1,12 +1,21 @@
 //! The brief's failures as named scenarios. Each runs a seeded world and returns what was broken.
 
+use crate::acknowledgement_scenarios::{
+    acknowledging_node_killed, all_disks_lose_power_after_acknowledging, killed_around_the_acknowledgement,
+};
 use crate::allowance_scenarios::{allowances_contended, allowances_moved, lone_start_beside_hunger};
+use crate::catch_up_scenarios::hundreds_of_changes;
+use crate::control_scenarios::{
+    control_machine_cut_off, orders_crowd_at_a_cut_off_machine, orders_meet_a_returning_machine,
+    orders_race_during_a_cut, owner_frozen_amid_orders, two_control_machines_cut_off,
+};
 use crate::disk_scenarios::{
     disk_full_and_room_again, disks_wiped_in_turn, lowest_seeds_without_disk, two_disks_full,
     two_disks_stalled, two_of_five_wiped, vote_change_with_owner_lost, wiped_amid_a_vote_change,
 };
 use crate::lane_scenarios::{lanes_moved, lanes_moved_while_nodes_sleep};
 use crate::machine_scenarios::{clocks_drift, frozen_in_the_act, full_size};
+use crate::order_scenarios::{eight_orders_at_once, lost_answers_repeated, orders_race_on_one_version};
 use crate::{World, WorldSettings};
 use clock_events::Micros;
 use history_checks::{Breach, CheckSettings, Line, check_all};
@@ -93,6 +102,19 @@
     two_of_five_wiped,
     wiped_amid_a_vote_change,
     lowest_seeds_without_disk,
+    control_machine_cut_off,
+    two_control_machines_cut_off,
+    owner_frozen_amid_orders,
+    orders_race_during_a_cut,
+    orders_meet_a_returning_machine,
+    orders_crowd_at_a_cut_off_machine,
+    eight_orders_at_once,
+    orders_race_on_one_version,
+    lost_answers_repeated,
+    acknowledging_node_killed,
+    killed_around_the_acknowledgement,
+    all_disks_lose_power_after_acknowledging,
+    hundreds_of_changes,
 }
 
 /// A scenario under way.
@@ -174,7 +196,7 @@
         self.world.run_for(6.0);
         self.world.note_standing_changes();
         self.breaches.extend(check_all(self.world.lines(), &self.checks));
-        self.breaches.truncate(6);
+        keep_first_of_each_rule(&mut self.breaches);
         Verdict {
             breaches: self.breaches,
             outcomes: self.world.outcomes,
@@ -185,6 +207,19 @@
     }
 }
 
+/// Breaches of one rule that a verdict tells.
+const TOLD_OF_A_RULE: usize = 3;
+
+/// Keeps the first few breaches of each rule, so that none hides those of another.
+fn keep_first_of_each_rule(breaches: &mut Vec<Breach>) {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    breaches.retain(|breach| {
+        let count = counts.entry(breach.rule).or_default();
+        *count += 1;
+        *count <= TOLD_OF_A_RULE
+    });
+}
+
 fn quiet(seed: u64) -> Verdict {
     let mut trial = Trial::default(seed);
     trial.world.run_for(25.0);
--- a/packages/fleet_simulator/src/sim_disk.rs
+++ b/packages/fleet_simulator/src/sim_disk.rs
@@ -51,4 +51,9 @@
     pub fn registers(&self) -> DiskRegisters {
         DiskRegisters::restore(&self.durable).unwrap_or_default()
     }
+
+    /// Bytes of the synced records. Example: `SimDisk::blank(7).durable_bytes() == 0`.
+    pub fn durable_bytes(&self) -> usize {
+        self.durable.iter().map(Vec::len).sum()
+    }
 }
--- /dev/null
+++ b/packages/fleet_simulator/src/sim_operators.rs
@@ -0,0 +1,404 @@
+//! Operators who name versions: orders that are sent again unchanged until they are answered clearly,
+//! and confirmed reads, each sending noted in the history with its begin and end.
+
+use crate::world::{Happening, World};
+use clock_events::Micros;
+use configuration_check::{
+    Change, ChangeOutcome, Configuration, EXPECTED_VERSION, Reason, StoredConfiguration,
+};
+use history_checks::{Line, OrderAnswer, ReadAnswer};
+use node_protocol::Event;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+/// The lane that each order replaces: its path names the order that was applied last.
+const LAST_ORDER_LANE: &str = "last-order";
+const LAST_ORDER_PREFIX: &str = "/last-order/";
+/// The path of the reason that tells of a version that does not rise.
+const VERSION: &str = "/version";
+/// Between an unclear answer, or a connection that was refused, and the next sending.
+const REPEAT_PAUSE: u64 = 100_000;
+
+/// Which node an order is sent to next. Example: `Repeat::OtherNode`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// Another one of the nodes that are up, drawn by lot.
+    OtherNode,
+    /// The same again and again.
+    SameNode,
+}
+
+/// An order as its operator means it. Example: `OrderPlan::new("o1", 3, Some(4), 5)`.
+#[derive(Clone, Debug)]
+pub struct OrderPlan {
+    /// The order's name, the same each time it is sent.
+    pub order: String,
+    /// The node that it is sent to first.
+    pub node: usize,
+    /// The version that it builds on, if it names one.
+    pub expected_version: Option<u64>,
+    /// The version that it makes.
+    pub version: u64,
+    /// Where it goes when it has to be sent again.
+    pub repeat: Repeat,
+    /// It is sent again after this silence.
+    pub silence: Micros,
+    /// It is given up after this.
+    pub wanted_for: Micros,
+    /// Lanes that it sets besides its own marks.
+    pub lanes: Value,
+    /// Whether the order itself is sound; one that is not has to be refused.
+    pub is_proper: bool,
+}
+
+impl OrderPlan {
+    /// A proper order that goes to another node after a second of silence, for twenty seconds.
+    /// Example: `OrderPlan::new("o1", 3, Some(4), 5)`.
+    pub fn new(order: impl Into<String>, node: usize, expected_version: Option<u64>, version: u64) -> Self {
+        OrderPlan {
+            order: order.into(),
+            node,
+            expected_version,
+            version,
+            repeat: Repeat::OtherNode,
+            silence: Micros::from_secs(1),
+            wanted_for: Micros::from_secs(20),
+            lanes: json!({}),
+            is_proper: true,
+        }
+    }
+}
+
+/// An order on its way.
+struct SimOrder {
+    plan: OrderPlan,
+    change: Change,
+    gives_up_at: u64,
+    attempt_count: u64,
+    last_node: usize,
+    /// The first clear answer that the operator got.
+    settled: Option<OrderAnswer>,
+}
+
+/// One sending that its node has not answered yet.
+struct OpenAttempt {
+    order: String,
+    attempt: u64,
+    node: usize,
+}
+
+/// A read that its node has not answered yet.
+struct OpenRead {
+    read: u64,
+    node: usize,
+}
+
+/// All operators' orders and reads.
+#[derive(Default)]
+pub(crate) struct SimOperators {
+    orders: BTreeMap<String, SimOrder>,
+    /// By the request's number at the node.
+    attempts: BTreeMap<u64, OpenAttempt>,
+    reads: BTreeMap<u64, OpenRead>,
+    /// Answers to reads, by the read's number.
+    read_answers: BTreeMap<u64, ReadAnswer>,
+    next_request: u64,
+    /// The share of answers to orders that are lost on their way to the operator.
+    lost_answers: f64,
+}
+
+/// What operators do in time.
+pub(crate) enum OperatorHappening {
+    /// An order is sent, if it is not settled.
+    Sends { order: String },
+    /// A sending reaches its node.
+    Arrives { request: u64 },
+    /// Nothing was heard of a sending until now.
+    Silence { order: String, attempt: u64 },
+    /// An answer reaches the operator.
+    AnswerComes { order: String, attempt: u64, answer: OrderAnswer },
+    /// A read reaches its node.
+    ReadArrives { request: u64 },
+    /// A read's answer reaches the operator.
+    ReadAnswerComes { read: u64, answer: ReadAnswer },
+}
+
+impl World {
+    /// The share of answers to orders that get lost from now on. Example: `world.lose_answers(0.3)`.
+    pub fn lose_answers(&mut self, share: f64) {
+        self.operators.lost_answers = share;
+    }
+
+    /// An operator sends an order, again and again until it is answered clearly.
+    /// Example: `world.send_order(OrderPlan::new("o1", 3, Some(0), 1))`.
+    pub fn send_order(&mut self, plan: OrderPlan) {
+        let order = plan.order.clone();
+        let sim_order = SimOrder {
+            change: self.change_of(&plan),
+            gives_up_at: self.now + plan.wanted_for.0,
+            attempt_count: 0,
+            last_node: plan.node,
+            settled: None,
+            plan,
+        };
+        self.operators.orders.insert(order.clone(), sim_order);
+        self.order_sends(&order);
+    }
+
+    /// The order as nodes get it: it leaves its mark, and its name as that of the last order.
+    fn change_of(&self, plan: &OrderPlan) -> Change {
+        let function = match plan.is_proper {
+            true => self.functions()[0].clone(),
+            false => "no-such-function".to_owned(),
+        };
+        let order = &plan.order;
+        let mut lanes = plan.lanes.clone();
+        let last_order = format!("{LAST_ORDER_PREFIX}{order}");
+        lanes[LAST_ORDER_LANE] = json!({"function": function, "path_prefix": last_order});
+        lanes[format!("mark-{order}")] =
+            json!({"function": function, "path_prefix": format!("/mark/{order}")});
+        Change {
+            change_id: order.clone(),
+            expected_version: plan.expected_version,
+            version: Some(plan.version),
+            partial: Some(json!({ "lanes": lanes })),
+            ..Change::default()
+        }
+    }
+
+    /// The first clear answer that an order's operator got. Example: `world.order_answer("o1")`.
+    pub fn order_answer(&self, order: &str) -> Option<&OrderAnswer> {
+        self.operators.orders.get(order)?.settled.as_ref()
+    }
+
+    /// Whether an order's operator got it accepted. Example: `world.is_order_accepted("o1")`.
+    pub fn is_order_accepted(&self, order: &str) -> bool {
+        matches!(self.order_answer(order), Some(OrderAnswer::Accepted { .. }))
+    }
+
+    /// Whether nobody waits for an order any more: it is answered clearly, or given up.
+    /// Example: `world.is_order_over("o1")`.
+    pub fn is_order_over(&self, order: &str) -> bool {
+        let sim_order = self.operators.orders.get(order);
+        sim_order.is_none_or(|sim_order| sim_order.settled.is_some() || self.now >= sim_order.gives_up_at)
+    }
+
+    /// Sends an order that is known once more, whatever became of it, to a node.
+    /// Example: `world.repeat_order("o1", 5)`.
+    pub fn repeat_order(&mut self, order: &str, node: usize) {
+        self.send_attempt(order, node);
+    }
+
+    /// An operator asks a node for the confirmed configuration; the read's number.
+    /// Example: `let read = world.send_read(2);`.
+    pub fn send_read(&mut self, node: usize) -> u64 {
+        self.operators.next_request += 1;
+        let read = self.operators.next_request;
+        self.history(Line::ReadSent { at: self.now, read, node: format!("node-{node}") });
+        let request = self.next_operator_request();
+        self.operators.reads.insert(request, OpenRead { read, node });
+        let travel = self.travel();
+        self.after(travel, Happening::Operator(OperatorHappening::ReadArrives { request }));
+        read
+    }
+
+    /// The answer to a read. Example: `world.read_answer(read) == Some(&ReadAnswer::NoMajority)`.
+    pub fn read_answer(&self, read: u64) -> Option<&ReadAnswer> {
+        self.operators.read_answers.get(&read)
+    }
+
+    pub(crate) fn operator_happens(&mut self, happening: OperatorHappening) {
+        match happening {
+            OperatorHappening::Sends { order } => self.order_sends(&order),
+            OperatorHappening::Arrives { request } => self.attempt_arrives(request),
+            OperatorHappening::Silence { order, attempt } => self.order_unheard(&order, attempt),
+            OperatorHappening::AnswerComes { order, attempt, answer } => {
+                self.order_answered(&order, attempt, answer);
+            }
+            OperatorHappening::ReadArrives { request } => self.read_arrives(request),
+            OperatorHappening::ReadAnswerComes { read, answer } => {
+                self.history(Line::ReadAnswered { at: self.now, read, answer: answer.clone() });
+                self.operators.read_answers.insert(read, answer);
+            }
+        }
+    }
+
+    /// Sends an order that is still wanted, to the node that its turn is.
+    fn order_sends(&mut self, order: &str) {
+        if self.is_order_over(order) {
+            return;
+        }
+        let Some(sim_order) = self.operators.orders.get(order) else { return };
+        let (last_node, is_first) = (sim_order.last_node, sim_order.attempt_count == 0);
+        let node = match sim_order.plan.repeat {
+            Repeat::SameNode => last_node,
+            Repeat::OtherNode if is_first => last_node,
+            Repeat::OtherNode => self.other_node(last_node),
+        };
+        self.send_attempt(order, node);
+    }
+
+    fn other_node(&mut self, last_node: usize) -> usize {
+        let others: Vec<usize> = self.up().into_iter().filter(|number| *number != last_node).collect();
+        self.dice.choice(others).unwrap_or(last_node)
+    }
+
+    fn send_attempt(&mut self, order: &str, node: usize) {
+        let Some(sim_order) = self.operators.orders.get_mut(order) else { return };
+        let attempt = sim_order.attempt_count;
+        sim_order.attempt_count += 1;
+        sim_order.last_node = node;
+        let silence = sim_order.plan.silence.0;
+        let line = Line::OrderSent {
+            at: self.now,
+            order: order.to_owned(),
+            attempt,
+            node: format!("node-{node}"),
+            expected_version: sim_order.plan.expected_version,
+            version: Some(sim_order.plan.version),
+            is_proper: sim_order.plan.is_proper,
+        };
+        self.history(line);
+        let request = self.next_operator_request();
+        let order = order.to_owned();
+        self.operators.attempts.insert(request, OpenAttempt { order: order.clone(), attempt, node });
+        let travel = self.travel();
+        self.after(travel, Happening::Operator(OperatorHappening::Arrives { request }));
+        self.after(silence, Happening::Operator(OperatorHappening::Silence { order, attempt }));
+    }
+
+    fn attempt_arrives(&mut self, request: u64) {
+        let Some(open) = self.operators.attempts.get(&request) else { return };
+        let node = open.node;
+        if !self.takes_operators(node) {
+            self.attempt_ends(request, OrderAnswer::Lost);
+            return;
+        }
+        let Some(sim_order) = self.operators.orders.get(&open.order) else { return };
+        let change = sim_order.change.clone();
+        self.give(node, Event::ChangeAsked { request, change });
+    }
+
+    fn takes_operators(&self, node: usize) -> bool {
+        self.nodes[node].is_up() && !self.nodes[node].is_isolated
+    }
+
+    /// A node gave the outcome of a request; one that no order belongs to is left alone.
+    pub(crate) fn order_settled(&mut self, request: u64, outcome: &ChangeOutcome) {
+        if !self.operators.attempts.contains_key(&request) {
+            return;
+        }
+        let is_lost = self.operators.lost_answers > 0.0 && self.dice.f64() < self.operators.lost_answers;
+        let answer = if is_lost { OrderAnswer::Lost } else { answer_of(outcome) };
+        self.attempt_ends(request, answer);
+    }
+
+    /// An answer sets out; a lost one is none for the operator, who waits for the silence to be over.
+    fn attempt_ends(&mut self, request: u64, answer: OrderAnswer) {
+        let Some(OpenAttempt { order, attempt, .. }) = self.operators.attempts.remove(&request) else {
+            return;
+        };
+        let travel = self.travel();
+        let happening = OperatorHappening::AnswerComes { order, attempt, answer };
+        self.after(travel, Happening::Operator(happening));
+    }
+
+    fn order_answered(&mut self, order: &str, attempt: u64, answer: OrderAnswer) {
+        let line =
+            Line::OrderAnswered { at: self.now, order: order.to_owned(), attempt, answer: answer.clone() };
+        self.history(line);
+        let Some(sim_order) = self.operators.orders.get_mut(order) else { return };
+        match answer {
+            OrderAnswer::Accepted { .. }
+            | OrderAnswer::RefusedVersion
+            | OrderAnswer::RefusedInvalid { .. } => {
+                sim_order.settled.get_or_insert(answer);
+            }
+            OrderAnswer::Unclear if sim_order.attempt_count == attempt + 1 => {
+                let order = order.to_owned();
+                self.after(REPEAT_PAUSE, Happening::Operator(OperatorHappening::Sends { order }));
+            }
+            OrderAnswer::Unclear | OrderAnswer::Lost => {}
+        }
+    }
+
+    /// Nothing was heard of the newest sending: the order goes out once more.
+    fn order_unheard(&mut self, order: &str, attempt: u64) {
+        let Some(sim_order) = self.operators.orders.get(order) else { return };
+        if sim_order.attempt_count == attempt + 1 {
+            self.order_sends(order);
+        }
+    }
+
+    fn read_arrives(&mut self, request: u64) {
+        let Some(open) = self.operators.reads.get(&request) else { return };
+        let node = open.node;
+        match self.takes_operators(node) {
+            true => self.give(node, Event::ConfigurationAsked { request }),
+            false => self.read_ends(request, ReadAnswer::Lost),
+        }
+    }
+
+    /// A node answered a read; one that no operator sent is left alone.
+    pub(crate) fn read_settled(&mut self, request: u64, stored: Option<&[u8]>) {
+        let shown = stored.and_then(StoredConfiguration::decode);
+        let answer = match shown {
+            None => ReadAnswer::NoMajority,
+            Some(stored) => ReadAnswer::Confirmed {
+                version: stored.version,
+                last_order: last_order_of(stored.document["lanes"][LAST_ORDER_LANE]["path_prefix"].as_str()),
+            },
+        };
+        self.read_ends(request, answer);
+    }
+
+    fn read_ends(&mut self, request: u64, answer: ReadAnswer) {
+        let Some(OpenRead { read, .. }) = self.operators.reads.remove(&request) else { return };
+        let travel = self.travel();
+        self.after(travel, Happening::Operator(OperatorHappening::ReadAnswerComes { read, answer }));
+    }
+
+    /// A node's process ended: whoever waits for its answer gets none.
+    pub(crate) fn operators_lose(&mut self, node: usize) {
+        let attempts = self.operators.attempts.iter().filter(|(_, open)| open.node == node);
+        let attempts: Vec<u64> = attempts.map(|(request, _)| *request).collect();
+        for request in attempts {
+            self.attempt_ends(request, OrderAnswer::Lost);
+        }
+        let reads = self.operators.reads.iter().filter(|(_, open)| open.node == node);
+        let reads: Vec<u64> = reads.map(|(request, _)| *request).collect();
+        for request in reads {
+            self.read_ends(request, ReadAnswer::Lost);
+        }
+    }
+
+    /// Notes which order a node's configuration was made by, if operators named versions at all.
+    pub(crate) fn note_last_order(&mut self, number: usize, generation: u64, configuration: &Configuration) {
+        let lane = configuration.lanes.get(LAST_ORDER_LANE);
+        let Some(last_order) = last_order_of(lane.map(|lane| lane.path_prefix.as_str())) else { return };
+        let node = format!("node-{number}");
+        self.history(Line::ConfigurationHeld { at: self.now, node, generation, last_order });
+    }
+}
+
+fn last_order_of(path_prefix: Option<&str>) -> Option<String> {
+    Some(path_prefix?.strip_prefix(LAST_ORDER_PREFIX)?.to_owned())
+}
+
+fn answer_of(outcome: &ChangeOutcome) -> OrderAnswer {
+    match outcome {
+        ChangeOutcome::Accepted { generation, .. } => OrderAnswer::Accepted { generation: *generation },
+        ChangeOutcome::Unknown { .. } => OrderAnswer::Unclear,
+        ChangeOutcome::Refused { reasons, .. } if reasons.iter().all(is_of_version) => {
+            OrderAnswer::RefusedVersion
+        }
+        ChangeOutcome::Refused { reasons, .. } => {
+            let told = reasons.iter().map(|reason| format!("{} {}", reason.path, reason.reason));
+            OrderAnswer::RefusedInvalid { reason: told.collect::<Vec<_>>().join("; ") }
+        }
+    }
+}
+
+fn is_of_version(reason: &Reason) -> bool {
+    reason.path == EXPECTED_VERSION || reason.path == VERSION
+}
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -1,5 +1,6 @@
 use crate::sim_calls::SimCall;
 use crate::sim_disk::SimDisk;
+use crate::sim_operators::{OperatorHappening, SimOperators};
 use crate::sim_platform::{SimPlatform, SimStart};
 use clock_events::Micros;
 use colleague_messages::{Address, Envelope, Message, NodeId, Ticket, fleet_mark, node_id};
@@ -100,6 +101,7 @@
     CellFinishes { call: u64, dispatch: u32, cell: String, end: DispatchEnd },
     AnswerComes { call: u64, dispatch: u32, end: DispatchEnd },
     CallForgotten { call: u64 },
+    Operator(OperatorHappening),
 }
 
 pub(crate) struct SimNode {
@@ -170,6 +172,7 @@
     pub platform: SimPlatform,
     pub(crate) calls: BTreeMap<u64, SimCall>,
     pub(crate) next_call: u64,
+    pub(crate) operators: SimOperators,
     /// Calls that ran, were refused, are unknown, got no answer.
     pub outcomes: [u64; 4],
     /// Messages and bytes on the network by kind, while they are counted; `List` counts the platform's.
@@ -214,6 +217,7 @@
             nodes: Vec::new(),
             calls: BTreeMap::new(),
             next_call: 0,
+            operators: SimOperators::default(),
             outcomes: [0; 4],
             traffic: None,
             happenings: BTreeMap::new(),
@@ -394,6 +398,7 @@
             Happening::CellFinishes { call, dispatch, cell, end } => {
                 self.cell_finishes(call, dispatch, &cell, end);
             }
+            Happening::Operator(happening) => self.operator_happens(happening),
             Happening::AnswerComes { call, dispatch, end } => self.answer_comes(call, dispatch, end),
             Happening::CallForgotten { call } => self.call_forgotten(call),
         }
@@ -486,6 +491,7 @@
             return;
         }
         self.drop_calls_of(number, is_planned);
+        self.operators_lose(number);
         let node = &mut self.nodes[number];
         node.node = None;
         node.life += 1;
@@ -681,8 +687,18 @@
     /// The node that owns the key of the voter set, as far as another one can tell.
     /// Example: `world.kill(world.voters_owner().unwrap())`.
     pub fn voters_owner(&self) -> Option<usize> {
+        self.owner_of(control_registers::DISKS_KEY)
+    }
+
+    /// The node that owns the key of the configuration, as far as another one can tell.
+    /// Example: `world.freeze(world.configuration_owner().unwrap(), 5.0)`.
+    pub fn configuration_owner(&self) -> Option<usize> {
+        self.owner_of(control_registers::CONFIGURATION_KEY)
+    }
+
+    fn owner_of(&self, key: &str) -> Option<usize> {
         let number = *self.up().first()?;
-        let owner = self.nodes[number].node.as_ref()?.owner_of(control_registers::DISKS_KEY)?;
+        let owner = self.nodes[number].node.as_ref()?.owner_of(key)?;
         self.up().into_iter().find(|other| self.nodes[*other].id == owner)
     }
 
@@ -737,12 +753,16 @@
     /// Sends a change to a node; its outcome goes into the history under the change's id.
     /// Example: `world.change(3, "a", Some(document), None)`.
     pub fn change(&mut self, number: usize, change_id: &str, whole: Option<Value>, partial: Option<Value>) {
-        self.next_request += 1;
-        let request = self.next_request;
+        let request = self.next_operator_request();
         let change = Change { change_id: change_id.to_owned(), whole, partial, ..Change::default() };
         self.give(number, Event::ChangeAsked { request, change });
     }
 
+    pub(crate) fn next_operator_request(&mut self) -> u64 {
+        self.next_request += 1;
+        self.next_request
+    }
+
     /// Sends the whole document to found the fleet's configuration, and waits until it stands.
     /// Example: `assert!(world.found())`.
     pub fn found(&mut self) -> bool {
@@ -928,23 +948,32 @@
                 self.note_lanes(generation, &configuration);
                 let (node, life) = (format!("node-{number}"), life.to_string());
                 self.history(Line::GenerationHeld { at: self.now, node, life, generation });
+                self.note_last_order(number, generation, &configuration);
             }
-            Act::ChangeAnswered { change_id, outcome, .. } => match outcome {
-                ChangeOutcome::Accepted { generation, .. } => {
-                    self.changes.insert(change_id.clone(), (self.now, generation));
-                    self.history(Line::ChangeAccepted { at: self.now, change: change_id, generation });
-                }
-                ChangeOutcome::Refused { .. } => {
-                    self.history(Line::ChangeRefused { at: self.now, change: change_id });
-                }
-                ChangeOutcome::Unknown { .. } => {}
-            },
-            Act::DecisionsAnswered { .. } | Act::ConfigurationAnswered { .. } => {}
+            Act::ChangeAnswered { request, change_id, outcome } => {
+                self.order_settled(request, &outcome);
+                self.note_outcome(change_id, &outcome);
+            }
+            Act::ConfigurationAnswered { request, stored } => {
+                self.read_settled(request, stored.as_deref());
+            }
+            Act::DecisionsAnswered { .. } => {}
             Act::Ready => self.nodes[number].is_ready = true,
             Act::Drained => self.nodes[number].is_drained = true,
         }
     }
 
+    fn note_outcome(&mut self, change: String, outcome: &ChangeOutcome) {
+        match outcome {
+            ChangeOutcome::Accepted { generation, .. } => {
+                self.changes.insert(change.clone(), (self.now, *generation));
+                self.history(Line::ChangeAccepted { at: self.now, change, generation: *generation });
+            }
+            ChangeOutcome::Refused { .. } => self.history(Line::ChangeRefused { at: self.now, change }),
+            ChangeOutcome::Unknown { .. } => {}
+        }
+    }
+
     fn note_ended_cells(&mut self) {
         for cell in std::mem::take(&mut self.platform.ended) {
             self.history(Line::CellEnded { at: self.now, cell });
--- a/packages/fleet_simulator/tests/scenarios.rs
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -102,6 +102,19 @@
     two_of_five_wiped: 1..=20;
     wiped_amid_a_vote_change: 1..=20;
     lowest_seeds_without_disk: 1..=20;
+    control_machine_cut_off: 1..=20;
+    two_control_machines_cut_off: 1..=20;
+    owner_frozen_amid_orders: 1..=20;
+    orders_race_during_a_cut: 1..=20;
+    orders_meet_a_returning_machine: 1..=20;
+    orders_crowd_at_a_cut_off_machine: 1..=20;
+    eight_orders_at_once: 1..=20;
+    orders_race_on_one_version: 1..=20;
+    lost_answers_repeated: 1..=20;
+    acknowledging_node_killed: 1..=20;
+    killed_around_the_acknowledgement: 1..=20;
+    all_disks_lose_power_after_acknowledging: 1..=20;
+    hundreds_of_changes: 1..=20;
 }
 
 /// Clocks that jump can only matter where somebody reads them.
