The register's search gives up a way once a needed version is passed

Versions never fall, so an order that was accepted, or a read that showed a version, and that is left undone once a higher one stands makes the way hopeless. Without that a crowd of orders without an expected version was searched through all its mixtures.

--- a/packages/history_checks/src/linearizability.rs
+++ b/packages/history_checks/src/linearizability.rs
@@ -80,7 +80,7 @@
         if done_count >= self.furthest.0 {
             self.furthest = (done_count, state, due);
         }
-        if !self.tried.insert((done.clone(), state)) {
+        if self.is_passed_over(&done, state) || !self.tried.insert((done.clone(), state)) {
             return Search::Exhausted;
         }
         if self.tried.len() > self.search_limit {
@@ -105,6 +105,20 @@
         Search::Exhausted
     }
 
+    /// Whether something that has to be done needs a version that is over: versions never fall.
+    fn is_passed_over(&self, done: &[bool], state: RegisterState) -> bool {
+        self.history.operations.iter().zip(done).any(|(operation, is_done)| {
+            if *is_done || !operation.is_required {
+                return false;
+            }
+            match operation.step {
+                Step::Apply { order } => self.history.orders[order].is_over_at(state.version),
+                Step::Read { version, .. } => version < state.version,
+                Step::Refuse { .. } => false,
+            }
+        })
+    }
+
     /// Does every read and refusal that the state answers and that may come next: none of them
     /// changes the state, so that doing them now closes no way.
     fn do_without_effect(&self, done: &mut [bool], state: RegisterState) {
--- a/packages/history_checks/src/linearizability/tests.rs
+++ b/packages/history_checks/src/linearizability/tests.rs
@@ -155,6 +155,44 @@
     assert!(!is_sound(lines));
 }
 
+/// A crowd of orders with versions alone, all at once: many are accepted, in the turn of their versions.
+#[test]
+fn many_orders_at_once_are_judged() {
+    let crowd = |is_any_late: bool| {
+        let mut lines = Vec::new();
+        for number in 1..=60u64 {
+            let order = format!("c{number}");
+            let version = Some(number);
+            let (expected_version, node) = (None, "n1".to_owned());
+            let is_proper = true;
+            lines.push(Line::OrderSent {
+                at: 1,
+                order,
+                attempt: 0,
+                node,
+                expected_version,
+                version,
+                is_proper,
+            });
+        }
+        for number in (1..=60u64).filter(|number| number % 3 != 0) {
+            lines.push(accepted(&format!("c{number}"), 0, 100, number));
+        }
+        // A read after all of them showed an order that was passed over long ago.
+        lines.extend(read(
+            1,
+            200,
+            210,
+            if is_any_late { 30 } else { 60 },
+            is_any_late.then_some("c30").or(Some("c60")),
+        ));
+        lines
+    };
+    assert!(is_sound(crowd(false)));
+    let found = breaches(crowd(true));
+    assert!(!found[0].seen.contains("not decided"), "{found:?}");
+}
+
 #[test]
 fn a_search_that_is_given_up_says_so() {
     // Eight orders without conditions of unknown fate, and a read that none of them explains.
--- a/packages/history_checks/src/register_operations.rs
+++ b/packages/history_checks/src/register_operations.rs
@@ -21,6 +21,12 @@
         self.expected_version.is_none_or(|expected| expected == standing)
             && self.version.is_none_or(|version| version > standing)
     }
+
+    /// Whether the order can't be applied any more once a version stands.
+    pub fn is_over_at(&self, standing: u64) -> bool {
+        self.expected_version.is_some_and(|expected| expected < standing)
+            || self.version.is_some_and(|version| version <= standing)
+    }
 }
 
 /// What an operation does. Orders are named by their place in [`RegisterHistory::orders`].
