Confirming stores and reads go by digest where the value is held already

Cause: a confirmed read stored the whole configuration (425 KB) anew on every voter, and its answer carried it whole. A disk that holds the value under its version stores it again from its own copy; one that lacks it says so and is sent the whole. A reader tells the digest of what it has and is answered AS_KNOWN without the value. Ruled out: going by epoch and version alone; the digest also guards against a register that was restored otherwise.

--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -77,15 +77,19 @@
         /// `granted` 0 means `promised` is the higher epoch that stands.
         PromisedEntry { key: Text, granted: u8, promised: Epoch, stored_epoch: Epoch, version: u64, value: Bytes, }
         /// `flight` tells apart stores of the same version, so that a late answer to an earlier one
-        /// never counts for a later one.
-        StoreEntry { key: Text, epoch: Epoch, flight: u64, version: u64, value: Bytes, }
+        /// never counts for a later one. A `digest` that is not zero stands for a value left out, which
+        /// the disk is taken to hold under this version.
+        StoreEntry { key: Text, epoch: Epoch, flight: u64, version: u64, digest: u64, value: Bytes, }
+        /// `granted`: 0 refused, 1 stored, 2 the disk does not hold the value of the entry's digest.
         StoredEntry { key: Text, epoch: Epoch, flight: u64, version: u64, granted: u8, promised: Epoch, }
         PolledRecord { key: Text, version: u64, value: Bytes, }
         /// A record that was only renewed since the asker's last poll, by its place among the polled keys.
         RenewedRecord { place: u16, version: u64, }
         /// `hasty` 1 asks for a flush at once; renewals wait for the group.
         WriteEntry { ask: u64, key: Text, expected: u64, value: Bytes, hasty: u8, }
-        /// `outcome`: 0 written, 1 version differs (value holds what stands), 2 not owner, 3 no majority.
+        /// `outcome`: 0 written, 1 version differs (value holds what stands), 2 not owner, 3 no majority,
+        /// 4 what stands has the digest that the asker told, 5 a large value stands that the asker lacks:
+        /// the answering node has it as news.
         WriteOutcome { ask: u64, key: Text, outcome: u8, version: u64, value: Bytes, }
         /// The paper's leader record with an epoch beside it.
         LeaderRecord { holder: NodeId, renew_count: u64, lease_micros: u64, steward_epoch: u64, }
@@ -96,6 +100,12 @@
         HeldAnswerEntry { function: Text, steward_epoch: u64, tickets: List<HeldTicket>, }
         NewsItem { topic: Text, origin: NodeId, sequence: u64, body: Bytes, }
         NewsMark { topic: Text, sequence: u64, }
+        /// The mark of a body that does not ride along unasked, and how many bytes it has.
+        LargeMark { topic: Text, sequence: u64, bytes: u32, }
+        /// A stretch copied from the base, and new bytes behind it.
+        DeltaStep { from: u32, length: u32, insert: Bytes, }
+        /// How the body of one sequence became another; `digest` is that of the outcome.
+        BodyChange { base: u64, sequence: u64, digest: u64, steps: List<DeltaStep>, }
         /// The digest of one bucket of topics.
         BucketDigest { bucket: u8, digest: u64, }
         DemandEntry { function: Text, memory_mb: u64, milli_starts: u64, }
@@ -131,7 +141,8 @@
         "21" RecordsPolled { mark: u64, known: u8, change: u64, records: List<PolledRecord>, renewed: List<RenewedRecord>, }
         "22" Write { entries: List<WriteEntry>, }
         "23" WriteAnswer { outcomes: List<WriteOutcome>, }
-        "24" ReadConfirmed { ask: u64, key: Text, }
+        /// `digest` is that of the value the asker has, zero for none.
+        "24" ReadConfirmed { ask: u64, key: Text, digest: u64, }
         /// An operator's change (JSON) on its way to the node that owns the configuration's key.
         "25" ChangeCarry { ask: u64, change: Bytes, }
         /// Its outcome (JSON) on the way back.
@@ -159,8 +170,11 @@
         "40" News { items: List<NewsItem>, }
         "41" NewsDigest { digests: List<BucketDigest>, }
         /// Every topic that the sender has in the named buckets is in the list.
-        "42" NewsMarks { full_buckets: List<u8>, marks: List<NewsMark>, }
-        "43" NewsAsk { topics: List<Text>, }
+        "42" NewsMarks { full_buckets: List<u8>, marks: List<NewsMark>, large: List<LargeMark>, }
+        /// The topics that the asker wants, each with the sequence that it has, zero for none.
+        "43" NewsAsk { known: List<NewsMark>, }
+        /// How a large body changed since the sequence that the asker has, change after change.
+        "44" NewsChanges { topic: Text, origin: NodeId, changes: List<BodyChange>, }
         /// Pulls the platform's list as it changed since the lister's number; zero for all of it.
         "60" ListAsk { since: u64, }
         /// `base` 0: the whole list. The age counts from when the lister asked the platform. Workers
@@ -242,6 +256,19 @@
     mix(running_hash)
 }
 
+/// The digest that stands for a value, the same in every process and never zero. It is taken over
+/// words, so that a large value costs little. Example: `value_digest(b"a") != value_digest(b"b")`.
+pub fn value_digest(value_bytes: &[u8]) -> u64 {
+    let (words, rest) = value_bytes.as_chunks::<8>();
+    let mut last_word = [0; 8];
+    last_word[..rest.len()].copy_from_slice(rest);
+    let digest = words.iter().chain([&last_word]).fold(value_bytes.len() as u64, |digest, word| {
+        let mixed = (digest ^ u64::from_le_bytes(*word)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        mixed ^ (mixed >> 32)
+    });
+    mix(digest).max(1)
+}
+
 const PROCESS_BITS: u32 = 24;
 
 /// A process's id: its place (the address colleagues reach it by) and a draw that tells it from the
--- a/packages/control_registers/src/disk_registers.rs
+++ b/packages/control_registers/src/disk_registers.rs
@@ -1,5 +1,7 @@
 use crate::{DISKS_KEY, VoterSet};
-use colleague_messages::{Bytes, Epoch, List, PromiseEntry, PromisedEntry, StoreEntry, StoredEntry, Text};
+use colleague_messages::{
+    Bytes, Epoch, List, PromiseEntry, PromisedEntry, StoreEntry, StoredEntry, Text, value_digest,
+};
 use deku::prelude::*;
 use std::collections::BTreeMap;
 
@@ -27,6 +29,9 @@
     }
 }
 
+/// The answer to a store by digest: this disk does not hold that value.
+pub(crate) const LACKS: u8 = 2;
+
 /// Answers together with the records that must be synced before the answers may leave.
 pub type Answered<T> = (Vec<T>, Vec<Vec<u8>>);
 
@@ -158,14 +163,20 @@
         for entry in &entries.0 {
             let promised =
                 self.registers.get(&entry.key.0).map_or(Epoch::none(), |standing| standing.promised.clone());
-            let granted = self.admits(sender_set, &entry.key.0) && entry.epoch.rank() >= promised.rank();
-            if granted && !self.already_stored(entry) {
+            let is_admitted = self.admits(sender_set, &entry.key.0) && entry.epoch.rank() >= promised.rank();
+            let value = if is_admitted { self.meant_value(entry) } else { None };
+            let granted = match (is_admitted, &value) {
+                (true, Some(_)) => 1,
+                (true, None) => LACKS,
+                (false, _) => 0,
+            };
+            if let Some(value) = value.filter(|_| !self.already_stored(entry)) {
                 let disk_record = DiskRecord {
                     kind: 1,
                     key: entry.key.clone(),
                     epoch: entry.epoch.clone(),
                     version: entry.version,
-                    value: entry.value.clone(),
+                    value,
                 };
                 records.push(disk_record.to_bytes().unwrap_or_default());
                 self.apply(disk_record);
@@ -175,13 +186,23 @@
                 epoch: entry.epoch.clone(),
                 flight: entry.flight,
                 version: entry.version,
-                granted: u8::from(granted),
+                granted,
                 promised,
             });
         }
         (answers, records)
     }
 
+    /// The value that an entry stores: its own, or the one this disk holds where the entry tells its digest.
+    fn meant_value(&self, entry: &StoreEntry) -> Option<Bytes> {
+        if entry.digest == 0 || self.already_stored(entry) {
+            return Some(entry.value.clone());
+        }
+        let standing = self.registers.get(&entry.key.0)?;
+        let is_held = standing.version == entry.version && value_digest(&standing.value.0) == entry.digest;
+        is_held.then(|| standing.value.clone())
+    }
+
     /// A late repeat of an older store under the same epoch must not undo a newer one.
     fn already_stored(&self, entry: &StoreEntry) -> bool {
         self.registers
--- a/packages/control_registers/src/key_owner.rs
+++ b/packages/control_registers/src/key_owner.rs
@@ -1,8 +1,9 @@
 use crate::VoterSet;
+use crate::disk_registers::LACKS;
 use clock_events::Micros;
 use colleague_messages::{
     Bytes, Epoch, LeaderRecord, List, NodeId, PolledRecord, PromiseEntry, PromisedEntry, RenewedRecord,
-    StoreEntry, StoredEntry, Text, WriteEntry, WriteOutcome, stable_hash,
+    StoreEntry, StoredEntry, Text, WriteEntry, WriteOutcome, stable_hash, value_digest,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -15,12 +16,16 @@
 pub const NOT_OWNER: u8 = 2;
 /// No majority answered: the write may or may not stand.
 pub const UNKNOWN: u8 = 3;
+/// A confirmed read: what stands has the digest that the asker told, so the value is left out.
+pub const AS_KNOWN: u8 = 4;
 
 const RESEND_AFTER: Micros = Micros::from_millis(250);
 const GIVE_UP_AFTER: Micros = Micros::from_millis(2_000);
 const WAITLIST_LIMIT: usize = 64;
 /// Four thousand functions may be configured; more keys than this are nobody's mistake but a fault.
 const KEYS_LIMIT: usize = 16_384;
+/// Shorter values are stored whole; of longer ones a disk that has them is told the digest.
+const DIGEST_FROM: usize = 1_024;
 const GROUP_AFTER: Micros = Micros::from_millis(200);
 /// Sets of polled keys that are remembered by their mark: askers with one view share one.
 const KEY_SETS_LIMIT: usize = 16;
@@ -60,6 +65,8 @@
     entry: WriteEntry,
     /// A confirmed read stores what stands and answers with it.
     confirms: bool,
+    /// The digest of the value that a reader has, zero for none.
+    known_digest: u64,
     /// The key was acquired anew on account of this write.
     has_renewed: bool,
 }
@@ -69,6 +76,10 @@
     number: u64,
     version: u64,
     value: Bytes,
+    /// The digest of a large value that was read from disks; zero where the value is new or small.
+    digest: u64,
+    /// Disks that were told the digest and do not hold the value.
+    lacking: BTreeSet<u64>,
     stored: BTreeSet<u64>,
     /// `None` for the store that opens an ownership.
     write: Option<WaitingWrite>,
@@ -77,6 +88,21 @@
     hasty: bool,
 }
 
+impl StoreFlight {
+    /// What one disk is told: a disk that may hold the value is told its digest alone.
+    fn entry(&self, key: &str, epoch: &Epoch, disk: u64) -> StoreEntry {
+        let is_told_whole = self.digest == 0 || self.lacking.contains(&disk);
+        StoreEntry {
+            key: key.into(),
+            epoch: epoch.clone(),
+            flight: self.number,
+            version: self.version,
+            digest: if is_told_whole { 0 } else { self.digest },
+            value: if is_told_whole { self.value.clone() } else { Bytes::default() },
+        }
+    }
+}
+
 #[derive(Debug)]
 enum Standing {
     Acquiring { promised: BTreeSet<u64>, newest: (Epoch, u64, Bytes), sent_at: Option<Micros> },
@@ -156,28 +182,35 @@
     /// Takes a conditional write, acquiring the key first if need be.
     /// Example: `owner.write(asker, entry, now); for act in owner.flush(now) { .. }`.
     pub fn write(&mut self, node: NodeId, entry: WriteEntry, now: Micros) {
-        self.wait(node, entry, false, now);
+        self.wait(WaitingWrite { node, entry, confirms: false, known_digest: 0, has_renewed: false }, now);
     }
 
     /// Reads a key in a way that is confirmed by a majority.
     /// Example: `owner.read_confirmed(asker, 1, "configuration".into(), now)`.
     pub fn read_confirmed(&mut self, node: NodeId, ask: u64, key: Text, now: Micros) {
+        self.confirm(node, ask, key, 0, now);
+    }
+
+    /// As [`KeyOwner::read_confirmed`] for an asker that has a value of this digest: if that one stands
+    /// it is not sent. Example: `owner.confirm(asker, 1, key, value_digest(&known), now)`.
+    pub fn confirm(&mut self, node: NodeId, ask: u64, key: Text, known_digest: u64, now: Micros) {
         let entry = WriteEntry { ask, key, expected: 0, value: Bytes::default(), hasty: 1 };
-        self.wait(node, entry, true, now);
+        self.wait(WaitingWrite { node, entry, confirms: true, known_digest, has_renewed: false }, now);
     }
 
-    fn wait(&mut self, node: NodeId, entry: WriteEntry, confirms: bool, now: Micros) {
+    fn wait(&mut self, write: WaitingWrite, now: Micros) {
+        let (node, entry) = (write.node, &write.entry);
         let key = entry.key.0.clone();
         self.acquire(&key, now);
         let Some(owned_key) = self.keys.get_mut(&key) else {
-            self.answer(node, &entry, NOT_OWNER, 0, Bytes::default());
+            self.answer(node, entry, NOT_OWNER, 0, Bytes::default());
             return;
         };
         if owned_key.waitlist.len() >= WAITLIST_LIMIT {
-            self.answer(node, &entry, NOT_OWNER, 0, Bytes::default());
+            self.answer(node, entry, NOT_OWNER, 0, Bytes::default());
             return;
         }
-        owned_key.waitlist.push_back(WaitingWrite { node, entry, confirms, has_renewed: false });
+        owned_key.waitlist.push_back(write);
         self.next_flight(&key, now);
     }
 
@@ -275,7 +308,9 @@
             let opening_flight = (version > 0).then(|| StoreFlight {
                 number,
                 version,
+                digest: large_digest(&value),
                 value: value.clone(),
+                lacking: BTreeSet::new(),
                 stored: BTreeSet::new(),
                 write: None,
                 sent_at: None,
@@ -311,6 +346,13 @@
             if open_flight.number != entry.flight {
                 continue;
             }
+            if entry.granted == LACKS {
+                open_flight.lacking.insert(disk);
+                let whole_entry = open_flight.entry(&key, &owned_key.epoch, disk);
+                let (fleet_set, entries) = (self.set.mark(), List(vec![whole_entry]));
+                self.answers.push(OwnerAct::Store { disk, fleet_set, entries });
+                continue;
+            }
             open_flight.stored.insert(disk);
             if !self.set.quorum(&open_flight.stored) {
                 continue;
@@ -328,8 +370,13 @@
             let finished_write = flight.take().and_then(|done_flight| done_flight.write);
             let (done_version, done_value) = (*version, value.clone());
             if let Some(write) = finished_write {
-                let answered_value = if write.confirms { done_value } else { Bytes::default() };
-                self.answer(write.node, &write.entry, WRITTEN, done_version, answered_value);
+                let is_known = write.known_digest != 0 && value_digest(&done_value.0) == write.known_digest;
+                let (outcome, answered_value) = match (write.confirms, is_known) {
+                    (true, true) => (AS_KNOWN, Bytes::default()),
+                    (true, false) => (WRITTEN, done_value),
+                    (false, _) => (WRITTEN, Bytes::default()),
+                };
+                self.answer(write.node, &write.entry, outcome, done_version, answered_value);
             }
             self.next_flight(&key, now);
         }
@@ -364,7 +411,9 @@
             *flight = Some(StoreFlight {
                 number: self.flight_count,
                 version: flight_version,
+                digest: if write.confirms { large_digest(&flight_value) } else { 0 },
                 value: flight_value,
+                lacking: BTreeSet::new(),
                 stored: BTreeSet::new(),
                 write: Some(write),
                 sent_at: None,
@@ -415,13 +464,7 @@
                 Standing::Owned { flight: Some(open_flight), .. } if resend_due(open_flight.sent_at) => {
                     open_flight.sent_at = Some(now);
                     for disk in voters.difference(&open_flight.stored) {
-                        let entry = StoreEntry {
-                            key: key.as_str().into(),
-                            epoch: owned_key.epoch.clone(),
-                            flight: open_flight.number,
-                            version: open_flight.version,
-                            value: open_flight.value.clone(),
-                        };
+                        let entry = open_flight.entry(key, &owned_key.epoch, *disk);
                         store_groups.entry(*disk).or_default().push(entry);
                     }
                 }
@@ -488,6 +531,10 @@
     }
 }
 
+fn large_digest(value: &Bytes) -> u64 {
+    if value.0.len() < DIGEST_FROM { 0 } else { value_digest(&value.0) }
+}
+
 /// Whether a leader record was only renewed: everything but the count of renewals stands.
 fn is_renewal(before: &Bytes, after: &Bytes) -> bool {
     let (Some(before), Some(after)) = (LeaderRecord::decode(before), LeaderRecord::decode(after)) else {
--- a/packages/control_registers/src/lib.rs
+++ b/packages/control_registers/src/lib.rs
@@ -10,7 +10,9 @@
 mod voter_set;
 
 pub use disk_registers::DiskRegisters;
-pub use key_owner::{DIFFERS, KeyOwner, NOT_OWNER, OwnerAct, PollAnswer, UNKNOWN, WRITTEN, keys_mark};
+pub use key_owner::{
+    AS_KNOWN, DIFFERS, KeyOwner, NOT_OWNER, OwnerAct, PollAnswer, UNKNOWN, WRITTEN, keys_mark,
+};
 pub use voter_set::VoterSet;
 
 /// The key that says which disks vote.
