Large news travels as changes; operators are sent on to a machine whose link is large

Cause: each change of the configuration, each read by an operator and each fetch by a node carried 425 KB over 2 Mbit/s links, sometimes several at once, while the operator's call gives up after a second. Now: a node that has an older generation is told the changes since (block delta, checked by digest); a body is not asked for twice while it may be on its way; a reader without a disk is told that a newer value stands and fetches it as news; GET, and PUT or PATCH with a long body, are answered 307 to the key's owner where the own link (networkMbps) would need more than a quarter of a second.

--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -449,6 +449,7 @@
             lists_per_second: 1_000.0,
             replace_disk_after: self.settings.replace_disk_after,
             acts_per_second: 80.0,
+            link_rate: None,
             extra_bound: ExtraBound::default(),
             election: self.settings.election.clone(),
             probes: ProbeSettings::default(),
--- a/packages/news_spread/src/lib.rs
+++ b/packages/news_spread/src/lib.rs
@@ -4,12 +4,19 @@
 //! differ. A few topics of the whole fleet (no slash in their names) have a bucket that every digest names.
 //!
 //! News is a topic with a sequence that only rises and a body. Small bodies ride with the rumour;
-//! for large ones (a configuration) the rumour is a mark, and who lacks the body asks for it.
+//! for large ones (a configuration) the rumour is a mark, and who lacks the body asks for it and tells
+//! which one it has: it is answered with the changes since then where they are known.
 
+mod body_delta;
+
+use body_delta::{delta, patched};
 use clock_events::{ClockEvent, Micros};
-use colleague_messages::{BucketDigest, Bytes, List, Message, NewsItem, NewsMark, NodeId, stable_hash};
+use colleague_messages::{
+    BodyChange, BucketDigest, Bytes, FRAME_LIMIT, LargeMark, List, Message, NewsItem, NewsMark, NodeId,
+    stable_hash, value_digest,
+};
 use fastrand::Rng;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const TOPIC_LIMIT: usize = 4_096;
 const SMALL_BODY: usize = 16 * 1024;
@@ -26,12 +33,23 @@
 /// at any moment, and their marks would be most of what is said.
 const FEW_TOPICS: usize = 256;
 const BUCKETS_A_DIGEST: usize = 4;
+/// So many changes of a large body are remembered for those that have an older one.
+const CHANGES_LIMIT: usize = 32;
 
 #[derive(Debug)]
 struct Told {
     item: NewsItem,
     rounds_left: u32,
     bucket: usize,
+    /// How a large body became what it is, newest last.
+    changes: VecDeque<BodyChange>,
+}
+
+/// A large body on its way here: another is not asked for before it can have come.
+#[derive(Debug)]
+struct Awaited {
+    sequence: u64,
+    until: Micros,
 }
 
 /// What the spread wants sent to a colleague.
@@ -48,6 +66,10 @@
     rumour_event: ClockEvent,
     digest_event: ClockEvent,
     dice: Rng,
+    now: Micros,
+    /// Bytes a second of this machine's link, where they are known.
+    link_rate: Option<f64>,
+    awaited: BTreeMap<String, Awaited>,
 }
 
 impl NewsSpread {
@@ -61,9 +83,18 @@
             rumour_event: ClockEvent::each(Micros::from_millis(100)),
             digest_event: ClockEvent::each(Micros::from_millis(250)),
             dice: Rng::with_seed(luck_seed),
+            now: Micros(0),
+            link_rate: None,
+            awaited: BTreeMap::new(),
         }
     }
 
+    /// Tells how fast this machine's link is: a large body is not asked for again before it can have
+    /// come over it. Example: `news.take_link_rate(250_000.0)`.
+    pub fn take_link_rate(&mut self, bytes_a_second: f64) {
+        self.link_rate = Some(bytes_a_second);
+    }
+
     /// The newest sequence known of a topic, zero for none. Example: `news.sequence("disks")`.
     pub fn sequence(&self, topic: &str) -> u64 {
         self.topics.get(topic).map_or(0, |told| told.item.sequence)
@@ -82,6 +113,12 @@
     }
 
     fn take(&mut self, item: NewsItem) -> bool {
+        let change = self.topics.get(&item.topic.0).and_then(|told| change_between(&told.item, &item));
+        self.take_changed(item, change.into_iter().collect())
+    }
+
+    /// Takes an item whose body came of the known one by these changes.
+    fn take_changed(&mut self, item: NewsItem, changes: Vec<BodyChange>) -> bool {
         let topic = item.topic.0.clone();
         if item.sequence <= self.sequence(&topic) {
             return false;
@@ -91,9 +128,17 @@
         }
         let bucket = bucket_of(&topic);
         self.digests[bucket] ^= mark_hash(&topic, item.sequence);
-        let told = Told { item, rounds_left: self.rounds, bucket };
-        if let Some(previous) = self.topics.insert(topic, told) {
+        self.awaited.remove(&topic);
+        let changes: VecDeque<BodyChange> = changes.into();
+        let told = Told { item, rounds_left: self.rounds, bucket, changes };
+        if let Some(mut previous) = self.topics.insert(topic.clone(), told) {
             self.digests[bucket] ^= mark_hash(&previous.item.topic.0, previous.item.sequence);
+            if let Some(told) = self.topics.get_mut(&topic).filter(|told| !told.changes.is_empty()) {
+                previous.changes.append(&mut told.changes);
+                let surplus_count = previous.changes.len().saturating_sub(CHANGES_LIMIT);
+                previous.changes.drain(..surplus_count);
+                told.changes = previous.changes;
+            }
         }
         true
     }
@@ -122,6 +167,7 @@
     /// Sends rumours and digests that are due. Example: `news.tick(&colleagues, now)`.
     pub fn tick(&mut self, colleagues: &[NodeId], now: Micros) -> Vec<NewsSend> {
         let mut sends = Vec::new();
+        self.now = now;
         if colleagues.is_empty() {
             return sends;
         }
@@ -151,15 +197,15 @@
 
     fn send_rumours(&mut self, colleagues: &[NodeId], sends: &mut Vec<NewsSend>) {
         let mut items = Vec::new();
-        let mut marks = Vec::new();
+        let mut large = Vec::new();
         for told in self.topics.values_mut().filter(|told| told.rounds_left > 0) {
-            if items.len() + marks.len() >= ITEMS_A_MESSAGE {
+            if items.len() + large.len() >= ITEMS_A_MESSAGE {
                 break;
             }
             told.rounds_left -= 1;
-            match told.item.body.0.len() <= SMALL_BODY {
-                true => items.push(told.item.clone()),
-                false => marks.push(mark(&told.item)),
+            match is_large(&told.item) {
+                false => items.push(told.item.clone()),
+                true => large.push(large_mark(&told.item)),
             }
         }
         let mut picked_nodes = colleagues.to_vec();
@@ -169,12 +215,7 @@
             if !items.is_empty() {
                 sends.push((picked_node, Message::News { items: List(items.clone()) }));
             }
-            if !marks.is_empty() {
-                sends.push((
-                    picked_node,
-                    Message::NewsMarks { full_buckets: List(Vec::new()), marks: List(marks.clone()) },
-                ));
-            }
+            sends.extend(tell_large(picked_node, large.clone()));
         }
     }
 
@@ -202,20 +243,19 @@
                 if full_buckets.0.is_empty() {
                     return (Vec::new(), Vec::new());
                 }
-                let marks = self.topics_in(&full_buckets).map(|told| mark(&told.item)).collect();
-                (Vec::new(), vec![(from, Message::NewsMarks { full_buckets, marks })])
+                let told_items: Vec<&NewsItem> =
+                    self.topics_in(&full_buckets).map(|told| &told.item).collect();
+                let marks = told_items.iter().filter(|item| !is_large(item)).map(|item| mark(item)).collect();
+                let large = told_items.iter().filter(|item| is_large(item)).map(|item| large_mark(item));
+                let large = large.collect();
+                (Vec::new(), vec![(from, Message::NewsMarks { full_buckets, marks, large })])
             }
-            Message::NewsMarks { full_buckets, marks } => {
-                (Vec::new(), self.compare(from, &full_buckets, marks))
+            Message::NewsMarks { full_buckets, marks, large } => {
+                (Vec::new(), self.compare(from, &full_buckets, marks, &large))
             }
-            Message::NewsAsk { topics } => {
-                let items: Vec<NewsItem> = topics
-                    .0
-                    .iter()
-                    .filter_map(|topic| self.topics.get(&topic.0))
-                    .map(|told| told.item.clone())
-                    .collect();
-                (Vec::new(), send_items(from, items))
+            Message::NewsAsk { known } => (Vec::new(), self.answer_ask(from, &known)),
+            Message::NewsChanges { topic, origin, changes } => {
+                self.take_changes(from, topic, origin, changes.0)
             }
             _ => (Vec::new(), Vec::new()),
         }
@@ -225,14 +265,21 @@
         self.topics.values().filter(|told| buckets.0.contains(&(told.bucket as u8)))
     }
 
-    /// Asks for what the colleague has newer and sends what it has older.
-    fn compare(&mut self, from: NodeId, full_buckets: &List<u8>, marks: List<NewsMark>) -> Vec<NewsSend> {
-        let mut wanted_topics = Vec::new();
+    /// Asks for what the colleague has newer and sends what it has older. Of a large body only the mark
+    /// is sent: the colleague may be getting it from elsewhere already.
+    fn compare(
+        &mut self,
+        from: NodeId,
+        full_buckets: &List<u8>,
+        marks: List<NewsMark>,
+        large: &List<LargeMark>,
+    ) -> Vec<NewsSend> {
+        let mut known = Vec::new();
         let mut newer_items = Vec::new();
         for their_mark in &marks.0 {
             let own_sequence = self.sequence(&their_mark.topic.0);
             if their_mark.sequence > own_sequence {
-                wanted_topics.push(their_mark.topic.clone());
+                known.push(NewsMark { topic: their_mark.topic.clone(), sequence: own_sequence });
             }
             if their_mark.sequence < own_sequence
                 && let Some(told) = self.topics.get(&their_mark.topic.0)
@@ -240,19 +287,150 @@
                 newer_items.push(told.item.clone());
             }
         }
+        for their_mark in &large.0 {
+            known.extend(self.wanted_large(their_mark));
+            let told = self.topics.get(&their_mark.topic.0);
+            newer_items.extend(
+                told.filter(|told| told.item.sequence > their_mark.sequence).map(|told| told.item.clone()),
+            );
+        }
         if !full_buckets.0.is_empty() {
-            let their_topics: BTreeSet<&str> = marks.0.iter().map(|mark| mark.topic.0.as_str()).collect();
+            let small_topics = marks.0.iter().map(|mark| mark.topic.0.as_str());
+            let large_topics = large.0.iter().map(|mark| mark.topic.0.as_str());
+            let their_topics: BTreeSet<&str> = small_topics.chain(large_topics).collect();
             let unknown_items = self
                 .topics_in(full_buckets)
                 .filter(|told| !their_topics.contains(told.item.topic.0.as_str()));
             newer_items.extend(unknown_items.map(|told| told.item.clone()));
         }
-        let mut sends = send_items(from, newer_items);
-        if !wanted_topics.is_empty() {
-            sends.push((from, Message::NewsAsk { topics: List(wanted_topics) }));
+        let (large_items, small_items): (Vec<NewsItem>, Vec<NewsItem>) =
+            newer_items.into_iter().partition(is_large);
+        let mut sends = send_items(from, small_items);
+        sends.extend(tell_large(from, large_items.iter().map(large_mark).collect()));
+        if !known.is_empty() {
+            sends.push((from, Message::NewsAsk { known: List(known) }));
+        }
+        sends
+    }
+
+    /// What to ask of a large body that a colleague has: nothing while it may still be on its way.
+    fn wanted_large(&mut self, their_mark: &LargeMark) -> Option<NewsMark> {
+        let topic = &their_mark.topic;
+        let own_sequence = self.sequence(&topic.0);
+        let awaited = self.awaited.get(&topic.0);
+        let is_awaited = awaited
+            .is_some_and(|awaited| awaited.sequence >= their_mark.sequence && self.now < awaited.until);
+        if their_mark.sequence <= own_sequence || is_awaited {
+            return None;
+        }
+        let seconds = self.link_rate.map_or(0.0, |rate| f64::from(their_mark.bytes) / rate);
+        let until = self.now + Micros((seconds * 1e6) as u64);
+        self.awaited.insert(topic.0.clone(), Awaited { sequence: their_mark.sequence, until });
+        Some(NewsMark { topic: topic.clone(), sequence: own_sequence })
+    }
+
+    /// Tells one colleague of a topic, which it asks for if it has an older one.
+    /// Example: `news.tell(reader, "configuration")`.
+    pub fn tell(&self, node: NodeId, topic: &str) -> Option<NewsSend> {
+        tell_large(node, self.topics.get(topic).map(|told| large_mark(&told.item)).into_iter().collect())
+    }
+
+    /// Whole items, or the changes since what the asker has.
+    fn answer_ask(&self, from: NodeId, known: &List<NewsMark>) -> Vec<NewsSend> {
+        let mut items = Vec::new();
+        let mut sends = Vec::new();
+        for their_mark in &known.0 {
+            let Some(told) = self.topics.get(&their_mark.topic.0) else { continue };
+            match told.changes_since(their_mark.sequence) {
+                Some(changes) => {
+                    let (topic, origin) = (their_mark.topic.clone(), told.item.origin);
+                    sends.push((from, Message::NewsChanges { topic, origin, changes: List(changes) }));
+                }
+                None => items.push(told.item.clone()),
+            }
         }
+        sends.extend(send_items(from, items));
         sends
     }
+
+    /// Applies changes to the body known here; where they do not fit, the whole body is asked for.
+    fn take_changes(
+        &mut self,
+        from: NodeId,
+        topic: colleague_messages::Text,
+        origin: NodeId,
+        changes: Vec<BodyChange>,
+    ) -> (Vec<String>, Vec<NewsSend>) {
+        let own_sequence = self.sequence(&topic.0);
+        let fitting: Vec<BodyChange> =
+            changes.into_iter().skip_while(|change| change.base < own_sequence).collect();
+        let Some(sequence) = fitting.last().map(|change| change.sequence) else {
+            return (Vec::new(), Vec::new());
+        };
+        let own_body = self.body(&topic.0).cloned().unwrap_or_default();
+        match changed_body(own_body, own_sequence, &fitting) {
+            Some(body) => {
+                let item = NewsItem { topic: topic.clone(), origin, sequence, body };
+                let is_taken = self.take_changed(item, fitting);
+                (is_taken.then_some(topic.0).into_iter().collect(), Vec::new())
+            }
+            None => {
+                let known = List(vec![NewsMark { topic, sequence: 0 }]);
+                (Vec::new(), vec![(from, Message::NewsAsk { known })])
+            }
+        }
+    }
+}
+
+impl Told {
+    /// The changes that lead from an older sequence to this body, if all of them are remembered.
+    fn changes_since(&self, sequence: u64) -> Option<Vec<BodyChange>> {
+        let first = self.changes.iter().position(|change| change.base == sequence)?;
+        let changes: Vec<BodyChange> = self.changes.range(first..).cloned().collect();
+        let is_chain = changes.windows(2).all(|pair| pair[0].sequence == pair[1].base);
+        let is_up_to_date = changes.last().is_some_and(|change| change.sequence == self.item.sequence);
+        (is_chain && is_up_to_date).then_some(changes)
+    }
+}
+
+/// How a large body became its successor, where that is told shorter than the successor itself.
+fn change_between(previous: &NewsItem, next: &NewsItem) -> Option<BodyChange> {
+    if next.sequence <= previous.sequence || !is_large(previous) || !is_large(next) {
+        return None;
+    }
+    let steps = delta(&previous.body.0, &next.body.0)?;
+    let digest = value_digest(&next.body.0);
+    Some(BodyChange { base: previous.sequence, sequence: next.sequence, digest, steps })
+}
+
+/// The body after all changes, each of which must build on the one before and come out as it was told.
+fn changed_body(base: Bytes, base_sequence: u64, changes: &[BodyChange]) -> Option<Bytes> {
+    let mut body = base.0;
+    let mut sequence = base_sequence;
+    for change in changes {
+        let next_body = patched(&body, &change.steps, FRAME_LIMIT)?;
+        if change.base != sequence || value_digest(&next_body) != change.digest {
+            return None;
+        }
+        (body, sequence) = (next_body, change.sequence);
+    }
+    Some(Bytes(body))
+}
+
+fn is_large(item: &NewsItem) -> bool {
+    item.body.0.len() > SMALL_BODY
+}
+
+fn tell_large(node: NodeId, large: Vec<LargeMark>) -> Option<NewsSend> {
+    if large.is_empty() {
+        return None;
+    }
+    let (full_buckets, marks) = (List(Vec::new()), List(Vec::new()));
+    Some((node, Message::NewsMarks { full_buckets, marks, large: List(large) }))
+}
+
+fn large_mark(item: &NewsItem) -> LargeMark {
+    LargeMark { topic: item.topic.clone(), sequence: item.sequence, bytes: item.body.0.len() as u32 }
 }
 
 /// Items in messages of bounded size.
--- a/packages/node_protocol/src/configuration_part.rs
+++ b/packages/node_protocol/src/configuration_part.rs
@@ -1,9 +1,9 @@
 //! The configuration: operators' changes on their way into its register, and newer generations on
 //! their way to this node's calls. A generation, once seen, never goes back.
 
-use crate::Act;
 use crate::control_part::WritePurpose;
 use crate::node::Node;
+use crate::{Act, ConfigurationAnswer};
 use clock_events::{ClockEvent, Micros};
 use colleague_messages::{Bytes, Message, NodeId, WriteOutcome};
 use configuration_check::{Change, ChangeOutcome, Configuration, Reason, StoredConfiguration};
@@ -40,6 +40,8 @@
     sent_at: Micros,
     /// The owner it was sent to; none while there is no owner.
     owner: Option<NodeId>,
+    /// How long it is under way over this machine's link, at the most.
+    travel: Micros,
 }
 
 #[derive(Debug)]
@@ -122,7 +124,14 @@
             return;
         }
         let ask = self.fresh_ask();
-        let carried = CarriedChange { request, change, asked_at: self.now, sent_at: self.now, owner: None };
+        let carried = CarriedChange {
+            request,
+            change,
+            asked_at: self.now,
+            sent_at: self.now,
+            owner: None,
+            travel: Micros(0),
+        };
         self.configuration.carried.insert(ask, carried);
         self.carry_change(ask);
     }
@@ -150,6 +159,8 @@
             return;
         }
         let change = Bytes(serde_json::to_vec(&carried.change).unwrap_or_default());
+        let seconds = self.settings.link_rate.map_or(0.0, |rate| change.0.len() as f64 / rate);
+        carried.travel = Micros((seconds * 1e6) as u64);
         self.send(owner, Message::ChangeCarry { ask, change });
     }
 
@@ -209,7 +220,10 @@
                 self.act(Act::ChangeAnswered { request: carried.request, change_id, outcome });
                 continue;
             }
-            let patience = if carried.owner.is_some() { CARRY_PATIENCE } else { RETRY_PAUSE };
+            let patience = match carried.owner {
+                Some(_) => CARRY_PATIENCE + carried.travel,
+                None => RETRY_PAUSE,
+            };
             let is_owner_gone = carried.owner.is_some_and(|owner| self.members.find(owner).is_none());
             if now >= carried.sent_at + patience || is_owner_gone {
                 self.carry_change(ask);
@@ -297,6 +311,11 @@
             return;
         }
         self.take_base(&outcome);
+        self.configuration_confirmed();
+    }
+
+    /// A majority confirmed that the configuration known here stands.
+    pub(crate) fn configuration_confirmed(&mut self) {
         self.configuration.confirmed = true;
         self.configuration.doubted_since = None;
         self.tell_ready();
@@ -313,7 +332,7 @@
 
     /// Takes the configuration's register as a majority confirmed it.
     pub(crate) fn take_base(&mut self, outcome: &WriteOutcome) {
-        if outcome.version < self.configuration.base.0 {
+        if outcome.version <= self.configuration.base.0 {
             return;
         }
         let Some(stored) = StoredConfiguration::decode(&outcome.value.0) else { return };
@@ -395,7 +414,7 @@
     pub(crate) fn configuration_asked(&mut self, request: u64) {
         let purpose = WritePurpose::ConfigurationAsked { request };
         if self.send_write(CONFIGURATION_KEY, 0, Bytes::default(), purpose).is_none() {
-            self.act(Act::ConfigurationAnswered { request, stored: None });
+            self.act(Act::ConfigurationAnswered { request, answer: ConfigurationAnswer::Unconfirmed });
         }
     }
 
@@ -408,6 +427,12 @@
         }
     }
 
+    /// How many bytes [`Node::stored_configuration`] has, zero before the first configuration.
+    /// Example: `node.stored_configuration_length() > 0`.
+    pub fn stored_configuration_length(&self) -> usize {
+        self.news.body(CONFIGURATION_KEY).map_or(0, |body| body.0.len())
+    }
+
     pub(crate) fn tick_configuration(&mut self) {
         let now = self.now;
         self.tick_carried();
--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -1,17 +1,17 @@
 //! Disks and registers: founding, promising and storing, owning keys, replacing a lost disk, and the
 //! writes and polls this node sends to the owners of keys.
 
-use crate::Act;
 use crate::node::Node;
 use crate::vote_swaps::DiskSightings;
+use crate::{Act, ConfigurationAnswer};
 use clock_events::{ClockEvent, Micros};
 use colleague_messages::{
     Bytes, LeaderRecord, List, MemberNews, Message, NodeId, PolledRecord, RenewedRecord, Text, WriteEntry,
-    WriteOutcome, stable_hash,
+    WriteOutcome, stable_hash, value_digest,
 };
 use control_registers::{
-    CONFIGURATION_KEY, DIFFERS, DISKS_KEY, DiskRegisters, KeyOwner, OwnerAct, VoterSet, WRITTEN, keys_mark,
-    steward_key,
+    AS_KNOWN, CONFIGURATION_KEY, DIFFERS, DISKS_KEY, DiskRegisters, KeyOwner, OwnerAct, UNKNOWN, VoterSet,
+    WRITTEN, keys_mark, steward_key,
 };
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
@@ -36,6 +36,12 @@
 /// A disk that failed is tried again, whole, each time after this.
 const REPAIR_PAUSE: Micros = Micros::from_secs(1);
 
+/// A confirmed read's outcome: a large value stands that the asker lacks, and the answering node has it
+/// as news. It takes the place of the value for machines without a disk, whose links may be small.
+const AS_NEWS: u8 = 5;
+/// Values up to this size are sent with every answer.
+const SMALL_VALUE: usize = 16 * 1024;
+
 /// What a write or confirmed read in flight is for.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum WritePurpose {
@@ -54,6 +60,8 @@
     owner: NodeId,
     purpose: WritePurpose,
     sent_at: Micros,
+    /// Of the value that a reader had when it asked; zero for none and for writes.
+    known_digest: u64,
 }
 
 #[derive(Debug)]
@@ -253,18 +261,42 @@
                 | WritePurpose::DisksRead
                 | WritePurpose::DisksCopy { .. }
         );
+        let known_digest = if is_read { self.known_digest(key) } else { 0 };
         let message = match is_read {
-            true => Message::ReadConfirmed { ask, key: key.into() },
+            true => Message::ReadConfirmed { ask, key: key.into(), digest: known_digest },
             false => {
                 let entry = WriteEntry { ask, key: key.into(), expected, value, hasty: 1 };
                 Message::Write { entries: List(vec![entry]) }
             }
         };
-        self.control.flights.insert(ask, WriteFlight { owner, purpose, sent_at: self.now });
+        self.control.flights.insert(ask, WriteFlight { owner, purpose, sent_at: self.now, known_digest });
         self.send(owner, message);
         Some(ask)
     }
 
+    /// The digest of the configuration's bytes as this node has them, zero for none. Of other keys the
+    /// values are small, and none is told.
+    fn known_digest(&self, key: &str) -> u64 {
+        let body = self.news.body(key).filter(|_| key == CONFIGURATION_KEY);
+        body.map_or(0, |body| value_digest(&body.0))
+    }
+
+    /// What a reader is answered: a large value that it lacks goes only to machines with a disk. The
+    /// others are told that it stands, and fetch it as news, which may be no more than a few changes.
+    fn outcome_for(&mut self, reader: NodeId, outcome: WriteOutcome) -> WriteOutcome {
+        let is_large = outcome.outcome == WRITTEN && outcome.value.0.len() > SMALL_VALUE;
+        let is_diskless =
+            || self.members.find(reader).is_some_and(|news| news.disk == 0 && news.disk_state == 0);
+        if !is_large || reader == self.settings.node || outcome.key.0 != CONFIGURATION_KEY || !is_diskless() {
+            return outcome;
+        }
+        self.take_base(&outcome);
+        if let Some((node, mark)) = self.news.tell(reader, CONFIGURATION_KEY) {
+            self.send(node, mark);
+        }
+        WriteOutcome { outcome: AS_NEWS, value: Bytes::default(), ..outcome }
+    }
+
     /// Sends the election's writes, one message for each owner.
     pub(crate) fn send_leader_writes(&mut self, writes: Vec<steward_election::RecordWrite>) {
         let mut groups: BTreeMap<NodeId, Vec<WriteEntry>> = BTreeMap::new();
@@ -276,7 +308,8 @@
             };
             let ask = self.fresh_ask();
             let purpose = WritePurpose::Leader { function: write.function, record: write.record.clone() };
-            self.control.flights.insert(ask, WriteFlight { owner, purpose, sent_at: self.now });
+            let flight = WriteFlight { owner, purpose, sent_at: self.now, known_digest: 0 };
+            self.control.flights.insert(ask, flight);
             groups.entry(owner).or_default().push(WriteEntry {
                 ask,
                 key: key.into(),
@@ -432,8 +465,8 @@
                     self.control.owner.write(from, entry, now);
                 }
             }
-            Message::ReadConfirmed { ask, key } if self.owns_keys() => {
-                self.control.owner.read_confirmed(from, ask, key, now);
+            Message::ReadConfirmed { ask, key, digest } if self.owns_keys() => {
+                self.control.owner.confirm(from, ask, key, digest, now);
             }
             Message::WriteAnswer { outcomes } => {
                 for outcome in outcomes.0 {
@@ -546,6 +579,7 @@
         self.control.doubted.remove(&from);
         let Some(flight) = self.control.flights.remove(&outcome.ask) else { return };
         let now = self.now;
+        let outcome = self.with_known_value(outcome, &flight);
         match flight.purpose {
             WritePurpose::Leader { function, record } => match outcome.outcome {
                 WRITTEN => {
@@ -571,11 +605,18 @@
                 _ => self.stewards.election.unanswered(&function, now),
             },
             WritePurpose::Configuration => self.configuration_written(outcome),
+            WritePurpose::ConfigurationRead if outcome.outcome == AS_KNOWN => self.configuration_confirmed(),
             WritePurpose::ConfigurationRead => self.configuration_read(outcome),
             WritePurpose::ConfigurationCheck => self.configuration_checked(outcome),
             WritePurpose::ConfigurationAsked { request } => {
-                let stored = (outcome.outcome == WRITTEN).then_some(outcome.value.0);
-                self.act(Act::ConfigurationAnswered { request, stored });
+                let answer = match outcome.outcome {
+                    WRITTEN => ConfigurationAnswer::Stored(outcome.value.0),
+                    // What came meanwhile is newer, and stands on a majority as well.
+                    AS_KNOWN => ConfigurationAnswer::Stored(self.stored_configuration()),
+                    AS_NEWS => self.configuration_elsewhere(from),
+                    _ => ConfigurationAnswer::Unconfirmed,
+                };
+                self.act(Act::ConfigurationAnswered { request, answer });
             }
             WritePurpose::DisksRead => self.disks_read(&outcome),
             WritePurpose::DisksChange => self.disks_changed(&outcome),
@@ -596,6 +637,36 @@
         }
     }
 
+    /// The value of an answer that only says that this node's own value stands, where it is needed. A
+    /// value that changed here since the question is of no use: the question is put again.
+    fn with_known_value(&mut self, outcome: WriteOutcome, flight: &WriteFlight) -> WriteOutcome {
+        let needs_value =
+            matches!(flight.purpose, WritePurpose::ConfigurationCheck | WritePurpose::DisksCopy { .. });
+        if outcome.outcome != AS_KNOWN || !needs_value {
+            return outcome;
+        }
+        match self.known_digest(&outcome.key.0) == flight.known_digest {
+            true => WriteOutcome { outcome: WRITTEN, value: Bytes(self.stored_configuration()), ..outcome },
+            false => WriteOutcome { outcome: UNKNOWN, ..outcome },
+        }
+    }
+
+    fn configuration_elsewhere(&self, node: NodeId) -> ConfigurationAnswer {
+        let address = self.members.find(node).map(|news| news.address);
+        address.map_or(ConfigurationAnswer::Unconfirmed, ConfigurationAnswer::Elsewhere)
+    }
+
+    /// Where the configuration is read and changed without passing this machine's link: the owner of
+    /// its key. None at a machine with a disk, which may be that owner, and where no owner is known.
+    /// Example: `node.configuration_home()`.
+    pub fn configuration_home(&self) -> Option<colleague_messages::Address> {
+        if self.control.disk.is_some() {
+            return None;
+        }
+        let owner = self.key_owner(CONFIGURATION_KEY)?;
+        self.members.find(owner).map(|news| news.address)
+    }
+
     /// A write or poll that its owner leaves unanswered: another voter is asked next time.
     fn check_flights(&mut self) {
         let now = self.now;
@@ -641,7 +712,8 @@
                     }
                 }
                 WritePurpose::ConfigurationAsked { request } => {
-                    self.act(Act::ConfigurationAnswered { request, stored: None });
+                    let answer = ConfigurationAnswer::Unconfirmed;
+                    self.act(Act::ConfigurationAnswered { request, answer });
                 }
                 WritePurpose::ConfigurationRead | WritePurpose::DisksRead | WritePurpose::DisksChange => {}
             }
@@ -917,8 +989,10 @@
         for key in due_keys {
             let ask = self.fresh_ask();
             let purpose = WritePurpose::DisksCopy { key: key.clone() };
-            self.control.flights.insert(ask, WriteFlight { owner: own, purpose, sent_at: now });
-            self.send(own, Message::ReadConfirmed { ask, key: key.into() });
+            let known_digest = self.known_digest(&key);
+            let flight = WriteFlight { owner: own, purpose, sent_at: now, known_digest };
+            self.control.flights.insert(ask, flight);
+            self.send(own, Message::ReadConfirmed { ask, key: key.into(), digest: known_digest });
         }
     }
 
@@ -938,7 +1012,10 @@
                         self.send(node, Message::Store { fleet_set, entries });
                     }
                 }
-                OwnerAct::Answer { node, outcome } => answer_groups.entry(node).or_default().push(outcome),
+                OwnerAct::Answer { node, outcome } => {
+                    let outcome = self.outcome_for(node, outcome);
+                    answer_groups.entry(node).or_default().push(outcome);
+                }
             }
         }
         for (node, outcomes) in answer_groups {
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -50,6 +50,8 @@
     pub acts_per_second: f64,
     /// What may be dispatched to a function beyond each call's first.
     pub extra_bound: ExtraBound,
+    /// Bytes a second that this machine's link carries, where that is known.
+    pub link_rate: Option<f64>,
     /// The election's times.
     pub election: ElectionSettings,
     /// The probes' times.
@@ -82,6 +84,17 @@
     Unknown,
 }
 
+/// What a read of the configuration brought.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ConfigurationAnswer {
+    /// These bytes stand on a majority of the disks.
+    Stored(Vec<u8>),
+    /// A newer value stands than this node has; the colleague at this address has it.
+    Elsewhere(Address),
+    /// No majority answered in time.
+    Unconfirmed,
+}
+
 /// What happens to a node.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -149,8 +162,8 @@
     ConfigurationTaken { generation: u64, configuration: Arc<Configuration> },
     /// The operator's change has this outcome.
     ChangeAnswered { request: u64, change_id: String, outcome: ChangeOutcome },
-    /// The stored configuration, as a majority of the disks confirms it; none without a majority.
-    ConfigurationAnswered { request: u64, stored: Option<Vec<u8>> },
+    /// The stored configuration, as a majority of the disks confirms it.
+    ConfigurationAnswered { request: u64, answer: ConfigurationAnswer },
     /// The decision lines after the cursor, and the cursor behind them.
     DecisionsAnswered { request: u64, lines: Vec<DecisionLine>, cursor: Vec<(NodeId, u64)> },
     /// The node knows the newest configuration and may take calls.
--- a/packages/node_protocol/src/list_part/tests.rs
+++ b/packages/node_protocol/src/list_part/tests.rs
@@ -40,6 +40,7 @@
         list_every: Micros::from_millis(900),
         replace_disk_after: Micros::from_secs(60),
         acts_per_second: 10.0,
+        link_rate: None,
         election: ElectionSettings::default(),
         probes: ProbeSettings::default(),
         luck_seed: 1,
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -149,6 +149,9 @@
             gone: BTreeSet::new(),
             settings,
         };
+        if let Some(link_rate) = node.settings.link_rate {
+            node.news.take_link_rate(link_rate);
+        }
         node.set_changed();
         node
     }
@@ -258,7 +261,8 @@
             Message::News { .. }
             | Message::NewsDigest { .. }
             | Message::NewsMarks { .. }
-            | Message::NewsAsk { .. } => {
+            | Message::NewsAsk { .. }
+            | Message::NewsChanges { .. } => {
                 let (newer_topics, sends) = self.news.received(from, message);
                 for (node, answer) in sends {
                     self.send(node, answer);
--- a/packages/scale_run/src/hollow_fleet.rs
+++ b/packages/scale_run/src/hollow_fleet.rs
@@ -202,6 +202,7 @@
             extra_bound: steward_work::ExtraBound::default(),
             replace_disk_after: Micros::from_secs(600),
             acts_per_second: 80.0,
+            link_rate: None,
             election: ElectionSettings::default(),
             probes: ProbeSettings::default(),
             luck_seed: self.dice.u64(..),
--- a/packages/vanelane/src/lib.rs
+++ b/packages/vanelane/src/lib.rs
@@ -15,6 +15,6 @@
 mod settings_watch;
 
 pub use control_pages::ControlPages;
-pub use operator_port::{OperatorPages, OperatorPort, Page};
+pub use operator_port::{ConfirmedConfiguration, OperatorPages, OperatorPort, Page};
 pub use run_node::{Seams, start};
 pub use settings::{Settings, SettingsReason};
--- a/packages/vanelane/src/local_server.rs
+++ b/packages/vanelane/src/local_server.rs
@@ -18,6 +18,8 @@
     pub idle: Duration,
     /// How long a request's head may take to come.
     pub header_wait: Duration,
+    /// How long what a client still sends is read after the last answer, so that it sees the answer.
+    pub linger: Duration,
 }
 
 /// Makes the answer to one request.
@@ -71,7 +73,7 @@
         let closing = server.closing.clone();
         let factory = HttpService::build()
             .client_request_timeout(patience.header_wait)
-            .client_disconnect_timeout(Duration::from_secs(1))
+            .client_disconnect_timeout(patience.linger)
             .keep_alive(KeepAlive::Timeout(patience.idle))
             .graceful_shutdown_signal(move || {
                 let mut closing = closing.clone();
--- a/packages/vanelane/src/operator_port.rs
+++ b/packages/vanelane/src/operator_port.rs
@@ -1,14 +1,15 @@
 //! What an operators' page may ask of the node, whatever words it speaks.
 
 use crate::colleague_links::FrameCounts;
-use crate::protocol_shell::{DecisionsReply, NodeFlags, ShellEvent};
+use crate::protocol_shell::{ConfigurationHome, DecisionsReply, NodeFlags, ShellEvent};
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response};
 use colleague_messages::NodeId;
 use configuration_check::{Change, ChangeOutcome, StoredConfiguration};
 use function_front::Front;
 use futures_util::future::LocalBoxFuture;
-use node_protocol::NodeStatus;
+use node_protocol::{ConfigurationAnswer, NodeStatus};
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -16,6 +17,20 @@
 
 const ANSWER_WITHIN: Duration = Duration::from_secs(10);
 
+/// A caller gives a node up after about a second; with a quarter of it spent on the wire enough is left
+/// for everything else. What takes longer over this machine's link had better go to another.
+const WIRE_SECONDS: f64 = 0.25;
+
+/// The configuration as a read found it. Example: `ConfirmedConfiguration::Unconfirmed`.
+pub enum ConfirmedConfiguration {
+    /// It stands on a majority of the disks.
+    Stored(StoredConfiguration),
+    /// The machine at this address has a newer one than this node.
+    Elsewhere(IpAddr),
+    /// No majority of the disks answered in time.
+    Unconfirmed,
+}
+
 /// An answer to an operator.
 pub type Page = Response<BoxBody>;
 
@@ -32,6 +47,8 @@
     pub(crate) front: Arc<Front>,
     pub(crate) flags: Arc<NodeFlags>,
     pub(crate) frames: Arc<FrameCounts>,
+    /// Bytes a second over this machine's link, where they are known.
+    pub(crate) link_rate: Option<f64>,
 }
 
 impl OperatorPort {
@@ -65,11 +82,28 @@
         StoredConfiguration::decode(&stored)
     }
 
-    /// The configuration as a majority of the disks confirms it; `None` without one.
-    /// Example: `port.confirmed_configuration().await?.version`.
-    pub async fn confirmed_configuration(&self) -> Option<StoredConfiguration> {
-        let stored = self.ask(|reply| ShellEvent::ConfirmedConfiguration { reply }).await??;
-        StoredConfiguration::decode(&stored)
+    /// The configuration as a majority of the disks confirms it.
+    /// Example: `matches!(port.confirmed_configuration().await, ConfirmedConfiguration::Stored(_))`.
+    pub async fn confirmed_configuration(&self) -> ConfirmedConfiguration {
+        match self.ask(|reply| ShellEvent::ConfirmedConfiguration { reply }).await {
+            Some(ConfigurationAnswer::Stored(stored)) => StoredConfiguration::decode(&stored)
+                .map_or(ConfirmedConfiguration::Unconfirmed, ConfirmedConfiguration::Stored),
+            Some(ConfigurationAnswer::Elsewhere(address)) => {
+                ConfirmedConfiguration::Elsewhere(address.socket().ip())
+            }
+            Some(ConfigurationAnswer::Unconfirmed) | None => ConfirmedConfiguration::Unconfirmed,
+        }
+    }
+
+    /// The machine where a caller had better send a body of so many bytes to, or read the whole
+    /// configuration from (`None`): the one that owns it, if this machine's link is too small for that.
+    /// Example: `port.better_place(None).await`.
+    pub async fn better_place(&self, bytes: Option<usize>) -> Option<IpAddr> {
+        let link_rate = self.link_rate?;
+        let home: ConfigurationHome = self.ask(|reply| ShellEvent::ConfigurationHome { reply }).await?;
+        let seconds = bytes.unwrap_or(home.bytes) as f64 / link_rate;
+        let address = home.address.filter(|_| seconds > WIRE_SECONDS)?;
+        Some(address.socket().ip())
     }
 
     pub(crate) async fn decisions(&self, after: Vec<(NodeId, u64)>, most: u32) -> Option<DecisionsReply> {
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -7,7 +7,7 @@
 use configuration_check::{Change, ChangeOutcome};
 use error_stack::Report;
 use function_front::{Front, FrontLink, TicketAnswer};
-use node_protocol::{Act, Event, Node, NodeStatus, RefusedAs, StartResult, StopResult};
+use node_protocol::{Act, ConfigurationAnswer, Event, Node, NodeStatus, RefusedAs, StartResult, StopResult};
 use platform_client::{ActStamp, PlatformApi, StartAnswer, StartDocument, StopAnswer};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -28,11 +28,19 @@
     Decisions { after: Vec<(NodeId, u64)>, most: u32, reply: oneshot::Sender<DecisionsReply> },
     Status { reply: oneshot::Sender<NodeStatus> },
     Configuration { reply: oneshot::Sender<Vec<u8>> },
-    ConfirmedConfiguration { reply: oneshot::Sender<Option<Vec<u8>>> },
+    ConfirmedConfiguration { reply: oneshot::Sender<ConfigurationAnswer> },
+    ConfigurationHome { reply: oneshot::Sender<ConfigurationHome> },
     PlatformMoved { address: std::net::SocketAddr },
     Drain,
 }
 
+/// Where the configuration is read and changed without passing this machine's link, and how large it
+/// is as known here.
+pub struct ConfigurationHome {
+    pub address: Option<Address>,
+    pub bytes: usize,
+}
+
 pub struct DecisionsReply {
     pub lines: Vec<DecisionLine>,
     pub cursor: Vec<(NodeId, u64)>,
@@ -62,7 +70,7 @@
     pub tickets: HashMap<u64, oneshot::Sender<TicketAnswer>>,
     pub changes: HashMap<u64, oneshot::Sender<ChangeOutcome>>,
     pub decisions: HashMap<u64, oneshot::Sender<DecisionsReply>>,
-    pub confirmed: HashMap<u64, oneshot::Sender<Option<Vec<u8>>>>,
+    pub confirmed: HashMap<u64, oneshot::Sender<ConfigurationAnswer>>,
     pub next_request: u64,
     pub logged_decision: u64,
 }
@@ -132,6 +140,11 @@
             ShellEvent::Configuration { reply } => {
                 let _ = reply.send(self.node.stored_configuration());
             }
+            ShellEvent::ConfigurationHome { reply } => {
+                let address = self.node.configuration_home();
+                let bytes = self.node.stored_configuration_length();
+                let _ = reply.send(ConfigurationHome { address, bytes });
+            }
             ShellEvent::PlatformMoved { address } => self.platform = self.platform.moved(address),
             ShellEvent::ConfirmedConfiguration { reply } => {
                 self.confirmed.insert(request, reply);
@@ -261,9 +274,9 @@
                     let _ = reply.send(outcome);
                 }
             }
-            Act::ConfigurationAnswered { request, stored } => {
+            Act::ConfigurationAnswered { request, answer } => {
                 if let Some(reply) = self.confirmed.remove(&request) {
-                    let _ = reply.send(stored);
+                    let _ = reply.send(answer);
                 }
             }
             Act::DecisionsAnswered { request, lines, cursor } => {
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -14,7 +14,7 @@
 use call_traces::TraceWriter;
 use clock_events::{Micros, MonotonicClock};
 use colleague_messages::{Address, fleet_mark, node_id};
-use configuration_check::VisitorLimits;
+use configuration_check::{DOCUMENT_LIMIT, VisitorLimits};
 use control_registers::DiskRegisters;
 use function_front::{CallDialect, DispatchSettings, Front, FrontSettings, Recorder};
 use log4rs::append::console::{ConsoleAppender, Target};
@@ -42,6 +42,8 @@
 const INBOX_LIMIT: usize = 8_192;
 const VISITOR_CONNECTIONS: usize = 4_096;
 const CONTROL_CONNECTIONS: usize = 256;
+/// How long what a visitor still sends is read after the last answer on a connection.
+const VISITOR_LINGER: Duration = Duration::from_secs(1);
 
 /// What a platform brings of its own; everything else is the product's.
 pub struct Seams {
@@ -200,6 +202,7 @@
         front: front.clone(),
         flags: flags.clone(),
         frames: frames.clone(),
+        link_rate: settings.link_rate(),
     };
     let (closing, is_closing) = watch::channel(false);
     // The operators' pages answer to the end.
@@ -207,7 +210,12 @@
     let patience = ClientPatience {
         idle: Duration::from_millis(settings.idle_millis),
         header_wait: Duration::from_millis(settings.header_wait_millis),
+        linger: VISITOR_LINGER,
     };
+    // A redirected operator may still be sending a whole document.
+    let document_time = settings.link_rate().map_or(0.0, |rate| DOCUMENT_LIMIT as f64 / rate);
+    let page_linger = VISITOR_LINGER.max(Duration::from_secs_f64(document_time));
+    let page_patience = ClientPatience { linger: page_linger, ..patience };
     let mut local_servers = Vec::new();
     let mut threaded = None;
     match settings.worker_threads {
@@ -233,7 +241,7 @@
         local_servers.push(LocalServer {
             listener: local_listener(field, listener)?,
             answering: Rc::new(move |request| pages.answer(port.clone(), request)),
-            patience: Rc::new(move || patience),
+            patience: Rc::new(move || page_patience),
             connections_limit: CONTROL_CONNECTIONS,
             closing: are_pages_closing.clone(),
         });
@@ -321,6 +329,7 @@
         list_every: Micros::from_millis(settings.list_every_millis),
         replace_disk_after: Micros::from_secs(settings.replace_disk_after_seconds),
         acts_per_second: settings.acts_per_second,
+        link_rate: settings.link_rate(),
         extra_bound: ExtraBound {
             ratio: settings.extra_ratio,
             fixed: settings.extra_fixed,
@@ -350,6 +359,7 @@
     ClientPatience {
         idle: told(limits.idle_millis, patience.idle),
         header_wait: told(limits.header_wait_millis, patience.header_wait),
+        ..patience
     }
 }
 
--- a/packages/vanelane/src/settings.rs
+++ b/packages/vanelane/src/settings.rs
@@ -49,6 +49,7 @@
     body_limit_bytes: u64,
     memory_limit_bytes: u64,
     calls_limit: u64,
+    link_megabits: f64,
     recording: PathBuf,
     recording_limit_bytes: u64,
     traces: PathBuf,
@@ -94,6 +95,8 @@
     pub body_limit_bytes: usize,
     pub memory_limit_bytes: usize,
     pub calls_limit: usize,
+    /// Megabits a second that this machine's link carries, where that is known.
+    pub link_megabits: Option<f64>,
     pub recording: Option<PathBuf>,
     pub recording_limit_bytes: u64,
     pub traces: Option<PathBuf>,
@@ -102,6 +105,13 @@
     pub log_level: log::LevelFilter,
 }
 
+impl Settings {
+    /// Bytes a second over this machine's link, where they are known. Example: `settings.link_rate()`.
+    pub fn link_rate(&self) -> Option<f64> {
+        self.link_megabits.map(|megabits| megabits * 1e6 / 8.0)
+    }
+}
+
 /// A field's name and what is wrong with it.
 pub type SettingsReason = (&'static str, String);
 
@@ -247,6 +257,9 @@
         let reason = format!("{lists_per_second} is not above 0 and up to 1000000");
         checker.reasons.push(("lists_per_second", reason));
     }
+    if let Some(link_megabits) = file.link_megabits.filter(|megabits| !(0.01..=1e6).contains(megabits)) {
+        checker.reasons.push(("link_megabits", format!("{link_megabits} is not within 0.01 to 1000000")));
+    }
     let costs = [
         ("start_cost", file.start_cost.unwrap_or(110.0)),
         ("late_call_cost", file.late_call_cost.unwrap_or(600.0)),
@@ -323,6 +336,7 @@
             64 * 1024 * 1024 * 1024,
         ) as usize,
         calls_limit: checker.number("calls_limit", file.calls_limit, 1_000, 1, 1_000_000) as usize,
+        link_megabits: file.link_megabits,
         recording: file.recording,
         recording_limit_bytes: checker.number(
             "recording_limit_bytes",
