--- a/packages/fleet_simulator/src/lib.rs
+++ b/packages/fleet_simulator/src/lib.rs
@@ -6,14 +6,17 @@
 
 mod allowance_scenarios;
 mod disk_scenarios;
+mod grown_scenarios;
 mod lane_scenarios;
 mod machine_scenarios;
 pub mod scenarios;
 mod sim_calls;
 mod sim_disk;
+mod sim_links;
 mod sim_platform;
 mod world;
 
 pub use sim_disk::SimDisk;
+pub use sim_links::LinkRates;
 pub use sim_platform::SimPlatform;
 pub use world::{FreezeIn, World, WorldSettings};
--- a/packages/fleet_simulator/src/scenarios.rs
+++ b/packages/fleet_simulator/src/scenarios.rs
@@ -5,6 +5,7 @@
     disk_full_and_room_again, disks_wiped_in_turn, lowest_seeds_without_disk, two_disks_full,
     two_disks_stalled, two_of_five_wiped, vote_change_with_owner_lost, wiped_amid_a_vote_change,
 };
+use crate::grown_scenarios::grown_links;
 use crate::lane_scenarios::{lanes_moved, lanes_moved_while_nodes_sleep};
 use crate::machine_scenarios::{clocks_drift, frozen_in_the_act, full_size};
 use crate::{World, WorldSettings};
@@ -93,6 +94,7 @@
     two_of_five_wiped,
     wiped_amid_a_vote_change,
     lowest_seeds_without_disk,
+    grown_links,
 }
 
 /// A scenario under way.
@@ -104,13 +106,18 @@
 }
 
 impl Trial {
-    pub(crate) fn founded(settings: WorldSettings, seed: u64) -> Trial {
-        let mut trial = Trial {
+    /// A fleet at its first start, without a configuration.
+    pub(crate) fn unfounded(settings: WorldSettings, seed: u64) -> Trial {
+        Trial {
             world: World::new(settings, seed),
             breaches: Vec::new(),
             figures: Vec::new(),
             checks: CheckSettings::default(),
-        };
+        }
+    }
+
+    pub(crate) fn founded(settings: WorldSettings, seed: u64) -> Trial {
+        let mut trial = Trial::unfounded(settings, seed);
         let is_founded = trial.world.found();
         trial.must(is_founded, "founding", "the fleet was not founded");
         trial.world.call_rate = 100.0;
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -1,5 +1,6 @@
 use crate::sim_calls::SimCall;
 use crate::sim_disk::SimDisk;
+use crate::sim_links::{LinkRates, SimLinks};
 use crate::sim_platform::{SimPlatform, SimStart};
 use clock_events::Micros;
 use colleague_messages::{Address, Envelope, Message, NodeId, Ticket, fleet_mark, node_id};
@@ -9,7 +10,9 @@
 use fastrand::Rng;
 use function_front::{DispatchEnd, LaneTable};
 use history_checks::{Line, Outcome};
-use node_protocol::{Act, Event, Node, NodeSettings, NodeStatus, RefusedAs, StartResult, StopResult};
+use node_protocol::{
+    Act, ConfigurationAnswer, Event, Node, NodeSettings, NodeStatus, RefusedAs, StartResult, StopResult,
+};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -59,6 +62,8 @@
     pub founding_disks: usize,
     /// The rare functions' memory ceiling, if they have one.
     pub rare_ceiling_mb: Option<f64>,
+    /// Rates of the nodes' links; without them any message takes the same time.
+    pub link_rates: Option<LinkRates>,
 }
 
 impl Default for WorldSettings {
@@ -84,6 +89,7 @@
             first_disk: 0,
             founding_disks: 3,
             rare_ceiling_mb: None,
+            link_rates: None,
         }
     }
 }
@@ -100,8 +106,21 @@
     CellFinishes { call: u64, dispatch: u32, cell: String, end: DispatchEnd },
     AnswerComes { call: u64, dispatch: u32, end: DispatchEnd },
     CallForgotten { call: u64 },
+    OperatorCalls { node: usize, call: OperatorCall },
+    OperatorReadEnds { request: u64 },
 }
 
+/// What an operator asks of a node, and how often the call was sent on to another one.
+pub(crate) struct OperatorCall {
+    request: u64,
+    hops: u32,
+    /// A change with its id; a read where there is none.
+    change: Option<(String, Value)>,
+}
+
+/// Callers follow a redirect twice.
+const REDIRECTS: u32 = 2;
+
 pub(crate) struct SimNode {
     pub address: Address,
     pub zone: String,
@@ -198,6 +217,10 @@
     told_lanes: (u64, BTreeMap<String, String>),
     /// Why calls were refused, with counts.
     pub refusals: BTreeMap<String, u64>,
+    links: SimLinks,
+    /// The longest frame that passed a link of a node without a disk, while link rates are set.
+    pub largest_small_link_message: usize,
+    reads_ended: BTreeSet<u64>,
 }
 
 const SEED_COUNT: usize = 3;
@@ -234,6 +257,9 @@
             settings,
             told_lanes: (0, BTreeMap::new()),
             refusals: BTreeMap::new(),
+            links: SimLinks::default(),
+            largest_small_link_message: 0,
+            reads_ended: BTreeSet::new(),
         };
         for (number, address) in addresses.into_iter().enumerate() {
             let first_disk = world.settings.first_disk;
@@ -259,6 +285,11 @@
                 clock_rate: 1.0,
             });
         }
+        if world.settings.link_rates.is_some() {
+            let rates: Vec<f64> =
+                (0..world.nodes.len()).filter_map(|number| world.link_rate(number)).collect();
+            world.links = SimLinks::new(rates.into_iter());
+        }
         for number in 0..world.nodes.len() {
             world.start(number);
         }
@@ -396,6 +427,10 @@
             }
             Happening::AnswerComes { call, dispatch, end } => self.answer_comes(call, dispatch, end),
             Happening::CallForgotten { call } => self.call_forgotten(call),
+            Happening::OperatorCalls { node, call } => self.operator_calls(node, call),
+            Happening::OperatorReadEnds { request } => {
+                self.reads_ended.insert(request);
+            }
         }
     }
 
@@ -449,7 +484,7 @@
             lists_per_second: 1_000.0,
             replace_disk_after: self.settings.replace_disk_after,
             acts_per_second: 80.0,
-            link_rate: None,
+            link_rate: self.link_rate(number),
             extra_bound: ExtraBound::default(),
             election: self.settings.election.clone(),
             probes: ProbeSettings::default(),
@@ -682,9 +717,7 @@
     /// The node that owns the key of the voter set, as far as another one can tell.
     /// Example: `world.kill(world.voters_owner().unwrap())`.
     pub fn voters_owner(&self) -> Option<usize> {
-        let number = *self.up().first()?;
-        let owner = self.nodes[number].node.as_ref()?.owner_of(control_registers::DISKS_KEY)?;
-        self.up().into_iter().find(|other| self.nodes[*other].id == owner)
+        self.owner_of(control_registers::DISKS_KEY)
     }
 
     /// Sends a call to every function at every node that takes calls, ten functions at a time; the
@@ -763,6 +796,96 @@
         *bytes += envelope.frame().map_or(0, |frame| frame.len() as u64);
     }
 
+    /// An operator reads the configuration at a node, or where that one sends it on to.
+    /// Example: `let read = world.operator_reads(40); world.run_until(1.0, |world| world.is_read(read))`.
+    pub fn operator_reads(&mut self, number: usize) -> u64 {
+        self.next_request += 1;
+        let request = self.next_request;
+        self.operator_calls(number, OperatorCall { request, hops: 0, change: None });
+        request
+    }
+
+    /// Whether an operator's read was answered in full. Example: `world.is_read(read)`.
+    pub fn is_read(&self, read: u64) -> bool {
+        self.reads_ended.contains(&read)
+    }
+
+    /// An operator sends a whole document to a node, or where that one sends it on to.
+    /// Example: `world.operator_sends(40, "all", document)`.
+    pub fn operator_sends(&mut self, number: usize, change_id: &str, whole: Value) {
+        self.next_request += 1;
+        let change = Some((change_id.to_owned(), whole));
+        self.operator_calls(number, OperatorCall { request: self.next_request, hops: 0, change });
+    }
+
+    /// A caller that is sent on stops sending; a body that is taken comes over the node's link.
+    fn operator_calls(&mut self, number: usize, call: OperatorCall) {
+        let bytes = call.change.as_ref().map(|(_, whole)| whole.to_string().len());
+        let better_place = self.nodes[number].node.as_ref().and_then(|node| node.better_place(bytes));
+        let place = better_place.filter(|_| call.hops < REDIRECTS);
+        let next = place.and_then(|place| self.nodes.iter().position(|node| node.address == place));
+        if let Some(next) = next {
+            let travel = self.travel() * 2;
+            let call = OperatorCall { hops: call.hops + 1, ..call };
+            self.after(travel, Happening::OperatorCalls { node: next, call });
+            return;
+        }
+        let (life, request) = (self.nodes[number].life, call.request);
+        let event = match call.change {
+            None => Event::ConfigurationAsked { request },
+            Some((change_id, whole)) => {
+                let change = Change { change_id, whole: Some(whole), ..Change::default() };
+                Event::ChangeAsked { request, change }
+            }
+        };
+        let received_at = self.links.received(number, bytes.unwrap_or(0), self.now);
+        let span = received_at - self.now;
+        self.after(span, Happening::Given { node: number, life, event: Box::new(event) });
+    }
+
+    /// The answer leaves over the node's link, unpacked.
+    fn read_answered(&mut self, number: usize, request: u64, answer: ConfigurationAnswer) {
+        match answer {
+            ConfigurationAnswer::Stored(stored) => {
+                let sent_at = self.links.sent(number, stored.len(), self.now);
+                self.after(sent_at - self.now, Happening::OperatorReadEnds { request });
+            }
+            ConfigurationAnswer::Elsewhere(place) => {
+                let next = self.nodes.iter().position(|node| node.address == place);
+                let Some(node) = next else { return };
+                let travel = self.travel() * 2;
+                let call = OperatorCall { request, hops: REDIRECTS, change: None };
+                self.after(travel, Happening::OperatorCalls { node, call });
+            }
+            ConfigurationAnswer::Unconfirmed => {}
+        }
+    }
+
+    /// Whether all nodes that are up take calls. Example: `world.run_until(20.0, World::is_all_ready)`.
+    pub fn is_all_ready(&self) -> bool {
+        self.up().iter().all(|number| self.nodes[*number].is_ready)
+    }
+
+    /// Whether all nodes that are up hold one generation.
+    /// Example: `world.run_until(4.0, World::is_one_generation)`.
+    pub fn is_one_generation(&self) -> bool {
+        let held: BTreeSet<u64> =
+            self.up().iter().filter_map(|up| self.status(*up)).map(|status| status.generation).collect();
+        held.len() <= 1
+    }
+
+    /// The node that owns the configuration's key, as far as another one can tell.
+    /// Example: `world.kill(world.configuration_owner().unwrap())`.
+    pub fn configuration_owner(&self) -> Option<usize> {
+        self.owner_of(control_registers::CONFIGURATION_KEY)
+    }
+
+    fn owner_of(&self, key: &str) -> Option<usize> {
+        let number = *self.up().first()?;
+        let owner = self.nodes[number].node.as_ref()?.owner_of(key)?;
+        self.up().into_iter().find(|other| self.nodes[*other].id == owner)
+    }
+
     /// A small change that leaves its mark in the document. Example: `world.mark(2, "m1")`.
     pub fn mark(&mut self, number: usize, change_id: &str) {
         let mut partial = json!({"lanes": {}});
@@ -940,7 +1063,8 @@
                 }
                 ChangeOutcome::Unknown { .. } => {}
             },
-            Act::DecisionsAnswered { .. } | Act::ConfigurationAnswered { .. } => {}
+            Act::DecisionsAnswered { .. } => {}
+            Act::ConfigurationAnswered { request, answer } => self.read_answered(number, request, answer),
             Act::Ready => self.nodes[number].is_ready = true,
             Act::Drained => self.nodes[number].is_drained = true,
         }
@@ -1046,7 +1170,25 @@
             message,
         };
         let travel = self.travel();
-        self.after(travel, Happening::Arrives { to: address, envelope: Box::new(envelope) });
+        let span = match to.filter(|_| self.settings.link_rates.is_some()) {
+            Some(receiver) => self.link_span((number, receiver), &envelope, travel),
+            None => travel,
+        };
+        self.after(span, Happening::Arrives { to: address, envelope: Box::new(envelope) });
+    }
+
+    fn link_rate(&self, number: usize) -> Option<f64> {
+        let rates = self.settings.link_rates?;
+        Some(if self.nodes[number].disk.is_some() { rates.with_disk } else { rates.others })
+    }
+
+    /// How long a message is under way over both links.
+    fn link_span(&mut self, (from, to): (usize, usize), envelope: &Envelope, travel: u64) -> u64 {
+        let bytes = envelope.frame().map_or(0, |frame| frame.len());
+        if self.nodes[from].disk.is_none() || self.nodes[to].disk.is_none() {
+            self.largest_small_link_message = self.largest_small_link_message.max(bytes);
+        }
+        self.links.arrival((from, to), bytes, self.now, travel) - self.now
     }
 
     fn start_cell(
--- a/packages/node_protocol/src/configuration_part.rs
+++ b/packages/node_protocol/src/configuration_part.rs
@@ -428,8 +428,7 @@
     }
 
     /// How many bytes [`Node::stored_configuration`] has, zero before the first configuration.
-    /// Example: `node.stored_configuration_length() > 0`.
-    pub fn stored_configuration_length(&self) -> usize {
+    pub(crate) fn stored_configuration_length(&self) -> usize {
         self.news.body(CONFIGURATION_KEY).map_or(0, |body| body.0.len())
     }
 
--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -6,8 +6,8 @@
 use crate::{Act, ConfigurationAnswer};
 use clock_events::{ClockEvent, Micros};
 use colleague_messages::{
-    Bytes, LeaderRecord, List, MemberNews, Message, NodeId, PolledRecord, RenewedRecord, Text, WriteEntry,
-    WriteOutcome, stable_hash, value_digest,
+    Address, Bytes, LeaderRecord, List, MemberNews, Message, NodeId, PolledRecord, RenewedRecord, Text,
+    WriteEntry, WriteOutcome, stable_hash, value_digest,
 };
 use control_registers::{
     AS_KNOWN, CONFIGURATION_KEY, DIFFERS, DISKS_KEY, DiskRegisters, KeyOwner, OwnerAct, UNKNOWN, VoterSet,
@@ -42,6 +42,10 @@
 /// Values up to this size are sent with every answer.
 const SMALL_VALUE: usize = 16 * 1024;
 
+/// An operator gives a node up after about a second; with a quarter of it spent on the wire enough is
+/// left for everything else.
+const WIRE_SECONDS: f64 = 0.25;
+
 /// What a write or confirmed read in flight is for.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum WritePurpose {
@@ -656,11 +660,14 @@
         address.map_or(ConfigurationAnswer::Unconfirmed, ConfigurationAnswer::Elsewhere)
     }
 
-    /// Where the configuration is read and changed without passing this machine's link: the owner of
-    /// its key. None at a machine with a disk, which may be that owner, and where no owner is known.
-    /// Example: `node.configuration_home()`.
-    pub fn configuration_home(&self) -> Option<colleague_messages::Address> {
-        if self.control.disk.is_some() {
+    /// The colleague where an operator had better send a body of so many bytes to, or read the whole
+    /// configuration from (`None`): the owner of its key, if this machine's link is too small for that.
+    /// A machine with a disk may be that owner itself, and sends nobody on.
+    /// Example: `node.better_place(Some(400_000))`.
+    pub fn better_place(&self, bytes: Option<usize>) -> Option<Address> {
+        let link_rate = self.settings.link_rate?;
+        let seconds = bytes.unwrap_or_else(|| self.stored_configuration_length()) as f64 / link_rate;
+        if seconds <= WIRE_SECONDS || self.control.disk.is_some() {
             return None;
         }
         let owner = self.key_owner(CONFIGURATION_KEY)?;
--- a/packages/vanelane/src/operator_port.rs
+++ b/packages/vanelane/src/operator_port.rs
@@ -1,7 +1,7 @@
 //! What an operators' page may ask of the node, whatever words it speaks.
 
 use crate::colleague_links::FrameCounts;
-use crate::protocol_shell::{ConfigurationHome, DecisionsReply, NodeFlags, ShellEvent};
+use crate::protocol_shell::{DecisionsReply, NodeFlags, ShellEvent};
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response};
 use colleague_messages::NodeId;
@@ -17,10 +17,6 @@
 
 const ANSWER_WITHIN: Duration = Duration::from_secs(10);
 
-/// A caller gives a node up after about a second; with a quarter of it spent on the wire enough is left
-/// for everything else. What takes longer over this machine's link had better go to another.
-const WIRE_SECONDS: f64 = 0.25;
-
 /// The configuration as a read found it. Example: `ConfirmedConfiguration::Unconfirmed`.
 pub enum ConfirmedConfiguration {
     /// It stands on a majority of the disks.
@@ -47,8 +43,6 @@
     pub(crate) front: Arc<Front>,
     pub(crate) flags: Arc<NodeFlags>,
     pub(crate) frames: Arc<FrameCounts>,
-    /// Bytes a second over this machine's link, where they are known.
-    pub(crate) link_rate: Option<f64>,
 }
 
 impl OperatorPort {
@@ -99,11 +93,8 @@
     /// configuration from (`None`): the one that owns it, if this machine's link is too small for that.
     /// Example: `port.better_place(None).await`.
     pub async fn better_place(&self, bytes: Option<usize>) -> Option<IpAddr> {
-        let link_rate = self.link_rate?;
-        let home: ConfigurationHome = self.ask(|reply| ShellEvent::ConfigurationHome { reply }).await?;
-        let seconds = bytes.unwrap_or(home.bytes) as f64 / link_rate;
-        let address = home.address.filter(|_| seconds > WIRE_SECONDS)?;
-        Some(address.socket().ip())
+        let place = self.ask(|reply| ShellEvent::BetterPlace { bytes, reply }).await??;
+        Some(place.socket().ip())
     }
 
     pub(crate) async fn decisions(&self, after: Vec<(NodeId, u64)>, most: u32) -> Option<DecisionsReply> {
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -29,18 +29,11 @@
     Status { reply: oneshot::Sender<NodeStatus> },
     Configuration { reply: oneshot::Sender<Vec<u8>> },
     ConfirmedConfiguration { reply: oneshot::Sender<ConfigurationAnswer> },
-    ConfigurationHome { reply: oneshot::Sender<ConfigurationHome> },
+    BetterPlace { bytes: Option<usize>, reply: oneshot::Sender<Option<Address>> },
     PlatformMoved { address: std::net::SocketAddr },
     Drain,
 }
 
-/// Where the configuration is read and changed without passing this machine's link, and how large it
-/// is as known here.
-pub struct ConfigurationHome {
-    pub address: Option<Address>,
-    pub bytes: usize,
-}
-
 pub struct DecisionsReply {
     pub lines: Vec<DecisionLine>,
     pub cursor: Vec<(NodeId, u64)>,
@@ -140,10 +133,8 @@
             ShellEvent::Configuration { reply } => {
                 let _ = reply.send(self.node.stored_configuration());
             }
-            ShellEvent::ConfigurationHome { reply } => {
-                let address = self.node.configuration_home();
-                let bytes = self.node.stored_configuration_length();
-                let _ = reply.send(ConfigurationHome { address, bytes });
+            ShellEvent::BetterPlace { bytes, reply } => {
+                let _ = reply.send(self.node.better_place(bytes));
             }
             ShellEvent::PlatformMoved { address } => self.platform = self.platform.moved(address),
             ShellEvent::ConfirmedConfiguration { reply } => {
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -202,7 +202,6 @@
         front: front.clone(),
         flags: flags.clone(),
         frames: frames.clone(),
-        link_rate: settings.link_rate(),
     };
     let (closing, is_closing) = watch::channel(false);
     // The operators' pages answer to the end.
