--- a/packages/fleet_simulator/src/grown_scenarios.rs
+++ b/packages/fleet_simulator/src/grown_scenarios.rs
@@ -74,6 +74,8 @@
     trial.must(is_settled, "founding", "the first configuration did not reach every node");
     trial.world.call_rate = 100.0;
     trial.world.run_for(2.0);
+    let first_fetch = trial.world.largest_small_link_message;
+    trial.figures.push(("first_fetch_bytes", first_fetch as f64));
     trial.world.largest_small_link_message = 0;
     for round in 0..2 {
         must_read(&mut trial, small_node(&mut dice));
