--- a/packages/control_registers/src/lib.rs
+++ b/packages/control_registers/src/lib.rs
@@ -48,7 +48,9 @@
 
 pub use chosen_set::{ChosenSet, ProposedSet};
 pub use disk_registers::DiskRegisters;
-pub use key_owner::{DIFFERS, KeyOwner, NOT_OWNER, OwnerAct, PollAnswer, UNKNOWN, WRITTEN, keys_mark};
+pub use key_owner::{
+    AS_KNOWN, DIFFERS, KeyOwner, NOT_OWNER, OwnerAct, PollAnswer, UNKNOWN, WRITTEN, keys_mark,
+};
 pub use set_copy::SetCopy;
 pub use voter_set::VoterSet;
 
--- a/packages/fleet_simulator/tests/scenarios.rs
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -107,6 +107,7 @@
     killed_around_the_acknowledgement: 1..=20;
     all_disks_lose_power_after_acknowledging: 1..=20;
     hundreds_of_changes: 1..=20;
+    grown_links: 1..=2;
 }
 
 /// Clocks that jump can only matter where somebody reads them.
--- a/packages/node_protocol/src/configuration_part.rs
+++ b/packages/node_protocol/src/configuration_part.rs
@@ -1,9 +1,9 @@
 //! The configuration: operators' changes on their way into its register, and newer generations on
 //! their way to this node's calls. A generation, once seen, never goes back.
 
-use crate::Act;
 use crate::control_part::WritePurpose;
 use crate::node::Node;
+use crate::{Act, ConfigurationAnswer};
 use clock_events::{ClockEvent, Micros};
 use colleague_messages::{Bytes, Message, NodeId, WriteOutcome};
 use configuration_check::{Change, ChangeOutcome, Configuration, StoredConfiguration};
@@ -50,6 +50,8 @@
     owner: Option<NodeId>,
     /// The operator was told that the outcome is not known yet.
     is_answered: bool,
+    /// How long it is under way over this machine's link, at the most.
+    travel: Micros,
 }
 
 #[derive(Debug)]
@@ -89,6 +91,7 @@
     confirm_event: ClockEvent,
     /// When this node last heard from a majority which version of the register stands.
     majority_read_at: Option<Micros>,
+    majority_version: u64,
     read_asked_at: Micros,
 }
 
@@ -106,6 +109,7 @@
             carried: BTreeMap::new(),
             confirm_event: ClockEvent::each(Micros::from_millis(300)),
             majority_read_at: None,
+            majority_version: 0,
             read_asked_at: Micros(0),
         }
     }
@@ -142,7 +146,15 @@
             return;
         }
         let ask = self.fresh_ask();
-        let carried = CarriedChange { request, change, asked_at: self.now, sent_at: self.now, owner: None, is_answered: false };
+        let carried = CarriedChange {
+            request,
+            change,
+            asked_at: self.now,
+            sent_at: self.now,
+            owner: None,
+            is_answered: false,
+            travel: Micros(0),
+        };
         self.configuration.carried.insert(ask, carried);
         self.carry_change(ask);
     }
@@ -162,6 +174,8 @@
             return;
         }
         let change = Bytes(serde_json::to_vec(&carried.change).unwrap_or_default());
+        let seconds = self.settings.link_rate.map_or(0.0, |rate| change.0.len() as f64 / rate);
+        carried.travel = Micros((seconds * 1e6) as u64);
         self.send(owner, Message::ChangeCarry { ask, change });
     }
 
@@ -219,7 +233,10 @@
                 self.configuration.carried.remove(&ask);
                 continue;
             }
-            let patience = if carried.owner.is_some() { CARRY_PATIENCE } else { RETRY_PAUSE };
+            let patience = match carried.owner {
+                Some(_) => CARRY_PATIENCE + carried.travel,
+                None => RETRY_PAUSE,
+            };
             let is_owner_gone = carried.owner.is_some_and(|owner| self.members.find(owner).is_none());
             if now >= carried.sent_at + patience || is_owner_gone {
                 self.carry_change(ask);
@@ -287,7 +304,7 @@
             WRITTEN => {
                 let Some(batch) = &self.configuration.batch else { return };
                 self.configuration.base = (outcome.version, batch.next.clone());
-                self.configuration.majority_read_at = Some(self.now);
+                self.majority_told(outcome.version);
                 self.end_batch();
             }
             DIFFERS => {
@@ -319,11 +336,22 @@
             return;
         }
         self.take_base(&outcome);
+        self.configuration_confirmed(outcome.version);
+    }
+
+    /// A majority confirmed that the configuration known here stands, under this version.
+    pub(crate) fn configuration_confirmed(&mut self, version: u64) {
+        self.majority_told(version);
         self.configuration.confirmed = true;
         self.configuration.doubted_since = None;
         self.tell_ready();
     }
 
+    fn majority_told(&mut self, version: u64) {
+        self.configuration.majority_read_at = Some(self.now);
+        self.configuration.majority_version = self.configuration.majority_version.max(version);
+    }
+
     /// This node was away: before its calls go on it asks which generation holds.
     pub(crate) fn doubt_configuration(&mut self) {
         if !self.configuration.confirmed {
@@ -335,11 +363,8 @@
 
     /// Takes the configuration's register as a majority confirmed it.
     pub(crate) fn take_base(&mut self, outcome: &WriteOutcome) {
-        if outcome.version < self.configuration.base.0 {
-            return;
-        }
-        self.configuration.majority_read_at = Some(self.now);
-        if outcome.version == self.configuration.base.0 {
+        self.majority_told(outcome.version);
+        if outcome.version <= self.configuration.base.0 {
             return;
         }
         let Some(stored) = StoredConfiguration::decode(&outcome.value.0) else { return };
@@ -421,7 +446,7 @@
     pub(crate) fn configuration_asked(&mut self, request: u64) {
         let purpose = WritePurpose::ConfigurationAsked { request };
         if self.send_write(CONFIGURATION_KEY, 0, Bytes::default(), purpose).is_none() {
-            self.act(Act::ConfigurationAnswered { request, stored: None });
+            self.act(Act::ConfigurationAnswered { request, answer: ConfigurationAnswer::Unconfirmed });
         }
     }
 
@@ -434,6 +459,11 @@
         }
     }
 
+    /// How many bytes [`Node::stored_configuration`] has, zero before the first configuration.
+    pub(crate) fn stored_configuration_length(&self) -> usize {
+        self.news.body(CONFIGURATION_KEY).map_or(0, |body| body.0.len())
+    }
+
     pub(crate) fn tick_configuration(&mut self) {
         let now = self.now;
         self.tick_carried();
@@ -473,7 +503,7 @@
         let read_at = self.configuration.majority_read_at.unwrap_or(Micros(0));
         let asked_at = self.configuration.read_asked_at.max(read_at);
         let stored_version = self.control.stored_version(CONFIGURATION_KEY);
-        let is_stored_newer = stored_version > self.configuration.base.0;
+        let is_stored_newer = stored_version > self.configuration.majority_version;
         let share = Micros(READ_SHARE.0 * self.members.live().len() as u64);
         let interval = match is_stored_newer {
             true => STORED_READ_INTERVAL,
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -153,6 +153,9 @@
             gone: BTreeSet::new(),
             settings,
         };
+        if let Some(link_rate) = node.settings.link_rate {
+            node.news.take_link_rate(link_rate);
+        }
         node.start_by_own_set();
         node
     }
@@ -265,7 +268,8 @@
             Message::News { .. }
             | Message::NewsDigest { .. }
             | Message::NewsMarks { .. }
-            | Message::NewsAsk { .. } => {
+            | Message::NewsAsk { .. }
+            | Message::NewsChanges { .. } => {
                 let (newer_topics, sends) = self.news.received(from, message);
                 for (node, answer) in sends {
                     self.send(node, answer);
--- a/packages/vanelane/src/disk_opening/tests.rs
+++ b/packages/vanelane/src/disk_opening/tests.rs
@@ -11,7 +11,7 @@
     let opened = open(&folder, FLEET).expect("formatted");
     assert!(opened.first_events.is_empty());
     let (mut file, mut registers) = opened.disk.expect("a disk");
-    let founding_set = control_registers::VoterSet::founding(&[file.disk(), 2, 3]);
+    let founding_set = control_registers::ChosenSet::founding(&[file.disk(), 2, 3]);
     let records = registers.found(&founding_set).expect("taken");
     file.append(&records).expect("append");
     file.sync().expect("sync");
@@ -58,7 +58,7 @@
     let opened = open(&folder, FLEET).expect("formatted");
     assert!(matches!(opened.first_events[..], [Event::DiskSetAside]));
     let (file, registers) = opened.disk.expect("a disk");
-    assert!(file.is_trusted() && file.disk() != disk && registers.set().generation == 0);
+    assert!(file.is_trusted() && file.disk() != disk && registers.chosen().generation == 0);
     drop((file, opened.folder));
     let opened = open(&folder, FLEET).expect("sound");
     assert!(matches!(opened.first_events[..], [Event::DiskSetAside, Event::DiskUnsynced]));
@@ -80,7 +80,7 @@
     file_bytes[before..after].fill(0);
     fs::write(&path, &file_bytes).expect("a hole");
     let (file, registers) = open_again(&folder);
-    assert_eq!((file.disk(), registers.set().generation), (disk, 1));
+    assert_eq!((file.disk(), registers.chosen().generation), (disk, 1));
     let _ = fs::remove_dir_all(&folder);
 }
 
--- a/packages/vanelane/src/operator_port.rs
+++ b/packages/vanelane/src/operator_port.rs
@@ -8,7 +8,8 @@
 use configuration_check::{Change, ChangeOutcome, StoredConfiguration};
 use function_front::Front;
 use futures_util::future::LocalBoxFuture;
-use node_protocol::NodeStatus;
+use node_protocol::{ConfigurationAnswer, NodeStatus};
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -16,6 +17,16 @@
 
 const ANSWER_WITHIN: Duration = Duration::from_secs(10);
 
+/// The configuration as a read found it. Example: `ConfirmedConfiguration::Unconfirmed`.
+pub enum ConfirmedConfiguration {
+    /// It stands on a majority of the disks.
+    Stored(StoredConfiguration),
+    /// The machine at this address has a newer one than this node.
+    Elsewhere(IpAddr),
+    /// No majority of the disks answered in time.
+    Unconfirmed,
+}
+
 /// An answer to an operator.
 pub type Page = Response<BoxBody>;
 
@@ -65,11 +76,25 @@
         StoredConfiguration::decode(&stored)
     }
 
-    /// The configuration as a majority of the disks confirms it; `None` without one.
-    /// Example: `port.confirmed_configuration().await?.version`.
-    pub async fn confirmed_configuration(&self) -> Option<StoredConfiguration> {
-        let stored = self.ask(|reply| ShellEvent::ConfirmedConfiguration { reply }).await??;
-        StoredConfiguration::decode(&stored)
+    /// The configuration as a majority of the disks confirms it.
+    /// Example: `matches!(port.confirmed_configuration().await, ConfirmedConfiguration::Stored(_))`.
+    pub async fn confirmed_configuration(&self) -> ConfirmedConfiguration {
+        match self.ask(|reply| ShellEvent::ConfirmedConfiguration { reply }).await {
+            Some(ConfigurationAnswer::Stored(stored)) => StoredConfiguration::decode(&stored)
+                .map_or(ConfirmedConfiguration::Unconfirmed, ConfirmedConfiguration::Stored),
+            Some(ConfigurationAnswer::Elsewhere(address)) => {
+                ConfirmedConfiguration::Elsewhere(address.socket().ip())
+            }
+            Some(ConfigurationAnswer::Unconfirmed) | None => ConfirmedConfiguration::Unconfirmed,
+        }
+    }
+
+    /// The machine where a caller had better send a body of so many bytes to, or read the whole
+    /// configuration from (`None`): the one that owns it, if this machine's link is too small for that.
+    /// Example: `port.better_place(None).await`.
+    pub async fn better_place(&self, bytes: Option<usize>) -> Option<IpAddr> {
+        let place = self.ask(|reply| ShellEvent::BetterPlace { bytes, reply }).await??;
+        Some(place.socket().ip())
     }
 
     pub(crate) async fn decisions(&self, after: Vec<(NodeId, u64)>, most: u32) -> Option<DecisionsReply> {
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -7,7 +7,7 @@
 use configuration_check::{Change, ChangeOutcome};
 use error_stack::Report;
 use function_front::{Front, FrontLink, TicketAnswer};
-use node_protocol::{Act, Event, Node, NodeStatus, RefusedAs, StartResult, StopResult};
+use node_protocol::{Act, ConfigurationAnswer, Event, Node, NodeStatus, RefusedAs, StartResult, StopResult};
 use platform_client::{ActStamp, PlatformApi, StartAnswer, StartDocument, StopAnswer};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -28,7 +28,8 @@
     Decisions { after: Vec<(NodeId, u64)>, most: u32, reply: oneshot::Sender<DecisionsReply> },
     Status { reply: oneshot::Sender<NodeStatus> },
     Configuration { reply: oneshot::Sender<Vec<u8>> },
-    ConfirmedConfiguration { reply: oneshot::Sender<Option<Vec<u8>>> },
+    ConfirmedConfiguration { reply: oneshot::Sender<ConfigurationAnswer> },
+    BetterPlace { bytes: Option<usize>, reply: oneshot::Sender<Option<Address>> },
     PlatformMoved { address: std::net::SocketAddr },
     Drain,
 }
@@ -62,7 +63,7 @@
     pub tickets: HashMap<u64, oneshot::Sender<TicketAnswer>>,
     pub changes: HashMap<u64, oneshot::Sender<ChangeOutcome>>,
     pub decisions: HashMap<u64, oneshot::Sender<DecisionsReply>>,
-    pub confirmed: HashMap<u64, oneshot::Sender<Option<Vec<u8>>>>,
+    pub confirmed: HashMap<u64, oneshot::Sender<ConfigurationAnswer>>,
     pub next_request: u64,
     pub logged_decision: u64,
 }
@@ -132,6 +133,9 @@
             ShellEvent::Configuration { reply } => {
                 let _ = reply.send(self.node.stored_configuration());
             }
+            ShellEvent::BetterPlace { bytes, reply } => {
+                let _ = reply.send(self.node.better_place(bytes));
+            }
             ShellEvent::PlatformMoved { address } => self.platform = self.platform.moved(address),
             ShellEvent::ConfirmedConfiguration { reply } => {
                 self.confirmed.insert(request, reply);
@@ -262,9 +266,9 @@
                     let _ = reply.send(outcome);
                 }
             }
-            Act::ConfigurationAnswered { request, stored } => {
+            Act::ConfigurationAnswered { request, answer } => {
                 if let Some(reply) = self.confirmed.remove(&request) {
-                    let _ = reply.send(stored);
+                    let _ = reply.send(answer);
                 }
             }
             Act::DecisionsAnswered { request, lines, cursor } => {
