A model checker explores the control state's registers

control_model runs the real KeyOwner, DiskRegisters, SetCopy and StoredConfiguration on a few machines, breadth first and by seeded walks, and judges each step by invariants.

--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -41,7 +41,7 @@
         pub struct $part { $($(#[$part_field_note])* pub $part_field: $part_type,)* })*
 
         /// Every message between colleagues. Example: `Message::Probe { sequence: 1, .. }`.
-        #[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
+        #[derive(Clone, Debug, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
         #[deku(id_type = "u8")]
         #[allow(missing_docs)]
         pub enum Message { $($(#[$note])* #[deku(id = $id)] $name { $($field: $type,)* },)* }
--- /dev/null
+++ b/packages/control_model/src/explore.rs
@@ -0,0 +1,196 @@
+use crate::{Action, Breach, Counts, Fleet, Limits};
+use fastrand::Rng;
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex};
+
+/// Marks of visited states lie in so many sets, so that threads seldom wait for one another.
+const SHARDS: usize = 64;
+/// Beyond so many messages on their way a walk loses some.
+const CROWDED: usize = 40;
+/// In so many of a thousand steps another machine becomes the one that clients go to.
+const LEADERS_CHANGE: u32 = 8;
+
+/// A breach and how it came about.
+#[derive(Clone, Debug)]
+pub struct Failure {
+    /// What was broken.
+    pub breach: Breach,
+    /// The actions from the founded fleet on.
+    pub path: Vec<Action>,
+}
+
+/// What a breadth-first exploration came to.
+#[derive(Clone, Debug)]
+pub struct Exploration {
+    /// Different states that were visited.
+    pub states: usize,
+    /// The depth up to which all were.
+    pub depth: usize,
+    /// Whether nothing more can happen beyond that depth.
+    pub is_whole: bool,
+    /// The first failure, if any.
+    pub failure: Option<Failure>,
+}
+
+struct Step {
+    fleet: Fleet,
+    path: Vec<Action>,
+}
+
+struct Visited(Vec<Mutex<HashSet<u64>>>);
+
+impl Visited {
+    fn insert(&self, mark: u64) -> bool {
+        let shard = &self.0[mark as usize % SHARDS];
+        shard.lock().unwrap_or_else(std::sync::PoisonError::into_inner).insert(mark)
+    }
+
+    fn count(&self) -> usize {
+        self.0.iter().map(|shard| shard.lock().map_or(0, |marks| marks.len())).sum()
+    }
+}
+
+/// Visits every state within a depth, breadth first, on some threads; no further level is begun beyond
+/// `most_states`. Example: `explore(&Limits::racing_writes(), 12, 1_000_000, 4).failure.is_none()`.
+pub fn explore(limits: &Limits, depth: usize, most_states: usize, threads: usize) -> Exploration {
+    let visited = Visited((0..SHARDS).map(|_| Mutex::new(HashSet::new())).collect());
+    let founded = Fleet::founded(&Arc::new(limits.clone()));
+    visited.insert(founded.mark());
+    let mut level = vec![Step { fleet: founded, path: Vec::new() }];
+    for reached in 0..depth {
+        let part = level.len().div_ceil(threads.max(1)).max(1);
+        let parts: Vec<Result<Vec<Step>, Failure>> = std::thread::scope(|scope| {
+            let visited = &visited;
+            let workers: Vec<_> =
+                level.chunks(part).map(|steps| scope.spawn(move || next_level(steps, visited))).collect();
+            workers.into_iter().map(|worker| worker.join().expect("a worker's own panic")).collect()
+        });
+        let mut next_steps = Vec::new();
+        for steps in parts {
+            match steps {
+                Ok(steps) => next_steps.extend(steps),
+                Err(failure) => {
+                    let (states, failure) = (visited.count(), Some(failure));
+                    return Exploration { states, depth: reached + 1, is_whole: false, failure };
+                }
+            }
+        }
+        level = next_steps;
+        let (states, is_whole) = (visited.count(), level.is_empty());
+        if is_whole || states >= most_states {
+            return Exploration { states, depth: reached + 1, is_whole, failure: None };
+        }
+    }
+    Exploration { states: visited.count(), depth, is_whole: false, failure: None }
+}
+
+fn next_level(steps: &[Step], visited: &Visited) -> Result<Vec<Step>, Failure> {
+    let mut next_steps = Vec::new();
+    for step in steps {
+        for action in step.fleet.actions() {
+            let mut fleet = step.fleet.clone();
+            let outcome = fleet.apply(&action);
+            let is_new = outcome.is_err() || visited.insert(fleet.mark());
+            if !is_new {
+                continue;
+            }
+            let mut path = step.path.clone();
+            path.push(action);
+            match outcome {
+                Ok(()) => next_steps.push(Step { fleet, path }),
+                Err(breach) => return Err(Failure { breach, path }),
+            }
+        }
+    }
+    Ok(next_steps)
+}
+
+/// What walks came to.
+#[derive(Clone, Debug, Default)]
+pub struct Walks {
+    /// What came about in all of them.
+    pub counts: Counts,
+    /// The first failure, with the walk's seed.
+    pub failure: Option<(u64, Failure)>,
+}
+
+/// Walks through the states at random, the same way for the same seed. Each walk draws anew how often
+/// each kind of event comes about, so that some walks are calm and long and others full of one failure.
+/// Example: `walk(&Limits::everything(), 7, 400).failure.is_none()`.
+pub fn walk(limits: &Limits, seed: u64, length: usize) -> Walks {
+    let mut dice = Rng::with_seed(seed);
+    let mut habits = Habits::draw(limits.owners, &mut dice);
+    let mut fleet = Fleet::founded(&Arc::new(limits.clone()));
+    let mut path = Vec::new();
+    for _ in 0..length {
+        let Some(action) = habits.pick(&fleet, &mut dice) else { break };
+        path.push(action);
+        if let Err(breach) = fleet.apply(&action) {
+            return Walks { counts: fleet.counts, failure: Some((seed, Failure { breach, path })) };
+        }
+    }
+    Walks { counts: fleet.counts, failure: None }
+}
+
+/// How a walk picks what happens next.
+struct Habits {
+    /// Of a thousand steps so many are rare events, while there is anything ordinary to do.
+    rare_share: u32,
+    /// The weight of each kind of action.
+    weights: [u32; Action::KINDS],
+    owners: usize,
+    /// The machine that most owners' actions are at.
+    leader: usize,
+}
+
+impl Habits {
+    fn draw(owners: usize, dice: &mut Rng) -> Habits {
+        let mut weights = [0; Action::KINDS];
+        for weight in &mut weights {
+            *weight = [0, 1, 1, 4][dice.usize(..4)];
+        }
+        for (kind, weight) in
+            [(Action::DELIVER, 12), (Action::SYNC, 12), (Action::CONTINUE, 6), (Action::BEGIN, 6)]
+        {
+            weights[kind] = weight;
+        }
+        let rare_share = [5, 20, 50, 150][dice.usize(..4)];
+        Habits { rare_share, weights, owners, leader: dice.usize(..owners) }
+    }
+
+    fn pick(&mut self, fleet: &Fleet, dice: &mut Rng) -> Option<Action> {
+        if fleet.packet_count() > CROWDED {
+            return Some(Action::Lose { packet: dice.usize(..fleet.packet_count()) });
+        }
+        if dice.u32(..1_000) < LEADERS_CHANGE {
+            self.leader = dice.usize(..self.owners);
+        }
+        let (ordinary, rare): (Vec<Action>, Vec<Action>) =
+            fleet.actions().into_iter().partition(Action::is_ordinary);
+        let is_rare = ordinary.is_empty() || dice.u32(..1_000) < self.rare_share;
+        let (mut picked, other) = if is_rare { (rare, ordinary) } else { (ordinary, rare) };
+        picked.retain(|action| self.weights[action.kind()] > 0);
+        let picked = if picked.is_empty() { other } else { picked };
+        self.pick_of(&picked, dice)
+    }
+
+    /// A kind by its weight, however many places it has; then a place.
+    fn pick_of(&self, picked: &[Action], dice: &mut Rng) -> Option<Action> {
+        let mut kinds: Vec<usize> = picked.iter().map(Action::kind).collect();
+        kinds.sort_unstable();
+        kinds.dedup();
+        let total: u32 = kinds.iter().map(|kind| self.weights[*kind].max(1)).sum();
+        let mut drawn = dice.u32(..total.max(1));
+        let kind = kinds.into_iter().find(|kind| {
+            let weight = self.weights[*kind].max(1);
+            let is_drawn = drawn < weight;
+            drawn = drawn.saturating_sub(weight);
+            is_drawn
+        })?;
+        let of_kind: Vec<&Action> = picked.iter().filter(|action| action.kind() == kind).collect();
+        let at_leader: Vec<&Action> =
+            of_kind.iter().filter(|action| action.owner() == Some(self.leader)).copied().collect();
+        let places = if at_leader.is_empty() || dice.u8(..10) == 0 { of_kind } else { at_leader };
+        dice.choice(places).copied()
+    }
+}
--- /dev/null
+++ b/packages/control_model/src/fleet.rs
@@ -0,0 +1,678 @@
+use crate::history::{Acknowledged, Breach, Counts, History, Mark};
+use crate::limits::{Limits, Operation};
+use crate::machine::{Ask, Machine, Packet, Purpose, Receiver, TakenSet, Unsynced};
+use crate::{Action, PlantedFault};
+use clock_events::Micros;
+use colleague_messages::{
+    Bytes, List, Message, NewsItem, StoreEntry, StoredEntry, Text, WriteEntry, WriteOutcome,
+};
+use configuration_check::{Change, ChangeOutcome, StoredConfiguration};
+use control_registers::{
+    CONFIGURATION_KEY, ChosenSet, DIFFERS, DISKS_KEY, DiskRegisters, OwnerAct, SetCopy, VoterSet, WRITTEN,
+};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+
+/// Later than an owner's pause before it sends again, and than its patience.
+const RESEND_PAUSE: Micros = Micros::from_millis(300);
+const GIVE_UP_PAUSE: Micros = Micros::from_millis(2_500);
+const COPY_WINDOW: usize = 2;
+/// A change of the configuration is tried so often again where another version stands.
+const CHANGE_TRIES: u8 = 2;
+/// Process ids tell their machine, as real ones tell their place.
+const PROCESSES_A_MACHINE: u64 = 1_000;
+
+/// How often each thing that [`Limits`] count has happened.
+#[derive(Clone, Debug, Default, Hash)]
+struct Used {
+    operations: Vec<bool>,
+    crashes: u32,
+    wipes: u32,
+    repeats: u32,
+    late_answers: u32,
+    resends: u32,
+    give_ups: u32,
+    changes: u32,
+    set_reads: u32,
+    lives: u64,
+    disks: u64,
+}
+
+/// One state of the model: machines with real registers and owners, messages on their way, and what was
+/// acknowledged so far. Example: `Fleet::founded(&Arc::new(Limits::three_disks()))`.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    limits: Arc<Limits>,
+    machines: Vec<Arc<Machine>>,
+    packets: Vec<Arc<Packet>>,
+    history: History,
+    used: Used,
+    /// Whether anything was synced, wiped or acknowledged in this step.
+    is_judged_anew: bool,
+    /// What came about so far; no part of the state.
+    pub counts: Counts,
+}
+
+impl Hash for Fleet {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        (&self.machines, &self.packets, &self.history, &self.used).hash(hasher);
+    }
+}
+
+impl Fleet {
+    /// Machines whose first disks took and synced the founding set.
+    /// Example: `Fleet::founded(&Arc::new(Limits::racing_writes())).actions().len()`.
+    pub fn founded(limits: &Arc<Limits>) -> Fleet {
+        let disks: Vec<u64> = (1..=limits.machines as u64).collect();
+        let founding_set = ChosenSet::founding(&disks[..limits.founding]);
+        let machine = |disk: &u64| {
+            let mut registers = DiskRegisters::default();
+            if founding_set.disks.0.contains(disk) {
+                registers.found(&founding_set).expect("a blank disk takes the first set");
+            }
+            Arc::new(Machine::new(*disk, (disk - 1) * PROCESSES_A_MACHINE + 1, registers))
+        };
+        Fleet {
+            machines: disks.iter().map(machine).collect(),
+            packets: Vec::new(),
+            history: History::founded(&founding_set),
+            used: Used {
+                operations: vec![false; limits.operations.len()],
+                lives: 1,
+                disks: disks.len() as u64,
+                ..Used::default()
+            },
+            is_judged_anew: false,
+            counts: Counts::default(),
+            limits: limits.clone(),
+        }
+    }
+
+    /// The state's mark among visited ones. Example: `visited.insert(fleet.mark())`.
+    pub fn mark(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// How many messages are on their way. Example: `fleet.packet_count() < 60`.
+    pub fn packet_count(&self) -> usize {
+        self.packets.len()
+    }
+
+    /// Everything that may happen next. Example: `fleet.actions().is_empty()` at the end.
+    pub fn actions(&self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.add_deliveries(&mut actions);
+        for place in 0..self.machines.len() {
+            self.add_machine_actions(place, &mut actions);
+        }
+        for machine in 0..self.limits.owners.min(self.machines.len()) {
+            self.add_owner_actions(machine, &mut actions);
+        }
+        actions
+    }
+
+    fn add_deliveries(&self, actions: &mut Vec<Action>) {
+        for packet in 0..self.packets.len() {
+            actions.push(Action::Deliver { packet });
+            let is_asking = matches!(self.packets[packet].to, Receiver::Disk(_));
+            if is_asking && !self.limits.separate_sync && self.used.late_answers < self.limits.late_answers {
+                actions.push(Action::DeliverAlone { packet });
+            }
+            if self.used.repeats < self.limits.repeats {
+                actions.push(Action::Repeat { packet });
+            }
+        }
+    }
+
+    fn add_machine_actions(&self, machine: usize, actions: &mut Vec<Action>) {
+        if !self.machines[machine].unsynced.is_empty() {
+            actions.push(Action::Sync { machine });
+        }
+        if self.used.crashes < self.limits.crashes {
+            actions.push(Action::Crash { machine });
+        }
+        if self.used.wipes < self.limits.wipes && self.may_lose(machine) {
+            actions.push(Action::Wipe { machine });
+        }
+    }
+
+    /// Whether the newest chosen set keeps a quorum of disks that were never wiped without this one.
+    fn may_lose(&self, machine: usize) -> bool {
+        let kept = self.machines.iter().enumerate().filter(|(place, _)| *place != machine);
+        self.history.newest_set().quorum(&kept.map(|(_, kept)| kept.disk).collect())
+    }
+
+    fn add_owner_actions(&self, machine: usize, actions: &mut Vec<Action>) {
+        let own = &self.machines[machine];
+        if self.used.resends < self.limits.resends && own.owner.owned_count() > 0 {
+            actions.push(Action::Resend { machine });
+        }
+        if self.used.give_ups < self.limits.give_ups && own.owner.owned_count() > 0 {
+            actions.push(Action::GiveUp { machine });
+        }
+        if !own.may_own() {
+            return;
+        }
+        for (operation, is_used) in self.used.operations.iter().enumerate() {
+            if !is_used {
+                actions.push(Action::Begin { operation, machine });
+            }
+        }
+        if own.registers.proposed().is_some() && self.used.set_reads < self.limits.set_reads {
+            actions.push(Action::ReadSet { machine });
+        }
+        self.add_changes(machine, actions);
+    }
+
+    fn add_changes(&self, machine: usize, actions: &mut Vec<Action>) {
+        let own = &self.machines[machine];
+        if !own.set.joining.0.is_empty() {
+            if self.has_copy_work(own) {
+                actions.push(Action::ContinueChange { machine });
+            }
+            return;
+        }
+        if self.used.changes >= self.limits.changes {
+            return;
+        }
+        let spares =
+            self.machines.iter().map(|other| other.disk).filter(|disk| !own.set.all().contains(disk));
+        for fresh in spares {
+            for lost in &own.set.disks.0 {
+                actions.push(Action::BeginChange { machine, lost: *lost, fresh });
+            }
+        }
+    }
+
+    fn has_copy_work(&self, own: &Machine) -> bool {
+        let is_asked = |ask: &Ask| ask.key == DISKS_KEY && ask.purpose == Purpose::Write;
+        let Some(mut copy) = own.copy.clone() else { return true };
+        if copy.is_done() || self.limits.fault == Some(PlantedFault::CopySkipped) {
+            return !own.asks.values().any(is_asked);
+        }
+        !copy.due_lists(own.clock).is_empty() || !copy.due_keys(COPY_WINDOW).is_empty()
+    }
+
+    /// Lets an action happen; a breach if an invariant does not hold after it.
+    /// Example: `fleet.apply(&fleet.actions()[0])?`.
+    pub fn apply(&mut self, action: &Action) -> Result<(), Breach> {
+        self.counts.steps += 1;
+        match *action {
+            Action::Deliver { packet } => {
+                let packet = self.packets.remove(packet);
+                self.deliver(&packet, true)?;
+            }
+            Action::DeliverAlone { packet } => {
+                self.used.late_answers += 1;
+                let packet = self.packets.remove(packet);
+                self.deliver(&packet, false)?;
+            }
+            Action::Repeat { packet } => {
+                self.used.repeats += 1;
+                let packet = self.packets[packet].clone();
+                self.deliver(&packet, false)?;
+            }
+            Action::Lose { packet } => {
+                self.packets.remove(packet);
+            }
+            Action::Sync { machine } => self.sync(machine, false)?,
+            Action::Crash { machine } => self.crash(machine)?,
+            Action::Wipe { machine } => self.wipe(machine),
+            Action::Resend { machine } => {
+                self.used.resends += 1;
+                self.pass_time(machine, RESEND_PAUSE)?;
+            }
+            Action::GiveUp { machine } => {
+                self.used.give_ups += 1;
+                self.pass_time(machine, GIVE_UP_PAUSE)?;
+            }
+            Action::Begin { operation, machine } => self.begin(operation, machine)?,
+            Action::BeginChange { machine, lost, fresh } => self.begin_change(machine, lost, fresh)?,
+            Action::ContinueChange { machine } => self.continue_change(machine)?,
+            Action::ReadSet { machine } => {
+                self.used.set_reads += 1;
+                self.ask_read(machine, DISKS_KEY, Purpose::Read)?;
+            }
+        }
+        self.packets.sort_by_key(|packet| packet.mark);
+        if !std::mem::take(&mut self.is_judged_anew) {
+            return Ok(());
+        }
+        let disks: BTreeMap<u64, &DiskRegisters> =
+            self.machines.iter().map(|machine| (machine.disk, &machine.durable)).collect();
+        self.history.check_quorums(&disks)
+    }
+
+    fn machine(&mut self, machine: usize) -> &mut Machine {
+        Arc::make_mut(&mut self.machines[machine])
+    }
+
+    fn pass_time(&mut self, machine: usize, pause: Micros) -> Result<(), Breach> {
+        let own = self.machine(machine);
+        own.clock = own.clock + pause;
+        self.flush(machine)
+    }
+
+    fn crash(&mut self, machine: usize) -> Result<(), Breach> {
+        self.used.crashes += 1;
+        self.used.lives += 1;
+        let process = machine as u64 * PROCESSES_A_MACHINE + self.used.lives;
+        let own = self.machine(machine);
+        let former_process = own.process;
+        own.restart(process);
+        let set = own.set.clone();
+        self.packets.retain(|packet| packet.to != Receiver::Process(former_process));
+        if set.generation == 0 { Ok(()) } else { self.history.goes_by(&set) }
+    }
+
+    fn wipe(&mut self, machine: usize) {
+        self.is_judged_anew = true;
+        self.used.wipes += 1;
+        self.used.lives += 1;
+        self.used.disks += 1;
+        let (disk, process) = (self.used.disks, machine as u64 * PROCESSES_A_MACHINE + self.used.lives);
+        let lost = self.machines[machine].clone();
+        self.machines[machine] = Arc::new(Machine::new(disk, process, DiskRegisters::default()));
+        let is_lost = |to| [Receiver::Process(lost.process), Receiver::Disk(lost.disk)].contains(&to);
+        self.packets.retain(|packet| !is_lost(packet.to));
+    }
+
+    // What a disk does.
+
+    fn deliver(&mut self, packet: &Packet, answers_at_once: bool) -> Result<(), Breach> {
+        let is_receiver = |machine: &Arc<Machine>| match packet.to {
+            Receiver::Disk(disk) => machine.disk == disk,
+            Receiver::Process(process) => machine.process == process,
+        };
+        let Some(place) = self.machines.iter().position(is_receiver) else { return Ok(()) };
+        match &packet.message {
+            Message::Promise { .. } | Message::Store { .. } | Message::KeysAsk { .. } => {
+                self.disk_asked(place, packet, answers_at_once)
+            }
+            message => self.process_told(place, message),
+        }
+    }
+
+    /// The mark under which a disk judges a sender: the sender's own, but for planted faults.
+    fn judged_set(&self, machine: usize, sender_set: u64, is_set_key: bool) -> u64 {
+        let registers = &self.machines[machine].registers;
+        let is_open = match self.limits.fault {
+            Some(PlantedFault::SetFenceSkipped) => true,
+            Some(PlantedFault::DisksKeyOpenToAll) => is_set_key,
+            _ => false,
+        };
+        if !is_open || registers.chosen().generation == 0 {
+            return sender_set;
+        }
+        let stored_generation = registers.proposed().map_or(0, |proposed| proposed.generation());
+        match stored_generation > registers.chosen().generation {
+            true => sender_set.max(stored_generation << 32),
+            false => sender_set.max(registers.chosen().mark()),
+        }
+    }
+
+    fn disk_asked(&mut self, place: usize, packet: &Packet, answers_at_once: bool) -> Result<(), Breach> {
+        let fault = self.limits.fault;
+        let is_set_key = names_set_key(&packet.message);
+        let sender_set = sender_set(&packet.message);
+        let judged_set = self.judged_set(place, sender_set, is_set_key);
+        let own = self.machine(place);
+        let (mut records, mut sets) = (Vec::new(), Vec::new());
+        let answer = match &packet.message {
+            Message::Promise { entries, .. } => {
+                let (answers, promised) = own.registers.promise(judged_set, entries);
+                records = promised;
+                Some(Message::Promised { disk: own.disk, entries: List(answers) })
+            }
+            Message::Store { entries, .. } => {
+                let (mut answers, stored) = own.registers.store(judged_set, entries);
+                records = stored;
+                sets = taken_sets(entries, &answers);
+                if fault == Some(PlantedFault::PromiseFenceSkipped) {
+                    answers.iter_mut().for_each(|answer| answer.granted = 1);
+                }
+                Some(Message::Stored { disk: own.disk, entries: List(answers) })
+            }
+            _ => listed_keys(own, sender_set, fault).map(|keys| {
+                let keys = List(keys.into_iter().map(Text).collect());
+                Message::KeysTold { fleet_set: sender_set, disk: own.disk, keys }
+            }),
+        };
+        let is_outdated = sender_set >> 32 < own.set.generation;
+        let answer = answer.map(|message| Packet::new(Receiver::Process(packet.from), own.process, message));
+        self.hand_to_disk(place, records, sets, answer, answers_at_once)?;
+        if is_outdated {
+            self.tell_set(place, packet.from);
+        }
+        if fault == Some(PlantedFault::SetInForceAtOnce) {
+            self.take_stored_set(place, &packet.message)?;
+        }
+        Ok(())
+    }
+
+    /// Records wait for the sync, and the answer for them.
+    fn hand_to_disk(
+        &mut self,
+        place: usize,
+        records: Vec<Vec<u8>>,
+        sets: Vec<TakenSet>,
+        answer: Option<Packet>,
+        answers_at_once: bool,
+    ) -> Result<(), Breach> {
+        let answers_early = self.limits.fault == Some(PlantedFault::AnswerBeforeSync);
+        let (early, waiting) = if answers_early { (answer, None) } else { (None, answer) };
+        if !records.is_empty() || waiting.is_some() {
+            self.machine(place).unsynced.push(Unsynced { records, sets, answer: waiting });
+        }
+        self.packets.extend(early.map(Arc::new));
+        let is_waiting = !self.machines[place].unsynced.iter().all(|unsynced| unsynced.records.is_empty());
+        if self.limits.separate_sync && is_waiting {
+            return Ok(());
+        }
+        self.sync(place, answers_at_once && !self.limits.separate_sync)
+    }
+
+    fn sync(&mut self, place: usize, answers_at_once: bool) -> Result<(), Breach> {
+        self.is_judged_anew = true;
+        let own = self.machine(place);
+        let disk = own.disk;
+        let (sets, answers) = own.sync();
+        for (epoch, value) in sets {
+            if self.history.set_synced(disk, epoch, &value)? {
+                self.counts.sets += 1;
+            }
+        }
+        for answer in answers {
+            match answers_at_once {
+                true => self.deliver(&answer, true)?,
+                false => self.packets.push(Arc::new(answer)),
+            }
+        }
+        Ok(())
+    }
+
+    /// Planted: what one disk stored is gone by.
+    fn take_stored_set(&mut self, place: usize, message: &Message) -> Result<(), Breach> {
+        let Message::Store { entries, .. } = message else { return Ok(()) };
+        let set_entry = entries.0.iter().find(|entry| entry.key.0 == DISKS_KEY);
+        match set_entry.and_then(|entry| ChosenSet::told(&entry.value)) {
+            Some(set) => self.learn(place, &set),
+            None => Ok(()),
+        }
+    }
+
+    // What a process does.
+
+    fn process_told(&mut self, place: usize, message: &Message) -> Result<(), Breach> {
+        let own = self.machine(place);
+        let now = own.clock;
+        match message {
+            Message::Promised { disk, entries } => own.owner.promised(*disk, entries.clone(), now),
+            Message::Stored { disk, entries } => own.owner.stored(*disk, entries.clone(), now),
+            Message::KeysTold { fleet_set, disk, keys } => {
+                if let Some(copy) = &mut own.copy {
+                    copy.listed(*disk, *fleet_set, keys.0.iter().map(|key| key.0.clone()));
+                }
+            }
+            Message::News { items } => {
+                if let Some(set) = ChosenSet::told(&items.0[0].body) {
+                    self.learn(place, &set)?;
+                }
+            }
+            _ => {}
+        }
+        if self.limits.fault == Some(PlantedFault::QuorumMinusOne) {
+            self.count_twice(place, message);
+        }
+        self.flush(place)
+    }
+
+    fn count_twice(&mut self, place: usize, message: &Message) {
+        let Message::Stored { disk, entries } = message else { return };
+        let own = self.machine(place);
+        let other = own.set.all().into_iter().find(|other| other != disk);
+        own.owner.stored(other.unwrap_or(*disk), entries.clone(), own.clock);
+    }
+
+    fn learn(&mut self, place: usize, set: &ChosenSet) -> Result<(), Breach> {
+        self.history.goes_by(set)?;
+        let own = self.machine(place);
+        if set.generation > own.set.generation {
+            own.set = set.clone();
+            own.copy = None;
+            own.owner.take_set(set);
+        }
+        let is_outsider = own.registers.chosen().generation == 0 && !own.may_own();
+        if is_outsider {
+            return Ok(());
+        }
+        let set = own.set.clone();
+        let records = own.registers.learn_chosen(&set);
+        self.hand_to_disk(place, records, Vec::new(), None, false)
+    }
+
+    fn tell_set(&mut self, place: usize, process: u64) {
+        let own = &self.machines[place];
+        let (origin, sequence) = (own.process, own.set.generation);
+        let item = NewsItem { topic: DISKS_KEY.into(), origin, sequence, body: own.set.encode() };
+        let message = Message::News { items: List(vec![item]) };
+        self.packets.push(Arc::new(Packet::new(Receiver::Process(process), origin, message)));
+    }
+
+    fn flush(&mut self, place: usize) -> Result<(), Breach> {
+        loop {
+            let own = self.machine(place);
+            let acts = own.owner.flush(own.clock);
+            if acts.is_empty() {
+                return Ok(());
+            }
+            for act in acts {
+                self.carry_out(place, act)?;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, place: usize, act: OwnerAct) -> Result<(), Breach> {
+        let from = self.machines[place].process;
+        match act {
+            OwnerAct::Promise { disk, fleet_set, entries } => {
+                let message = Message::Promise { fleet_set, entries };
+                self.packets.push(Arc::new(Packet::new(Receiver::Disk(disk), from, message)));
+            }
+            OwnerAct::Store { disk, fleet_set, entries } => {
+                let epochs = &mut self.machine(place).epochs;
+                epochs.extend(entries.0.iter().map(|entry| (entry.key.0.clone(), entry.epoch.clone())));
+                let message = Message::Store { fleet_set, entries };
+                self.packets.push(Arc::new(Packet::new(Receiver::Disk(disk), from, message)));
+            }
+            OwnerAct::Chosen(set) => {
+                self.learn(place, &set)?;
+                for other in 0..self.machines.len() {
+                    if other != place {
+                        let process = self.machines[other].process;
+                        self.tell_set(place, process);
+                    }
+                }
+            }
+            OwnerAct::Answer { outcome, .. } => self.answered(place, &outcome)?,
+        }
+        Ok(())
+    }
+
+    // What clients and operators do.
+
+    fn begin(&mut self, operation: usize, machine: usize) -> Result<(), Breach> {
+        self.used.operations[operation] = true;
+        match self.limits.operations[operation].clone() {
+            Operation::Read { key } => self.ask_read(machine, key, Purpose::Read),
+            Operation::Write { key, value } => {
+                let expected = self.machines[machine].known.get(key).map_or(0, |(version, _)| *version);
+                let value = Bytes(value.to_le_bytes().to_vec());
+                self.ask_write(machine, key, expected, value, Purpose::Write)
+            }
+            Operation::Change { id } => self.ask_change(machine, id, CHANGE_TRIES),
+        }
+    }
+
+    fn ask_change(&mut self, machine: usize, id: u64, tries: u8) -> Result<(), Breach> {
+        let (expected, base) =
+            self.machines[machine].known.get(CONFIGURATION_KEY).cloned().unwrap_or_default();
+        // Where the model writes plain numbers into the configuration's key, a change has no base.
+        let Some(mut stored) = StoredConfiguration::decode(&base.0) else { return Ok(()) };
+        let change = Change { change_id: id.to_string(), partial: Some(json!({})), ..Change::default() };
+        let ChangeOutcome::Accepted { generation, repeated } = stored.apply(&change) else { return Ok(()) };
+        if repeated {
+            return self.history.accept(id, generation);
+        }
+        let purpose = Purpose::Change { id, generation, tries };
+        self.ask_write(machine, CONFIGURATION_KEY, expected, Bytes(stored.encode()), purpose)
+    }
+
+    fn begin_change(&mut self, machine: usize, lost: u64, fresh: u64) -> Result<(), Breach> {
+        self.used.changes += 1;
+        let set = self.machines[machine].set.clone();
+        let Some(joint_set) = set.begin_change(lost, fresh) else { return Ok(()) };
+        self.ask_write(machine, DISKS_KEY, set.generation, joint_set.encode(), Purpose::Write)
+    }
+
+    fn continue_change(&mut self, machine: usize) -> Result<(), Breach> {
+        let is_skipped = self.limits.fault == Some(PlantedFault::CopySkipped);
+        let own = self.machine(machine);
+        let (set, now, from) = (own.set.clone(), own.clock, own.process);
+        let copy = own.copy.get_or_insert_with(|| SetCopy::new(set.clone()));
+        if copy.is_done() || is_skipped {
+            let Some(final_set) = set.end_change() else { return Ok(()) };
+            return self.ask_write(machine, DISKS_KEY, set.generation, final_set.encode(), Purpose::Write);
+        }
+        let (due_lists, due_keys) = (copy.due_lists(now), copy.due_keys(COPY_WINDOW));
+        for disk in due_lists {
+            let message = Message::KeysAsk { fleet_set: set.mark() };
+            self.packets.push(Arc::new(Packet::new(Receiver::Disk(disk), from, message)));
+        }
+        for key in due_keys {
+            self.ask_read(machine, &key, Purpose::Copy { generation: set.generation })?;
+        }
+        Ok(())
+    }
+
+    fn new_ask(&mut self, machine: usize, key: &str, value: Bytes, purpose: Purpose) -> u64 {
+        let begun: Mark = self.history.mark(key);
+        let own = self.machine(machine);
+        let ask = own.next_ask;
+        own.next_ask += 1;
+        own.asks.insert(ask, Ask { key: key.to_owned(), purpose, value, begun });
+        ask
+    }
+
+    fn ask_read(&mut self, machine: usize, key: &str, purpose: Purpose) -> Result<(), Breach> {
+        let ask = self.new_ask(machine, key, Bytes::default(), purpose);
+        let own = self.machine(machine);
+        own.owner.read_confirmed(own.process, ask, key.into(), own.clock);
+        self.flush(machine)
+    }
+
+    fn ask_write(
+        &mut self,
+        machine: usize,
+        key: &str,
+        expected: u64,
+        value: Bytes,
+        purpose: Purpose,
+    ) -> Result<(), Breach> {
+        let ask = self.new_ask(machine, key, value.clone(), purpose);
+        let own = self.machine(machine);
+        let entry = WriteEntry { ask, key: key.into(), expected, value, hasty: 1 };
+        own.owner.write(own.process, entry, own.clock);
+        self.flush(machine)
+    }
+
+    fn answered(&mut self, place: usize, outcome: &WriteOutcome) -> Result<(), Breach> {
+        self.is_judged_anew = true;
+        let own = self.machine(place);
+        let Some(ask) = own.asks.remove(&outcome.ask) else { return Ok(()) };
+        let is_write = matches!(ask.purpose, Purpose::Write | Purpose::Change { .. });
+        let value = if is_write && outcome.outcome == WRITTEN { &ask.value } else { &outcome.value };
+        let is_told = [WRITTEN, DIFFERS].contains(&outcome.outcome);
+        if is_told {
+            own.known.insert(ask.key.clone(), (outcome.version, value.clone()));
+        }
+        if let (Purpose::Copy { generation }, Some(copy)) = (&ask.purpose, &mut own.copy)
+            && copy.generation() == *generation
+        {
+            copy.answered(&ask.key, outcome.outcome == WRITTEN);
+        }
+        if outcome.outcome == WRITTEN {
+            let acknowledged = Acknowledged {
+                key: &ask.key,
+                version: outcome.version,
+                value,
+                epoch: own.epochs.get(&ask.key).map_or((0, 0), |epoch| epoch.rank()),
+                generation: own.set.generation,
+                begun: &ask.begun,
+                write: is_write.then_some((own.process, outcome.ask)),
+            };
+            self.history.acknowledge(&acknowledged)?;
+            let count = if is_write { &mut self.counts.writes } else { &mut self.counts.reads };
+            *count += 1;
+        } else if is_told {
+            self.history.shown(&ask.key, outcome.version, value)?;
+        }
+        if is_told
+            && ask.key == DISKS_KEY
+            && let Some(set) = ChosenSet::told(value)
+        {
+            self.learn(place, &set)?;
+        }
+        self.change_answered(place, &ask, outcome.outcome)
+    }
+
+    fn change_answered(&mut self, place: usize, ask: &Ask, outcome: u8) -> Result<(), Breach> {
+        let Purpose::Change { id, generation, tries } = ask.purpose else { return Ok(()) };
+        match outcome {
+            WRITTEN => {
+                self.counts.changes += 1;
+                self.history.accept(id, generation)
+            }
+            DIFFERS if tries > 0 => self.ask_change(place, id, tries - 1),
+            _ => Ok(()),
+        }
+    }
+}
+
+fn sender_set(message: &Message) -> u64 {
+    match message {
+        Message::Promise { fleet_set, .. }
+        | Message::Store { fleet_set, .. }
+        | Message::KeysAsk { fleet_set } => *fleet_set,
+        _ => 0,
+    }
+}
+
+fn names_set_key(message: &Message) -> bool {
+    match message {
+        Message::Promise { entries, .. } => entries.0.iter().all(|entry| entry.key.0 == DISKS_KEY),
+        Message::Store { entries, .. } => entries.0.iter().all(|entry| entry.key.0 == DISKS_KEY),
+        _ => false,
+    }
+}
+
+/// The voter sets among what a disk took to store.
+fn taken_sets(entries: &List<StoreEntry>, answers: &[StoredEntry]) -> Vec<TakenSet> {
+    let taken = entries.0.iter().zip(answers).filter(|(_, answer)| answer.granted == 1);
+    let sets = taken.filter(|(entry, _)| entry.key.0 == DISKS_KEY);
+    sets.filter(|(entry, _)| VoterSet::decode(&entry.value).is_some())
+        .map(|(entry, _)| (entry.epoch.rank(), entry.value.clone()))
+        .collect()
+}
+
+fn listed_keys(own: &Machine, sender_set: u64, fault: Option<PlantedFault>) -> Option<Vec<String>> {
+    match fault {
+        Some(PlantedFault::ListedBeforeFence) => Some(own.registers.keys()),
+        _ => own.registers.list_keys(sender_set),
+    }
+}
--- /dev/null
+++ b/packages/control_model/src/machine.rs
@@ -0,0 +1,144 @@
+use crate::history::Mark;
+use clock_events::Micros;
+use colleague_messages::{Bytes, Epoch, Message};
+use control_registers::{ChosenSet, DiskRegisters, KeyOwner, SetCopy};
+use std::collections::BTreeMap;
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+
+/// Whom a message is for: a disk, whatever process has it, or one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) enum Receiver {
+    Disk(u64),
+    Process(u64),
+}
+
+/// A message on its way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Packet {
+    pub(crate) to: Receiver,
+    /// The process that gets the answer.
+    pub(crate) from: u64,
+    pub(crate) message: Message,
+    /// Reckoned once: states are compared by it.
+    pub(crate) mark: u64,
+}
+
+impl Packet {
+    pub(crate) fn new(to: Receiver, from: u64, message: Message) -> Packet {
+        let mut hasher = DefaultHasher::new();
+        (to, from, &message).hash(&mut hasher);
+        Packet { to, from, message, mark: hasher.finish() }
+    }
+}
+
+impl Hash for Packet {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.mark.hash(hasher);
+    }
+}
+
+/// A voter set that a disk took and has yet to sync: its epoch and bytes.
+pub(crate) type TakenSet = ((u64, u64), Bytes);
+
+/// Records that are not synced, and the answer that waits for them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Unsynced {
+    pub(crate) records: Vec<Vec<u8>>,
+    pub(crate) sets: Vec<TakenSet>,
+    pub(crate) answer: Option<Packet>,
+}
+
+/// What an ask of this machine's owner is for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Purpose {
+    Write,
+    Read,
+    /// A change of the configuration: its id, the generation it would have, and tries left.
+    Change {
+        id: u64,
+        generation: u64,
+        tries: u8,
+    },
+    Copy {
+        generation: u64,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Ask {
+    pub(crate) key: String,
+    pub(crate) purpose: Purpose,
+    pub(crate) value: Bytes,
+    pub(crate) begun: Mark,
+}
+
+/// A machine: a disk, and the process on it that may own keys.
+#[derive(Clone, Debug, Hash)]
+pub(crate) struct Machine {
+    pub(crate) disk: u64,
+    /// What a loss of power leaves.
+    pub(crate) durable: DiskRegisters,
+    /// What the process goes by.
+    pub(crate) registers: DiskRegisters,
+    pub(crate) unsynced: Vec<Unsynced>,
+    pub(crate) process: u64,
+    pub(crate) owner: KeyOwner,
+    pub(crate) set: ChosenSet,
+    pub(crate) copy: Option<SetCopy>,
+    pub(crate) clock: Micros,
+    pub(crate) asks: BTreeMap<u64, Ask>,
+    pub(crate) next_ask: u64,
+    /// The epoch under which the owner last stored a key.
+    pub(crate) epochs: BTreeMap<String, Epoch>,
+    /// Versions and values that answers told.
+    pub(crate) known: BTreeMap<String, (u64, Bytes)>,
+}
+
+impl Machine {
+    pub(crate) fn new(disk: u64, process: u64, durable: DiskRegisters) -> Machine {
+        let set = durable.chosen().clone();
+        let mut owner = KeyOwner::new(process);
+        owner.take_set(&set);
+        Machine {
+            disk,
+            registers: durable.clone(),
+            durable,
+            unsynced: Vec::new(),
+            process,
+            owner,
+            set,
+            copy: None,
+            clock: Micros(0),
+            asks: BTreeMap::new(),
+            next_ask: 1,
+            epochs: BTreeMap::new(),
+            known: BTreeMap::new(),
+        }
+    }
+
+    /// The process starts anew with what the disk had synced.
+    pub(crate) fn restart(&mut self, process: u64) {
+        *self = Machine::new(self.disk, process, self.durable.clone());
+    }
+
+    pub(crate) fn may_own(&self) -> bool {
+        self.set.all().contains(&self.disk)
+    }
+
+    /// All that waits is synced, through the records themselves; sets and answers that this sets free.
+    pub(crate) fn sync(&mut self) -> (Vec<TakenSet>, Vec<Packet>) {
+        let (mut records, mut sets, mut answers) = (Vec::new(), Vec::new(), Vec::new());
+        for unsynced in self.unsynced.drain(..) {
+            records.extend(unsynced.records);
+            sets.extend(unsynced.sets);
+            answers.extend(unsynced.answer);
+        }
+        if records.is_empty() {
+            return (sets, answers);
+        }
+        records.splice(0..0, self.durable.live_records());
+        self.durable = DiskRegisters::restore(&records).expect("records of a disk's own");
+        (sets, answers)
+    }
+}
--- a/packages/control_registers/src/disk_registers.rs
+++ b/packages/control_registers/src/disk_registers.rs
@@ -19,7 +19,7 @@
     value: Bytes,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 struct DiskRegister {
     promised: Epoch,
     epoch: Epoch,
@@ -37,7 +37,7 @@
 pub type Answered<T> = (Vec<T>, Vec<Vec<u8>>);
 
 /// One disk's registers. Example: `DiskRegisters::restore(&[])` is a blank disk without a vote.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Hash)]
 pub struct DiskRegisters {
     registers: BTreeMap<String, DiskRegister>,
     chosen: ChosenSet,
--- a/packages/control_registers/src/key_owner.rs
+++ b/packages/control_registers/src/key_owner.rs
@@ -44,7 +44,7 @@
 }
 
 /// What the owner wants done.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub enum OwnerAct {
     /// Ask these disks for promises.
     Promise { disk: u64, fleet_set: u64, entries: List<PromiseEntry> },
@@ -56,7 +56,7 @@
     Answer { node: NodeId, outcome: WriteOutcome },
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 struct WaitingWrite {
     node: NodeId,
     entry: WriteEntry,
@@ -66,7 +66,7 @@
     has_renewed: bool,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 struct StoreFlight {
     number: u64,
     version: u64,
@@ -79,13 +79,13 @@
     hasty: bool,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 enum Standing {
     Acquiring { promised: BTreeSet<u64>, newest: (Epoch, u64, Bytes), sent_at: Option<Micros> },
     Owned { version: u64, value: Bytes, flight: Option<StoreFlight> },
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 struct OwnedKey {
     epoch: Epoch,
     standing: Standing,
@@ -98,7 +98,7 @@
 }
 
 /// The keys one node owns. Example: `KeyOwner::new(7)` owns nothing until it is asked.
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 pub struct KeyOwner {
     own: NodeId,
     highest_counter: u64,
