What a visitor sends in one piece, or breaks off, is tested over loopback

Pipelined calls, a call hidden in a body (answered, unknown lane, too long), a length told twice, a body that is broken off (by length and by chunks), a head over the configured limit.

--- a/packages/vanelane/tests/one_node.rs
+++ b/packages/vanelane/tests/one_node.rs
@@ -301,3 +301,81 @@
     assert_eq!(output.status.code(), Some(1), "{text}");
     assert!(text.contains("another process holds the data folder"), "{text}");
 }
+
+/// Answers on one connection that is kept, until it ends.
+fn statuses(answers: &[u8]) -> Vec<u16> {
+    let text = String::from_utf8_lossy(answers).into_owned();
+    text.split("HTTP/1.1 ").skip(1).filter_map(|part| part.get(..3)?.parse().ok()).collect()
+}
+
+#[test]
+fn what_a_visitor_sends_in_one_piece_or_breaks_off_is_told_apart() {
+    let history = Arc::new(History::default());
+    let platform = platform(&history);
+    let node = start_node("pieces", platform.address());
+    let limited = WHOLE.replace('\n', " ").replace(
+        r#"{"change_id": "first", "whole": {"#,
+        r#"{"change_id": "first", "whole": { "visitor_limits": {"header_bytes": 600, "body_bytes": 400},"#,
+    );
+    let outcome = change(&node, &format!("{limited}\n"));
+    assert!(outcome.contains("\"outcome\":\"accepted\""), "{outcome}");
+    let post = |path: &str, id: &str, more: &str, body: &str| {
+        let length = body.len();
+        format!(
+            "POST {path} HTTP/1.1\r\nhost: h\r\nx-call-id: {id}\r\n{more}content-length: {length}\r\n\r\n{body}"
+        )
+    };
+    let last = "connection: close\r\n";
+    // Pipelined: each gets its own answer, in order.
+    let pipelined =
+        ["p1", "p2", "p3"].map(|id| post("/proof/1", id, if id == "p3" { last } else { "" }, "x")).concat();
+    let answers = exchange(node.visitors, pipelined.as_bytes());
+    let text = String::from_utf8_lossy(&answers).into_owned();
+    assert_eq!(statuses(&answers), [200, 200, 200], "{text}");
+    let places = ["p1", "p2", "p3"].map(|id| text.find(&format!("{{\"call\":\"{id}\"")).expect("answered"));
+    assert!(places.is_sorted(), "{text}");
+    // A request inside a body is a body, whether the outer one is answered, unknown, or too long.
+    let smuggled = post("/proof/1", "smuggled", "", "x");
+    let outer = post("/proof/1", "outer", last, &smuggled);
+    assert_eq!(statuses(&exchange(node.visitors, outer.as_bytes())), [200]);
+    let unknown = post("/nowhere", "unknown", "", &smuggled) + &post("/proof/1", "after", last, "x");
+    let seen = statuses(&exchange(node.visitors, unknown.as_bytes()));
+    assert!(seen == [404] || seen == [404, 200], "{seen:?}");
+    let long_body = format!("{}{smuggled}", "x".repeat(400));
+    let long = post("/proof/1", "long", "", &long_body);
+    assert_eq!(statuses(&exchange(node.visitors, long.as_bytes())), [413]);
+    // Two tellings of a length are none.
+    let both = "POST /proof/1 HTTP/1.1\r\nhost: h\r\nx-call-id: both\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n";
+    assert_eq!(statuses(&exchange(node.visitors, format!("{both}{smuggled}").as_bytes())), [400]);
+    let twice = "POST /proof/1 HTTP/1.1\r\nhost: h\r\nx-call-id: twice\r\ncontent-length: 4\r\ncontent-length: 5\r\n\r\nxxxxx";
+    assert_eq!(statuses(&exchange(node.visitors, format!("{twice}{smuggled}").as_bytes())), [400]);
+    // A body that is broken off reaches no cell.
+    for broken in [
+        "POST /proof/1 HTTP/1.1\r\nhost: h\r\nx-call-id: broken\r\ncontent-length: 9\r\n\r\nhalf",
+        "POST /proof/1 HTTP/1.1\r\nhost: h\r\nx-call-id: broken\r\ntransfer-encoding: chunked\r\n\r\n9\r\nhalf",
+    ] {
+        let mut stream = TcpStream::connect(node.visitors).expect("a connection");
+        stream.set_read_timeout(Some(Duration::from_secs(60))).expect("a limit");
+        stream.write_all(broken.as_bytes()).expect("sent");
+        stream.shutdown(std::net::Shutdown::Write).expect("closed");
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        assert!(!statuses(&answer).contains(&200), "{}", String::from_utf8_lossy(&answer));
+    }
+    // Heads over the configured limit.
+    let long_head =
+        post("/proof/1", "head", &format!("x-long: {}\r\nconnection: close\r\n", "x".repeat(600)), "");
+    assert_eq!(statuses(&exchange(node.visitors, long_head.as_bytes())), [431]);
+
+    let taken: Vec<String> = history
+        .lines()
+        .iter()
+        .filter_map(|line| match line {
+            history_checks::Line::CellTook { call, .. } => Some(call.clone()),
+            _ => None,
+        })
+        .collect();
+    let expected = ["p1", "p2", "p3", "outer", "after"];
+    assert!(taken.iter().all(|call| expected.contains(&call.as_str())), "{taken:?}");
+    assert!(taken.iter().filter(|call| *call == "outer").count() == 1, "{taken:?}");
+}
