--- a/packages/vanelane/src/local_server.rs
+++ b/packages/vanelane/src/local_server.rs
@@ -20,6 +20,10 @@
     pub header_wait: Duration,
 }
 
+/// The server library counts its waits from a clock that it reads twice a second: without this much
+/// more, a wait could end that much sooner than clients were told.
+pub const TIMER_GRAIN: Duration = Duration::from_millis(500);
+
 /// Makes the answer to one request.
 pub type Answering = Rc<dyn Fn(Request) -> LocalBoxFuture<'static, Response<BoxBody>>>;
 
@@ -70,9 +74,9 @@
         let answering = server.answering.clone();
         let closing = server.closing.clone();
         let factory = HttpService::build()
-            .client_request_timeout(patience.header_wait)
+            .client_request_timeout(patience.header_wait + TIMER_GRAIN)
             .client_disconnect_timeout(Duration::from_secs(1))
-            .keep_alive(KeepAlive::Timeout(patience.idle))
+            .keep_alive(KeepAlive::Timeout(patience.idle + TIMER_GRAIN))
             .graceful_shutdown_signal(move || {
                 let mut closing = closing.clone();
                 async move {
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -4,7 +4,7 @@
 use crate::command_line::Run;
 use crate::control_pages::ControlPages;
 use crate::disk_thread::{self, DiskThread};
-use crate::local_server::{self, ClientPatience, LocalServer};
+use crate::local_server::{self, ClientPatience, LocalServer, TIMER_GRAIN};
 use crate::operator_port::{OperatorPages, OperatorPort};
 use crate::protocol_shell::{NodeFlags, ProtocolShell, ShellEvent};
 use crate::settings::{self, Settings, SettingsReason};
@@ -368,9 +368,9 @@
     let bound = builder.listen("visitors", listener, move || {
         let front = front.clone();
         HttpService::build()
-            .client_request_timeout(patience.header_wait)
+            .client_request_timeout(patience.header_wait + TIMER_GRAIN)
             .client_disconnect_timeout(Duration::from_secs(1))
-            .keep_alive(KeepAlive::Timeout(patience.idle))
+            .keep_alive(KeepAlive::Timeout(patience.idle + TIMER_GRAIN))
             .h1(move |request: Request| {
                 let front = front.clone();
                 async move { Ok::<_, std::convert::Infallible>(front.call(request).await) }
--- a/packages/vanelane/tests/one_node.rs
+++ b/packages/vanelane/tests/one_node.rs
@@ -60,8 +60,11 @@
     drop(holders);
     let folder = std::env::temp_dir().join(format!("vanelane-test-{name}-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&folder);
+    if program.get_args().next().is_none() {
+        program.arg("run");
+    }
     let mut child = program
-        .args(["run", "--zone", "a", "--founding-disks", "1"])
+        .args(["--zone", "a", "--founding-disks", "1"])
         .args(["--visitor-address", &addresses[0].to_string()])
         .args(["--control-address", &addresses[1].to_string()])
         .args(["--colleague-address", &addresses[2].to_string()])
@@ -241,7 +244,7 @@
     let mut limited = Command::new("sh");
     // The signal that comes with the limit is ignored, so that the write fails as on a full disk.
     let script = "trap '' XFSZ; ulimit -S -f 64; exec \"$0\" \"$@\"";
-    limited.args(["-c", script, env!("CARGO_BIN_EXE_vanelane")]);
+    limited.args(["-c", script, env!("CARGO_BIN_EXE_vanelane"), "run"]);
     let node = start_node_by(limited, "full", platform.address());
     let outcome = change(&node, &format!("{}\n", WHOLE.replace('\n', " ")));
     assert!(outcome.contains("\"outcome\":\"accepted\""), "{outcome}");
@@ -379,3 +382,44 @@
     assert!(taken.iter().all(|call| expected.contains(&call.as_str())), "{taken:?}");
     assert!(taken.iter().filter(|call| *call == "outer").count() == 1, "{taken:?}");
 }
+
+/// Clients take up connections that have rested for up to four fifths of the time that they are told.
+#[test]
+fn an_idle_connection_is_kept_for_the_time_that_visitors_are_told() {
+    const IDLE_MILLIS: u64 = 500;
+    let history = Arc::new(History::default());
+    let platform = platform(&history);
+    // The visitors' server on the node's own thread goes by the configuration.
+    let settings = std::env::temp_dir().join(format!("vanelane-test-idle-{}.toml", std::process::id()));
+    std::fs::write(&settings, "worker_threads = 0\n").expect("written");
+    let mut program = vanelane();
+    program.arg("run").arg("--settings").arg(&settings);
+    let node = start_node_by(program, "idle", platform.address());
+    let _ = std::fs::remove_file(&settings);
+    let limits =
+        format!(r#"{{"change_id": "first", "whole": {{ "visitor_limits": {{"idle_millis": {IDLE_MILLIS}}},"#);
+    let limited = WHOLE.replace('\n', " ").replace(r#"{"change_id": "first", "whole": {"#, &limits);
+    let outcome = change(&node, &format!("{limited}\n"));
+    assert!(outcome.contains("\"outcome\":\"accepted\""), "{outcome}");
+    // The first call starts the cell, so that the others are quick.
+    assert_eq!(call(&node, "/proof/1", "", "x").0, 200);
+    let mut stream = TcpStream::connect(node.visitors).expect("a connection");
+    for _ in 0..5 {
+        let request = "POST /proof/1 HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\nx";
+        stream.write_all(request.as_bytes()).expect("sent");
+        stream.set_read_timeout(Some(Duration::from_secs(60))).expect("a limit");
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"\"end\":true}") {
+            let mut piece = [0; 4096];
+            let length = stream.read(&mut piece).expect("an answer");
+            assert!(length > 0, "closed amid an answer: {}", String::from_utf8_lossy(&answer));
+            answer.extend_from_slice(&piece[..length]);
+        }
+        assert_eq!(statuses(&answer), [200]);
+        // Nothing comes in that time, not even the connection's end.
+        let rest = Duration::from_millis(IDLE_MILLIS * 4 / 5);
+        stream.set_read_timeout(Some(rest)).expect("a limit");
+        let silence = stream.read(&mut [0]);
+        assert!(silence.is_err(), "{silence:?}");
+    }
+}
