--- a/packages/vanelane/tests/one_node.rs
+++ b/packages/vanelane/tests/one_node.rs
@@ -70,8 +70,11 @@
     let addresses: Vec<SocketAddr> =
         holders.iter().map(|holder| holder.local_addr().expect("bound")).collect();
     drop(holders);
+    if program.get_args().next().is_none() {
+        program.arg("run");
+    }
     let mut child = program
-        .args(["run", "--zone", "a", "--founding-disks", "1"])
+        .args(["--zone", "a", "--founding-disks", "1"])
         .args(["--visitor-address", &addresses[0].to_string()])
         .args(["--control-address", &addresses[1].to_string()])
         .args(["--colleague-address", &addresses[2].to_string()])
@@ -251,7 +254,7 @@
     let mut limited = Command::new("sh");
     // The signal that comes with the limit is ignored, so that the write fails as on a full disk.
     let script = "trap '' XFSZ; ulimit -S -f 64; exec \"$0\" \"$@\"";
-    limited.args(["-c", script, env!("CARGO_BIN_EXE_vanelane")]);
+    limited.args(["-c", script, env!("CARGO_BIN_EXE_vanelane"), "run"]);
     let node = start_node_by(limited, "full", platform.address());
     let outcome = change(&node, &format!("{}\n", WHOLE.replace('\n', " ")));
     assert!(outcome.contains("\"outcome\":\"accepted\""), "{outcome}");
@@ -368,3 +371,122 @@
     assert!(status.contains("\"disk\":\"spare\"") && status.contains("\"disk_trouble\":null"), "{status}");
     assert!(read_page(&node, "/metrics").contains("vanelane_disk_unusable 0\n"));
 }
+
+/// Answers on one connection that is kept, until it ends.
+fn statuses(answers: &[u8]) -> Vec<u16> {
+    let text = String::from_utf8_lossy(answers).into_owned();
+    text.split("HTTP/1.1 ").skip(1).filter_map(|part| part.get(..3)?.parse().ok()).collect()
+}
+
+#[test]
+fn what_a_visitor_sends_in_one_piece_or_breaks_off_is_told_apart() {
+    let history = Arc::new(History::default());
+    let platform = platform(&history);
+    let node = start_node("pieces", platform.address());
+    let limited = WHOLE.replace('\n', " ").replace(
+        r#"{"change_id": "first", "whole": {"#,
+        r#"{"change_id": "first", "whole": { "visitor_limits": {"header_bytes": 600, "body_bytes": 400},"#,
+    );
+    let outcome = change(&node, &format!("{limited}\n"));
+    assert!(outcome.contains("\"outcome\":\"accepted\""), "{outcome}");
+    let post = |path: &str, id: &str, more: &str, body: &str| {
+        let length = body.len();
+        format!(
+            "POST {path} HTTP/1.1\r\nhost: h\r\nx-call-id: {id}\r\n{more}content-length: {length}\r\n\r\n{body}"
+        )
+    };
+    let last = "connection: close\r\n";
+    // Pipelined: each gets its own answer, in order.
+    let pipelined =
+        ["p1", "p2", "p3"].map(|id| post("/proof/1", id, if id == "p3" { last } else { "" }, "x")).concat();
+    let answers = exchange(node.visitors, pipelined.as_bytes());
+    let text = String::from_utf8_lossy(&answers).into_owned();
+    assert_eq!(statuses(&answers), [200, 200, 200], "{text}");
+    let places = ["p1", "p2", "p3"].map(|id| text.find(&format!("{{\"call\":\"{id}\"")).expect("answered"));
+    assert!(places.is_sorted(), "{text}");
+    // A request inside a body is a body, whether the outer one is answered, unknown, or too long.
+    let smuggled = post("/proof/1", "smuggled", "", "x");
+    let outer = post("/proof/1", "outer", last, &smuggled);
+    assert_eq!(statuses(&exchange(node.visitors, outer.as_bytes())), [200]);
+    let unknown = post("/nowhere", "unknown", "", &smuggled) + &post("/proof/1", "after", last, "x");
+    let seen = statuses(&exchange(node.visitors, unknown.as_bytes()));
+    assert!(seen == [404] || seen == [404, 200], "{seen:?}");
+    let long_body = format!("{}{smuggled}", "x".repeat(400));
+    let long = post("/proof/1", "long", "", &long_body);
+    assert_eq!(statuses(&exchange(node.visitors, long.as_bytes())), [413]);
+    // Two tellings of a length are none.
+    let both = "POST /proof/1 HTTP/1.1\r\nhost: h\r\nx-call-id: both\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n";
+    assert_eq!(statuses(&exchange(node.visitors, format!("{both}{smuggled}").as_bytes())), [400]);
+    let twice = "POST /proof/1 HTTP/1.1\r\nhost: h\r\nx-call-id: twice\r\ncontent-length: 4\r\ncontent-length: 5\r\n\r\nxxxxx";
+    assert_eq!(statuses(&exchange(node.visitors, format!("{twice}{smuggled}").as_bytes())), [400]);
+    // A body that is broken off reaches no cell.
+    for broken in [
+        "POST /proof/1 HTTP/1.1\r\nhost: h\r\nx-call-id: broken\r\ncontent-length: 9\r\n\r\nhalf",
+        "POST /proof/1 HTTP/1.1\r\nhost: h\r\nx-call-id: broken\r\ntransfer-encoding: chunked\r\n\r\n9\r\nhalf",
+    ] {
+        let mut stream = TcpStream::connect(node.visitors).expect("a connection");
+        stream.set_read_timeout(Some(Duration::from_secs(60))).expect("a limit");
+        stream.write_all(broken.as_bytes()).expect("sent");
+        stream.shutdown(std::net::Shutdown::Write).expect("closed");
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        assert!(!statuses(&answer).contains(&200), "{}", String::from_utf8_lossy(&answer));
+    }
+    // Heads over the configured limit.
+    let long_head =
+        post("/proof/1", "head", &format!("x-long: {}\r\nconnection: close\r\n", "x".repeat(600)), "");
+    assert_eq!(statuses(&exchange(node.visitors, long_head.as_bytes())), [431]);
+
+    let taken: Vec<String> = history
+        .lines()
+        .iter()
+        .filter_map(|line| match line {
+            history_checks::Line::CellTook { call, .. } => Some(call.clone()),
+            _ => None,
+        })
+        .collect();
+    let expected = ["p1", "p2", "p3", "outer", "after"];
+    assert!(taken.iter().all(|call| expected.contains(&call.as_str())), "{taken:?}");
+    assert!(taken.iter().filter(|call| *call == "outer").count() == 1, "{taken:?}");
+}
+
+/// Clients take up connections that have rested for up to four fifths of the time that they are told.
+#[test]
+fn an_idle_connection_is_kept_for_the_time_that_visitors_are_told() {
+    const IDLE_MILLIS: u64 = 500;
+    let history = Arc::new(History::default());
+    let platform = platform(&history);
+    // The visitors' server on the node's own thread goes by the configuration.
+    let settings = std::env::temp_dir().join(format!("vanelane-test-idle-{}.toml", std::process::id()));
+    std::fs::write(&settings, "worker_threads = 0\n").expect("written");
+    let mut program = vanelane();
+    program.arg("run").arg("--settings").arg(&settings);
+    let node = start_node_by(program, "idle", platform.address());
+    let _ = std::fs::remove_file(&settings);
+    let limits =
+        format!(r#"{{"change_id": "first", "whole": {{ "visitor_limits": {{"idle_millis": {IDLE_MILLIS}}},"#);
+    let limited = WHOLE.replace('\n', " ").replace(r#"{"change_id": "first", "whole": {"#, &limits);
+    let outcome = change(&node, &format!("{limited}\n"));
+    assert!(outcome.contains("\"outcome\":\"accepted\""), "{outcome}");
+    // The first call starts the cell, so that the others are quick.
+    assert_eq!(call(&node, "/proof/1", "", "x").0, 200);
+    let mut stream = TcpStream::connect(node.visitors).expect("a connection");
+    for _ in 0..5 {
+        let request = "POST /proof/1 HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\nx";
+        stream.write_all(request.as_bytes()).expect("sent");
+        stream.set_read_timeout(Some(Duration::from_secs(60))).expect("a limit");
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"\"end\":true}") {
+            let mut piece = [0; 4096];
+            let length = stream.read(&mut piece).expect("an answer");
+            assert!(length > 0, "closed amid an answer: {}", String::from_utf8_lossy(&answer));
+            answer.extend_from_slice(&piece[..length]);
+        }
+        assert_eq!(statuses(&answer), [200]);
+        // Nothing comes in that time, not even the connection's end.
+        let rest = Duration::from_millis(IDLE_MILLIS * 4 / 5);
+        stream.set_read_timeout(Some(rest)).expect("a limit");
+        let silence = stream.read(&mut [0]);
+        assert!(silence.is_err(), "{silence:?}");
+    }
+}
