--- a/packages/function_front/src/front.rs
+++ b/packages/function_front/src/front.rs
@@ -1,11 +1,20 @@
+//! The way of one call through the node, from its head to its answer.
+
+mod answer_bodies;
+mod call_guards;
+mod request_facts;
+
+use answer_bodies::{StreamedBody, WholeBody};
+use call_guards::{AskGuard, Held, TicketGuard};
+use request_facts::{CallPlace, head_bytes, time_left, told_body_bytes};
+
 use crate::call_chart::{CallChart, CallState, DispatchEnd, NextStep};
-use crate::call_dialect::CallDialect;
 use crate::cell_dispatch::{
-    AnswerRest, CellAnswer, DispatchCall, DispatchOutcome, DispatchSettings, dispatch, end_to_end,
+    CellAnswer, DispatchCall, DispatchOutcome, DispatchSettings, dispatch, end_to_end,
 };
 use crate::lane_table::{LaneRow, LaneTable};
 use crate::recording::{RecordedCall, Recorder};
-use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::body::BoxBody;
 use actix_http::header::{self, HeaderValue};
 use actix_http::{HttpMessage, Payload, Request, Response, StatusCode};
 use arc_swap::ArcSwap;
@@ -16,10 +25,8 @@
 use configuration_check::{Configuration, VisitorLimits};
 use futures_util::StreamExt;
 use serde_json::json;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::task::{Context, Poll};
 use steward_work::{RAN, TicketWish, UNKNOWN, UNUSED};
 use tokio::sync::{mpsc, oneshot};
 
@@ -137,77 +144,6 @@
 /// The answer to a visitor.
 pub type FrontAnswer = Response<BoxBody>;
 
-/// Memory and a place among the open calls, given back when dropped.
-struct Held {
-    front: Arc<Front>,
-    bytes: usize,
-}
-
-impl Held {
-    fn grow(&mut self, byte_count: usize) -> bool {
-        let used_before = self.front.memory_used.fetch_add(byte_count, Ordering::Relaxed);
-        self.bytes += byte_count;
-        used_before + byte_count <= self.front.settings.memory_limit
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.front.memory_used.fetch_sub(self.bytes, Ordering::Relaxed);
-        self.front.calls_open.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// Returns the ticket however the dispatch ends, a dropped connection of the visitor included.
-struct TicketGuard {
-    front: Arc<Front>,
-    ticket: Option<Ticket>,
-    began_at: Micros,
-    /// How it went if nobody says otherwise.
-    how: u8,
-}
-
-impl TicketGuard {
-    fn done(&mut self, how: u8) {
-        let Some(ticket) = self.ticket.take() else { return };
-        let latency = self.front.clock.now() - self.began_at;
-        // A lost return is harmless: the ticket runs out.
-        let _ = self.front.link.try_send(FrontLink::Done { ticket, how, latency });
-    }
-}
-
-impl Drop for TicketGuard {
-    fn drop(&mut self) {
-        self.done(self.how);
-    }
-}
-
-/// A call's wait for a ticket. If the call ends meanwhile the ask is withdrawn, and a ticket that had
-/// come and was not looked at yet is returned.
-struct AskGuard {
-    front: Arc<Front>,
-    call: u64,
-    answer: oneshot::Receiver<TicketAnswer>,
-    is_open: bool,
-}
-
-impl Drop for AskGuard {
-    fn drop(&mut self) {
-        if !self.is_open {
-            return;
-        }
-        self.answer.close();
-        let link = &self.front.link;
-        let _ = match self.answer.try_recv() {
-            Ok(TicketAnswer::Granted(ticket)) => {
-                link.try_send(FrontLink::Done { ticket, how: UNUSED, latency: Micros(0) })
-            }
-            Ok(TicketAnswer::Refused { .. }) => Ok(()),
-            Err(_) => link.try_send(FrontLink::End { call: self.call }),
-        };
-    }
-}
-
 struct Refusal {
     status: StatusCode,
     reason: String,
@@ -730,28 +666,6 @@
     }
 }
 
-/// What lanes are matched by; kept, since a newer generation may come while the call waits.
-struct CallPlace {
-    method: String,
-    host: Option<String>,
-    path: String,
-}
-
-impl CallPlace {
-    fn of(request: &Request) -> CallPlace {
-        let host_value = request.headers().get(header::HOST).and_then(|value| value.to_str().ok());
-        CallPlace {
-            method: request.method().as_str().to_owned(),
-            host: host_value.or_else(|| request.uri().host()).map(str::to_owned),
-            path: request.path().to_owned(),
-        }
-    }
-
-    fn find<'lanes>(&self, lanes: &'lanes LaneTable) -> Option<&'lanes LaneRow> {
-        lanes.find(&self.method, self.host.as_deref(), &self.path)
-    }
-}
-
 fn no_time_left(chart: &CallChart) -> Refusal {
     match chart.state() {
         CallState::Unknown => Refusal::new(StatusCode::GATEWAY_TIMEOUT, "no time left", None),
@@ -762,109 +676,3 @@
 fn too_long_body() -> Refusal {
     Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long", None)
 }
-
-/// The length that a request tells of its body.
-fn told_body_bytes(request: &Request) -> Option<u64> {
-    let told = request.headers().get(header::CONTENT_LENGTH)?;
-    told.to_str().ok()?.trim().parse().ok()
-}
-
-/// The least number of bytes that this head takes on the wire.
-fn head_bytes(request: &Request) -> u64 {
-    const REQUEST_LINE_REST: usize = "  HTTP/1.1\r\n".len();
-    const HEADER_REST: usize = ":\r\n".len();
-    const HEAD_END: usize = "\r\n".len();
-    let target = request.uri().path_and_query().map_or(1, |target| target.as_str().len());
-    let request_line = request.method().as_str().len() + target + REQUEST_LINE_REST;
-    let headers: usize = request
-        .headers()
-        .iter()
-        .map(|(name, value)| name.as_str().len() + value.as_bytes().len() + HEADER_REST)
-        .sum();
-    (request_line + headers + HEAD_END) as u64
-}
-
-/// The lane's patience, or less if the visitor or a calling cell names less.
-fn time_left(request: &Request, lane: &LaneRow, dialect: &CallDialect) -> Micros {
-    let named = request
-        .headers()
-        .get(&dialect.time_left)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|text| text.trim().parse::<u64>().ok());
-    named.map_or(lane.patience, |millis| lane.patience.min(Micros(millis.saturating_mul(1_000))))
-}
-
-/// A whole answer that keeps its memory counted until it is handed over.
-struct WholeBody {
-    body: Option<Bytes>,
-    _held: Held,
-}
-
-impl MessageBody for WholeBody {
-    type Error = std::convert::Infallible;
-
-    fn size(&self) -> BodySize {
-        BodySize::Sized(self.body.as_ref().map_or(0, Bytes::len) as u64)
-    }
-
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        _context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        Poll::Ready(self.body.take().filter(|body| !body.is_empty()).map(Ok))
-    }
-}
-
-/// A long answer on its way. A cut ends in a failure, which makes the server break the visitor's
-/// connection off instead of ending the answer cleanly.
-struct StreamedBody {
-    begun: Option<Bytes>,
-    rest: Box<AnswerRest>,
-    length: Option<u64>,
-    passed: u64,
-    guard: TicketGuard,
-    _held: Held,
-    ends: Pin<Box<tokio::time::Sleep>>,
-}
-
-impl StreamedBody {
-    fn cut(&mut self) -> Poll<Option<Result<Bytes, std::io::Error>>> {
-        self.guard.done(UNKNOWN);
-        self.guard.front.counts.cut_answers.fetch_add(1, Ordering::Relaxed);
-        Poll::Ready(Some(Err(std::io::Error::other("the cell's answer was cut"))))
-    }
-}
-
-impl MessageBody for StreamedBody {
-    type Error = std::io::Error;
-
-    fn size(&self) -> BodySize {
-        self.length.map_or(BodySize::Stream, BodySize::Sized)
-    }
-
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        if let Some(begun) = self.begun.take() {
-            self.passed += begun.len() as u64;
-            return Poll::Ready(Some(Ok(begun)));
-        }
-        if self.ends.as_mut().poll(context).is_ready() {
-            return self.cut();
-        }
-        match self.rest.poll_next_unpin(context) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(Ok(Some(chunk)))) => {
-                self.passed += chunk.len() as u64;
-                Poll::Ready(Some(Ok(chunk)))
-            }
-            Poll::Ready(Some(Ok(None))) if self.length.is_none_or(|length| length == self.passed) => {
-                self.guard.done(RAN);
-                self.guard.front.counts.answered.fetch_add(1, Ordering::Relaxed);
-                Poll::Ready(None)
-            }
-            Poll::Ready(_) => self.cut(),
-        }
-    }
-}
--- /dev/null
+++ b/packages/function_front/src/front/answer_bodies.rs
@@ -0,0 +1,86 @@
+//! The bodies of answers on their way to visitors.
+
+use super::call_guards::{Held, TicketGuard};
+use crate::cell_dispatch::AnswerRest;
+use actix_http::body::{BodySize, MessageBody};
+use bytes::Bytes;
+use futures_util::StreamExt;
+use std::pin::Pin;
+use std::sync::atomic::Ordering;
+use std::task::{Context, Poll};
+use steward_work::{RAN, UNKNOWN};
+
+/// A whole answer that keeps its memory counted until it is handed over.
+pub(super) struct WholeBody {
+    pub(super) body: Option<Bytes>,
+    pub(super) _held: Held,
+}
+
+impl MessageBody for WholeBody {
+    type Error = std::convert::Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.body.as_ref().map_or(0, Bytes::len) as u64)
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        Poll::Ready(self.body.take().filter(|body| !body.is_empty()).map(Ok))
+    }
+}
+
+/// A long answer on its way. A cut ends in a failure, which makes the server break the visitor's
+/// connection off instead of ending the answer cleanly.
+pub(super) struct StreamedBody {
+    pub(super) begun: Option<Bytes>,
+    pub(super) rest: Box<AnswerRest>,
+    pub(super) length: Option<u64>,
+    pub(super) passed: u64,
+    pub(super) guard: TicketGuard,
+    pub(super) _held: Held,
+    pub(super) ends: Pin<Box<tokio::time::Sleep>>,
+}
+
+impl StreamedBody {
+    fn cut(&mut self) -> Poll<Option<Result<Bytes, std::io::Error>>> {
+        self.guard.done(UNKNOWN);
+        self.guard.front.counts.cut_answers.fetch_add(1, Ordering::Relaxed);
+        Poll::Ready(Some(Err(std::io::Error::other("the cell's answer was cut"))))
+    }
+}
+
+impl MessageBody for StreamedBody {
+    type Error = std::io::Error;
+
+    fn size(&self) -> BodySize {
+        self.length.map_or(BodySize::Stream, BodySize::Sized)
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        if let Some(begun) = self.begun.take() {
+            self.passed += begun.len() as u64;
+            return Poll::Ready(Some(Ok(begun)));
+        }
+        if self.ends.as_mut().poll(context).is_ready() {
+            return self.cut();
+        }
+        match self.rest.poll_next_unpin(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Ok(Some(chunk)))) => {
+                self.passed += chunk.len() as u64;
+                Poll::Ready(Some(Ok(chunk)))
+            }
+            Poll::Ready(Some(Ok(None))) if self.length.is_none_or(|length| length == self.passed) => {
+                self.guard.done(RAN);
+                self.guard.front.counts.answered.fetch_add(1, Ordering::Relaxed);
+                Poll::Ready(None)
+            }
+            Poll::Ready(_) => self.cut(),
+        }
+    }
+}
--- /dev/null
+++ b/packages/function_front/src/front/request_facts.rs
@@ -0,0 +1,60 @@
+//! What the front reads from a request's head.
+
+use crate::call_dialect::CallDialect;
+use crate::lane_table::{LaneRow, LaneTable};
+use actix_http::header;
+use actix_http::{HttpMessage, Request};
+use clock_events::Micros;
+
+/// What lanes are matched by; kept, since a newer generation may come while the call waits.
+pub(super) struct CallPlace {
+    method: String,
+    host: Option<String>,
+    path: String,
+}
+
+impl CallPlace {
+    pub(super) fn of(request: &Request) -> CallPlace {
+        let host_value = request.headers().get(header::HOST).and_then(|value| value.to_str().ok());
+        CallPlace {
+            method: request.method().as_str().to_owned(),
+            host: host_value.or_else(|| request.uri().host()).map(str::to_owned),
+            path: request.path().to_owned(),
+        }
+    }
+
+    pub(super) fn find<'lanes>(&self, lanes: &'lanes LaneTable) -> Option<&'lanes LaneRow> {
+        lanes.find(&self.method, self.host.as_deref(), &self.path)
+    }
+}
+
+/// The length that a request tells of its body.
+pub(super) fn told_body_bytes(request: &Request) -> Option<u64> {
+    let told = request.headers().get(header::CONTENT_LENGTH)?;
+    told.to_str().ok()?.trim().parse().ok()
+}
+
+/// The least number of bytes that this head takes on the wire.
+pub(super) fn head_bytes(request: &Request) -> u64 {
+    const REQUEST_LINE_REST: usize = "  HTTP/1.1\r\n".len();
+    const HEADER_REST: usize = ":\r\n".len();
+    const HEAD_END: usize = "\r\n".len();
+    let target = request.uri().path_and_query().map_or(1, |target| target.as_str().len());
+    let request_line = request.method().as_str().len() + target + REQUEST_LINE_REST;
+    let headers: usize = request
+        .headers()
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.as_bytes().len() + HEADER_REST)
+        .sum();
+    (request_line + headers + HEAD_END) as u64
+}
+
+/// The lane's patience, or less if the visitor or a calling cell names less.
+pub(super) fn time_left(request: &Request, lane: &LaneRow, dialect: &CallDialect) -> Micros {
+    let named = request
+        .headers()
+        .get(&dialect.time_left)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.trim().parse::<u64>().ok());
+    named.map_or(lane.patience, |millis| lane.patience.min(Micros(millis.saturating_mul(1_000))))
+}
