Simulated disks: a kill leaves files as they are, lost power leaves a beginning

Cause: every kill lost the power, and with it all that was not synced, so no history had a process that reads records it must not answer for yet, nor a disk that keeps a part.

Scenarios end processes either way by the seed; those about power always lose it. The disk dice are apart from the others. New scenario disks_damaged: one damaged voter is replaced by a spare; with all voters damaged beside blank disks nothing is founded, and with a majority readable again all is there.

--- a/packages/fleet_simulator/src/allowance_scenarios.rs
+++ b/packages/fleet_simulator/src/allowance_scenarios.rs
@@ -85,7 +85,7 @@
     let mut trial = calm(WorldSettings { rare_ceiling_mb: Some(6_000.0), ..scarce() }, seed);
     hunger(&mut trial, &["rare"], 8.0);
     let victim = (seed % 10) as usize;
-    trial.world.kill(victim);
+    trial.world.kill_either_way(victim);
     hunger(&mut trial, &["rare"], 8.0);
     trial.world.start(victim);
     let partial = json!({
--- a/packages/fleet_simulator/src/disk_scenarios.rs
+++ b/packages/fleet_simulator/src/disk_scenarios.rs
@@ -72,7 +72,7 @@
     let mut trial = Trial::founded(settings, seed);
     let mut dice = Rng::with_seed(seed ^ 0x5e7);
     trial.must_accept(6, "before", 4.0);
-    trial.world.kill((seed % 3) as usize);
+    trial.world.kill_either_way((seed % 3) as usize);
     trial.world.run_for(5.0 + dice.f64() * 2.0);
     for _ in 0..6 {
         let Some(owner) = trial.world.voters_owner() else {
@@ -82,7 +82,7 @@
         let span = 0.05 + dice.f64() * 1.5;
         match dice.u8(..3) {
             0 => {
-                trial.world.kill(owner);
+                trial.world.kill_either_way(owner);
                 trial.world.run_for(span);
                 trial.world.start(owner);
             }
@@ -136,7 +136,7 @@
         let is_accepted = self.world.is_accepted(change_id);
         self.must(is_accepted, "changes are taken", &format!("{change_id} was not accepted"));
         for victim in victims {
-            self.world.kill(*victim);
+            self.world.lose_power(*victim);
         }
         self.world.run_for(0.5);
         for victim in victims {
@@ -238,13 +238,59 @@
     trial.verdict()
 }
 
+impl Trial {
+    fn damage(&mut self, victims: &[usize], is_damaged: bool) {
+        for victim in victims {
+            self.world.kill_either_way(*victim);
+            if let Some(disk) = self.world.disk(*victim) {
+                disk.is_damaged = is_damaged;
+            }
+        }
+    }
+}
+
+/// A voter's synced records are damaged: a spare disk takes its vote. Then those of all voters are, and
+/// every node starts anew beside blank disks: nothing is founded, and once a majority can be read again
+/// all that was acknowledged is there.
+pub(crate) fn disks_damaged(seed: u64) -> Verdict {
+    let settings = WorldSettings { disks: 7, ..WorldSettings::default() };
+    let mut trial = Trial::founded(settings, seed);
+    trial.must_accept(8, "before", 4.0);
+    let voters = trial.world.voter_numbers();
+    let Some(first) = voters.get(seed as usize % voters.len().max(1)).copied() else {
+        return trial.verdict();
+    };
+    trial.damage(&[first], true);
+    trial.world.start(first);
+    let is_replaced =
+        trial.world.run_until(40.0, |world| world.has_whole_set() && !world.voter_numbers().contains(&first));
+    trial.must(is_replaced, "a damaged disk is replaced", "a spare disk has not taken its vote");
+    let voters = trial.world.voter_numbers();
+    trial.must_settle();
+    trial.must_accept(8, "replaced", 4.0);
+
+    trial.checks.count_refusals = false;
+    trial.damage(&voters, true);
+    (0..10).for_each(|number| trial.world.kill_either_way(number));
+    (0..10).for_each(|number| trial.world.start(number));
+    trial.world.run_for(10.0);
+    let is_founded =
+        (0..10).filter_map(|number| trial.world.status(number)).any(|status| !status.voters.is_empty());
+    trial.must(!is_founded, "nothing is founded beside damaged disks", "a node goes by a new voter set");
+    trial.damage(&voters[..2], false);
+    voters[..2].iter().for_each(|number| trial.world.start(*number));
+    trial.must_settle();
+    trial.must_accept(9, "readable-again", 6.0);
+    trial.verdict()
+}
+
 /// The lowest seeds carry no disk: the lowest that does founds the state.
 pub(crate) fn lowest_seeds_without_disk(seed: u64) -> Verdict {
     let first_disk = 1 + (seed % 2) as usize;
     let settings = WorldSettings { disks: 4, first_disk, ..WorldSettings::default() };
     let mut trial = Trial::founded(settings, seed);
     trial.must_accept(5, "founded", 4.0);
-    trial.world.kill(first_disk);
+    trial.world.kill_either_way(first_disk);
     trial.must_accept(6, "one-down", 6.0);
     trial.world.start(first_disk);
     trial.must_settle();
--- a/packages/fleet_simulator/src/lane_scenarios.rs
+++ b/packages/fleet_simulator/src/lane_scenarios.rs
@@ -85,7 +85,7 @@
         match dice.u8(..3) {
             0 => trial.world.freeze(victim, 1.5 + dice.f64() * 3.5),
             1 => trial.world.isolate(victim),
-            _ => trial.world.kill(victim),
+            _ => trial.world.kill_either_way(victim),
         }
         trial.world.run_for(dice.f64() * 0.5);
         let partial = drawn_change(&trial, &mut dice, &change_id);
--- a/packages/fleet_simulator/src/machine_scenarios.rs
+++ b/packages/fleet_simulator/src/machine_scenarios.rs
@@ -63,7 +63,7 @@
     trial.world.run_for(8.0);
     let victims = [(seed % 3) as usize, 3 + (seed % 7) as usize];
     for victim in victims {
-        trial.world.kill(victim);
+        trial.world.kill_either_way(victim);
         trial.world.run_for(3.0);
     }
     trial.must_accept(3 + ((seed + 1) % 7) as usize, "one-down", 4.0);
--- a/packages/fleet_simulator/src/scenarios.rs
+++ b/packages/fleet_simulator/src/scenarios.rs
@@ -2,7 +2,7 @@
 
 use crate::allowance_scenarios::{allowances_contended, allowances_moved, lone_start_beside_hunger};
 use crate::disk_scenarios::{
-    disk_full_and_room_again, disks_wiped_in_turn, lowest_seeds_without_disk, two_disks_full,
+    disk_full_and_room_again, disks_damaged, disks_wiped_in_turn, lowest_seeds_without_disk, two_disks_full,
     two_disks_stalled, two_of_five_wiped, vote_change_with_owner_lost, wiped_amid_a_vote_change,
 };
 use crate::lane_scenarios::{lanes_moved, lanes_moved_while_nodes_sleep};
@@ -93,6 +93,7 @@
     two_of_five_wiped,
     wiped_amid_a_vote_change,
     lowest_seeds_without_disk,
+    disks_damaged,
 }
 
 /// A scenario under way.
@@ -194,7 +195,7 @@
 fn kills(seed: u64) -> Verdict {
     let mut trial = Trial::default(seed);
     for number in [5, 8] {
-        trial.world.kill(number);
+        trial.world.kill_either_way(number);
         trial.world.run_for(6.0);
     }
     trial.must_settle();
@@ -207,7 +208,7 @@
 fn disk_node_killed(seed: u64) -> Verdict {
     let mut trial = Trial::default(seed);
     let victim = (seed % 3) as usize;
-    trial.world.kill(victim);
+    trial.world.kill_either_way(victim);
     trial.world.run_for(1.0);
     trial.must_accept(4, "one-down", 4.0);
     trial.must_spread();
@@ -222,7 +223,7 @@
     let mut trial = Trial::default(seed);
     trial.must_accept(3, "before", 4.0);
     for number in [0, 1, 2] {
-        trial.world.kill(number);
+        trial.world.kill_either_way(number);
     }
     trial.world.run_for(4.0);
     for number in [0, 1, 2] {
@@ -237,7 +238,7 @@
     let mut trial = Trial::default(seed);
     trial.must_accept(3, "before", 4.0);
     for number in 0..10 {
-        trial.world.kill(number);
+        trial.world.kill_either_way(number);
     }
     trial.world.run_for(2.0);
     for number in 0..10 {
@@ -263,7 +264,7 @@
             trial.world.run_for(0.000_2);
         }
         for number in [0, 1, 2] {
-            trial.world.kill(number);
+            trial.world.lose_power(number);
         }
         trial.world.run_for(1.0);
         for number in [0, 1, 2] {
@@ -299,7 +300,7 @@
 
     /// A disk node is lost for some seconds: changes are taken without it, and it comes back.
     pub(crate) fn must_do_without(&mut self, number: usize, seconds: f64) {
-        self.world.kill(number);
+        self.world.kill_either_way(number);
         self.world.run_for(seconds);
         self.must_accept(4, "another-down", 6.0);
         self.world.start(number);
@@ -360,7 +361,7 @@
     }
     trial.must_accept(5, "after", 4.0);
     // A node that knows only the new seeds finds the fleet.
-    trial.world.kill(7);
+    trial.world.kill_either_way(7);
     trial.world.run_for(1.0);
     trial.world.start(7);
     trial.must_settle();
@@ -529,7 +530,7 @@
     trial.checks.count_refusals = false;
     trial.world.call_rate = 200.0;
     trial.world.run_for(20.0);
-    trial.world.kill((seed % 10) as usize);
+    trial.world.kill_either_way((seed % 10) as usize);
     trial.world.run_for(10.0);
     trial.verdict()
 }
@@ -552,7 +553,7 @@
     let mut trial = Trial::founded(settings, seed);
     trial.world.run_for(10.0);
     trial.world.platform.crash(2);
-    trial.world.kill(6);
+    trial.world.kill_either_way(6);
     trial.world.run_for(15.0);
     trial.must_settle();
     let cells = trial.world.platform.counts.0;
@@ -620,7 +621,7 @@
         let victim = (number * 3 + seed as usize) % 10;
         trial.world.mark((victim + 1) % 10, &format!("amid-{number}"));
         trial.world.run_for(0.005);
-        trial.world.kill(victim);
+        trial.world.kill_either_way(victim);
         trial.world.run_for(0.8);
         trial.world.start(victim);
         trial.world.run_for(0.2);
@@ -656,15 +657,15 @@
 fn second_failure_in_recovery(seed: u64) -> Verdict {
     let mut trial = Trial::default(seed);
     trial.must_accept(3, "before", 4.0);
-    trial.world.kill((seed % 3) as usize);
+    trial.world.kill_either_way((seed % 3) as usize);
     trial.world.run_for(1.5);
-    trial.world.kill(5);
+    trial.world.kill_either_way(5);
     trial.world.cut(&[6, 7], &[0, 1, 2, 3, 4, 8, 9]);
     trial.world.run_for(3.0);
     trial.world.heal();
     trial.world.start((seed % 3) as usize);
     trial.world.run_for(0.7);
-    trial.world.kill(((seed + 1) % 3) as usize);
+    trial.world.kill_either_way(((seed + 1) % 3) as usize);
     trial.world.run_for(2.0);
     trial.world.start(((seed + 1) % 3) as usize);
     trial.world.start(5);
@@ -680,7 +681,7 @@
     for round in 0..25 {
         let node = dice.usize(..10);
         match dice.u8(..10) {
-            0..=2 => trial.world.kill(node),
+            0..=2 => trial.world.kill_either_way(node),
             3 => trial.world.freeze(node, 1.0 + dice.f64() * 5.0),
             4 => {
                 let edge = 1 + dice.usize(..8);
--- /dev/null
+++ b/packages/fleet_simulator/src/sim_disk/tests.rs
@@ -0,0 +1,83 @@
+use super::*;
+use colleague_messages::{Bytes, Epoch, List, StoreEntry};
+use control_registers::VoterSet;
+use std::collections::BTreeSet;
+
+const KEY: &str = "configuration";
+
+/// A disk that was synced at version 1 and then given versions 2 to 4, the third of them as a rewrite.
+fn written_disk() -> SimDisk {
+    let mut disk = SimDisk::blank(7);
+    let (mut registers, is_unsynced) = disk.open();
+    assert!(!is_unsynced);
+    let set = VoterSet::founding(&[7]);
+    let mut token = 1;
+    disk.write(token, registers.found(&set).expect("blank"), false);
+    for version in 1..=4_u64 {
+        let entry = StoreEntry {
+            key: KEY.into(),
+            epoch: Epoch { counter: 1, owner: 1 },
+            flight: version,
+            version,
+            value: Bytes::default(),
+        };
+        let (_, records) = registers.store(set.mark(), &List(vec![entry]));
+        token += 1;
+        match version {
+            3 => disk.write(token, registers.live_records(), true),
+            _ => disk.write(token, records, false),
+        }
+        if version == 1 {
+            assert!(disk.sync(token));
+        }
+    }
+    disk
+}
+
+fn version(registers: &DiskRegisters) -> u64 {
+    registers.stored(KEY).expect("synced").1
+}
+
+#[test]
+fn the_end_of_a_process_leaves_files_as_they_are() {
+    let mut disk = written_disk();
+    disk.end_process();
+    let (registers, is_unsynced) = disk.open();
+    assert_eq!((version(&registers), is_unsynced), (4, true));
+    // Nothing of it is synced yet: the next process ends too, and then the power goes.
+    let found: BTreeSet<u64> = (0..64)
+        .map(|seed| {
+            let mut disk = disk.clone();
+            disk.end_process();
+            disk.lose_power(&mut Rng::with_seed(seed));
+            version(&disk.open().0)
+        })
+        .collect();
+    assert_eq!(found, BTreeSet::from([1, 2, 3, 4]));
+    // Once the next process has rewritten it, all of it lasts.
+    disk.write(1, registers.live_records(), true);
+    assert!(disk.sync(1));
+    disk.lose_power(&mut Rng::with_seed(1));
+    assert_eq!(version(&disk.open().0), 4);
+}
+
+#[test]
+fn a_loss_of_power_leaves_a_beginning_of_what_was_not_synced() {
+    let found = |seed| {
+        let mut disk = written_disk();
+        disk.lose_power(&mut Rng::with_seed(seed));
+        version(&disk.open().0)
+    };
+    let all: BTreeSet<u64> = (0..64).map(found).collect();
+    assert_eq!(all, BTreeSet::from([1, 2, 3, 4]));
+    assert!((0..64).all(|seed| found(seed) == found(seed)));
+}
+
+#[test]
+fn a_full_disk_took_nothing() {
+    let mut disk = written_disk();
+    disk.is_full = true;
+    assert!(!disk.sync(5));
+    disk.end_process();
+    assert_eq!(version(&disk.open().0), 1);
+}
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -165,6 +165,8 @@
     pub(crate) settings: WorldSettings,
     pub(crate) now: u64,
     pub(crate) dice: Rng,
+    /// What becomes of disks; apart, so that it leaves everything else as it is.
+    disk_dice: Rng,
     pub(crate) nodes: Vec<SimNode>,
     /// The platform.
     pub platform: SimPlatform,
@@ -201,6 +203,7 @@
 }
 
 const SEED_COUNT: usize = 3;
+const DISK_SEED: u64 = 0xd15c;
 const FLEET: &str = "simulated";
 
 impl World {
@@ -211,6 +214,7 @@
             platform: SimPlatform::new(settings.workers.0, settings.workers.1, 80.0, settings.list_late.0),
             now: 0,
             dice: Rng::with_seed(seed),
+            disk_dice: Rng::with_seed(seed ^ DISK_SEED),
             nodes: Vec::new(),
             calls: BTreeMap::new(),
             next_call: 0,
@@ -464,23 +468,48 @@
         node.is_draining = false;
         node.is_drained = false;
         node.frozen_until = 0;
-        let disk = node.disk.as_ref().map(|disk| (disk.id, disk.registers()));
+        let is_damaged = node.disk.as_ref().is_some_and(|disk| disk.is_damaged);
+        let opened = node.disk.as_mut().filter(|disk| !disk.is_damaged).map(|disk| (disk.id, disk.open()));
+        let is_unsynced = opened.as_ref().is_some_and(|(_, (_, is_unsynced))| *is_unsynced);
+        let disk = opened.map(|(id, (registers, _))| (id, registers));
         node.node = Some(Node::new(settings, disk, Micros(0)));
         let life = node.life;
         let drift = self.settings.clock_drift;
         if drift > 0.0 {
             self.nodes[number].clock_rate = 1.0 - drift + self.dice.f64() * 2.0 * drift;
         }
+        if is_damaged {
+            self.give(number, Event::DiskUnusable { reason: "synced records are damaged".to_owned() });
+        }
+        if is_unsynced {
+            self.give(number, Event::DiskUnsynced);
+        }
         let first_tick = self.dice.u64(..20_000);
         self.after(first_tick, Happening::Tick { node: number, life });
     }
 
-    /// Ends a node's process with no notice; with the power goes what its disk had not synced.
-    /// Example: `world.kill(0)`.
+    /// Ends a node's process with no notice; its files stand as they are. Example: `world.kill(0)`.
     pub fn kill(&mut self, number: usize) {
         self.end_process(number, false);
     }
 
+    /// Ends a node with its machine's power: of what its disk had not synced a beginning is left.
+    /// Example: `world.lose_power(0)`.
+    pub fn lose_power(&mut self, number: usize) {
+        self.end_process(number, false);
+        if let Some(disk) = &mut self.nodes[number].disk {
+            disk.lose_power(&mut self.disk_dice);
+        }
+    }
+
+    /// Ends a node with its machine's power or without, by the seed. Example: `world.kill_either_way(0)`.
+    pub fn kill_either_way(&mut self, number: usize) {
+        match self.disk_dice.bool() {
+            true => self.lose_power(number),
+            false => self.kill(number),
+        }
+    }
+
     fn end_process(&mut self, number: usize, is_planned: bool) {
         if !self.nodes[number].is_up() {
             return;
@@ -490,7 +519,7 @@
         node.node = None;
         node.life += 1;
         if let Some(disk) = &mut node.disk {
-            disk.lose_power();
+            disk.end_process();
         }
     }
 
--- a/packages/fleet_simulator/tests/scenarios.rs
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -102,6 +102,7 @@
     two_of_five_wiped: 1..=20;
     wiped_amid_a_vote_change: 1..=20;
     lowest_seeds_without_disk: 1..=20;
+    disks_damaged: 1..=20;
 }
 
 /// Clocks that jump can only matter where somebody reads them.
