--- a/packages/fleet_simulator/src/acknowledgement_scenarios.rs
+++ b/packages/fleet_simulator/src/acknowledgement_scenarios.rs
@@ -59,7 +59,7 @@
         let plan = OrderPlan::new(format!("acknowledged-{version}"), owner, Some(version), version + 1);
         let Some(generation) = trial.acknowledge(plan) else { break };
         trial.world.run_for(ACKNOWLEDGED_TO_KILL_SECONDS);
-        trial.world.kill(owner);
+        trial.world.kill_either_way(owner);
         trial.must_serve(generation);
         trial.world.start(owner);
         trial.must_settle();
@@ -85,7 +85,7 @@
             1 => dice.usize(..3),
             _ => trial.world.configuration_owner().unwrap_or(asked),
         };
-        trial.world.kill(victim);
+        trial.world.kill_either_way(victim);
         let is_accepted = trial.world.run_until_closely(10.0, |world| world.is_order_accepted(&name));
         let seen = format!("{name}: {:?}", trial.world.order_answer(&name));
         trial.must(is_accepted, "a proper order is taken", &seen);
@@ -110,7 +110,7 @@
         let Some(generation) = trial.acknowledge(plan) else { break };
         trial.world.run_for(dice.f64() * 0.01);
         for number in 0..3 {
-            trial.world.kill(number);
+            trial.world.lose_power(number);
         }
         trial.world.run_for(1.0 + dice.f64() * 2.0);
         for number in 0..3 {
--- a/packages/fleet_simulator/src/catch_up_scenarios.rs
+++ b/packages/fleet_simulator/src/catch_up_scenarios.rs
@@ -29,14 +29,14 @@
     trial.world.call_rate = 20.0;
     match is_disk_replaced {
         true => trial.world.lose_disk(victim),
-        false => trial.world.kill(victim),
+        false => trial.world.kill_either_way(victim),
     }
     trial.world.run_for(1.0);
     let version = trial.order_hundreds();
     trial.world.start(victim);
     // Killed again at any moment of the first half second.
     trial.world.run_for(0.02 + (seed % 12) as f64 * 0.04);
-    trial.world.kill(victim);
+    trial.world.kill_either_way(victim);
     trial.world.run_for(0.3);
     trial.world.start(victim);
     trial.must_catch_up(victim);
@@ -106,7 +106,7 @@
     fn must_do_without_the_others(&mut self, victim: usize, mut version: u64) {
         let mut is_led_once = false;
         for other in (0..3).filter(|number| *number != victim) {
-            self.world.kill(other);
+            self.world.kill_either_way(other);
             version += 1;
             let plan = OrderPlan::new(format!("without-{other}"), victim, Some(version - 1), version);
             self.must_take(plan, 8.0);
--- a/packages/fleet_simulator/src/control_scenarios.rs
+++ b/packages/fleet_simulator/src/control_scenarios.rs
@@ -65,7 +65,7 @@
 
 /// A node is killed and started again half a second later, while the operators work.
 fn restart(trial: &mut Trial, desk: &mut Desk, number: usize) {
-    trial.world.kill(number);
+    trial.world.kill_either_way(number);
     desk.work(&mut trial.world, 0.5);
     trial.world.start(number);
 }
@@ -220,7 +220,7 @@
         let away = 1.0 + dice.f64() * 7.0;
         let kind = dice.u8(..3);
         match kind {
-            0 => trial.world.kill(victim),
+            0 => trial.world.kill_either_way(victim),
             1 => trial.world.cut(&[victim], &other_disk_nodes(victim)),
             _ => trial.world.freeze(victim, away),
         }
--- a/packages/fleet_simulator/src/grown_scenarios.rs
+++ b/packages/fleet_simulator/src/grown_scenarios.rs
@@ -95,12 +95,12 @@
     trial.figures.push(("largest_small_link_message", largest as f64));
     trial.must(largest < SMALL_LINK_MESSAGE, "no whole document over a small link", "one was sent");
     if let Some(owner) = trial.world.configuration_owner() {
-        trial.world.kill(owner);
+        trial.world.kill_either_way(owner);
         must_read_at_last(&mut trial, &mut dice);
         trial.world.start(owner);
     }
     let reborn = small_node(&mut dice);
-    trial.world.kill(reborn);
+    trial.world.kill_either_way(reborn);
     trial.world.run_for(1.0);
     trial.world.start(reborn);
     let is_back = trial.world.run_until(READY_WITHIN, World::is_all_ready);
--- a/packages/fleet_simulator/src/order_scenarios.rs
+++ b/packages/fleet_simulator/src/order_scenarios.rs
@@ -33,7 +33,7 @@
         trial.world.run_for(dice.f64() * 0.02);
         let victim = (round % 3 == 2).then(|| dice.usize(..10));
         if let Some(victim) = victim {
-            trial.world.kill(victim);
+            trial.world.kill_either_way(victim);
         }
         let is_over = trial.world.run_until(10.0, |world| names.iter().all(|name| world.is_order_over(name)));
         trial.must(is_over, "orders are answered clearly", "eight orders were not answered after 10 s");
@@ -71,7 +71,7 @@
         }
         if version % 8 == 7 {
             let victim = trial.world.configuration_owner().unwrap_or(dice.usize(..3));
-            trial.world.kill(victim);
+            trial.world.kill_either_way(victim);
             trial.must_have_one_winner(&names);
             trial.world.start(victim);
             trial.must_settle();
@@ -135,13 +135,13 @@
             Between::Nothing | Between::SentAtOnce => {}
             Between::OwnerKilled => {
                 let Some(owner) = self.world.configuration_owner() else { return };
-                self.world.kill(owner);
+                self.world.kill_either_way(owner);
                 self.world.run_for(2.0);
                 self.world.start(owner);
             }
             Between::AllRestarted => {
                 for number in 0..10 {
-                    self.world.kill(number);
+                    self.world.kill_either_way(number);
                 }
                 self.world.run_for(0.5);
                 for number in 0..10 {
--- a/packages/fleet_simulator/tests/scenarios.rs
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -108,6 +108,7 @@
     all_disks_lose_power_after_acknowledging: 1..=20;
     hundreds_of_changes: 1..=20;
     grown_links: 1..=2;
+    disks_damaged: 1..=20;
 }
 
 /// Clocks that jump can only matter where somebody reads them.
--- a/packages/node_protocol/src/vote_swaps.rs
+++ b/packages/node_protocol/src/vote_swaps.rs
@@ -96,6 +96,8 @@
                 None => others.push(lost),
             }
         }
+        // A disk at a voter's address is that machine's new one: it waits until its own voter counts as lost.
+        free_disks.retain(|_, address| !self.addresses.values().any(|voter| voter == address));
         for lost in others {
             let patience = match self.addresses.get(&lost) {
                 None => UNMET_PATIENCE,
--- a/packages/node_protocol/src/vote_swaps/tests.rs
+++ b/packages/node_protocol/src/vote_swaps/tests.rs
@@ -60,6 +60,17 @@
     assert_eq!(swaps_after(&set, &voters(&[1, 2, 3]), &live, LOST_PATIENCE), []);
 }
 
+/// The machine of voter 2 is back with disk 80 while its old process still counts as alive.
+#[test]
+fn a_disk_at_another_voters_address_is_kept_for_that_voter() {
+    let set = VoterSet::founding(&[1, 2, 3]);
+    let mut live = voters(&[1, 2]);
+    live.push(member(2, 80, DISK_BLANK));
+    assert_eq!(swaps_after(&set, &voters(&[1, 2, 3]), &live, PATIENCE), []);
+    live.push(member(7, 90, DISK_BLANK));
+    assert_eq!(swaps_after(&set, &voters(&[1, 2, 3]), &live, LOST_PATIENCE), [(3, 90)]);
+}
+
 #[test]
 fn a_live_machine_with_a_failed_disk_keeps_its_vote_for_the_set_time() {
     let set = VoterSet::founding(&[1, 2, 3]);
