A node cut off from the majority says so by direct answers, not by what relays tell

While a change waits the voters are now probed directly, and without answers of a majority since the change came the operator is told after 0.9 s. Ruled out: no word of a majority at all (fires while an owner is merely dead).

--- a/packages/node_protocol/src/configuration_part.rs
+++ b/packages/node_protocol/src/configuration_part.rs
@@ -22,6 +22,8 @@
 /// An operator that hears nothing goes on to another node after about a second: a node that reaches no
 /// majority says so before that, and carries the change on all the same.
 const ANSWER_WITHIN: Micros = Micros::from_millis(900);
+/// While a change waits, the voters are asked for a direct answer this often.
+const VOTER_PROBE_INTERVAL: Micros = Micros::from_millis(250);
 /// How often the owner of the configuration's key reads it by a majority, and how soon a voter asks that
 /// stored a version which nobody told it to be confirmed.
 const OWNER_READ_INTERVAL: Micros = Micros::from_millis(500);
@@ -92,6 +94,9 @@
     /// When this node last heard from a majority which version of the register stands.
     majority_read_at: Option<Micros>,
     majority_version: u64,
+    /// Which nodes answered probes of this one directly, and when, while changes wait.
+    voter_answers: BTreeMap<NodeId, Micros>,
+    voter_probe_event: ClockEvent,
     read_asked_at: Micros,
 }
 
@@ -110,6 +115,8 @@
             confirm_event: ClockEvent::each(Micros::from_millis(300)),
             majority_read_at: None,
             majority_version: 0,
+            voter_answers: BTreeMap::new(),
+            voter_probe_event: ClockEvent::each(VOTER_PROBE_INTERVAL),
             read_asked_at: Micros(0),
         }
     }
@@ -221,10 +228,11 @@
     /// with their fate unknown when their time is over.
     fn tick_carried(&mut self) {
         let now = self.now;
+        self.probe_voters_for_changes();
         let asks: Vec<u64> = self.configuration.carried.keys().copied().collect();
         for ask in asks {
             let Some(carried) = self.configuration.carried.get(&ask) else { continue };
-            if now >= carried.asked_at + ANSWER_WITHIN && !self.reaches_majority() {
+            if now >= carried.asked_at + ANSWER_WITHIN && !self.reached_majority_since(carried.asked_at) {
                 self.answer_unconfirmed(ask);
             }
             let Some(carried) = self.configuration.carried.get(&ask) else { continue };
@@ -244,6 +252,30 @@
         }
     }
 
+    /// Finds out, while changes wait, whether this node has a way to a majority and back.
+    fn probe_voters_for_changes(&mut self) {
+        if self.configuration.carried.is_empty() {
+            self.configuration.voter_answers.clear();
+            return;
+        }
+        if self.configuration.voter_probe_event.due(self.now) {
+            self.probe_voters();
+        }
+    }
+
+    /// Notes that a node answered a probe of this one directly; kept while changes wait.
+    pub(crate) fn probe_answered(&mut self, node: NodeId) {
+        if !self.configuration.carried.is_empty() {
+            self.configuration.voter_answers.insert(node, self.now);
+        }
+    }
+
+    fn reached_majority_since(&self, since: Micros) -> bool {
+        let answers = self.configuration.voter_answers.iter();
+        let answering = answers.filter(|(_, answered_at)| **answered_at >= since).map(|(node, _)| *node);
+        self.is_majority(&answering.collect())
+    }
+
     /// Tells the operator, once, that a passed-on change has no outcome yet.
     fn answer_unconfirmed(&mut self, ask: u64) {
         let Some(carried) = self.configuration.carried.get_mut(&ask) else { return };
--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -292,10 +292,21 @@
         }
     }
 
-    /// Whether members that answer hold a majority of the voting disks, as far as this node can tell.
-    pub(crate) fn reaches_majority(&self) -> bool {
-        let answering =
-            self.voting_members().into_iter().filter(|news| news.state == colleague_probes::ALIVE);
+    /// Asks every voter for a direct answer: what relays and other members tell of it proves no way there.
+    pub(crate) fn probe_voters(&mut self) {
+        let own = self.settings.node;
+        let voters: Vec<NodeId> =
+            self.voting_members().iter().map(|news| news.node).filter(|voter| *voter != own).collect();
+        for voter in voters {
+            self.send(voter, Message::Probe { sequence: 0, target: 0, members: List(Vec::new()) });
+        }
+    }
+
+    /// Whether the given nodes, and this one, hold a majority of the voting disks.
+    pub(crate) fn is_majority(&self, answering: &BTreeSet<NodeId>) -> bool {
+        let own = self.settings.node;
+        let voters = self.voting_members();
+        let answering = voters.iter().filter(|news| news.node == own || answering.contains(&news.node));
         self.control.set.quorum(&answering.map(|news| news.disk).collect())
     }
 
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -244,6 +244,9 @@
         }
         self.heard_at = Some(self.now);
         self.calls.heard_from(envelope.from, self.now);
+        if matches!(envelope.message, Message::ProbeAnswer { .. }) {
+            self.probe_answered(envelope.from);
+        }
         self.take_message(envelope.from, envelope.from_address, envelope.message);
     }
 
--- a/packages/node_protocol/src/vote_swaps.rs
+++ b/packages/node_protocol/src/vote_swaps.rs
@@ -97,7 +97,8 @@
             }
         }
         // A disk at a voter's address is that machine's new one: it waits until its own voter counts as lost.
-        free_disks.retain(|_, address| !self.addresses.values().any(|voter| voter == address));
+        let voter_addresses = self.addresses.iter().filter(|(disk, _)| voters.contains(disk));
+        free_disks.retain(|_, address| !voter_addresses.clone().any(|(_, voter_at)| voter_at == address));
         for lost in others {
             let patience = match self.addresses.get(&lost) {
                 None => UNMET_PATIENCE,
