--- /dev/null
+++ b/packages/fleet_simulator/src/bin/grown_loss.rs
@@ -0,0 +1,67 @@
+//! What becomes of a grown fleet when all machines with disks lose power at once and come back after
+//! half a second: second by second, how many functions have no steward, how many calls were answered,
+//! and what a node sends by kind of message.
+
+use fleet_simulator::{LinkRates, World, WorldSettings};
+use std::collections::BTreeMap;
+
+const NODES: usize = 77;
+const DISKS: usize = 8;
+const SECONDS: usize = 14;
+const CALLS_A_SECOND: f64 = 300.0;
+
+fn main() {
+    let settings = WorldSettings {
+        node_count: NODES,
+        disks: DISKS,
+        founding_disks: 5,
+        busy: 30,
+        rare: 1_000,
+        workers: (40, 6_332),
+        link_rates: Some(LinkRates { with_disk: 12.5e6, others: 250e3 }),
+        ..WorldSettings::default()
+    };
+    let mut world = World::new(settings, 1);
+    println!("founded and settled: {}", world.found());
+    world.call_rate = CALLS_A_SECOND;
+    world.run_for(5.0);
+    second(&mut world, "before");
+    for number in 0..DISKS {
+        world.kill(number);
+    }
+    world.run_for(0.5);
+    for number in 0..DISKS {
+        world.start(number);
+    }
+    for number in 0..SECONDS {
+        second(&mut world, &format!("second {number}"));
+    }
+}
+
+/// Lets a second pass and tells what was seen in it.
+fn second(world: &mut World, name: &str) {
+    let outcomes_before = world.outcomes;
+    world.traffic = Some(BTreeMap::new());
+    world.run_for(1.0);
+    let traffic = world.traffic.take().unwrap_or_default();
+    let statuses: Vec<_> = (0..NODES).filter_map(|number| world.status(number)).collect();
+    let mean = |value: &dyn Fn(&node_protocol::NodeStatus) -> usize| {
+        statuses.iter().map(value).sum::<usize>() as f64 / statuses.len() as f64
+    };
+    let ended: Vec<u64> = (0..4).map(|place| world.outcomes[place] - outcomes_before[place]).collect();
+    println!(
+        "{name}: unheld {:.0}, ready {:.0} of a hundred, members {:.1}; calls ran, refused, unknown, silent {ended:?}",
+        mean(&|status| status.unheld),
+        mean(&|status| usize::from(status.is_ready)) * 100.0,
+        mean(&|status| status.members.len()),
+    );
+    let mut kinds: Vec<(&str, u64, u64)> =
+        traffic.iter().map(|(kind, (count, bytes))| (*kind, *count, *bytes)).collect();
+    kinds.sort_by_key(|(_, _, bytes)| std::cmp::Reverse(*bytes));
+    let all_bytes: u64 = kinds.iter().map(|(_, _, bytes)| bytes).sum();
+    print!("    all {:.1} KB a node;", all_bytes as f64 / 1e3 / NODES as f64);
+    for (kind, count, bytes) in kinds.iter().take(6) {
+        print!(" {kind} {count} of {:.1} KB;", *bytes as f64 / 1e3 / NODES as f64);
+    }
+    println!();
+}
