--- a/packages/node_protocol/src/list_part.rs
+++ b/packages/node_protocol/src/list_part.rs
@@ -151,10 +151,11 @@
     }
 
     /// When the listers are gone all nodes find out at once: each waits for a moment of its own, drawn so
-    /// that all of them together ask the platform no more often than it takes.
+    /// that all of them together ask the platform no more often than it takes. Whose moment is far off
+    /// tries the listers again before.
     fn turn_among_all(&mut self) -> Micros {
         let span = self.members.live().len() as f64 / self.settings.lists_per_second;
-        Micros(self.dice.u64(..(span * 1e6) as u64 + 1))
+        Micros(self.dice.u64(..(span * 1e6) as u64 + 1)).min(LISTER_DOUBT)
     }
 
     pub(crate) fn pull_list(&mut self, lister: NodeId) {
--- a/packages/node_protocol/src/list_part/tests.rs
+++ b/packages/node_protocol/src/list_part/tests.rs
@@ -167,3 +167,56 @@
     heard(&mut node, Message::ListAsk { since: 0 }, Micros::from_millis(1_200));
     assert_eq!(told(node.handle(Event::ListFailed, Micros::from_millis(1_300))), Some((1, 0)));
 }
+
+/// Nodes 3 and 4 have disks too, and node 2 goes on talking, but nobody answers a pull.
+fn silent_listers(lists_per_second: f64) -> (Vec<u64>, Vec<u64>) {
+    let mut node = node_beside_a_disk();
+    node.settings.lists_per_second = lists_per_second;
+    let member = |number: u16| MemberNews {
+        node: u64::from(number),
+        address: address(number),
+        zone: "a".into(),
+        incarnation: 1,
+        state: 0,
+        disk: 5 + u64::from(number),
+        disk_state: 1,
+        draining: 0,
+    };
+    let (mut pulls, mut lists) = (Vec::new(), Vec::new());
+    for millisecond in (20..1_900).step_by(100) {
+        let told = Message::Probe { sequence: 2, target: 1, members: List(vec![member(3), member(4)]) };
+        heard(&mut node, told, Micros::from_millis(millisecond));
+        let (more_pulls, more_lists) = tick(&mut node, millisecond, millisecond + 100);
+        pulls.extend(more_pulls);
+        lists.extend(more_lists);
+    }
+    (pulls, lists)
+}
+
+#[test]
+fn nodes_whose_listers_are_silent_ask_the_platform_no_faster_than_it_takes() {
+    let (pulls, lists) = silent_listers(1_000.0);
+    assert_eq!((pulls.len(), lists.is_empty()), (2, false), "{pulls:?} {lists:?}");
+    // Where the platform takes a list in a hundred seconds, this node's turn has not come.
+    let (pulls, lists) = silent_listers(0.01);
+    assert_eq!((pulls.len(), lists.len()), (2, 0), "{pulls:?} {lists:?}");
+}
+
+#[test]
+fn a_lister_that_says_the_platform_failed_sends_nobody_to_the_platform_at_once() {
+    let mut node = node_beside_a_disk();
+    let (pulls, _) = tick(&mut node, 20, 60);
+    let failed = Message::ListTold {
+        failed: 1,
+        base: 0,
+        sequence: 0,
+        age_micros: 0,
+        has_workers: 0,
+        workers: List(Vec::new()),
+        cells: List(Vec::new()),
+        gone: List(Vec::new()),
+    };
+    heard(&mut node, failed, Micros::from_millis(60));
+    let (_, lists) = tick(&mut node, 60, 1_000);
+    assert!(lists.first().is_some_and(|at| *at >= pulls[0] + LIST_AGAIN.millis()), "{pulls:?} {lists:?}");
+}
