--- a/packages/node_protocol/src/list_part.rs
+++ b/packages/node_protocol/src/list_part.rs
@@ -2,7 +2,6 @@
 
 use crate::Act;
 use crate::node::Node;
-use crate::steward_part::LIST_AGAIN;
 use clock_events::Micros;
 use colleague_messages::{Address, CellTold, List, Message, NodeId, Text, WorkerTold, rendezvous_weight};
 use std::collections::{BTreeMap, VecDeque};
@@ -113,10 +112,7 @@
     pub(crate) fn lister(&self) -> NodeId {
         let own = self.settings.node;
         let lists = &self.stewards.lists;
-        // Listers that were silent may answer again by the time that this node's turn comes.
-        let is_own_turn =
-            lists.tries >= LISTERS_TRIED && lists.doubted.values().any(|until| self.now < *until);
-        if self.stewards.is_list_stale || self.is_unheard() || is_own_turn {
+        if self.stewards.is_list_stale || self.is_unheard() || lists.tries >= LISTERS_TRIED {
             return own;
         }
         self.members
@@ -145,19 +141,10 @@
         lists.doubted.insert(pull.lister, now + LISTER_DOUBT);
         lists.pull = None;
         lists.tries += 1;
-        let is_own_turn = lists.tries >= LISTERS_TRIED && !is_unheard;
-        self.stewards.list_due = if is_own_turn { now + self.turn_among_all() } else { now };
+        self.stewards.list_due = now;
         false
     }
 
-    /// When the listers are gone all nodes find out at once: each waits for a moment of its own, drawn so
-    /// that all of them together ask the platform no more often than it takes. Whose moment is far off
-    /// tries the listers again before.
-    fn turn_among_all(&mut self) -> Micros {
-        let span = self.members.live().len() as f64 / self.settings.lists_per_second;
-        Micros(self.dice.u64(..(span * 1e6) as u64 + 1)).min(LISTER_DOUBT)
-    }
-
     pub(crate) fn pull_list(&mut self, lister: NodeId) {
         let lists = &mut self.stewards.lists;
         let since = lists.copy.as_ref().filter(|copy| copy.lister == lister).map_or(0, |copy| copy.sequence);
@@ -227,10 +214,9 @@
                 let lists = &mut self.stewards.lists;
                 let Some(pull) = lists.pull.take_if(|pull| pull.lister == from) else { return };
                 if failed == 1 {
-                    // The platform is down, or is asked too often already: all go on to the next lister,
-                    // one after the other, and none asks for itself.
+                    lists.tries += 1;
                     lists.doubted.insert(from, self.now + LISTER_DOUBT);
-                    self.stewards.list_due = self.now + LIST_AGAIN;
+                    self.stewards.list_due = self.now;
                     return;
                 }
                 let is_fitting =
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -21,7 +21,7 @@
 const START_WAITLIST: usize = 2_048;
 const START_TRIES: u32 = 4;
 /// After a failed list the next is asked for sooner.
-pub(crate) const LIST_AGAIN: Micros = Micros::from_millis(300);
+const LIST_AGAIN: Micros = Micros::from_millis(300);
 const LIST_PATIENCE: Micros = Micros::from_secs(3);
 /// Whoever did not tell which tickets it holds is asked again after this.
 const HELD_PATIENCE: Micros = Micros::from_millis(300);
@@ -520,7 +520,7 @@
         }
         let lister = self.lister();
         let is_own = lister == self.settings.node;
-        // Those that ask for all together stay below what the platform takes.
+        // All nodes together stay below what the platform takes, also while each lists for itself.
         let fleet_pace = Micros((1e6 / self.settings.lists_per_second) as u64);
         let least = self.settings.list_every.max(fleet_pace);
         let list_every = if is_own { least } else { Micros(least.0 / 2) };
