--- a/packages/history_checks/src/lib.rs
+++ b/packages/history_checks/src/lib.rs
@@ -6,6 +6,8 @@
 mod order_lines;
 mod order_rules;
 mod register_operations;
+#[cfg(test)]
+mod test_orders;
 
 pub use checkers::{Breach, CheckSettings, check_all};
 pub use order_lines::{OrderAnswer, ReadAnswer};
--- a/packages/history_checks/src/linearizability/tests.rs
+++ b/packages/history_checks/src/linearizability/tests.rs
@@ -1,24 +1,9 @@
 use super::*;
+use crate::test_orders::{accepted, answered, sent};
 use crate::{OrderAnswer, ReadAnswer};
 
 fn order(name: &str, attempt: u64, at: u64, expected: u64, version: u64) -> Line {
-    Line::OrderSent {
-        at,
-        order: name.into(),
-        attempt,
-        node: "n1".into(),
-        expected_version: Some(expected),
-        version: Some(version),
-        is_proper: true,
-    }
-}
-
-fn answered(name: &str, attempt: u64, at: u64, answer: OrderAnswer) -> Line {
-    Line::OrderAnswered { at, order: name.into(), attempt, answer }
-}
-
-fn accepted(name: &str, attempt: u64, at: u64, generation: u64) -> Line {
-    answered(name, attempt, at, OrderAnswer::Accepted { generation })
+    sent(name, attempt, at, Some(expected), Some(version))
 }
 
 fn read(read: u64, from: u64, until: u64, version: u64, last_order: Option<&str>) -> [Line; 2] {
@@ -161,19 +146,7 @@
     let crowd = |is_any_late: bool| {
         let mut lines = Vec::new();
         for number in 1..=60u64 {
-            let order = format!("c{number}");
-            let version = Some(number);
-            let (expected_version, node) = (None, "n1".to_owned());
-            let is_proper = true;
-            lines.push(Line::OrderSent {
-                at: 1,
-                order,
-                attempt: 0,
-                node,
-                expected_version,
-                version,
-                is_proper,
-            });
+            lines.push(sent(&format!("c{number}"), 0, 1, None, Some(number)));
         }
         for number in (1..=60u64).filter(|number| number % 3 != 0) {
             lines.push(accepted(&format!("c{number}"), 0, 100, number));
@@ -198,17 +171,7 @@
     // Eight orders without conditions of unknown fate, and a read that none of them explains.
     let mut lines = Vec::new();
     for number in 0..8 {
-        let (order, node) = (format!("u{number}"), "n1".to_owned());
-        let (expected_version, version) = (None, None);
-        lines.push(Line::OrderSent {
-            at: 1,
-            order,
-            attempt: 0,
-            node,
-            expected_version,
-            version,
-            is_proper: true,
-        });
+        lines.push(sent(&format!("u{number}"), 0, 1, None, None));
     }
     lines.extend(read(1, 10, 20, 5, None));
     let mut found = Vec::new();
--- a/packages/history_checks/src/order_rules/tests.rs
+++ b/packages/history_checks/src/order_rules/tests.rs
@@ -1,25 +1,9 @@
 use super::*;
 use crate::ReadAnswer;
+use crate::test_orders::{self, accepted, answered};
 
 fn sent(order: &str, attempt: u64, at: u64, version: u64) -> Line {
-    let (order, node) = (order.to_owned(), "n1".to_owned());
-    Line::OrderSent {
-        at,
-        order,
-        attempt,
-        node,
-        expected_version: None,
-        version: Some(version),
-        is_proper: true,
-    }
-}
-
-fn answered(order: &str, attempt: u64, at: u64, answer: OrderAnswer) -> Line {
-    Line::OrderAnswered { at, order: order.to_owned(), attempt, answer }
-}
-
-fn accepted(order: &str, attempt: u64, at: u64, generation: u64) -> Line {
-    answered(order, attempt, at, OrderAnswer::Accepted { generation })
+    test_orders::sent(order, attempt, at, None, Some(version))
 }
 
 fn rules(lines: &[Line]) -> Vec<&'static str> {
--- /dev/null
+++ b/packages/history_checks/src/test_orders.rs
@@ -0,0 +1,23 @@
+//! Lines of operators' orders and their answers, for the tests of this package's judges.
+
+use crate::{Line, OrderAnswer};
+
+/// A proper order, sent to the node `n1`.
+pub(crate) fn sent(
+    order: &str,
+    attempt: u64,
+    at: u64,
+    expected_version: Option<u64>,
+    version: Option<u64>,
+) -> Line {
+    let (order, node) = (order.to_owned(), "n1".to_owned());
+    Line::OrderSent { at, order, attempt, node, expected_version, version, is_proper: true }
+}
+
+pub(crate) fn answered(order: &str, attempt: u64, at: u64, answer: OrderAnswer) -> Line {
+    Line::OrderAnswered { at, order: order.to_owned(), attempt, answer }
+}
+
+pub(crate) fn accepted(order: &str, attempt: u64, at: u64, generation: u64) -> Line {
+    answered(order, attempt, at, OrderAnswer::Accepted { generation })
+}
