--- /dev/null
+++ b/packages/node_protocol/src/configuration_part/batches.rs
@@ -0,0 +1,185 @@
+//! Changes at the owner of the configuration's key: those that wait are applied in turn, written as one
+//! value, and answered together.
+
+use super::{Asker, CHANGE_SPAN, CHANGE_WAITLIST, RETRY_PAUSE, UNCONFIRMED, overloaded};
+use crate::control_part::WritePurpose;
+use crate::node::Node;
+use clock_events::Micros;
+use colleague_messages::{Bytes, Message, NodeId, WriteOutcome};
+use configuration_check::{Change, ChangeOutcome, StoredConfiguration};
+use control_registers::{CONFIGURATION_KEY, DIFFERS, WRITTEN};
+
+const BATCH_LIMIT: usize = 64;
+/// A batch whose writes met another value so often is answered as of unknown fate.
+const WRITE_LIMIT: u32 = 8;
+
+#[derive(Debug)]
+pub(super) struct AskedChange {
+    asker: Asker,
+    change: Change,
+    asked_at: Micros,
+    outcome: Option<ChangeOutcome>,
+}
+
+#[derive(Debug)]
+pub(super) struct Batch {
+    changes: Vec<AskedChange>,
+    /// The version of the base that the outcomes rest on: the base may move on meanwhile.
+    base_version: u64,
+    /// The next value, if any change was accepted on top of the base.
+    next: StoredConfiguration,
+    writes: u32,
+    /// Set while waiting to try again.
+    pub(super) retry_at: Option<Micros>,
+}
+
+impl Batch {
+    /// Applies the changes, in turn, on top of a base, and counts those that change it.
+    fn apply_changes(&mut self, base_version: u64, base: StoredConfiguration) -> u32 {
+        self.next = base;
+        self.base_version = base_version;
+        let mut accepted_count = 0;
+        for asked in &mut self.changes {
+            let outcome = self.next.apply(&asked.change);
+            accepted_count += u32::from(matches!(outcome, ChangeOutcome::Accepted { repeated: false, .. }));
+            asked.outcome = Some(outcome);
+        }
+        accepted_count
+    }
+}
+
+impl Node {
+    /// A peer passes a change on to this node.
+    pub(crate) fn change_carried(&mut self, from: NodeId, ask: u64, change_bytes: &Bytes) {
+        let Ok(change) = serde_json::from_slice::<Change>(&change_bytes.0) else { return };
+        self.await_turn(Asker { node: from, ask }, change, self.now);
+    }
+
+    pub(super) fn await_turn(&mut self, asker: Asker, change: Change, asked_at: Micros) {
+        let is_known = |asked: &AskedChange| asked.asker == asker;
+        let in_batch = self.configuration.batch.iter().flat_map(|batch| &batch.changes).any(is_known);
+        if in_batch || self.configuration.waitlist.iter().any(is_known) {
+            return;
+        }
+        if self.configuration.waitlist.len() >= CHANGE_WAITLIST {
+            let outcome = overloaded();
+            self.answer_change(asker, &outcome);
+            return;
+        }
+        let asked_change = AskedChange { asker, change, asked_at, outcome: None };
+        self.configuration.waitlist.push_back(asked_change);
+        self.begin_batch();
+    }
+
+    fn answer_change(&mut self, asker: Asker, outcome: &ChangeOutcome) {
+        let outcome = Bytes(serde_json::to_vec(outcome).unwrap_or_default());
+        self.send(asker.node, Message::ChangeSettled { ask: asker.ask, outcome });
+    }
+
+    /// Changes that wait are applied together, in turn, and written as one value.
+    fn begin_batch(&mut self) {
+        if self.configuration.batch.is_some() || self.configuration.waitlist.is_empty() {
+            return;
+        }
+        let batch_size = self.configuration.waitlist.len().min(BATCH_LIMIT);
+        let changes = self.configuration.waitlist.drain(..batch_size).collect();
+        self.configuration.batch = Some(Batch {
+            changes,
+            base_version: 0,
+            next: StoredConfiguration::empty(),
+            writes: 0,
+            retry_at: None,
+        });
+        self.write_batch();
+    }
+
+    pub(super) fn write_batch(&mut self) {
+        let (base_version, base_stored) = self.configuration.base.clone();
+        let Some(batch) = &mut self.configuration.batch else { return };
+        batch.writes += 1;
+        batch.retry_at = None;
+        let accepted_count = batch.apply_changes(base_version, base_stored);
+        // With nothing to write the refusals still rest on a base that must be confirmed.
+        let sent = match accepted_count {
+            0 => self.send_write(CONFIGURATION_KEY, 0, Bytes::default(), WritePurpose::ConfigurationCheck),
+            _ => {
+                let next_bytes = Bytes(batch.next.encode());
+                self.send_write(CONFIGURATION_KEY, base_version, next_bytes, WritePurpose::Configuration)
+            }
+        };
+        if sent.is_none() {
+            self.configuration_unanswered();
+        }
+    }
+
+    /// The answer to the batch's write.
+    pub(crate) fn configuration_written(&mut self, outcome: WriteOutcome) {
+        match outcome.outcome {
+            WRITTEN => {
+                let Some(batch) = &self.configuration.batch else { return };
+                self.configuration.base = (outcome.version, batch.next.clone());
+                self.majority_told(outcome.version);
+                self.end_batch();
+            }
+            DIFFERS => {
+                self.take_base(&outcome);
+                self.retry_batch(Micros(0));
+            }
+            _ => self.configuration_unanswered(),
+        }
+    }
+
+    /// The answer to the check that a batch of refusals rests on the newest base.
+    pub(crate) fn configuration_checked(&mut self, outcome: WriteOutcome) {
+        if outcome.outcome != WRITTEN {
+            self.configuration_unanswered();
+            return;
+        }
+        let Some(batch) = &self.configuration.batch else { return };
+        let is_base_newest = outcome.version == batch.base_version;
+        self.take_base(&outcome);
+        match is_base_newest {
+            true => self.end_batch(),
+            false => self.retry_batch(Micros(0)),
+        }
+    }
+
+    /// No answer, no majority, or an answer of unknown fate: tried again under the same change ids.
+    pub(crate) fn configuration_unanswered(&mut self) {
+        self.retry_batch(RETRY_PAUSE);
+    }
+
+    fn retry_batch(&mut self, pause: Micros) {
+        let now = self.now;
+        let Some(batch) = &mut self.configuration.batch else { return };
+        let is_over = batch.changes.iter().any(|asked| now >= asked.asked_at + CHANGE_SPAN);
+        if (batch.writes >= WRITE_LIMIT && pause == Micros(0)) || is_over {
+            for asked in &mut batch.changes {
+                asked.outcome = Some(ChangeOutcome::Unknown { reason: UNCONFIRMED.to_owned() });
+            }
+            self.answer_batch();
+            return;
+        }
+        if pause > Micros(0) {
+            batch.retry_at = Some(now + pause);
+            return;
+        }
+        self.write_batch();
+    }
+
+    fn end_batch(&mut self) {
+        self.publish_base();
+        self.answer_batch();
+    }
+
+    fn answer_batch(&mut self) {
+        let Some(batch) = self.configuration.batch.take() else { return };
+        for asked in batch.changes {
+            let outcome = asked.outcome.unwrap_or(ChangeOutcome::Unknown { reason: "not tried".to_owned() });
+            let line = outcome.line(&asked.change.change_id);
+            self.journal.append("change", line, self.now);
+            self.answer_change(asked.asker, &outcome);
+        }
+        self.begin_batch();
+    }
+}
--- /dev/null
+++ b/packages/node_protocol/src/configuration_part/standing_generation.rs
@@ -0,0 +1,200 @@
+//! Which generation of the configuration holds at this node, and how a majority of the disks is asked which
+//! one stands. A generation, once seen, never goes back.
+
+use super::ConfigurationPart;
+use crate::control_part::WritePurpose;
+use crate::node::Node;
+use crate::{Act, ConfigurationAnswer};
+use clock_events::Micros;
+use colleague_messages::{Bytes, WriteOutcome};
+use configuration_check::{Configuration, StoredConfiguration};
+use control_registers::{CONFIGURATION_KEY, WRITTEN};
+use serde_json::json;
+use std::sync::Arc;
+
+/// How often the owner of the configuration's key reads it by a majority, and how soon a voter asks that
+/// stored a version which nobody told it to be confirmed.
+const OWNER_READ_INTERVAL: Micros = Micros::from_millis(500);
+const STORED_READ_INTERVAL: Micros = Micros::from_millis(250);
+/// Every other node asks in turn, so that all of them together send the owner a bounded number of reads.
+const READ_INTERVAL: Micros = Micros::from_millis(1_000);
+const READ_SHARE: Micros = Micros::from_millis(60);
+/// A node that was away goes on by what it has and by what colleagues told it after this.
+const DOUBT_PATIENCE: Micros = Micros::from_millis(2_000);
+
+impl ConfigurationPart {
+    /// How long ago a majority told this node which version of the configuration stands.
+    pub(crate) fn majority_read_age(&self, now: Micros) -> Option<Micros> {
+        self.majority_read_at.map(|read_at| now - read_at)
+    }
+
+    pub(crate) fn current(&self) -> Arc<Configuration> {
+        self.current.clone()
+    }
+
+    pub(crate) fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        self.confirmed
+    }
+
+    pub(crate) fn is_doubted(&self) -> bool {
+        self.doubted_since.is_some()
+    }
+}
+
+impl Node {
+    /// The answer to the read at the start of the node.
+    pub(crate) fn configuration_read(&mut self, outcome: WriteOutcome) {
+        if outcome.outcome != WRITTEN {
+            return;
+        }
+        self.take_base(&outcome);
+        self.configuration_confirmed(outcome.version);
+    }
+
+    /// A majority confirmed that the configuration known here stands, under this version.
+    pub(crate) fn configuration_confirmed(&mut self, version: u64) {
+        self.majority_told(version);
+        self.configuration.confirmed = true;
+        self.configuration.doubted_since = None;
+        self.tell_ready();
+    }
+
+    pub(super) fn majority_told(&mut self, version: u64) {
+        self.configuration.majority_read_at = Some(self.now);
+        self.configuration.majority_version = self.configuration.majority_version.max(version);
+    }
+
+    /// This node was away: before its calls go on it asks which generation holds.
+    pub(crate) fn doubt_configuration(&mut self) {
+        if !self.configuration.confirmed {
+            return;
+        }
+        self.configuration.doubted_since = Some(self.now);
+        self.send_write(CONFIGURATION_KEY, 0, Bytes::default(), WritePurpose::ConfigurationRead);
+    }
+
+    /// Takes the configuration's register as a majority confirmed it.
+    pub(crate) fn take_base(&mut self, outcome: &WriteOutcome) {
+        self.majority_told(outcome.version);
+        if outcome.version <= self.configuration.base.0 {
+            return;
+        }
+        let Some(stored) = StoredConfiguration::decode(&outcome.value.0) else { return };
+        self.configuration.base = (outcome.version, stored);
+        self.publish_base();
+    }
+
+    pub(super) fn publish_base(&mut self) {
+        let stored = &self.configuration.base.1;
+        if stored.generation <= self.news.sequence(CONFIGURATION_KEY) {
+            return;
+        }
+        let (generation, stored_bytes) = (stored.generation, Bytes(stored.encode()));
+        self.news.publish(CONFIGURATION_KEY, self.settings.node, generation, stored_bytes);
+        self.configuration_news();
+    }
+
+    /// Newer news of the configuration: it was checked before it was stored.
+    pub(crate) fn configuration_news(&mut self) {
+        let Some(news_body) = self.news.body(CONFIGURATION_KEY) else { return };
+        let Some(stored) = StoredConfiguration::decode(&news_body.0) else { return };
+        if stored.generation <= self.configuration.generation {
+            return;
+        }
+        let Some(configuration) = stored.trusted() else {
+            self.journal.append("foreign_configuration", json!({"generation": stored.generation}), self.now);
+            return;
+        };
+        let configuration = Arc::new(configuration);
+        self.configuration.current = configuration.clone();
+        self.configuration.generation = stored.generation;
+        self.stewards.election.take_functions(configuration.functions.keys().cloned().collect());
+        self.configuration_changed();
+        self.journal.append("configuration", json!({"generation": stored.generation}), self.now);
+        self.act(Act::ConfigurationTaken { generation: stored.generation, configuration });
+    }
+
+    /// An operator's read is confirmed by a majority, so that it never shows less than what was
+    /// acknowledged anywhere.
+    pub(crate) fn configuration_asked(&mut self, request: u64) {
+        let purpose = WritePurpose::ConfigurationAsked { request };
+        if self.send_write(CONFIGURATION_KEY, 0, Bytes::default(), purpose).is_none() {
+            self.act(Act::ConfigurationAnswered { request, answer: ConfigurationAnswer::Unconfirmed });
+        }
+    }
+
+    /// The configuration's stored bytes as this node knows them.
+    /// Example: `StoredConfiguration::decode(&node.stored_configuration())`.
+    pub fn stored_configuration(&self) -> Vec<u8> {
+        match self.news.body(CONFIGURATION_KEY) {
+            Some(body) => body.0.clone(),
+            None => StoredConfiguration::empty().encode(),
+        }
+    }
+
+    /// How many bytes [`Node::stored_configuration`] has, zero before the first configuration.
+    pub(crate) fn stored_configuration_length(&self) -> usize {
+        self.news.body(CONFIGURATION_KEY).map_or(0, |body| body.0.len())
+    }
+
+    /// Keeps to what is known, or asks a majority: a doubt begins and ends with time.
+    pub(super) fn tick_generation(&mut self) {
+        self.update_doubt();
+        if self.configuration.confirmed && !self.configuration.is_doubted() {
+            self.read_in_turn();
+            return;
+        }
+        if self.configuration.confirm_event.due(self.now) {
+            // A new process is ready by a majority's word alone: the one before it may have used a newer
+            // generation than any peer that it hears.
+            self.send_write(CONFIGURATION_KEY, 0, Bytes::default(), WritePurpose::ConfigurationRead);
+        }
+    }
+
+    fn update_doubt(&mut self) {
+        let now = self.now;
+        // Nobody is heard and the platform does not answer either: this machine is cut off. A lone
+        // survivor, which still reaches the platform, goes on.
+        if self.configuration.confirmed && self.is_unheard() && !self.has_fresh_list() {
+            self.configuration.doubted_since = Some(now);
+        }
+        if let Some(doubted_since) = self.configuration.doubted_since
+            && now >= doubted_since + DOUBT_PATIENCE
+        {
+            self.configuration.doubted_since = None;
+        }
+    }
+
+    /// A change may have been acknowledged by a node that was lost before it told anybody. The owner of
+    /// the key therefore reads it by a majority in a steady rhythm, a voter asks soon after it stored a
+    /// version that it did not hear confirmed, and every other node asks in turn.
+    fn read_in_turn(&mut self) {
+        let now = self.now;
+        let read_at = self.configuration.majority_read_at.unwrap_or(Micros(0));
+        let asked_at = self.configuration.read_asked_at.max(read_at);
+        let stored_version = self.control.stored_version(CONFIGURATION_KEY);
+        let is_stored_newer = stored_version > self.configuration.majority_version;
+        let share = Micros(READ_SHARE.0 * self.members.live().len() as u64);
+        let interval = match is_stored_newer {
+            true => STORED_READ_INTERVAL,
+            false if self.key_owner(CONFIGURATION_KEY) == Some(self.settings.node) => OWNER_READ_INTERVAL,
+            false => READ_INTERVAL.max(share),
+        };
+        if now < asked_at + interval {
+            return;
+        }
+        self.configuration.read_asked_at = now;
+        self.send_write(CONFIGURATION_KEY, 0, Bytes::default(), WritePurpose::ConfigurationRead);
+    }
+
+    fn tell_ready(&mut self) {
+        if !self.configuration.ready_told {
+            self.configuration.ready_told = true;
+            self.act(Act::Ready);
+        }
+    }
+}
--- /dev/null
+++ b/packages/node_protocol/src/control_part/disk.rs
@@ -0,0 +1,261 @@
+//! The node's own disk: its registers, the groups of records on their way to it, the answers that wait
+//! for their sync, and the repair of a disk that failed.
+
+use super::{ControlPart, DISK_BLANK, DISK_FAILED, DISK_SPARE, DISK_VOTING};
+use crate::Act;
+use crate::node::Node;
+use clock_events::Micros;
+use colleague_messages::{List, Message, NodeId, PromiseEntry, StoreEntry, Text};
+use control_registers::DiskRegisters;
+use serde_json::json;
+use std::collections::BTreeMap;
+
+/// The file is rewritten whole once so many bytes were appended since the last rewrite.
+const REWRITE_SLACK: usize = 4 * 1024 * 1024;
+/// A disk that failed is tried again, whole, each time after this.
+const REPAIR_PAUSE: Micros = Micros::from_secs(1);
+
+#[derive(Debug)]
+pub(super) struct Disk {
+    pub(super) id: u64,
+    pub(super) registers: DiskRegisters,
+    /// It failed, or was not rewritten since the start: it answers nothing before a rewrite succeeded.
+    pub(super) is_broken: bool,
+    /// The decision stream was told that it failed.
+    is_failure_told: bool,
+    next_token: u64,
+    synced_token: u64,
+    /// What is answered once the group of records with this token is synced.
+    answers: BTreeMap<u64, Vec<(NodeId, Message)>>,
+    appended_bytes: usize,
+    /// The rewrite that would make a broken disk sound again, and when the next is tried.
+    repair_token: Option<u64>,
+    repair_due: Micros,
+}
+
+impl Disk {
+    pub(super) fn new(id: u64, registers: DiskRegisters) -> Disk {
+        Disk {
+            id,
+            registers,
+            is_broken: false,
+            is_failure_told: false,
+            next_token: 1,
+            synced_token: 0,
+            answers: BTreeMap::new(),
+            appended_bytes: 0,
+            repair_token: None,
+            repair_due: Micros(0),
+        }
+    }
+
+    fn take_token(&mut self) -> u64 {
+        let token = self.next_token;
+        self.next_token += 1;
+        token
+    }
+
+    /// The answers that waited for what is synced by now.
+    fn ready_answers(&mut self) -> impl Iterator<Item = (NodeId, Message)> + use<> {
+        let waiting_answers = self.answers.split_off(&(self.synced_token + 1));
+        let ready_answers = std::mem::replace(&mut self.answers, waiting_answers);
+        ready_answers.into_values().flatten()
+    }
+}
+
+impl ControlPart {
+    /// The version of a key that the own disk stored, whether or not a majority has it; zero without one.
+    pub(crate) fn stored_version(&self, key: &str) -> u64 {
+        let stored = self.disk.as_ref().and_then(|disk| disk.registers.stored(key));
+        stored.map_or(0, |(_, version, _)| version)
+    }
+
+    pub(super) fn sound_disk(&mut self) -> Option<&mut Disk> {
+        self.disk.as_mut().filter(|disk| !disk.is_broken)
+    }
+}
+
+impl Node {
+    pub(super) fn promise_asked(&mut self, from: NodeId, fleet_set: u64, entries: &List<PromiseEntry>) {
+        let Some(disk) = self.control.sound_disk() else { return };
+        let (answers, records) = disk.registers.promise(fleet_set, entries);
+        let answer = Message::Promised { disk: disk.id, entries: List(answers) };
+        self.write_then_answer(records, from, answer);
+        self.tell_outdated_owner(from, fleet_set);
+    }
+
+    pub(super) fn store_asked(&mut self, from: NodeId, fleet_set: u64, entries: &List<StoreEntry>) {
+        let Some(disk) = self.control.sound_disk() else { return };
+        let (answers, records) = disk.registers.store(fleet_set, entries);
+        let answer = Message::Stored { disk: disk.id, entries: List(answers) };
+        self.write_then_answer(records, from, answer);
+        self.tell_outdated_owner(from, fleet_set);
+    }
+
+    /// The owner that copies under a joint set asks which keys this disk knows.
+    pub(super) fn keys_asked(&mut self, from: NodeId, fleet_set: u64) {
+        let Some(disk) = self.control.sound_disk() else { return };
+        let Some(keys) = disk.registers.list_keys(fleet_set) else { return };
+        let keys = List(keys.into_iter().map(Text).collect());
+        let answer = Message::KeysTold { fleet_set, disk: disk.id, keys };
+        // What bars owners under the set before must be synced.
+        self.write_then_answer(Vec::new(), from, answer);
+    }
+
+    pub(super) fn tell_disk_state(&mut self) {
+        let Some(disk) = &self.control.disk else { return };
+        let is_voting = self.control.set.all().contains(&disk.id);
+        let state = match (disk.is_broken, is_voting, disk.registers.chosen().generation) {
+            (true, ..) => DISK_FAILED,
+            (false, true, 1..) => DISK_VOTING,
+            // The damaged one may be the fleet's last copy: no state is founded beside it.
+            (false, false, 0) if self.control.replaces_damaged => DISK_SPARE,
+            (false, _, 0) => DISK_BLANK,
+            (false, false, _) => DISK_SPARE,
+        };
+        let id = if disk.is_broken { 0 } else { disk.id };
+        self.members.update_own(|own| {
+            own.disk_state = state;
+            own.disk = id;
+        });
+    }
+
+    /// Answers only once the records, and all before them, are synced.
+    pub(super) fn write_then_answer(&mut self, records: Vec<Vec<u8>>, node: NodeId, answer: Message) {
+        let Some(disk) = self.control.sound_disk() else { return };
+        if records.is_empty() {
+            let last_token = disk.next_token - 1;
+            if disk.synced_token >= last_token {
+                self.send(node, answer);
+                return;
+            }
+            disk.answers.entry(last_token).or_default().push((node, answer));
+            return;
+        }
+        self.write_records(records, Some((node, answer)));
+    }
+
+    pub(super) fn write_records(&mut self, records: Vec<Vec<u8>>, answer: Option<(NodeId, Message)>) {
+        let Some(disk) = self.control.sound_disk() else { return };
+        let token = disk.take_token();
+        disk.answers.entry(token).or_default().extend(answer);
+        disk.appended_bytes += records.iter().map(|record| record.len() + 8).sum::<usize>();
+        let is_rewrite = disk.appended_bytes > REWRITE_SLACK;
+        let written = match is_rewrite {
+            true => {
+                disk.appended_bytes = 0;
+                disk.registers.live_records()
+            }
+            false => records,
+        };
+        self.counts.disk_groups += 1;
+        self.act(Act::WriteDisk { token, records: written, is_rewrite });
+    }
+
+    pub(crate) fn disk_done(&mut self, token: u64, is_synced: bool) {
+        let Some(disk) = &mut self.control.disk else { return };
+        if disk.is_broken {
+            self.disk_tried(token, is_synced);
+            return;
+        }
+        if !is_synced {
+            self.break_disk();
+            return;
+        }
+        disk.synced_token = disk.synced_token.max(token);
+        // A founding set is gone by, and told, once it is synced here.
+        let is_founded =
+            disk.registers.chosen().generation > 0 && self.members.own().disk_state == DISK_BLANK;
+        for (node, answer) in disk.ready_answers() {
+            self.send(node, answer);
+        }
+        if is_founded {
+            self.go_by_own_set();
+        }
+    }
+
+    /// A sync failed: what waited for it is never answered, and this node owns no keys until the repair.
+    fn break_disk(&mut self) {
+        let Some(disk) = &mut self.control.disk else { return };
+        disk.is_broken = true;
+        disk.repair_due = self.now + REPAIR_PAUSE;
+        disk.answers.clear();
+        self.control.owner.keep_only(|_| false);
+        self.tell_disk_failure();
+        self.tell_disk_state();
+    }
+
+    /// What became of a broken disk's repair. Records that were on their way when it failed do not
+    /// count, whatever is told of them: the repair holds them.
+    fn disk_tried(&mut self, token: u64, is_synced: bool) {
+        let now = self.now;
+        let Some(disk) = self.control.disk.as_mut().filter(|disk| disk.repair_token == Some(token)) else {
+            return;
+        };
+        disk.repair_token = None;
+        disk.repair_due = now + REPAIR_PAUSE;
+        if !is_synced {
+            self.tell_disk_failure();
+            return;
+        }
+        disk.is_broken = false;
+        disk.synced_token = token;
+        disk.appended_bytes = 0;
+        if std::mem::take(&mut disk.is_failure_told) {
+            self.journal.append("disk_sound_again", json!({}), now);
+        }
+        self.tell_disk_state();
+    }
+
+    fn tell_disk_failure(&mut self) {
+        let Some(disk) = &mut self.control.disk else { return };
+        if !std::mem::replace(&mut disk.is_failure_told, true) {
+            self.journal.append("disk_failed", json!({}), self.now);
+        }
+    }
+
+    /// What a process before this one wrote may not be synced, nor is it known by any answer: the disk
+    /// says nothing until all of it stands in a new file.
+    pub(crate) fn disk_unsynced(&mut self) {
+        let now = self.now;
+        let Some(disk) = &mut self.control.disk else { return };
+        disk.is_broken = true;
+        disk.repair_due = now;
+        self.tell_disk_state();
+        self.try_repair();
+    }
+
+    /// A disk that failed, because it was full perhaps, is tried with the whole of its registers as a
+    /// new file. No answer was given for what it did not sync, so it is as good as before.
+    pub(super) fn try_repair(&mut self) {
+        let now = self.now;
+        let Some(disk) = &mut self.control.disk else { return };
+        if !disk.is_broken || disk.repair_token.is_some() || now < disk.repair_due {
+            return;
+        }
+        let token = disk.take_token();
+        disk.repair_token = Some(token);
+        let records = disk.registers.live_records();
+        self.counts.disk_groups += 1;
+        self.act(Act::WriteDisk { token, records, is_rewrite: true });
+    }
+
+    /// The node goes on as one without a disk. Its state keeps others from founding anew, and lets a spare
+    /// disk take its vote.
+    pub(crate) fn disk_unusable(&mut self, reason: String) {
+        self.journal.append("disk_unusable", json!({"reason": reason}), self.now);
+        self.control.disk = None;
+        self.control.disk_trouble = Some(reason);
+        self.members.update_own(|own| {
+            own.disk_state = DISK_FAILED;
+            own.disk = 0;
+        });
+    }
+
+    /// A disk that was formatted after damage may be taken in by a majority, and founds nothing.
+    pub(crate) fn disk_set_aside(&mut self) {
+        self.control.replaces_damaged = true;
+        self.settings.may_found = false;
+        self.tell_disk_state();
+    }
+}
--- /dev/null
+++ b/packages/node_protocol/src/control_part/owner_answers.rs
@@ -0,0 +1,95 @@
+//! What this node does as an owner of keys: it takes peers' writes, confirmed reads and polls, and hands
+//! its promises, stores and answers to the network.
+
+use super::AS_NEWS;
+use crate::node::Node;
+use colleague_messages::{Bytes, List, Message, NodeId, Text, WriteEntry, WriteOutcome};
+use control_registers::{CONFIGURATION_KEY, OwnerAct, WRITTEN};
+use std::collections::BTreeMap;
+
+/// Values up to this size are sent with every answer.
+const SMALL_VALUE: usize = 16 * 1024;
+
+impl Node {
+    pub(super) fn writes_asked(&mut self, from: NodeId, entries: List<WriteEntry>) {
+        if !self.owns_keys() {
+            return;
+        }
+        for entry in entries.0 {
+            self.control.owner.write(from, entry, self.now);
+        }
+    }
+
+    pub(super) fn read_asked(&mut self, from: NodeId, ask: u64, key: Text, digest: u64) {
+        if self.owns_keys() {
+            self.control.owner.confirm(from, ask, key, digest, self.now);
+        }
+    }
+
+    pub(super) fn records_asked(&mut self, from: NodeId, mark: u64, since: u64, keys: &List<Text>) {
+        if !self.owns_keys() {
+            return;
+        }
+        let answer = match self.control.owner.poll(mark, since, &keys.0, self.now) {
+            Some(answer) => Message::RecordsPolled {
+                mark,
+                known: 1,
+                change: answer.change,
+                records: List(answer.records),
+                renewed: List(answer.renewed),
+            },
+            None => Message::RecordsPolled {
+                mark,
+                known: 0,
+                change: 0,
+                records: List(Vec::new()),
+                renewed: List(Vec::new()),
+            },
+        };
+        self.send(from, answer);
+    }
+
+    /// Hands the owner's promises, stores and answers to the network.
+    pub(crate) fn flush_control(&mut self) {
+        let now = self.now;
+        let mut answer_groups: BTreeMap<NodeId, Vec<WriteOutcome>> = BTreeMap::new();
+        for act in self.control.owner.flush(now) {
+            match act {
+                OwnerAct::Promise { disk, fleet_set, entries } => {
+                    if let Some(node) = self.node_of_disk(disk) {
+                        self.send(node, Message::Promise { fleet_set, entries });
+                    }
+                }
+                OwnerAct::Store { disk, fleet_set, entries } => {
+                    if let Some(node) = self.node_of_disk(disk) {
+                        self.send(node, Message::Store { fleet_set, entries });
+                    }
+                }
+                OwnerAct::Chosen(chosen_set) => self.tell_chosen(&chosen_set),
+                OwnerAct::Answer { node, outcome } => {
+                    let outcome = self.outcome_for(node, outcome);
+                    answer_groups.entry(node).or_default().push(outcome);
+                }
+            }
+        }
+        for (node, outcomes) in answer_groups {
+            self.send(node, Message::WriteAnswer { outcomes: List(outcomes) });
+        }
+    }
+
+    /// What a reader is answered: a large value that it lacks goes only to machines with a disk. The
+    /// others are told that it stands, and fetch it as news, which may be no more than a few changes.
+    fn outcome_for(&mut self, reader: NodeId, outcome: WriteOutcome) -> WriteOutcome {
+        let is_large = outcome.outcome == WRITTEN && outcome.value.0.len() > SMALL_VALUE;
+        let is_diskless =
+            || self.members.find(reader).is_some_and(|news| news.disk == 0 && news.disk_state == 0);
+        if !is_large || reader == self.settings.node || outcome.key.0 != CONFIGURATION_KEY || !is_diskless() {
+            return outcome;
+        }
+        self.take_base(&outcome);
+        if let Some((node, mark)) = self.news.tell(reader, CONFIGURATION_KEY) {
+            self.send(node, mark);
+        }
+        WriteOutcome { outcome: AS_NEWS, value: Bytes::default(), ..outcome }
+    }
+}
--- /dev/null
+++ b/packages/node_protocol/src/control_part/record_polls.rs
@@ -0,0 +1,113 @@
+//! Polls of the leader records: one group of functions for each owner of their keys, and how far each
+//! owner's changes were heard.
+
+use crate::node::Node;
+use colleague_messages::{LeaderRecord, List, Message, NodeId, PolledRecord, RenewedRecord, Text};
+use control_registers::{keys_mark, steward_key};
+use std::collections::BTreeMap;
+
+/// The leader records that one owner is polled for, and how far its changes were heard.
+#[derive(Debug)]
+struct PollGroup {
+    owner: NodeId,
+    mark: u64,
+    functions: Vec<String>,
+    change: u64,
+}
+
+/// Which owner is polled for what, kept while the owners and the configuration stand.
+#[derive(Debug, Default)]
+pub(super) struct PollGroups {
+    owners: Vec<NodeId>,
+    generation: u64,
+    groups: Vec<PollGroup>,
+}
+
+impl Node {
+    /// Polls the leader records of all functions, one message for each owner: what changed since this
+    /// node's last poll of that owner is answered.
+    pub(crate) fn poll_records(&mut self) {
+        self.group_polls();
+        let polls: Vec<(NodeId, u64, u64)> = self
+            .control
+            .poll_groups
+            .groups
+            .iter()
+            .map(|group| (group.owner, group.mark, group.change))
+            .collect();
+        for (owner, mark, since) in polls {
+            self.control.polls.entry(owner).or_insert(self.now);
+            self.send(owner, Message::RecordsPoll { mark, since, keys: List(Vec::new()) });
+        }
+    }
+
+    /// Deals the functions out to their owners anew when the owners or the configuration changed.
+    fn group_polls(&mut self) {
+        let owners = self.owner_choices();
+        let generation = self.configuration.generation();
+        let standing = &self.control.poll_groups;
+        if standing.owners == owners && standing.generation == generation {
+            return;
+        }
+        let mut dealt: BTreeMap<NodeId, Vec<String>> = BTreeMap::new();
+        for function in self.configuration.current().functions.keys() {
+            if let Some(owner) = Node::rendezvous_choice(&steward_key(function), owners.iter().copied()) {
+                dealt.entry(owner).or_default().push(function.clone());
+            }
+        }
+        let mut groups = Vec::new();
+        for (owner, functions) in dealt {
+            let mark = keys_mark(&keys_of(&functions));
+            let known = self.control.poll_groups.groups.iter();
+            let known = known.into_iter().find(|group| group.owner == owner && group.mark == mark);
+            let change = known.map_or(0, |group| group.change);
+            groups.push(PollGroup { owner, mark, functions, change });
+        }
+        self.control.poll_groups = PollGroups { owners, generation, groups };
+    }
+
+    /// What an owner says changed; all else that it was asked for stands as it was.
+    pub(super) fn records_polled(
+        &mut self,
+        from: NodeId,
+        (mark, change): (u64, u64),
+        records: Vec<PolledRecord>,
+        renewed: &[RenewedRecord],
+    ) {
+        let now = self.now;
+        self.control.polls.remove(&from);
+        let election = &mut self.stewards.election;
+        for record in records {
+            if let Some(function) = record.key.0.strip_prefix("steward/") {
+                let leader = LeaderRecord::decode(&record.value);
+                election.observe(function, record.version, leader, now);
+            }
+        }
+        let groups = &mut self.control.poll_groups.groups;
+        let Some(group) = groups.iter_mut().find(|group| group.owner == from && group.mark == mark) else {
+            return;
+        };
+        for renewal in renewed {
+            if let Some(function) = group.functions.get(usize::from(renewal.place)) {
+                election.renewed(function, renewal.version, now);
+            }
+        }
+        election.confirmed(group.functions.iter().map(String::as_str), now);
+        group.change = group.change.max(change);
+    }
+
+    /// The owner does not know the keys of a mark: they are listed.
+    pub(super) fn poll_unknown(&mut self, from: NodeId, mark: u64) {
+        self.control.polls.remove(&from);
+        let mut groups = self.control.poll_groups.groups.iter();
+        let group = groups.find(|group| group.owner == from && group.mark == mark);
+        if let Some(group) = group {
+            let keys = List(keys_of(&group.functions));
+            self.send(from, Message::RecordsPoll { mark, since: 0, keys });
+        }
+    }
+}
+
+fn keys_of(functions: &[String]) -> Vec<Text> {
+    functions.iter().map(|function| steward_key(function).into()).collect()
+}
--- /dev/null
+++ b/packages/node_protocol/src/control_part/standing_set.rs
@@ -0,0 +1,95 @@
+//! The chosen voter set that this node goes by: learnt from its disk, from news and from owners, kept on
+//! its own disk, and told to those who lack it.
+
+use crate::node::Node;
+use colleague_messages::{List, Message, NewsItem, NodeId};
+use control_registers::{ChosenSet, DISKS_KEY};
+use serde_json::json;
+
+impl Node {
+    /// A new process goes by the chosen set that its disk knows, until it hears of a newer one.
+    pub(crate) fn start_by_own_set(&mut self) {
+        self.go_by_own_set();
+        self.tell_disk_state();
+    }
+
+    pub(super) fn go_by_own_set(&mut self) {
+        let Some(disk) = &self.control.disk else { return };
+        let own_set = disk.registers.chosen().clone();
+        self.learn_chosen(&own_set);
+    }
+
+    /// News tell chosen sets only.
+    pub(crate) fn set_told(&mut self) {
+        if let Some(told_set) = self.news.body(DISKS_KEY).and_then(ChosenSet::told) {
+            self.learn_chosen(&told_set);
+        }
+    }
+
+    /// Goes by a chosen set that is newer than the known one, keeps it on the own disk, and tells it.
+    pub(super) fn learn_chosen(&mut self, chosen_set: &ChosenSet) {
+        if chosen_set.generation > self.control.set.generation {
+            self.adopt_set(chosen_set);
+            self.news.publish(DISKS_KEY, self.settings.node, chosen_set.generation, chosen_set.encode());
+        }
+        self.keep_chosen();
+        self.tell_disk_state();
+    }
+
+    /// A blank disk takes the first set in which it votes; one that took a set takes each that follows.
+    fn keep_chosen(&mut self) {
+        let set = self.control.set.clone();
+        let Some(disk) = &mut self.control.disk else { return };
+        if disk.registers.chosen().generation == 0 && !set.all().contains(&disk.id) {
+            return;
+        }
+        // A broken disk gets the record with the whole of its registers, when it is repaired.
+        let records = disk.registers.learn_chosen(&set);
+        if !records.is_empty() {
+            self.write_records(records, None);
+        }
+    }
+
+    fn adopt_set(&mut self, next_set: &ChosenSet) {
+        self.control.set = next_set.clone();
+        self.control.copy = None;
+        self.control.owner.take_set(next_set);
+        self.journal.append(
+            "voters",
+            json!({
+                "generation": next_set.generation,
+                "disks": hex_list(&next_set.disks.0),
+                "joining": hex_list(&next_set.joining.0),
+            }),
+            self.now,
+        );
+    }
+
+    /// The voters hear at once of a set that was chosen here; the others get it as news.
+    pub(super) fn tell_chosen(&mut self, chosen_set: &ChosenSet) {
+        self.learn_chosen(chosen_set);
+        for disk in chosen_set.all() {
+            if let Some(node) = self.node_of_disk(disk).filter(|node| *node != self.settings.node) {
+                self.tell_set(node);
+            }
+        }
+    }
+
+    /// An owner under an older set than the one this node goes by hears of the newer one at once.
+    pub(super) fn tell_outdated_owner(&mut self, owner: NodeId, owner_set: u64) {
+        if owner_set >> 32 < self.control.set.generation {
+            self.tell_set(owner);
+        }
+    }
+
+    fn tell_set(&mut self, node: NodeId) {
+        let set = &self.control.set;
+        let (origin, sequence) = (self.settings.node, set.generation);
+        let item = NewsItem { topic: DISKS_KEY.into(), origin, sequence, body: set.encode() };
+        self.send(node, Message::News { items: List(vec![item]) });
+    }
+}
+
+fn hex_list(ids: &[u64]) -> Vec<String> {
+    ids.iter().map(|id| format!("{id:016x}")).collect()
+}
--- /dev/null
+++ b/packages/node_protocol/src/control_part/voter_changes.rs
@@ -0,0 +1,140 @@
+//! Changes of the voter set: the votes of lost disks go to others by way of a joint set, under which every
+//! key is copied before the new set stands.
+
+use super::requests::{WriteFlight, WritePurpose};
+use crate::node::Node;
+use colleague_messages::{Bytes, List, MemberNews, Message, NodeId, Text, WriteOutcome};
+use control_registers::{ChosenSet, DIFFERS, DISKS_KEY, SetCopy, VoterSet, WRITTEN};
+
+/// So many keys are copied at a time while the voter set changes.
+const COPY_WINDOW: usize = 256;
+
+impl Node {
+    /// Gives the votes of lost disks to others: first the joint set, then a copy of every key under it,
+    /// then the new set. One change at a time, and each step rests on the chosen set. A joint set has one
+    /// successor, whoever goes on with it: it needs majorities of both sets, so while no more disks are
+    /// lost than either may lose it can be finished, also without the joining ones.
+    pub(super) fn try_replacing(&mut self) {
+        let now = self.now;
+        let set = self.control.set.clone();
+        let live: Vec<MemberNews> = self.members.live().into_iter().cloned().collect();
+        self.control.sightings.update(&set, &live, now);
+        if set.generation == 0 {
+            return;
+        }
+        if self.has_proposal() {
+            self.read_disks();
+        }
+        let owner = self.key_owner(DISKS_KEY);
+        if owner != Some(self.settings.node) || !self.owns_keys() {
+            self.control.copy = None;
+            self.tell_sightings(owner, &set, &live);
+            return;
+        }
+        let patience = self.settings.replace_disk_after;
+        let swaps = self.control.sightings.swaps(&set, &live, patience, now);
+        if !set.joining.0.is_empty() {
+            self.continue_copy(&set);
+        } else if let Some(joint_set) = set.begin_changes(&swaps) {
+            self.write_disks(&joint_set);
+        }
+    }
+
+    /// Tells the owner of the voter set's key what it was not told yet of the voters' machines.
+    fn tell_sightings(&mut self, owner: Option<NodeId>, set: &VoterSet, live: &[MemberNews]) {
+        let told = self.control.sightings.untold(set, live);
+        if let Some(owner) = owner.filter(|_| !told.is_empty()) {
+            self.send(owner, Message::Probe { sequence: 0, target: 0, members: List(told) });
+        }
+    }
+
+    /// The own disk stored a set that is not known to be chosen. Whoever wrote it may be gone: a confirmed
+    /// read makes the key's owner finish it, or bring what stands instead.
+    fn has_proposal(&self) -> bool {
+        self.control.disk.as_ref().is_some_and(|disk| disk.registers.proposed().is_some())
+    }
+
+    /// A voter may go at any time without loss, since all that was answered for is synced on a quorum. While
+    /// a change is under way a planned stop waits for it, within its time: until then the change may need
+    /// this very disk.
+    pub(crate) fn must_stay_for_change(&self) -> bool {
+        let is_voting =
+            self.control.disk.as_ref().is_some_and(|disk| self.control.set.all().contains(&disk.id));
+        is_voting && (self.has_proposal() || !self.control.set.joining.0.is_empty())
+    }
+
+    fn is_set_asked(&self) -> bool {
+        let mut purposes = self.control.flights.values().map(|flight| &flight.purpose);
+        purposes.any(|purpose| matches!(purpose, WritePurpose::DisksRead | WritePurpose::DisksChange))
+    }
+
+    fn read_disks(&mut self) {
+        if !self.is_set_asked() {
+            self.send_write(DISKS_KEY, 0, Bytes::default(), WritePurpose::DisksRead);
+        }
+    }
+
+    /// Versions of the set's key are generations.
+    fn write_disks(&mut self, next_set: &VoterSet) {
+        if !self.is_set_asked() {
+            let expected = self.control.set.generation;
+            self.send_write(DISKS_KEY, expected, next_set.encode(), WritePurpose::DisksChange);
+        }
+    }
+
+    /// What an owner says to stand of the set's key was stored on a quorum, and is chosen. The answer to a
+    /// write that succeeded carries no value: the owner tells the set itself.
+    pub(super) fn disks_answered(&mut self, outcome: &WriteOutcome) {
+        if ![WRITTEN, DIFFERS].contains(&outcome.outcome) {
+            return;
+        }
+        if let Some(standing_set) = ChosenSet::told(&outcome.value) {
+            self.learn_chosen(&standing_set);
+        }
+    }
+
+    fn continue_copy(&mut self, joint_set: &ChosenSet) {
+        let now = self.now;
+        let copy = self.control.copy.get_or_insert_with(|| SetCopy::new(joint_set.clone()));
+        if copy.is_done() {
+            if let Some(final_set) = joint_set.end_change() {
+                self.write_disks(&final_set);
+            }
+            return;
+        }
+        let due_lists = copy.due_lists(now);
+        let due_keys = copy.due_keys(COPY_WINDOW);
+        let fleet_set = joint_set.mark();
+        for node in due_lists.into_iter().filter_map(|disk| self.node_of_disk(disk)).collect::<Vec<_>>() {
+            self.send(node, Message::KeysAsk { fleet_set });
+        }
+        self.copy_keys(due_keys, joint_set.generation);
+    }
+
+    /// This node itself takes the keys: under the joint set each is stored anew on both majorities.
+    fn copy_keys(&mut self, due_keys: Vec<String>, generation: u64) {
+        let (own, now) = (self.settings.node, self.now);
+        for key in due_keys {
+            let ask = self.fresh_ask();
+            let purpose = WritePurpose::DisksCopy { key: key.clone(), generation };
+            let known_digest = self.known_digest(&key);
+            let flight = WriteFlight { owner: own, purpose, sent_at: now, known_digest };
+            self.control.flights.insert(ask, flight);
+            self.send(own, Message::ReadConfirmed { ask, key: key.into(), digest: known_digest });
+        }
+    }
+
+    pub(super) fn keys_told(&mut self, disk: u64, fleet_set: u64, keys: List<Text>) {
+        if let Some(copy) = &mut self.control.copy {
+            copy.listed(disk, fleet_set, keys.0.into_iter().map(|key| key.0));
+        }
+    }
+
+    /// An answer for an earlier change does not count for this one.
+    pub(super) fn copy_answered(&mut self, key: &str, generation: u64, is_confirmed: bool) {
+        let copy = self.control.copy.as_mut().filter(|copy| copy.generation() == generation);
+        if let Some(copy) = copy {
+            copy.answered(key, is_confirmed);
+        }
+    }
+}
