The native page of the configuration is confirmed by a majority, or says it is not

Cause: GET /control/configuration showed what the asked node held, so a machine that was cut off handed out an old configuration unmarked; only the platform's page asked a majority.

--- a/packages/vanelane/src/control_pages.rs
+++ b/packages/vanelane/src/control_pages.rs
@@ -1,6 +1,6 @@
 //! The operators' pages: changes in, decisions out, status, health, readiness, metrics.
 
-use crate::operator_port::{OperatorPages, OperatorPort, Page};
+use crate::operator_port::{ConfirmedConfiguration, OperatorPages, OperatorPort, Page};
 use crate::protocol_shell::DecisionsReply;
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::header::{self, HeaderValue};
@@ -208,9 +208,20 @@
         )
     }
 
+    /// The configuration as a majority of the disks confirms it: a node that is cut off shows none.
     async fn configuration(&self) -> Page {
-        let Some(stored) = self.port.configuration().await else {
-            return json_page(StatusCode::SERVICE_UNAVAILABLE, &json!({"reason": "no answer"}));
+        let unconfirmed =
+            |reason: String| json_page(StatusCode::SERVICE_UNAVAILABLE, &json!({"reason": reason}));
+        let stored = match self.port.confirmed_configuration().await {
+            ConfirmedConfiguration::Stored(stored) => stored,
+            ConfirmedConfiguration::Elsewhere(place) => {
+                return unconfirmed(format!("this node's link is small: read it from the node at {place}"));
+            }
+            ConfirmedConfiguration::Unconfirmed => {
+                return unconfirmed(
+                    "no majority of the disks confirmed it: ask again, or another node".to_owned(),
+                );
+            }
         };
         json_page(
             StatusCode::OK,
--- a/packages/vanelane/src/operator_port.rs
+++ b/packages/vanelane/src/operator_port.rs
@@ -70,12 +70,6 @@
         outcome.unwrap_or(silence)
     }
 
-    /// The configuration as this node knows it. Example: `port.configuration().await?.generation`.
-    pub async fn configuration(&self) -> Option<StoredConfiguration> {
-        let stored = self.ask(|reply| ShellEvent::Configuration { reply }).await?;
-        StoredConfiguration::decode(&stored)
-    }
-
     /// The configuration as a majority of the disks confirms it.
     /// Example: `matches!(port.confirmed_configuration().await, ConfirmedConfiguration::Stored(_))`.
     pub async fn confirmed_configuration(&self) -> ConfirmedConfiguration {
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -27,7 +27,6 @@
     Change { change: Change, reply: oneshot::Sender<ChangeOutcome> },
     Decisions { after: Vec<(NodeId, u64)>, most: u32, reply: oneshot::Sender<DecisionsReply> },
     Status { reply: oneshot::Sender<NodeStatus> },
-    Configuration { reply: oneshot::Sender<Vec<u8>> },
     ConfirmedConfiguration { reply: oneshot::Sender<ConfigurationAnswer> },
     BetterPlace { bytes: Option<usize>, reply: oneshot::Sender<Option<Address>> },
     PlatformMoved { address: std::net::SocketAddr },
@@ -130,9 +129,6 @@
             ShellEvent::Status { reply } => {
                 let _ = reply.send(self.node.status(self.clock.now()));
             }
-            ShellEvent::Configuration { reply } => {
-                let _ = reply.send(self.node.stored_configuration());
-            }
             ShellEvent::BetterPlace { bytes, reply } => {
                 let _ = reply.send(self.node.better_place(bytes));
             }
--- a/packages/vanelane/tests/one_node.rs
+++ b/packages/vanelane/tests/one_node.rs
@@ -336,6 +336,8 @@
     let mut node = start_node("damaged", platform.address());
     let outcome = change(&node, &format!("{}\n", WHOLE.replace('\n', " ")));
     assert!(outcome.contains("\"outcome\":\"accepted\""), "{outcome}");
+    let confirmed = read_page(&node, "/control/configuration");
+    assert!(confirmed.contains("\"generation\":1"), "{confirmed}");
     node.child.kill().expect("ended");
     node.child.wait().expect("ended");
     let folder = node.folder.clone();
@@ -355,6 +357,8 @@
         "{status}"
     );
     assert!(read_page(&node, "/metrics").contains("vanelane_disk_unusable 1\n"));
+    let unconfirmed = read_page(&node, "/control/configuration");
+    assert!(unconfirmed.contains("no majority") && !unconfirmed.contains("generation"), "{unconfirmed}");
     assert!(read_page(&node, "/control/decisions").contains("\"disk_unusable\""));
     assert_eq!(std::fs::read(&records).expect("records"), damaged_bytes);
     let (code, text) = set_aside(&folder);
