Decoders meet 2,000 foreign inputs each; a given seed made arbtest run one

Cause: arbtest with .seed(..) runs that single case, so five tests of decoders hardly tested anything. Each case now has its own seed, the same every time.

--- a/packages/colleague_messages/src/tests.rs
+++ b/packages/colleague_messages/src/tests.rs
@@ -1,5 +1,8 @@
 use super::*;
 
+/// One seed makes arbtest run a single case: each case has its own, so that all are the same each time.
+const FOREIGN_CASES: u64 = 2_000;
+
 fn example_envelope() -> Envelope {
     let own_address = Address::from(std::net::SocketAddr::from(([127, 0, 0, 1], 7000)));
     let member_news = MemberNews {
@@ -35,21 +38,23 @@
 
 #[test]
 fn no_bytes_make_the_decoder_panic_or_reserve_much() {
-    arbtest::arbtest(|source| {
-        let payload_bytes: Vec<u8> = source.arbitrary()?;
-        let mut head_bytes = [0u8; FRAME_HEAD];
-        head_bytes[0..4].copy_from_slice(&FRAME_MARK.to_le_bytes());
-        head_bytes[4..8].copy_from_slice(&(payload_bytes.len() as u32).to_le_bytes());
-        head_bytes[8..12].copy_from_slice(&crc32fast::hash(&payload_bytes).to_le_bytes());
-        if let Ok(envelope) = decode_payload(&head_bytes, &payload_bytes) {
-            assert!(envelope.frame().is_some());
-        }
-        let _ = DemandNews::from_bytes((&payload_bytes, 0));
-        let _ = CellsNews::from_bytes((&payload_bytes, 0));
-        LeaderRecord::decode(&Bytes(payload_bytes));
-        Ok(())
-    })
-    .seed(0x5eed_0001_0000_0040);
+    for number in 0..FOREIGN_CASES {
+        arbtest::arbtest(|source| {
+            let payload_bytes: Vec<u8> = source.arbitrary()?;
+            let mut head_bytes = [0u8; FRAME_HEAD];
+            head_bytes[0..4].copy_from_slice(&FRAME_MARK.to_le_bytes());
+            head_bytes[4..8].copy_from_slice(&(payload_bytes.len() as u32).to_le_bytes());
+            head_bytes[8..12].copy_from_slice(&crc32fast::hash(&payload_bytes).to_le_bytes());
+            if let Ok(envelope) = decode_payload(&head_bytes, &payload_bytes) {
+                assert!(envelope.frame().is_some());
+            }
+            let _ = DemandNews::from_bytes((&payload_bytes, 0));
+            let _ = CellsNews::from_bytes((&payload_bytes, 0));
+            LeaderRecord::decode(&Bytes(payload_bytes));
+            Ok(())
+        })
+        .seed((0x5eed_0001 + number) << 32 | 0x40);
+    }
 }
 
 #[test]
@@ -84,15 +89,17 @@
 
 #[test]
 fn no_packed_bytes_make_the_decoder_panic_or_reserve_much() {
-    arbtest::arbtest(|source| {
-        let payload_bytes: Vec<u8> = source.arbitrary()?;
-        let mut head_bytes = [0u8; FRAME_HEAD];
-        head_bytes[0..4].copy_from_slice(&PACKED_MARK.to_le_bytes());
-        head_bytes[4..8].copy_from_slice(&(payload_bytes.len() as u32).to_le_bytes());
-        head_bytes[8..12].copy_from_slice(&crc32fast::hash(&payload_bytes).to_le_bytes());
-        let _ = decode_payload(&head_bytes, &payload_bytes);
-        Ok(())
-    })
-    .seed(0x5eed_0001_0000_0041);
+    for number in 0..FOREIGN_CASES {
+        arbtest::arbtest(|source| {
+            let payload_bytes: Vec<u8> = source.arbitrary()?;
+            let mut head_bytes = [0u8; FRAME_HEAD];
+            head_bytes[0..4].copy_from_slice(&PACKED_MARK.to_le_bytes());
+            head_bytes[4..8].copy_from_slice(&(payload_bytes.len() as u32).to_le_bytes());
+            head_bytes[8..12].copy_from_slice(&crc32fast::hash(&payload_bytes).to_le_bytes());
+            let _ = decode_payload(&head_bytes, &payload_bytes);
+            Ok(())
+        })
+        .seed((0x5eed_0001 + number) << 32 | 0x41);
+    }
     assert_eq!(unpack(&[0xff, 0xff, 0xff, 0, 1, 2]), None, "a length that lies");
 }
--- a/packages/configuration_check/src/changes/tests.rs
+++ b/packages/configuration_check/src/changes/tests.rs
@@ -1,6 +1,9 @@
 use super::*;
 use crate::tests::small_document;
 
+/// One seed makes arbtest run a single case: each case has its own, so that all are the same each time.
+const FOREIGN_CASES: u64 = 2_000;
+
 fn change(change_id: &str, expected: Option<u64>, whole: Option<Value>, partial: Option<Value>) -> Change {
     Change {
         change_id: change_id.to_owned(),
@@ -33,19 +36,21 @@
 
 #[test]
 fn no_line_of_the_change_stream_makes_the_reader_panic() {
-    arbtest::arbtest(|source| {
-        let line: String = source.arbitrary()?;
-        if let Ok(found_change) = serde_json::from_str::<Change>(&line) {
-            StoredConfiguration::empty().apply(&found_change);
-        }
-        let partial_line = format!("{{\"change_id\":\"x\",\"partial\":{line}}}");
-        if let Ok(found_change) = serde_json::from_str::<Change>(&partial_line) {
-            StoredConfiguration::empty().apply(&found_change);
-        }
-        StoredConfiguration::decode(line.as_bytes());
-        Ok(())
-    })
-    .seed(0x5eed_0003_0000_0040);
+    for number in 0..FOREIGN_CASES {
+        arbtest::arbtest(|source| {
+            let line: String = source.arbitrary()?;
+            if let Ok(found_change) = serde_json::from_str::<Change>(&line) {
+                StoredConfiguration::empty().apply(&found_change);
+            }
+            let partial_line = format!("{{\"change_id\":\"x\",\"partial\":{line}}}");
+            if let Ok(found_change) = serde_json::from_str::<Change>(&partial_line) {
+                StoredConfiguration::empty().apply(&found_change);
+            }
+            StoredConfiguration::decode(line.as_bytes());
+            Ok(())
+        })
+        .seed((0x5eed_0003 + number) << 32 | 0x40);
+    }
 }
 
 #[test]
--- a/packages/control_registers/src/tests.rs
+++ b/packages/control_registers/src/tests.rs
@@ -3,6 +3,9 @@
 use colleague_messages::{Bytes, WriteEntry, WriteOutcome};
 use std::collections::BTreeMap;
 
+/// One seed makes arbtest run a single case: each case has its own, so that all are the same each time.
+const FOREIGN_CASES: u64 = 2_000;
+
 /// Disks that answer at once; a disk out of the map is down.
 type Disks = BTreeMap<u64, DiskRegisters>;
 
@@ -190,13 +193,15 @@
 
 #[test]
 fn no_bytes_make_the_register_decoders_panic() {
-    arbtest::arbtest(|source| {
-        let foreign_bytes: Vec<u8> = source.arbitrary()?;
-        VoterSet::decode(&Bytes(foreign_bytes.clone()));
-        DiskRegisters::restore(&[foreign_bytes]);
-        Ok(())
-    })
-    .seed(0x5eed_0005_0000_0040);
+    for number in 0..FOREIGN_CASES {
+        arbtest::arbtest(|source| {
+            let foreign_bytes: Vec<u8> = source.arbitrary()?;
+            VoterSet::decode(&Bytes(foreign_bytes.clone()));
+            DiskRegisters::restore(&[foreign_bytes]);
+            Ok(())
+        })
+        .seed((0x5eed_0005 + number) << 32 | 0x40);
+    }
 }
 
 #[test]
--- a/packages/day_replay/src/tests.rs
+++ b/packages/day_replay/src/tests.rs
@@ -1,5 +1,8 @@
 use super::*;
 
+/// One seed makes arbtest run a single case: each case has its own, so that all are the same each time.
+const FOREIGN_CASES: u64 = 2_000;
+
 #[test]
 fn bad_records_are_named_by_line_and_counted() {
     let sound = r#"{"at_micros":1,"lane":"a","method":"POST","path":"/a","size":1,"status":200,"outcome":"ran","latency_micros":5}"#;
@@ -15,10 +18,12 @@
 
 #[test]
 fn no_line_makes_the_reader_panic() {
-    arbtest::arbtest(|source| {
-        let line: Vec<u8> = source.arbitrary()?;
-        let _ = read_record(&line);
-        Ok(())
-    })
-    .seed(0x5eed_0004_0000_0040);
+    for number in 0..FOREIGN_CASES {
+        arbtest::arbtest(|source| {
+            let line: Vec<u8> = source.arbitrary()?;
+            let _ = read_record(&line);
+            Ok(())
+        })
+        .seed((0x5eed_0004 + number) << 32 | 0x40);
+    }
 }
