Elections, splits and cell counts cost what changes; nested calls go first

Cause: at 77 nodes and 1,030 functions each node went through all functions every 80 to 100 ms (claims, whether anything is unheld) and split the allowances over the whole configuration at each change of its own demand: 13.3 ms of this machine a node and second without any call. Calls that wait were counted as slots taken, so a short queue started many times the cells it needed (442 cells of books-api where 135 serve). A call made by a running call was taken for one that comes back late and went behind all new ones, while its caller held a slot.

Change: records open to a claim are kept as they change (standing.rs); the split names who wants something; waiting calls count by the work they are; nested calls are known by the host they come from and go first, with places of their own.

--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -161,6 +161,7 @@
             deputy: u8,
             target_left_micros: u64,
             rank: u8,
+            nested: u8,
         }
         "31" TicketGranted { ask: u64, ticket: Ticket, }
         /// `outcome`: 0 waiting, 1 refused for good, 2 not the steward.
--- a/packages/fleet_simulator/src/sim_calls.rs
+++ b/packages/fleet_simulator/src/sim_calls.rs
@@ -121,6 +121,7 @@
             avoid,
             target_left: None,
             rank: 0,
+            is_nested: false,
         };
         let node = sim_call.node;
         self.give(node, Event::CallAsks { call, wish });
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -1111,6 +1111,8 @@
                 }
                 self.read_answered(number, request, answer);
             }
+            // Simulated callers tell themselves which calls are nested.
+            Act::CellHosts { .. } => {}
             Act::Ready => self.nodes[number].is_ready = true,
             Act::Drained => self.nodes[number].is_drained = true,
         }
--- a/packages/function_front/src/cell_dispatch.rs
+++ b/packages/function_front/src/cell_dispatch.rs
@@ -38,6 +38,8 @@
     pub body: Bytes,
     /// The function named by the ticket.
     pub function: String,
+    /// A running call made it.
+    pub is_nested: bool,
     /// The cell named by the ticket.
     pub cell: String,
     /// Where the cell listens.
--- a/packages/function_front/src/front.rs
+++ b/packages/function_front/src/front.rs
@@ -25,6 +25,8 @@
 use configuration_check::{Configuration, VisitorLimits};
 use futures_util::StreamExt;
 use serde_json::json;
+use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use steward_work::{RAN, TicketWish, UNKNOWN, UNUSED};
@@ -116,6 +118,8 @@
     ticket_micros,
     /// Tickets that came.
     tickets,
+    /// Calls made by running calls.
+    nested,
 }
 
 /// A node's front. Example: `Front::new(FrontSettings::default(), sender)`.
@@ -123,6 +127,8 @@
 pub struct Front {
     settings: FrontSettings,
     lanes: ArcSwap<LaneTable>,
+    /// Where cells run: a call from there is made by a running call.
+    cell_hosts: ArcSwap<BTreeSet<IpAddr>>,
     link: mpsc::Sender<FrontLink>,
     clock: MonotonicClock,
     next_call: AtomicU64,
@@ -162,6 +168,7 @@
         Front {
             settings,
             lanes: ArcSwap::from_pointee(LaneTable::default()),
+            cell_hosts: ArcSwap::from_pointee(BTreeSet::new()),
             link,
             clock: MonotonicClock::start(),
             next_call: AtomicU64::new(1 << 32),
@@ -214,6 +221,17 @@
         self.lanes.store(Arc::new(LaneTable::new(generation, configuration)));
     }
 
+    /// Takes the hosts that cells run on. Calls from there are made by running calls and go first.
+    /// Example: `front.take_cell_hosts(hosts)` when the platform's list shows others.
+    pub fn take_cell_hosts(&self, hosts: BTreeSet<IpAddr>) {
+        self.cell_hosts.store(Arc::new(hosts));
+    }
+
+    /// Whether a running call made this one: it comes from a host of cells.
+    fn is_nested(&self, request: &Request) -> bool {
+        request.peer_addr().is_some_and(|peer| self.cell_hosts.load().contains(&peer.ip()))
+    }
+
     /// The generation that calls are matched against. Example: `front.generation() == 4`.
     pub fn generation(&self) -> u64 {
         self.lanes.load().generation
@@ -328,6 +346,10 @@
             Ok(body) => body,
             Err(refusal) => return Err(refuse(chart, refusal)),
         };
+        let is_nested = self.is_nested(&request);
+        if is_nested {
+            self.counts.nested.fetch_add(1, Ordering::Relaxed);
+        }
         let dialect = &self.settings.dispatch.dialect;
         let mut headers = end_to_end(request.headers(), dialect.own_prefix);
         if dialect.forwarded_for
@@ -344,6 +366,7 @@
             headers,
             body,
             function: lane.function.clone(),
+            is_nested,
             cell: String::new(),
             address: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
             time_left: Micros(0),
@@ -406,7 +429,8 @@
             if let Some(trace) = trace {
                 trace.begin_span("ticket");
             }
-            let asked = self.ask_ticket(call, &lane, ends_at, chart.dispatches(), &avoid).await;
+            let asked =
+                self.ask_ticket(call, &lane, &dispatch_call, ends_at, chart.dispatches(), &avoid).await;
             if let Some(trace) = trace {
                 trace.end_span(&[("vanelane.function", &lane.function)]);
             }
@@ -526,10 +550,12 @@
         self: &Arc<Self>,
         call: u64,
         lane: &LaneRow,
+        dispatch_call: &DispatchCall,
         ends_at: Micros,
         dispatches: u32,
         avoid: &str,
     ) -> Result<Ticket, Refusal> {
+        let is_nested = dispatch_call.is_nested;
         let asked_at = self.clock.now();
         let retry_after = Some(Micros::from_secs(1));
         let no_time_left =
@@ -544,8 +570,13 @@
             dispatches,
             avoid: avoid.to_owned(),
             // A visitor that comes back names less time than the lane's patience: its first try, from
-            // which lateness counts, was that much earlier.
-            target_left: lane.target.map(|target| (ends_at + target) - lane.patience - asked_at),
+            // which lateness counts, was that much earlier. A nested call names what its caller has left,
+            // and is itself as young as any.
+            target_left: lane.target.map(|target| match is_nested {
+                true => target,
+                false => (ends_at + target) - lane.patience - asked_at,
+            }),
+            is_nested,
             rank: u8::try_from(lane.rank).unwrap_or(u8::MAX),
         };
         if self.link.try_send(FrontLink::Ask { call, wish, reply }).is_err() {
--- a/packages/function_front/tests/kept_connections.rs
+++ b/packages/function_front/tests/kept_connections.rs
@@ -91,6 +91,7 @@
         headers,
         body: Bytes::new(),
         function: "f".to_owned(),
+        is_nested: false,
         cell: format!("cell at {address}"),
         address,
         time_left: Micros::from_secs(4),
--- a/packages/node_protocol/src/call_part.rs
+++ b/packages/node_protocol/src/call_part.rs
@@ -88,7 +88,7 @@
             ends_at: self.now + wish.time_left,
             dispatches: wish.dispatches,
             avoid: wish.avoid,
-            urgency: Urgency { late_at, rank: wish.rank },
+            urgency: Urgency { late_at, rank: wish.rank, is_nested: wish.is_nested },
             asked: None,
             asked_at: self.now,
             asked_deputy: false,
@@ -175,6 +175,7 @@
                 late_at => (late_at - now).0,
             },
             rank: ask.urgency.rank,
+            nested: u8::from(ask.urgency.is_nested),
         };
         self.send(node, message);
     }
--- a/packages/node_protocol/src/control_part/record_polls.rs
+++ b/packages/node_protocol/src/control_part/record_polls.rs
@@ -92,7 +92,10 @@
                 election.renewed(function, renewal.version, now);
             }
         }
-        election.confirmed(group.functions.iter().map(String::as_str), now);
+        let functions = &group.functions;
+        let is_polled =
+            |function: &str| functions.binary_search_by(|polled| polled.as_str().cmp(function)).is_ok();
+        election.confirmed(is_polled, now);
         group.change = group.change.max(change);
     }
 
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -21,6 +21,8 @@
 use colleague_messages::{Address, DecisionLine, Envelope, Message, NodeId, Ticket};
 use colleague_probes::ProbeSettings;
 use configuration_check::{Change, ChangeOutcome, Configuration};
+use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::sync::Arc;
 use steward_election::ElectionSettings;
 use steward_work::{CostModel, ExtraBound, ListedCell, ListedWorker, TicketWish};
@@ -168,6 +170,8 @@
     CallRefused { call: u64, refused_as: RefusedAs, reason: String, retry_after: Micros },
     /// A newer configuration holds here from now on.
     ConfigurationTaken { generation: u64, configuration: Arc<Configuration> },
+    /// The hosts that cells run on, as the newest list has them: calls from there are made by running calls.
+    CellHosts { hosts: BTreeSet<IpAddr> },
     /// The operator's change has this outcome.
     ChangeAnswered { request: u64, change_id: String, outcome: ChangeOutcome },
     /// The stored configuration, as a majority of the disks confirms it.
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -11,7 +11,8 @@
 use configuration_check::{Function, KeptBy};
 use deku::{DekuContainerRead, DekuContainerWrite};
 use serde_json::json;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::IpAddr;
 use steward_election::{Election, ElectionSettings, TermChange};
 use steward_work::{
     CostModel, Demand, DeputyAsk, DeputyCell, DeputyWork, FunctionWork, HeldBackAs, ListedCell, ListedWorker,
@@ -71,6 +72,8 @@
     pub(crate) list_due: Micros,
     pub(crate) lists: ListPart,
     cells: Vec<ListedCell>,
+    /// The hosts of those cells, as the front was told.
+    cell_hosts: BTreeSet<IpAddr>,
     has_list: bool,
     poll_due: Micros,
     unsettled_poll: ClockEvent,
@@ -116,6 +119,7 @@
             list_due: Micros(0),
             lists: ListPart::default(),
             cells: Vec::new(),
+            cell_hosts: BTreeSet::new(),
             has_list: false,
             poll_due: Micros(0),
             unsettled_poll: ClockEvent::each(UNSETTLED_POLL),
@@ -374,6 +378,7 @@
                 deputy,
                 target_left_micros,
                 rank,
+                nested,
             } => {
                 let time_left = Micros(time_left_micros);
                 let is_extra = extra > 0;
@@ -382,7 +387,7 @@
                 let work = self.stewards.works.get_mut(&function.0).filter(|_| is_steward);
                 if let Some(work) = work {
                     let late_at = Micros(now.0.saturating_add(target_left_micros));
-                    let wanted = (avoid.0.as_str(), Urgency { late_at, rank });
+                    let wanted = (avoid.0.as_str(), Urgency { late_at, rank, is_nested: nested == 1 });
                     work.ask_urgently(from, ask, time_left, u32::from(extra), wanted, now);
                     return;
                 }
@@ -590,6 +595,7 @@
         }
         self.stewards.cells = cells;
         self.stewards.has_list = true;
+        self.tell_cell_hosts();
         let functions: Vec<String> = self.stewards.works.keys().cloned().collect();
         for function in functions {
             let known_ready: Vec<String> =
@@ -604,6 +610,15 @@
         self.stop_orphans();
     }
 
+    /// Tells the front from which hosts cells call, whenever the list shows others than before.
+    fn tell_cell_hosts(&mut self) {
+        let hosts: BTreeSet<IpAddr> = self.stewards.cells.iter().map(|cell| cell.address.ip()).collect();
+        if hosts != self.stewards.cell_hosts {
+            self.stewards.cell_hosts.clone_from(&hosts);
+            self.act(Act::CellHosts { hosts });
+        }
+    }
+
     /// Cells of functions that are configured no more are stopped by one node, after a grace in
     /// which a newer configuration or a running call may still want them.
     fn stop_orphans(&mut self) {
@@ -695,7 +710,8 @@
         let mut own_acts = acts_per_second / 2.0 / member_count;
         for (function, work) in &mut self.stewards.works {
             let Some(settings) = configuration.functions.get(function) else { continue };
-            let Some(share) = shares.get(function) else { continue };
+            // Who wants nothing is not named.
+            let share = shares.get(function).copied().unwrap_or_default();
             own_acts += share.starts;
             let cell_count = (share.memory_mb / settings.cell_memory_mb as f64 + 0.001).floor() as u32;
             // A function that is called gets one cell as soon as a worker has room for it.
--- a/packages/scale_run/src/hollow_fleet.rs
+++ b/packages/scale_run/src/hollow_fleet.rs
@@ -428,6 +428,7 @@
             avoid: String::new(),
             target_left: None,
             rank: 0,
+            is_nested: false,
         };
         let event = Event::CallAsks { call, wish };
         self.give(node, event, "call");
--- a/packages/steward_election/src/lib.rs
+++ b/packages/steward_election/src/lib.rs
@@ -8,8 +8,11 @@
 //! the record and fences; and after several polls with nobody holding, the next by (own count,
 //! rendezvous weight) claims without the gate.
 
+mod standing;
+
 use clock_events::Micros;
 use colleague_messages::{LeaderRecord, NodeId, is_former_life, rendezvous_weight};
+use standing::Standing;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The election's times and limits. Example: `ElectionSettings::default().lease == Micros::from_secs(3)`.
@@ -117,6 +120,7 @@
     settings: ElectionSettings,
     functions: BTreeSet<String>,
     copies: BTreeMap<String, ObserverCopy>,
+    standing: Standing,
     claims: BTreeMap<String, Claim>,
     claim_count: u64,
     terms: BTreeMap<String, Term>,
@@ -149,6 +153,7 @@
             settings,
             functions: BTreeSet::new(),
             copies: BTreeMap::new(),
+            standing: Standing::new(own),
             claims: BTreeMap::new(),
             claim_count: 0,
             terms: BTreeMap::new(),
@@ -169,6 +174,7 @@
         self.is_claim_wanted = true;
         let functions = &self.functions;
         self.copies.retain(|function, _| functions.contains(function));
+        self.standing.rebuild(&self.copies);
     }
 
     /// Takes a polled record; an unchanged one leaves the observer copy's time alone.
@@ -187,6 +193,7 @@
                 self.is_claim_wanted |= is_free;
                 let copy =
                     ObserverCopy { version, record, observed_at: now, idle_polls: 0, idle_poll_at: now };
+                self.standing.changed(function, self.copies.get(function), &copy);
                 self.copies.insert(function.to_owned(), copy);
             }
         }
@@ -201,14 +208,17 @@
             copy.version = version;
             copy.observed_at = now;
             copy.idle_polls = 0;
+            self.standing.renewed(function, copy);
         }
     }
 
     /// A poll was answered: what the answer did not name stands unchanged, and the observer copies keep
-    /// their times. Example: `election.confirmed(functions, now)`.
-    pub fn confirmed<'a>(&mut self, functions: impl Iterator<Item = &'a str>, now: Micros) {
-        for function in functions {
-            if let Some(copy) = self.copies.get_mut(function) {
+    /// their times. Only polls of records without a holder are counted, so only those are gone through.
+    /// Example: `election.confirmed(|function| polled.contains(function), now)`.
+    pub fn confirmed(&mut self, is_polled: impl Fn(&str) -> bool, now: Micros) {
+        self.standing.look(&self.copies, now);
+        for function in self.standing.open() {
+            if let Some(copy) = self.copies.get_mut(function).filter(|_| is_polled(function)) {
                 copy.stays(self.settings.poll, now);
             }
         }
@@ -226,12 +236,14 @@
     /// Whether a poll should come soon rather than at the next interval: something is unheld, or held
     /// by a node that is no serving member any more and may just have given it back. `members` are in
     /// order of id. Example: `if election.is_unsettled(&members, now) { poll_event.hasten() }`.
-    pub fn is_unsettled(&self, members: &[NodeId], now: Micros) -> bool {
-        self.functions.iter().any(|function| {
-            let is_served =
-                self.holder(function, now).is_some_and(|(node, _)| members.binary_search(&node).is_ok());
-            !is_served && !self.claims.contains_key(function)
-        })
+    pub fn is_unsettled(&mut self, members: &[NodeId], now: Micros) -> bool {
+        self.standing.look(&self.copies, now);
+        let is_unpolled = self.copies.len() < self.functions.len();
+        let is_open =
+            |function: &String| self.term(function, now).is_none() && !self.claims.contains_key(function);
+        is_unpolled
+            || self.standing.open().iter().any(is_open)
+            || self.standing.holders().any(|holder| members.binary_search(&holder).is_err())
     }
 
     /// Who holds the function by this node's observation, with the steward epoch.
@@ -295,13 +307,6 @@
         (self.gate_refusals, self.lost_races, self.passed_gate_over)
     }
 
-    /// Whether this node's term on a copied record should be taken back up: after a lost answer the
-    /// record may name this node although no term is known.
-    fn names_own(&self, copy: &ObserverCopy) -> bool {
-        let holder = copy.record.as_ref().map(|record| record.holder);
-        holder.is_some_and(|holder| holder == self.own || is_former_life(self.own, holder))
-    }
-
     fn held_before(&self, copy: &ObserverCopy) -> bool {
         copy.record.as_ref().is_some_and(|record| is_former_life(self.own, record.holder))
     }
@@ -423,15 +428,9 @@
         // Called functions first; the rest in this node's own rendezvous order, so that nodes
         // begin at different functions.
         let mut candidates: Vec<(bool, u64, String)> = Vec::new();
-        for function in &self.functions {
-            let Some(copy) = self.copies.get(function) else { continue };
-            let is_held = copy
-                .record
-                .as_ref()
-                .is_some_and(|record| now < copy.observed_at + lease_of(record) && !self.names_own(copy));
-            // The holder was this very machine's process before: it has surely ended, and its lease
-            // need not run out.
-            if is_held || self.terms.contains_key(function) || self.claims.contains_key(function) {
+        self.standing.look(&self.copies, now);
+        for function in self.standing.open() {
+            if self.terms.contains_key(function) || self.claims.contains_key(function) {
                 continue;
             }
             let is_called = self.called.contains(function);
--- a/packages/steward_election/src/tests.rs
+++ b/packages/steward_election/src/tests.rs
@@ -181,7 +181,7 @@
     node.take_functions(["f".to_owned()].into());
     let record = LeaderRecord { holder: 2, renew_count: 1, lease_micros: 3_000_000, steward_epoch: 4 };
     node.observe("f", 5, Some(record), Micros(0));
-    node.confirmed(["f"].into_iter(), Micros::from_secs(2));
+    node.confirmed(|function| function == "f", Micros::from_secs(2));
     assert!(node.holder("f", Micros::from_millis(2_999)).is_some());
     assert!(node.holder("f", Micros::from_secs(3)).is_none(), "confirmed as unchanged is not renewed");
     node.renewed("f", 5, Micros::from_millis(3_100));
--- a/packages/steward_work/src/allowance_split.rs
+++ b/packages/steward_work/src/allowance_split.rs
@@ -36,11 +36,14 @@
     floor: f64,
     ceiling: f64,
     children: Vec<&'a str>,
-    leaves: Vec<&'a str>,
+    /// Places in the list of functions that want something.
+    leaves: Vec<usize>,
 }
 
 /// Splits the totals over the tree: at each node the floors first, then by weight up to the demand
-/// (hierarchical max-min). Every node computes the same split from the same inputs.
+/// (hierarchical max-min). Every node computes the same split from the same inputs. Only functions that
+/// want something are gone through and named in the outcome: the cost follows the demands, not the
+/// configuration.
 ///
 /// Example: two siblings of weights 3 and 1 that both want all of 80 get 60 and 20.
 pub fn allowance_split(
@@ -48,38 +51,54 @@
     demands: &BTreeMap<String, Demand>,
     totals: Totals,
 ) -> BTreeMap<String, Share> {
+    let wanting: Vec<Leaf> = demands
+        .iter()
+        .filter_map(|(name, demand)| {
+            let function = configuration.functions.get(name)?;
+            Some(Leaf { name, function, demand: *demand })
+        })
+        .collect();
     let memory = split_one(
         configuration,
         totals.memory_mb,
-        &|name| demands.get(name).map_or(0.0, |demand| demand.memory_mb),
+        &wanting,
+        &|leaf| leaf.demand.memory_mb,
         &|allowance| (allowance.memory_floor_mb, allowance.memory_ceiling_mb),
         &|function| function.cell_memory_mb as f64,
     );
     let starts = split_one(
         configuration,
         totals.starts,
-        &|name| demands.get(name).map_or(0.0, |demand| demand.starts),
+        &wanting,
+        &|leaf| leaf.demand.starts,
         &|allowance| (allowance.starts_floor_per_second, allowance.starts_ceiling_per_second),
         &|_| 0.0,
     );
-    memory
-        .into_iter()
-        .map(|(name, memory_mb)| {
-            let share = Share { memory_mb, starts: starts.get(&name).copied().unwrap_or(0.0) };
-            (name, share)
-        })
+    wanting
+        .iter()
+        .zip(memory.into_iter().zip(starts))
+        .map(|(leaf, (memory_mb, starts))| (leaf.name.to_owned(), Share { memory_mb, starts }))
         .collect()
 }
 
 type Bounds = (Option<f64>, Option<f64>);
 
+/// A function that wants something.
+struct Leaf<'a> {
+    name: &'a str,
+    function: &'a Function,
+    demand: Demand,
+}
+
+/// The grants of one total, in the order of the leaves.
 fn split_one(
     configuration: &Configuration,
     total: f64,
-    demand_of: &dyn Fn(&str) -> f64,
+    wanting: &[Leaf],
+    demand_of: &dyn Fn(&Leaf) -> f64,
     bounds_of: &dyn Fn(&Allowance) -> Bounds,
     unit_of: &dyn Fn(&Function) -> f64,
-) -> BTreeMap<String, f64> {
+) -> Vec<f64> {
     let mut nodes: BTreeMap<&str, TreeNode> = BTreeMap::new();
     let mut roots = Vec::new();
     for (name, allowance) in &configuration.allowances {
@@ -93,25 +112,26 @@
             None => roots.push(name.as_str()),
         }
     }
-    for (name, function) in &configuration.functions {
-        nodes.entry(&function.allowance).or_default().leaves.push(name);
+    for (place, leaf) in wanting.iter().enumerate() {
+        nodes.entry(&leaf.function.allowance).or_default().leaves.push(place);
     }
+    let leaves = Leaves { wanting, demand_of, unit_of };
     for root in &roots {
-        sum_demand(&mut nodes, root, demand_of);
+        sum_demand(&mut nodes, root, &leaves);
     }
-    let mut shares = BTreeMap::new();
+    let mut grants = vec![0.0; wanting.len()];
     let root_grants = fill(total, roots.iter().map(|root| claim_of(&nodes[root])).collect());
     for (root, granted) in roots.iter().zip(root_grants) {
-        hand_down(configuration, &nodes, root, granted, &Leaves { demand_of, unit_of }, &mut shares);
+        hand_down(&nodes, root, granted, &leaves, &mut grants);
     }
-    shares
+    grants
 }
 
-fn sum_demand(nodes: &mut BTreeMap<&str, TreeNode>, name: &str, demand_of: &dyn Fn(&str) -> f64) -> f64 {
+fn sum_demand(nodes: &mut BTreeMap<&str, TreeNode>, name: &str, leaves: &Leaves) -> f64 {
     let Some(node) = nodes.get(name) else { return 0.0 };
     let (children, ceiling) = (node.children.clone(), node.ceiling);
-    let leaf_demand: f64 = node.leaves.iter().map(|leaf| demand_of(leaf)).sum();
-    let child_demand: f64 = children.iter().map(|child| sum_demand(nodes, child, demand_of)).sum();
+    let leaf_demand: f64 = node.leaves.iter().map(|place| leaves.demand(*place)).sum();
+    let child_demand: f64 = children.iter().map(|child| sum_demand(nodes, child, leaves)).sum();
     let demand = (leaf_demand + child_demand).min(ceiling);
     if let Some(node) = nodes.get_mut(name) {
         node.demand = demand;
@@ -130,67 +150,79 @@
 }
 
 fn hand_down(
-    configuration: &Configuration,
     nodes: &BTreeMap<&str, TreeNode>,
     name: &str,
     granted: f64,
     leaves: &Leaves,
-    shares: &mut BTreeMap<String, f64>,
+    grants: &mut [f64],
 ) {
     let node = &nodes[name];
-    let leaf_claims = node.leaves.iter().map(|leaf| Claim {
-        demand: (leaves.demand_of)(leaf),
-        weight: configuration.functions.get(*leaf).map_or(1.0, |function| function.weight),
+    let leaf_claims = node.leaves.iter().map(|place| Claim {
+        demand: leaves.demand(*place),
+        weight: leaves.wanting[*place].function.weight,
         floor: 0.0,
     });
     let claims: Vec<Claim> =
         node.children.iter().map(|child| claim_of(&nodes[child])).chain(leaf_claims).collect();
-    let grants = fill(granted, claims);
-    for (child, grant) in node.children.iter().zip(&grants) {
-        hand_down(configuration, nodes, child, *grant, leaves, shares);
+    let filled = fill(granted, claims);
+    for (child, grant) in node.children.iter().zip(&filled) {
+        hand_down(nodes, child, *grant, leaves, grants);
+    }
+    let mut leaf_grants: Vec<(usize, f64)> =
+        node.leaves.iter().copied().zip(filled[node.children.len()..].iter().copied()).collect();
+    fill_up_cells(&mut leaf_grants, leaves);
+    for (place, grant) in leaf_grants {
+        grants[place] = grant;
     }
-    let mut leaf_grants: Vec<(&str, f64)> =
-        node.leaves.iter().copied().zip(grants[node.children.len()..].iter().copied()).collect();
-    fill_up_cells(configuration, &mut leaf_grants, leaves);
-    shares.extend(leaf_grants.into_iter().map(|(leaf, grant)| (leaf.to_owned(), grant)));
 }
 
 /// Of what functions beside each other cannot use, since it is no whole cell, those that miss least
 /// for one cell more get one, as far as it goes.
-fn fill_up_cells(configuration: &Configuration, leaf_grants: &mut [(&str, f64)], leaves: &Leaves) {
-    let unit_of = |leaf: &str| configuration.functions.get(leaf).map_or(0.0, leaves.unit_of);
+fn fill_up_cells(leaf_grants: &mut [(usize, f64)], leaves: &Leaves) {
     let mut rest = 0.0;
-    for (leaf, grant) in leaf_grants.iter_mut() {
-        let unit = unit_of(leaf);
-        if unit > 0.0 && (leaves.demand_of)(leaf) > *grant {
+    for (place, grant) in leaf_grants.iter_mut() {
+        let unit = leaves.unit(*place);
+        if unit > 0.0 && leaves.demand(*place) > *grant {
             let whole = ((*grant + 0.001) / unit).floor() * unit;
             rest += (*grant - whole).max(0.0);
             *grant = whole.min(*grant);
         }
     }
-    let mut missing: Vec<usize> = (0..leaf_grants.len())
-        .filter(|place| {
-            let (leaf, grant) = leaf_grants[*place];
-            unit_of(leaf) > 0.0 && (leaves.demand_of)(leaf) >= grant + unit_of(leaf)
+    let mut missing: Vec<&mut (usize, f64)> = leaf_grants
+        .iter_mut()
+        .filter(|(place, grant)| {
+            let unit = leaves.unit(*place);
+            unit > 0.0 && leaves.demand(*place) >= *grant + unit
         })
         .collect();
     // Every node draws the same order; by the hash no name is always the last.
-    missing.sort_by_key(|place| stable_hash(leaf_grants[*place].0.as_bytes()));
-    for place in missing {
-        let unit = unit_of(leaf_grants[place].0);
+    missing.sort_by_cached_key(|(place, _)| stable_hash(leaves.wanting[*place].name.as_bytes()));
+    for (place, grant) in missing {
+        let unit = leaves.unit(*place);
         if rest + 0.001 >= unit {
             rest -= unit;
-            leaf_grants[place].1 += unit;
+            *grant += unit;
         }
     }
 }
 
 /// What is asked of the functions: their demand, and the size of one cell, zero for what is divisible.
 struct Leaves<'a> {
-    demand_of: &'a dyn Fn(&str) -> f64,
+    wanting: &'a [Leaf<'a>],
+    demand_of: &'a dyn Fn(&Leaf) -> f64,
     unit_of: &'a dyn Fn(&Function) -> f64,
 }
 
+impl Leaves<'_> {
+    fn demand(&self, place: usize) -> f64 {
+        (self.demand_of)(&self.wanting[place])
+    }
+
+    fn unit(&self, place: usize) -> f64 {
+        (self.unit_of)(self.wanting[place].function)
+    }
+}
+
 /// Max-min by weight: floors first, then water rises until demands or the total are met.
 fn fill(total: f64, claims: Vec<Claim>) -> Vec<f64> {
     let floor_of = |claim: &Claim| claim.floor.min(claim.demand);
--- a/packages/steward_work/src/cell_demand.rs
+++ b/packages/steward_work/src/cell_demand.rs
@@ -38,7 +38,7 @@
 /// long as the late calls they save cost more than their memory. Without calls a function keeps its
 /// last cell only where its next call, met cold, would cost more than the memory until then.
 ///
-/// Example: `demand.note(now, 3, 1); demand.wanted(&shape, latency, now)`.
+/// Example: `demand.note(now, 3.0); demand.wanted(&shape, latency, now)`.
 #[derive(Debug)]
 pub struct CellDemand {
     began_at: Micros,
@@ -91,9 +91,8 @@
         self.first_call_at.get_or_insert(now);
     }
 
-    /// Notes the calls under way. Example: `demand.note(now, 3)` each 40 ms.
-    pub fn note(&mut self, now: Micros, calls: u32) {
-        let calls = f64::from(calls);
+    /// Notes the slots that calls take now. Example: `demand.note(now, 3.0)` each 40 ms.
+    pub fn note(&mut self, now: Micros, calls: f64) {
         let (fast, slow) = (self.share_of(now, FAST), self.share_of(now, SLOW));
         self.load_fast += (calls - self.load_fast) * fast;
         self.load_slow += (calls - self.load_slow) * slow;
--- a/packages/steward_work/src/cell_demand/tests.rs
+++ b/packages/steward_work/src/cell_demand/tests.rs
@@ -38,7 +38,7 @@
             credit -= 1.0;
             demand.called(now);
         }
-        demand.note(now, (rate * 0.07).round() as u32);
+        demand.note(now, (rate * 0.07).round());
         cells = kept(demand, shape, now);
     }
     cells
@@ -71,7 +71,7 @@
     assert_eq!(run(&mut demand, 40.0, 21_000, 45_000, &busy()), 1);
     let mut once = CellDemand::new(Micros(0));
     once.called(Micros(0));
-    once.note(Micros(0), 1);
+    once.note(Micros(0), 1.0);
     assert_eq!(kept(&mut once, &rare(), Micros::from_millis(40)), 0);
     let mut often = CellDemand::new(Micros(0));
     assert_eq!(run(&mut often, 2.0, 0, 20_000, &rare()), 1);
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -148,6 +148,8 @@
     pub target_left: Option<Micros>,
     /// Zero goes first.
     pub rank: u8,
+    /// A call under way made it: a slot stays taken until it is answered.
+    pub is_nested: bool,
 }
 
 /// Which of the calls that wait goes first. Example: `Urgency::default()` where no lane says anything.
@@ -157,11 +159,13 @@
     pub late_at: Micros,
     /// Zero goes first.
     pub rank: u8,
+    /// A call under way made it: a slot stays taken until it is answered, so it goes before all others.
+    pub is_nested: bool,
 }
 
 impl Default for Urgency {
     fn default() -> Urgency {
-        Urgency { late_at: Micros(u64::MAX), rank: 0 }
+        Urgency { late_at: Micros(u64::MAX), rank: 0, is_nested: false }
     }
 }
 
@@ -339,20 +343,22 @@
     /// Example: nine calls on cells of four want three.
     pub fn wanted_cells(&self) -> u32 {
         let calls_at_once = self.settings.calls_at_once;
-        let waiting_cells = if self.knows_latency || self.settings.idle.is_none() {
-            // A start is worth it where calls would wait for a quarter of a boot: short calls that
-            // come together are through a few cells before more of them run.
-            let turns = self.learnt_boot.0 / 4 / self.usual_latency.0.max(1);
-            let calls_each = u64::from(calls_at_once) * (1 + turns);
-            u64::from(self.needed_calls()).div_ceil(calls_each) as u32
-        } else {
-            self.needed_calls().div_ceil(calls_at_once)
-        };
+        // A start is worth it where calls would wait for a quarter of a boot: short calls that come
+        // together are through a few cells before more of them run.
+        let waiting_cells = self.cells_to_serve_within(Micros(self.learnt_boot.0 / 4));
         let open_cells = (self.open.len() as u32).div_ceil(calls_at_once);
         let needed_cells = waiting_cells.max(open_cells).max(self.worth.0);
         needed_cells.max(self.settings.least_cells).min(self.settings.most_cells)
     }
 
+    /// Cells that are through with all calls of now within a time, by what calls usually take.
+    fn cells_to_serve_within(&self, span: Micros) -> u32 {
+        let is_latency_known = self.knows_latency || self.settings.idle.is_none();
+        let turns = if is_latency_known { span.0 / self.usual_latency.0.max(1) } else { 0 };
+        let calls_each = u64::from(self.settings.calls_at_once) * (1 + turns);
+        u64::from(self.needed_calls()).div_ceil(calls_each) as u32
+    }
+
     /// Cells to claim memory for: what is wanted now or was in the last idle span.
     /// Example: `work.demanded_cells() >= work.wanted_cells()`.
     pub fn demanded_cells(&self) -> u32 {
@@ -469,7 +475,10 @@
             self.hold_back(asker, ask, HeldBackAs::Refused, EXTRAS_USED_UP, Micros::from_secs(1));
             return;
         }
-        if self.waitlist.len() >= self.settings.waitlist || self.open.len() >= OPEN_LIMIT {
+        // A nested call that is turned away fails its caller, which has run for nothing: such calls have as
+        // many places again.
+        let places = self.settings.waitlist * if urgency.is_nested { 2 } else { 1 };
+        if self.waitlist.len() >= places || self.open.len() >= OPEN_LIMIT {
             let retry_after = self.usual_latency + Micros::from_secs(1);
             self.hold_back(asker, ask, HeldBackAs::Refused, "waitlist full", retry_after);
             return;
@@ -795,7 +804,7 @@
     /// one, by the cost model otherwise.
     fn note_load(&mut self, now: Micros) {
         let Some(idle) = self.settings.idle else {
-            self.demand.note(now, self.needed_calls());
+            self.demand.note(now, self.offered_load());
             let shape = CellShape {
                 memory_mb: self.settings.memory_mb.max(1) as f64,
                 boot: self.settings.boot,
@@ -814,6 +823,14 @@
         self.peak.0 = self.peak.0.max(self.needed_calls());
     }
 
+    /// Slots that the calls of now take: one for each that is under way, and for those that wait what it
+    /// takes to be through with them within the time of a boot. A call that waits is a short piece of work,
+    /// not a slot's worth of load: counted as such, a queue would start many times the cells it needs.
+    fn offered_load(&self) -> f64 {
+        let turns = (self.settings.boot.0 as f64 / self.usual_latency.0.max(1) as f64).max(1.0);
+        self.open.len() as f64 + self.waitlist.len() as f64 / turns
+    }
+
     /// When a booting cell is first tried: boots differ, and where the cost model counts the calls that
     /// are late a trial too early costs less than one too late.
     fn first_trial(&self) -> Micros {
@@ -857,13 +874,16 @@
     /// Whose turn it is: a new steward's extra dispatches let others pass until they are granted.
     fn next_place(&mut self, now: Micros) -> Option<usize> {
         let is_extra_held = self.extras.is_young(now) && !self.extras.may_spend(now);
-        // Who can still be answered in time goes before who cannot: in a crowd that is late already
-        // everybody else would be late as well. Then rank, then who came first.
+        // A call made by a running call goes first: its caller holds a slot meanwhile, and where such
+        // calls wait behind new ones the slots fill up with callers. Who can still be answered in time
+        // goes before who cannot: in a crowd that is late already everybody else would be late as well.
+        // Then rank, then who came first.
         let answered_at = now + self.usual_latency;
         let eligible = self.waitlist.iter().enumerate();
         let eligible = eligible.filter(|(_, waiting)| waiting.dispatches == 0 || !is_extra_held);
         let first = eligible.min_by_key(|(place, waiting)| {
-            (answered_at > waiting.urgency.late_at, waiting.urgency.rank, *place)
+            let urgency = &waiting.urgency;
+            (!urgency.is_nested, answered_at > urgency.late_at, urgency.rank, *place)
         });
         first.map(|(place, _)| place)
     }
@@ -966,12 +986,12 @@
     }
 
     /// A list that fills up turns calls away before the cells of one start after the other run: from an
-    /// eighth on, and for an eighth of a boot, each call that waits counts in full.
+    /// eighth on, and for an eighth of a boot, they are to be served within the time of such an eighth.
     fn pressed_cells(&self, now: Micros) -> u32 {
         let is_filling = self.waitlist.len() * 8 >= self.settings.waitlist.max(8);
         let patience = Micros(self.learnt_boot.0 / 8);
         let is_lasting = self.waiting_since.is_some_and(|since| now >= since + patience);
-        let needed_cells = self.needed_calls().div_ceil(self.settings.calls_at_once);
+        let needed_cells = self.cells_to_serve_within(patience);
         if is_filling && is_lasting { needed_cells.min(self.settings.most_cells) } else { 0 }
     }
 
@@ -982,7 +1002,10 @@
         let is_waiting = !self.waitlist.is_empty();
         self.waiting_since = is_waiting.then(|| self.waiting_since.unwrap_or(now));
         let patience = Micros(self.learnt_boot.0 / 4);
-        let is_behind = self.waiting_since.is_some_and(|since| now >= since + patience);
+        // While a cell boots the calls may be waiting for just that one.
+        let is_growing =
+            !self.starting.is_empty() || self.cells.values().any(|cell| cell.booted_from.is_some());
+        let is_behind = !is_growing && self.waiting_since.is_some_and(|since| now >= since + patience);
         let behind_cells = if is_behind { self.cell_count() + 1 } else { 0 };
         let pressed_cells = self.pressed_cells(now);
         let wanted = self
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -257,6 +257,7 @@
                 log::info!("configuration generation {generation} holds");
                 self.front.take_configuration(generation, &configuration);
             }
+            Act::CellHosts { hosts } => self.front.take_cell_hosts(hosts),
             Act::ChangeAnswered { request, outcome, .. } => {
                 if let Some(reply) = self.changes.remove(&request) {
                     let _ = reply.send(outcome);
