Links carry urgent frames first and drop stale ones; the gate weighs machines; costs are told

Cause: a frame waited without an age behind up to 1,023 others, own calls waited behind all peers' messages, each frame took two reads and a write of its own, and the gate gave a machine of 0.062 cores as many functions as one of 0.26.

Change: two queues a link (urgent, bulk), an age by kind past which frames are dropped unsent or unread, frames that wait are written together and read through a buffer, own calls before peers' messages. Members tell their processor share (setting processor_cores) and the gate goes by it; with equal machines it is the paper's. Messages, bytes, waits and processor time by kind are told in one log line each 5 s (level info).

--- /dev/null
+++ b/packages/colleague_messages/src/delivery.rs
@@ -0,0 +1,63 @@
+//! How a message is carried: which go before others on a link, and until when each is of use.
+
+use crate::Message;
+use std::time::Duration;
+
+/// The order in which a link carries what waits for it. Example: `message.priority() == Priority::Urgent`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Priority {
+    /// Leases, votes, tickets and probes: short, and somebody waits for them.
+    Urgent,
+    /// News, lists and whatever mends itself by being asked for again.
+    Bulk,
+}
+
+/// A probe's answer counts only within its interval; a poll is put again before that.
+const PROBE_SPAN: Duration = Duration::from_millis(1_000);
+/// Whoever asks for a ticket, a promise or a write asks again, or elsewhere, before that.
+const ANSWER_SPAN: Duration = Duration::from_millis(2_000);
+/// What nobody sends again, or what stays true however late it comes.
+const LASTING_SPAN: Duration = Duration::from_secs(10);
+
+impl Message {
+    /// Which messages go first where some wait. Example: `message.priority()`.
+    pub fn priority(&self) -> Priority {
+        match self {
+            Message::News { .. }
+            | Message::NewsDigest { .. }
+            | Message::NewsMarks { .. }
+            | Message::NewsAsk { .. }
+            | Message::NewsChanges { .. }
+            | Message::MembersTold { .. }
+            | Message::ListTold { .. }
+            | Message::DecisionsAnswer { .. } => Priority::Bulk,
+            _ => Priority::Urgent,
+        }
+    }
+
+    /// How long after it was made the message is of use. An older one is dropped, unsent or unread: its
+    /// sender has asked again by then, and the answer would only take time from those that are waited for.
+    /// Example: `message.useful_for() >= Duration::from_secs(1)`.
+    pub fn useful_for(&self) -> Duration {
+        match self {
+            Message::Probe { .. }
+            | Message::ProbeAnswer { .. }
+            | Message::ProbeFor { .. }
+            | Message::MembersDigest { .. }
+            | Message::NewsDigest { .. }
+            | Message::RecordsPoll { .. }
+            | Message::RecordsPolled { .. }
+            | Message::ListAsk { .. } => PROBE_SPAN,
+            Message::Promise { .. }
+            | Message::Promised { .. }
+            | Message::Store { .. }
+            | Message::Stored { .. }
+            | Message::Write { .. }
+            | Message::WriteAnswer { .. }
+            | Message::ReadConfirmed { .. }
+            | Message::TicketAsk { .. }
+            | Message::TicketHeldBack { .. } => ANSWER_SPAN,
+            _ => LASTING_SPAN,
+        }
+    }
+}
--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -3,9 +3,11 @@
 //!
 //! A foreign, damaged or oversized frame is an outcome ([`FrameError`]), never a panic.
 
+mod delivery;
 mod parts;
 
 use deku::prelude::*;
+pub use delivery::Priority;
 pub use parts::{Address, Bytes, List, Text};
 use std::borrow::Cow;
 
@@ -70,6 +72,8 @@
             disk_state: u8,
             /// 1 while the member is draining: it takes no new work.
             draining: u8,
+            /// Processor time that the member's machine has, in thousandths of a core.
+            processor: u32,
         }
         /// Who may write a key: compared by counter, then by owner.
         Epoch { counter: u64, owner: NodeId, }
--- a/packages/colleague_messages/src/tests.rs
+++ b/packages/colleague_messages/src/tests.rs
@@ -14,6 +14,7 @@
         disk: 5,
         disk_state: 2,
         draining: 0,
+        processor: 1_000,
     };
     Envelope {
         fleet: fleet_mark("blue"),
--- a/packages/colleague_probes/src/tests.rs
+++ b/packages/colleague_probes/src/tests.rs
@@ -12,6 +12,7 @@
         disk: 0,
         disk_state: 0,
         draining: 0,
+        processor: 1_000,
     }
 }
 
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -495,6 +495,7 @@
             acts_per_second: 80.0,
             link_rate: self.link_rate(number),
             extra_bound: ExtraBound::default(),
+            processor_millis: 1_000,
             election: self.settings.election.clone(),
             probes: ProbeSettings::default(),
             luck_seed: self.dice.u64(..),
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -56,6 +56,8 @@
     pub extra_bound: ExtraBound,
     /// Bytes a second that this machine's link carries, where that is known.
     pub link_rate: Option<f64>,
+    /// Processor time that this machine has, in thousandths of a core.
+    pub processor_millis: u32,
     /// The election's times.
     pub election: ElectionSettings,
     /// The probes' times.
--- a/packages/node_protocol/src/list_part/tests.rs
+++ b/packages/node_protocol/src/list_part/tests.rs
@@ -41,6 +41,7 @@
         replace_disk_after: Micros::from_secs(60),
         acts_per_second: 10.0,
         link_rate: None,
+        processor_millis: 1_000,
         election: ElectionSettings::default(),
         probes: ProbeSettings::default(),
         luck_seed: 1,
@@ -55,6 +56,7 @@
         disk: 5,
         disk_state: 1,
         draining: 0,
+        processor: 1_000,
     };
     heard(&mut node, Message::Probe { sequence: 1, target: 1, members: List(vec![two]) }, Micros(0));
     node
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -127,6 +127,7 @@
             disk: disk.as_ref().map_or(0, |(disk_id, _)| *disk_id),
             disk_state: u8::from(disk.is_some()),
             draining: 0,
+            processor: settings.processor_millis,
         };
         let luck_seed = settings.luck_seed;
         let mut node = Node {
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -59,6 +59,8 @@
 #[derive(Debug)]
 pub(crate) struct StewardPart {
     pub(crate) election: Election,
+    /// The members whose capacities the election knows.
+    weighed_members: Vec<NodeId>,
     works: BTreeMap<String, FunctionWork>,
     deputies: BTreeMap<String, DeputyWork>,
     next_deputy_ticket: u64,
@@ -107,6 +109,7 @@
     pub(crate) fn new(own: NodeId, settings: ElectionSettings, now: Micros) -> StewardPart {
         StewardPart {
             election: Election::new(own, settings),
+            weighed_members: Vec::new(),
             works: BTreeMap::new(),
             deputies: BTreeMap::new(),
             next_deputy_ticket: 0,
@@ -166,6 +169,7 @@
     pub(crate) fn tick_stewards(&mut self) {
         let now = self.now;
         let members = self.serving_members();
+        self.weigh_members(&members);
         self.stewards.most_nodes = self.stewards.most_nodes.max(self.member_count());
         let is_look_due = self.stewards.unsettled_poll.due(now);
         if is_look_due {
@@ -199,6 +203,17 @@
         }
     }
 
+    /// Tells the election what the members' machines can carry, when there are others than before.
+    fn weigh_members(&mut self, members: &[NodeId]) {
+        if self.stewards.weighed_members == members {
+            return;
+        }
+        self.stewards.weighed_members = members.to_vec();
+        let live = self.members.live();
+        let capacities = live.iter().map(|news| (news.node, news.processor)).collect();
+        self.stewards.election.take_capacities(capacities);
+    }
+
     /// The gate balances takings only; after machines come back the others still hold more than their
     /// share. So a node above the mean now and then gives one function that no call uses to the
     /// lightest node, as long as that has at least two fewer.
@@ -215,8 +230,17 @@
         let counts = self.stewards.election.tally(members, now);
         let own_count = self.stewards.election.own_count();
         let total: usize = counts.values().sum();
-        let Some((lightest, fewest)) = counts.iter().min_by_key(|(_, count)| **count) else { return };
-        if own_count * members.len() <= total || fewest + 2 > own_count {
+        let election = &self.stewards.election;
+        let filled = |node: NodeId, count: usize| count as f64 / election.capacity(node);
+        let lightest = counts.iter().min_by(|(left, left_count), (right, right_count)| {
+            filled(**left, **left_count).total_cmp(&filled(**right, **right_count))
+        });
+        let Some((lightest, fewest)) = lightest else { return };
+        let own = self.settings.node;
+        let is_above_mean = own_count as f64 > election.fair_share(own, members, total.saturating_sub(1));
+        // Giving one away must leave the other no fuller than this node is then.
+        let is_worth_it = own_count > 0 && filled(*lightest, fewest + 1) <= filled(own, own_count - 1);
+        if !is_above_mean || !is_worth_it {
             return;
         }
         let works = &self.stewards.works;
--- a/packages/node_protocol/src/vote_swaps/tests.rs
+++ b/packages/node_protocol/src/vote_swaps/tests.rs
@@ -14,6 +14,7 @@
         disk,
         disk_state,
         draining: 0,
+        processor: 1_000,
     }
 }
 
--- a/packages/scale_run/src/hollow_fleet.rs
+++ b/packages/scale_run/src/hollow_fleet.rs
@@ -203,6 +203,7 @@
             replace_disk_after: Micros::from_secs(600),
             acts_per_second: 80.0,
             link_rate: None,
+            processor_millis: 1_000,
             election: ElectionSettings::default(),
             probes: ProbeSettings::default(),
             luck_seed: self.dice.u64(..),
--- a/packages/steward_election/src/lib.rs
+++ b/packages/steward_election/src/lib.rs
@@ -4,7 +4,8 @@
 //! Kept: the leader record (holder, renew time, lease duration) claimed by a conditional write; the
 //! observer copy with the local time it was taken; candidacy after a whole lease without change by
 //! own observation; the gate `own <= (L_cluster + 1) / N`; renewal. Changed: the tally is folded
-//! from the leader records themselves, so tally and record can never part; a steward epoch rides in
+//! from the leader records themselves, so tally and record can never part; N is weighted by what the
+//! members' machines can carry, which is the paper's N where all are alike; a steward epoch rides in
 //! the record and fences; and after several polls with nobody holding, the next by (own count,
 //! rendezvous weight) claims without the gate.
 
@@ -119,6 +120,8 @@
     own: NodeId,
     settings: ElectionSettings,
     functions: BTreeSet<String>,
+    /// What machines can carry beside each other; one that is not named counts as [`USUAL_CAPACITY`].
+    capacities: BTreeMap<NodeId, u32>,
     copies: BTreeMap<String, ObserverCopy>,
     standing: Standing,
     claims: BTreeMap<String, Claim>,
@@ -135,6 +138,8 @@
     passed_gate_over: u64,
 }
 
+/// A whole core, in thousandths.
+const USUAL_CAPACITY: u32 = 1_000;
 /// Claims in flight at once for what this machine held before.
 const CLAIMS_BACK: usize = 64;
 /// An unanswered write is sent anew after this.
@@ -152,6 +157,7 @@
             own,
             settings,
             functions: BTreeSet::new(),
+            capacities: BTreeMap::new(),
             copies: BTreeMap::new(),
             standing: Standing::new(own),
             claims: BTreeMap::new(),
@@ -177,6 +183,24 @@
         self.standing.rebuild(&self.copies);
     }
 
+    /// What the members can carry beside each other: the gate weighs a node's count by its machine.
+    /// Example: `election.take_capacities([(7, 260), (9, 62)].into())`.
+    pub fn take_capacities(&mut self, capacities: BTreeMap<NodeId, u32>) {
+        self.capacities = capacities;
+    }
+
+    /// What a node can carry. Example: `election.capacity(7) == 260.0`.
+    pub fn capacity(&self, node: NodeId) -> f64 {
+        f64::from(self.capacities.get(&node).copied().unwrap_or(USUAL_CAPACITY).max(1))
+    }
+
+    /// The share of all leaders that a node should have at the most: the paper's `M`, by capacity.
+    /// Example: with equal machines `election.fair_share(7, &members, 29) == 30.0 / 3.0`.
+    pub fn fair_share(&self, node: NodeId, members: &[NodeId], cluster_count: usize) -> f64 {
+        let fleet: f64 = members.iter().map(|member| self.capacity(*member)).sum();
+        (cluster_count as f64 + 1.0) * self.capacity(node) / fleet.max(1.0)
+    }
+
     /// Takes a polled record; an unchanged one leaves the observer copy's time alone.
     /// Example: `election.observe("proof", 4, Some(record), now)`.
     pub fn observe(&mut self, function: &str, version: u64, record: Option<LeaderRecord>, now: Micros) {
@@ -455,7 +479,7 @@
             let own_count = counts.get(&self.own).copied().unwrap_or(0);
             let passes_gate = is_own_before
                 || !self.settings.gate
-                || own_count as f64 <= (cluster_count as f64 + 1.0) / members.len() as f64;
+                || own_count as f64 <= self.fair_share(self.own, members, cluster_count);
             looks += usize::from(!passes_gate);
             if looks > FALLBACK_LOOKS {
                 return;
@@ -505,7 +529,9 @@
         };
         let rank = |node: NodeId| {
             let count = counts.get(&node).copied().unwrap_or(0);
-            (count, u64::MAX - rendezvous_weight(function, node), node)
+            // In thousandths of a leader for each unit of capacity, so that ranks are whole numbers.
+            let filled = (count as f64 * 1_000.0 / self.capacity(node)) as u64;
+            (filled, u64::MAX - rendezvous_weight(function, node), node)
         };
         let own_rank = rank(self.own);
         members.iter().filter(|node| rank(**node) < own_rank).count() <= patience as usize
--- a/packages/vanelane/src/colleague_links.rs
+++ b/packages/vanelane/src/colleague_links.rs
@@ -2,16 +2,16 @@
 
 use crate::protocol_shell::ShellEvent;
 use clock_events::MonotonicClock;
-use colleague_messages::{Address, FRAME_HEAD, FrameError, decode_payload, frame_length};
+use colleague_messages::{Address, FRAME_HEAD, FrameError, Priority, decode_payload, frame_length};
 use error_stack::{Report, ResultExt};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use supervisor::ChildError;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc};
 
@@ -23,6 +23,10 @@
 const LINK_LIMIT: usize = 512;
 const IDLE_LINK: Duration = Duration::from_secs(60);
 const READ_STEP: usize = 64 * 1024;
+/// Short frames that came together are read in one go.
+const READ_BUFFER: usize = 4 * 1024;
+/// Frames that wait are written in one go, up to so many bytes.
+const WRITE_TOGETHER: usize = 32 * 1024;
 
 /// Frames dropped, by reason.
 #[derive(Debug, Default)]
@@ -32,11 +36,68 @@
     pub damaged: AtomicU64,
     pub other_fleet: AtomicU64,
     pub waitlist_full: AtomicU64,
+    /// Waited for longer than they are of use, unsent or unread.
+    pub stale: AtomicU64,
+}
+
+/// A frame on its way to a link.
+pub struct OutgoingFrame {
+    pub bytes: Vec<u8>,
+    pub priority: Priority,
+    /// It is dropped if it is still unsent then.
+    pub useful_until: Instant,
 }
 
 struct Link {
-    sender: mpsc::Sender<Vec<u8>>,
+    urgent: mpsc::Sender<OutgoingFrame>,
+    bulk: mpsc::Sender<OutgoingFrame>,
+    waiting_bytes: Arc<AtomicUsize>,
+}
+
+/// The receiving end of a link's two waiting lists.
+struct LinkQueue {
+    urgent: mpsc::Receiver<OutgoingFrame>,
+    bulk: mpsc::Receiver<OutgoingFrame>,
     waiting_bytes: Arc<AtomicUsize>,
+    counts: Arc<FrameCounts>,
+}
+
+impl LinkQueue {
+    /// The next frame of use, urgent ones first; `None` once the link is given up or was idle for long.
+    async fn next(&mut self) -> Option<Vec<u8>> {
+        loop {
+            let receiving = async {
+                tokio::select! {
+                    biased;
+                    frame = self.urgent.recv() => frame,
+                    frame = self.bulk.recv() => frame,
+                }
+            };
+            let frame = tokio::time::timeout(IDLE_LINK, receiving).await.ok()??;
+            if let Some(bytes) = self.taken(frame) {
+                return Some(bytes);
+            }
+        }
+    }
+
+    /// A further frame that waits already.
+    fn waiting(&mut self) -> Option<Vec<u8>> {
+        loop {
+            let frame = self.urgent.try_recv().or_else(|_| self.bulk.try_recv()).ok()?;
+            if let Some(bytes) = self.taken(frame) {
+                return Some(bytes);
+            }
+        }
+    }
+
+    fn taken(&self, frame: OutgoingFrame) -> Option<Vec<u8>> {
+        self.waiting_bytes.fetch_sub(frame.bytes.len(), Ordering::Relaxed);
+        if Instant::now() > frame.useful_until {
+            self.counts.stale.fetch_add(1, Ordering::Relaxed);
+            return None;
+        }
+        Some(frame.bytes)
+    }
 }
 
 /// The outgoing connections.
@@ -50,22 +111,43 @@
         ColleagueLinks { links: HashMap::new(), counts }
     }
 
+    /// A message was read so late that it was dropped.
+    pub fn count_stale(&self) {
+        self.counts.stale.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Puts a frame on the way, or drops it when the link is overfull.
-    pub fn send(&mut self, address: Address, frame: Vec<u8>) {
-        self.links.retain(|_, link| !link.sender.is_closed());
+    pub fn send(&mut self, address: Address, frame: OutgoingFrame) {
+        if self.links.get(&address).is_some_and(|link| link.urgent.is_closed()) {
+            self.links.remove(&address);
+        }
+        if self.links.len() >= LINK_LIMIT {
+            self.links.retain(|_, link| !link.urgent.is_closed());
+        }
         if !self.links.contains_key(&address) && self.links.len() >= LINK_LIMIT {
             self.counts.waitlist_full.fetch_add(1, Ordering::Relaxed);
             return;
         }
         let link = self.links.entry(address).or_insert_with(|| {
-            let (sender, receiver) = mpsc::channel(LINK_WAITLIST);
+            let (urgent, urgent_frames) = mpsc::channel(LINK_WAITLIST);
+            let (bulk, bulk_frames) = mpsc::channel(LINK_WAITLIST);
             let waiting_bytes = Arc::new(AtomicUsize::new(0));
-            actix_rt::spawn(carry(address.socket(), receiver, waiting_bytes.clone()));
-            Link { sender, waiting_bytes }
+            let queue = LinkQueue {
+                urgent: urgent_frames,
+                bulk: bulk_frames,
+                waiting_bytes: waiting_bytes.clone(),
+                counts: self.counts.clone(),
+            };
+            actix_rt::spawn(carry(address.socket(), queue));
+            Link { urgent, bulk, waiting_bytes }
         });
-        let frame_length = frame.len();
+        let frame_length = frame.bytes.len();
+        let sender = match frame.priority {
+            Priority::Urgent => &link.urgent,
+            Priority::Bulk => &link.bulk,
+        };
         if link.waiting_bytes.load(Ordering::Relaxed) + frame_length > LINK_BYTES
-            || link.sender.try_send(frame).is_err()
+            || sender.try_send(frame).is_err()
         {
             self.counts.waitlist_full.fetch_add(1, Ordering::Relaxed);
             return;
@@ -74,12 +156,14 @@
     }
 }
 
-async fn carry(address: SocketAddr, mut receiver: mpsc::Receiver<Vec<u8>>, waiting_bytes: Arc<AtomicUsize>) {
+async fn carry(address: SocketAddr, mut queue: LinkQueue) {
     let mut stream: Option<TcpStream> = None;
-    loop {
-        let Ok(received) = tokio::time::timeout(IDLE_LINK, receiver.recv()).await else { return };
-        let Some(frame) = received else { return };
-        waiting_bytes.fetch_sub(frame.len(), Ordering::Relaxed);
+    while let Some(mut frames) = queue.next().await {
+        while frames.len() < WRITE_TOGETHER
+            && let Some(frame) = queue.waiting()
+        {
+            frames.extend_from_slice(&frame);
+        }
         if stream.as_ref().is_some_and(is_closed) {
             stream = None;
         }
@@ -87,14 +171,12 @@
             stream = connect(address).await;
         }
         let Some(open) = &mut stream else {
-            // The frame is lost, and so are those that wait for an address that does not answer.
-            while let Ok(lost_frame) = receiver.try_recv() {
-                waiting_bytes.fetch_sub(lost_frame.len(), Ordering::Relaxed);
-            }
+            // The frames are lost, and so are those that wait for an address that does not answer.
+            while queue.waiting().is_some() {}
             tokio::time::sleep(RECONNECT_PAUSE).await;
             continue;
         };
-        let writing = tokio::time::timeout(WRITE_WITHIN, open.write_all(&frame));
+        let writing = tokio::time::timeout(WRITE_WITHIN, open.write_all(&frames));
         if !matches!(writing.await, Ok(Ok(()))) {
             stream = None;
         }
@@ -155,13 +237,9 @@
     ) || failure.raw_os_error().is_some_and(|code| code == 23 || code == 24)
 }
 
-async fn read_frames(
-    mut stream: TcpStream,
-    fleet: u64,
-    inbox: &mpsc::Sender<ShellEvent>,
-    counts: &FrameCounts,
-) {
+async fn read_frames(stream: TcpStream, fleet: u64, inbox: &mpsc::Sender<ShellEvent>, counts: &FrameCounts) {
     let clock = MonotonicClock::start();
+    let mut stream = BufReader::with_capacity(READ_BUFFER, stream);
     loop {
         let mut head = [0u8; FRAME_HEAD];
         if stream.read_exact(&mut head).await.is_err() {
@@ -170,24 +248,25 @@
         let frame = match frame_length(&head) {
             Ok(length) => read_payload(&mut stream, length).await,
             Err(failure) => {
-                drop_frame(failure, counts, &stream, clock);
+                drop_frame(failure, counts, stream.get_ref(), clock);
                 return;
             }
         };
         let Some(payload) = frame else { return };
         match decode_payload(&head, &payload) {
             Ok(envelope) if envelope.fleet == fleet => {
-                if inbox.try_send(ShellEvent::Heard(envelope)).is_err() {
+                let heard = ShellEvent::Heard { envelope, at: Instant::now() };
+                if inbox.try_send(heard).is_err() {
                     counts.waitlist_full.fetch_add(1, Ordering::Relaxed);
                 }
             }
             Ok(_) => {
                 counts.other_fleet.fetch_add(1, Ordering::Relaxed);
-                log::warn!("a node of another fleet speaks from {:?}", stream.peer_addr().ok());
+                log::warn!("a node of another fleet speaks from {:?}", stream.get_ref().peer_addr().ok());
                 return;
             }
             Err(failure) => {
-                drop_frame(failure, counts, &stream, clock);
+                drop_frame(failure, counts, stream.get_ref(), clock);
                 return;
             }
         }
@@ -195,7 +274,7 @@
 }
 
 /// Grows with what really comes, so that a lying length reserves nothing.
-async fn read_payload(stream: &mut TcpStream, length: usize) -> Option<Vec<u8>> {
+async fn read_payload(stream: &mut BufReader<TcpStream>, length: usize) -> Option<Vec<u8>> {
     let mut payload = Vec::with_capacity(length.min(READ_STEP));
     while payload.len() < length {
         let begun = payload.len();
--- /dev/null
+++ b/packages/vanelane/src/control_costs.rs
@@ -0,0 +1,99 @@
+//! What the control side costs this node: messages and bytes by kind, and processor time by what it was
+//! spent on, told in one log line every few seconds.
+
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Between two log lines.
+const TOLD_EACH: Duration = Duration::from_secs(5);
+
+/// Messages of one kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct MessageCost {
+    pub sent: u64,
+    pub sent_bytes: u64,
+    pub heard: u64,
+    /// How long those that were heard had waited to be handled, in all.
+    pub waited: Duration,
+    /// Dropped unread: they had waited for longer than they are of use.
+    pub stale: u64,
+}
+
+/// What was counted since the last line. Example: `costs.sent("Probe", 90)`.
+#[derive(Debug)]
+pub struct ControlCosts {
+    began_at: Instant,
+    messages: BTreeMap<&'static str, MessageCost>,
+    /// Time spent in the protocol, by the kind of event.
+    spent: BTreeMap<&'static str, Duration>,
+}
+
+impl ControlCosts {
+    /// Nothing counted yet. Example: `ControlCosts::new(Instant::now())`.
+    pub fn new(now: Instant) -> ControlCosts {
+        ControlCosts { began_at: now, messages: BTreeMap::new(), spent: BTreeMap::new() }
+    }
+
+    /// A frame of so many bytes was handed to a link. Example: `costs.sent("Probe", 90)`.
+    pub fn sent(&mut self, kind: &'static str, bytes: usize) {
+        let cost = self.messages.entry(kind).or_default();
+        cost.sent += 1;
+        cost.sent_bytes += bytes as u64;
+    }
+
+    /// A message was handled after it had waited so long. Example: `costs.heard("Probe", waited)`.
+    pub fn heard(&mut self, kind: &'static str, waited: Duration) {
+        let cost = self.messages.entry(kind).or_default();
+        cost.heard += 1;
+        cost.waited += waited;
+    }
+
+    /// A message was dropped unread. Example: `costs.stale("RecordsPoll")`.
+    pub fn stale(&mut self, kind: &'static str) {
+        self.messages.entry(kind).or_default().stale += 1;
+    }
+
+    /// Time was spent on an event. Example: `costs.spent("tick", begun.elapsed())`.
+    pub fn spent(&mut self, duty: &'static str, time: Duration) {
+        *self.spent.entry(duty).or_default() += time;
+    }
+
+    /// The line that is due, if one is; counting begins anew with it. Rates are a second's.
+    /// Example: `if let Some(line) = costs.due_line(Instant::now()) { log::info!("{line}") }`.
+    pub fn due_line(&mut self, now: Instant) -> Option<String> {
+        let span = now.saturating_duration_since(self.began_at);
+        if span < TOLD_EACH {
+            return None;
+        }
+        let seconds = span.as_secs_f64();
+        let rate = |count: u64| (count as f64 / seconds * 10.0).round() / 10.0;
+        let messages: BTreeMap<&str, serde_json::Value> = self
+            .messages
+            .iter()
+            .map(|(kind, cost)| {
+                let mean_wait = cost.waited.as_secs_f64() * 1e3 / cost.heard.max(1) as f64;
+                let line = json!({
+                    "sent": rate(cost.sent), "bytes": rate(cost.sent_bytes), "heard": rate(cost.heard),
+                    "waited_ms": mean_wait.round(), "stale": rate(cost.stale),
+                });
+                (*kind, line)
+            })
+            .collect();
+        let spent: BTreeMap<&str, f64> = self
+            .spent
+            .iter()
+            .map(|(duty, time)| (*duty, (time.as_secs_f64() * 1e4 / seconds).round() / 10.0))
+            .collect();
+        let bytes: u64 = self.messages.values().map(|cost| cost.sent_bytes).sum();
+        let line = json!({
+            "kind": "control_costs", "seconds": seconds, "bytes_a_second": rate(bytes),
+            "millis_a_second": spent, "messages_a_second": messages,
+        });
+        *self = ControlCosts::new(now);
+        Some(line.to_string())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/packages/vanelane/src/control_costs/tests.rs
@@ -0,0 +1,22 @@
+use super::*;
+
+#[test]
+fn a_line_is_due_each_five_seconds_and_tells_rates_of_that_time_alone() {
+    let begun = Instant::now();
+    let mut costs = ControlCosts::new(begun);
+    for _ in 0..10 {
+        costs.sent("Probe", 100);
+        costs.heard("Probe", Duration::from_millis(4));
+    }
+    costs.stale("RecordsPoll");
+    costs.spent("tick", Duration::from_millis(50));
+    assert_eq!(costs.due_line(begun + Duration::from_secs(4)), None);
+    let line = costs.due_line(begun + Duration::from_secs(5)).expect("a line");
+    let told: serde_json::Value = line.parse().expect("JSON");
+    assert_eq!(told["bytes_a_second"], 200.0);
+    assert_eq!(told["messages_a_second"]["Probe"]["heard"], 2.0);
+    assert_eq!(told["messages_a_second"]["Probe"]["waited_ms"], 4.0);
+    assert_eq!(told["messages_a_second"]["RecordsPoll"]["stale"], 0.2);
+    assert_eq!(told["millis_a_second"]["tick"], 10.0);
+    assert!(costs.messages.is_empty(), "counting began anew");
+}
--- a/packages/vanelane/src/control_pages.rs
+++ b/packages/vanelane/src/control_pages.rs
@@ -269,6 +269,7 @@
             ("frames_damaged", &self.port.frames.damaged),
             ("frames_other_fleet", &self.port.frames.other_fleet),
             ("frames_waitlist_full", &self.port.frames.waitlist_full),
+            ("frames_stale", &self.port.frames.stale),
         ];
         for (name, count) in frames {
             line(name, count.load(Ordering::Relaxed));
--- a/packages/vanelane/src/lib.rs
+++ b/packages/vanelane/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod settings;
 
 mod colleague_links;
+mod control_costs;
 mod control_pages;
 mod disk_opening;
 mod disk_thread;
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -1,6 +1,7 @@
 //! The shell of the node's protocol: it carries events in and acts out, and decides nothing.
 
-use crate::colleague_links::ColleagueLinks;
+use crate::colleague_links::{ColleagueLinks, OutgoingFrame};
+use crate::control_costs::ControlCosts;
 use crate::disk_thread::{DiskThread, DiskWork};
 use clock_events::{Micros, MonotonicClock};
 use colleague_messages::{Address, DecisionLine, Envelope, NodeId};
@@ -13,7 +14,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use supervisor::ChildError;
 use tokio::sync::{mpsc, oneshot};
 
@@ -21,15 +22,38 @@
 
 /// What happens around the node.
 pub enum ShellEvent {
-    Heard(Envelope),
-    DiskDone { token: u64, is_synced: bool },
+    /// A peer's message, and when it was read from its connection.
+    Heard {
+        envelope: Envelope,
+        at: Instant,
+    },
+    DiskDone {
+        token: u64,
+        is_synced: bool,
+    },
     Protocol(Event),
-    Change { change: Change, reply: oneshot::Sender<ChangeOutcome> },
-    Decisions { after: Vec<(NodeId, u64)>, most: u32, reply: oneshot::Sender<DecisionsReply> },
-    Status { reply: oneshot::Sender<NodeStatus> },
-    ConfirmedConfiguration { reply: oneshot::Sender<ConfigurationAnswer> },
-    BetterPlace { bytes: Option<usize>, reply: oneshot::Sender<Option<Address>> },
-    PlatformMoved { address: std::net::SocketAddr },
+    Change {
+        change: Change,
+        reply: oneshot::Sender<ChangeOutcome>,
+    },
+    Decisions {
+        after: Vec<(NodeId, u64)>,
+        most: u32,
+        reply: oneshot::Sender<DecisionsReply>,
+    },
+    Status {
+        reply: oneshot::Sender<NodeStatus>,
+    },
+    ConfirmedConfiguration {
+        reply: oneshot::Sender<ConfigurationAnswer>,
+    },
+    BetterPlace {
+        bytes: Option<usize>,
+        reply: oneshot::Sender<Option<Address>>,
+    },
+    PlatformMoved {
+        address: std::net::SocketAddr,
+    },
     Drain,
 }
 
@@ -65,6 +89,7 @@
     pub confirmed: HashMap<u64, oneshot::Sender<ConfigurationAnswer>>,
     pub next_request: u64,
     pub logged_decision: u64,
+    pub costs: ControlCosts,
 }
 
 impl ProtocolShell {
@@ -87,15 +112,19 @@
                     ticked_at = now;
                     self.handle(Event::Tick);
                     self.log_decisions();
+                    if let Some(line) = self.costs.due_line(Instant::now()) {
+                        log::info!("{line}");
+                    }
                 }
-                event = inbox.recv() => match event {
-                    Some(event) => self.take(event),
-                    None => return Ok(()),
-                },
+                // Own calls are few, and each has somebody waiting: peers' messages do not keep them out.
                 link = front.recv() => match link {
                     Some(link) => self.take_front(link),
                     None => return Ok(()),
                 },
+                event = inbox.recv() => match event {
+                    Some(event) => self.take(event),
+                    None => return Ok(()),
+                },
             }
         }
     }
@@ -115,7 +144,16 @@
         self.next_request += 1;
         let request = self.next_request;
         match event {
-            ShellEvent::Heard(envelope) => self.handle(Event::Heard(envelope)),
+            ShellEvent::Heard { envelope, at } => {
+                let (name, waited) = (envelope.message.name(), at.elapsed());
+                if waited > envelope.message.useful_for() {
+                    self.links.count_stale();
+                    self.costs.stale(name);
+                    return;
+                }
+                self.costs.heard(name, waited);
+                self.handle(Event::Heard(envelope));
+            }
             ShellEvent::DiskDone { token, is_synced } => self.handle(Event::DiskDone { token, is_synced }),
             ShellEvent::Protocol(event) => self.handle(event),
             ShellEvent::Change { change, reply } => {
@@ -163,6 +201,13 @@
 
     /// Gives an event to the node and carries its acts out, until nothing is left.
     pub fn handle(&mut self, event: Event) {
+        let duty = duty_of(&event);
+        let begun = Instant::now();
+        self.carry_through(event);
+        self.costs.spent(duty, begun.elapsed());
+    }
+
+    fn carry_through(&mut self, event: Event) {
         let mut waiting = vec![event];
         while let Some(event) = waiting.pop() {
             for act in self.node.handle(event, self.clock.now()) {
@@ -176,6 +221,8 @@
         match act {
             Act::Send { address, to, message } => {
                 let name = message.name();
+                let priority = message.priority();
+                let useful_until = Instant::now() + message.useful_for();
                 let envelope = Envelope {
                     fleet: self.fleet,
                     from: self.own_node,
@@ -184,7 +231,10 @@
                     message,
                 };
                 match envelope.frame() {
-                    Some(frame) => self.links.send(address, frame),
+                    Some(bytes) => {
+                        self.costs.sent(name, bytes.len());
+                        self.links.send(address, OutgoingFrame { bytes, priority, useful_until });
+                    }
                     None => log::error!("a {name} message is over the frame limit and was dropped"),
                 }
             }
@@ -291,3 +341,21 @@
         });
     }
 }
+
+/// What processor time is counted under: the kind of event, or of message.
+fn duty_of(event: &Event) -> &'static str {
+    match event {
+        Event::Tick => "tick",
+        Event::Heard(envelope) => envelope.message.name(),
+        Event::CallAsks { .. } | Event::CallEnds { .. } | Event::TicketDone { .. } => "own calls",
+        Event::DiskDone { .. } | Event::DiskUnsynced | Event::DiskUnusable { .. } | Event::DiskSetAside => {
+            "disk"
+        }
+        Event::Listed { .. } | Event::ListFailed => "list",
+        Event::StartDone { .. } | Event::StopDone { .. } => "starts and stops",
+        Event::ChangeAsked { .. } | Event::ConfigurationAsked { .. } | Event::DecisionsAsked { .. } => {
+            "operators"
+        }
+        Event::Drain | Event::SeedsChanged { .. } => "other",
+    }
+}
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -2,6 +2,7 @@
 
 use crate::colleague_links::{self, ColleagueLinks, FrameCounts};
 use crate::command_line::Run;
+use crate::control_costs::ControlCosts;
 use crate::control_pages::ControlPages;
 use crate::disk_opening;
 use crate::disk_thread::DiskThread;
@@ -201,6 +202,7 @@
         confirmed: HashMap::new(),
         next_request: 0,
         logged_decision: 0,
+        costs: ControlCosts::new(Instant::now()),
     };
     first_events.into_iter().for_each(|event| shell.handle(event));
 
@@ -329,6 +331,7 @@
             fixed: settings.extra_fixed,
             window: Micros::from_secs(settings.extra_window_seconds),
         },
+        processor_millis: settings.processor_millis,
         election: ElectionSettings {
             lease: Micros::from_millis(settings.lease_millis),
             poll: Micros::from_millis(settings.poll_millis),
--- a/packages/vanelane/src/settings.rs
+++ b/packages/vanelane/src/settings.rs
@@ -50,6 +50,7 @@
     memory_limit_bytes: u64,
     calls_limit: u64,
     link_megabits: f64,
+    processor_cores: f64,
     recording: PathBuf,
     recording_limit_bytes: u64,
     traces: PathBuf,
@@ -97,6 +98,8 @@
     pub calls_limit: usize,
     /// Megabits a second that this machine's link carries, where that is known.
     pub link_megabits: Option<f64>,
+    /// Thousandths of a core that this machine has: larger machines are stewards of more functions.
+    pub processor_millis: u32,
     pub recording: Option<PathBuf>,
     pub recording_limit_bytes: u64,
     pub traces: Option<PathBuf>,
@@ -260,6 +263,10 @@
     if let Some(link_megabits) = file.link_megabits.filter(|megabits| !(0.01..=1e6).contains(megabits)) {
         checker.reasons.push(("link_megabits", format!("{link_megabits} is not within 0.01 to 1000000")));
     }
+    let processor_cores = file.processor_cores.unwrap_or(1.0);
+    if !(0.001..=1_000.0).contains(&processor_cores) {
+        checker.reasons.push(("processor_cores", format!("{processor_cores} is not within 0.001 to 1000")));
+    }
     let costs = [
         ("start_cost", file.start_cost.unwrap_or(110.0)),
         ("late_call_cost", file.late_call_cost.unwrap_or(600.0)),
@@ -337,6 +344,7 @@
         ) as usize,
         calls_limit: checker.number("calls_limit", file.calls_limit, 1_000, 1, 1_000_000) as usize,
         link_megabits: file.link_megabits,
+        processor_millis: (processor_cores * 1_000.0) as u32,
         recording: file.recording,
         recording_limit_bytes: checker.number(
             "recording_limit_bytes",
