A function too large for its machine goes to a larger one; askers keep their cell

Cause: the gate counts functions. Each dispatch went to the emptiest cell, so nodes that send a call to a function now and then found no connection kept.

Change: a steward whose calls take over a third of its machine gives the function to a machine with twice the processor time, by rendezvous among those. A cell with at most one call more than the emptiest is taken again by the same asker.

--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -34,6 +34,15 @@
 const FRESH_LIST_AGE: Micros = Micros::from_millis(2_200);
 /// Between two functions that a node gives up for balance.
 const BALANCE_PAUSE: Micros = Micros::from_secs(2);
+/// Processor time that a steward spends on a call: the ask, the grant and the return, in thousandths of a
+/// core for one call a second (`local_fleet` takes 1.15 ms for a call's whole way).
+const CALL_COST: f64 = 0.2;
+/// A function that takes more than this part of the machine goes to a larger one, where there is one.
+const LARGE_PART: f64 = 0.33;
+/// A machine is larger where it has so many times the processor time.
+const LARGER: u32 = 2;
+/// Between two looks for functions that are too large for this machine.
+const LARGE_LOOK: Micros = Micros::from_millis(250);
 /// Until the first list is in, a new steward may not know of cells that run: it starts none.
 const ADOPTION_SPAN: Micros = Micros::from_millis(1_500);
 
@@ -97,6 +106,7 @@
     /// When the newest list was asked for, by whichever node asked.
     pub(crate) listed_at: Option<Micros>,
     balance_due: Micros,
+    large_look: ClockEvent,
     /// The strictest target of the lanes that lead to each function, in milliseconds.
     targets: BTreeMap<String, u64>,
     /// The most nodes ever known at once: deputies share their extra dispatches.
@@ -141,6 +151,7 @@
             is_list_stale: false,
             listed_at: None,
             balance_due: Micros(0),
+            large_look: ClockEvent::each(LARGE_LOOK),
             targets: BTreeMap::new(),
             most_nodes: 1,
             deputies_from: now,
@@ -185,6 +196,9 @@
         self.send_leader_writes(writes);
         self.take_term_changes();
         self.balance(&members, is_unsettled);
+        if self.stewards.large_look.due(now) {
+            self.give_large_functions();
+        }
         self.ask_list();
         if self.stewards.held_event.due(now) || self.stewards.is_held_ask_due {
             self.ask_held();
@@ -203,6 +217,33 @@
         }
     }
 
+    /// The gate counts functions, and one that is called very often may be more than a small machine can
+    /// carry, however few it holds: its lease would run out under the calls. It is given to a larger machine,
+    /// by rendezvous among those, so that several such functions spread. Where all machines are alike nothing
+    /// is given.
+    fn give_large_functions(&mut self) {
+        let now = self.now;
+        if self.draining_since.is_some() || !self.settings.election.gate {
+            return;
+        }
+        let own_processor = self.settings.processor_millis;
+        let most_rate = f64::from(own_processor) * LARGE_PART / CALL_COST;
+        let mut works = self.stewards.works.iter();
+        let Some(function) = works.find(|(_, work)| work.call_rate(now) > most_rate) else { return };
+        let (function, rate) = (function.0.clone(), function.1.call_rate(now));
+        let live = self.members.live().into_iter();
+        let larger = live
+            .filter(|news| news.draining == 0 && news.state == 0 && news.processor / LARGER >= own_processor);
+        let Some(larger) = Node::rendezvous_choice(&function, larger.map(|news| news.node)) else { return };
+        self.stewards.election.give_to(larger, &function);
+        self.journal.append(
+            "steward_given",
+            json!({"function": function, "to": format!("{larger:016x}"), "calls_per_second": rate.round()}),
+            now,
+        );
+        self.take_term_changes();
+    }
+
     /// Tells the election what the members' machines can carry, when there are others than before.
     fn weigh_members(&mut self, members: &[NodeId]) {
         if self.stewards.weighed_members == members {
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -195,6 +195,8 @@
     waitlist: VecDeque<WaitingAsk>,
     open: BTreeMap<u64, OpenTicket>,
     by_ask: BTreeMap<(NodeId, u64), u64>,
+    /// The cell that each asker was sent to last: it may have a connection there still.
+    last_cells: BTreeMap<NodeId, String>,
     starting: BTreeMap<String, Micros>,
     allowed_cells: u32,
     next_ticket: u64,
@@ -256,6 +258,10 @@
 /// A colleague that is back tells its tickets within a message's way; it is not waited for longer.
 const BACK_PATIENCE: Micros = Micros::from_secs(1);
 const OPEN_LIMIT: usize = 20_000;
+/// So many calls more than the emptiest cell may the asker's last one have to be taken again.
+const LAST_CELL_MORE: u32 = 1;
+/// Askers whose last cell is remembered.
+const LAST_CELLS_LIMIT: usize = 8_192;
 /// Extra dispatches that wait for a new steward's part to open: it does so by one each 0.6 s.
 const EXTRAS_WAITING_MOST: usize = 4;
 const EXTRAS_USED_UP: &str = "extra dispatches used up";
@@ -285,6 +291,7 @@
             waitlist: VecDeque::new(),
             open: BTreeMap::new(),
             by_ask: BTreeMap::new(),
+            last_cells: BTreeMap::new(),
             starting: BTreeMap::new(),
             allowed_cells: 1,
             next_ticket: 0,
@@ -394,6 +401,11 @@
         self.waitlist.len()
     }
 
+    /// Calls a second that are asked for here, each counted once. Example: `work.call_rate(now)`.
+    pub fn call_rate(&self, now: Micros) -> f64 {
+        self.demand.rate(now)
+    }
+
     /// Tickets that are out. Example: `work.open_count()`.
     pub fn open_count(&self) -> usize {
         self.open.len()
@@ -797,6 +809,9 @@
         // An asker that went silent is gone; one whose time is over refuses its call itself.
         self.waitlist.retain(|waiting| now < waiting.ends_at && now < waiting.seen_at + ASK_FORGOTTEN);
         self.starting.retain(|_, sent_at| now < *sent_at + START_FORGOTTEN);
+        if self.last_cells.len() > LAST_CELLS_LIMIT {
+            self.last_cells.clear();
+        }
         self.note_load(now);
     }
 
@@ -863,12 +878,15 @@
         }
     }
 
-    fn pick_cell(&self, avoid: &str, now: Micros) -> Option<String> {
-        self.cells
-            .iter()
-            .filter_map(|(id, cell)| Some((id == avoid, self.room(cell, now)?, id)))
-            .min()
-            .map(|(_, _, id)| id.clone())
+    /// The cell with the fewest calls, or the one that the asker used last where that has hardly more: it
+    /// spares a connection, and the calls stay spread.
+    fn pick_cell(&self, asker: NodeId, avoid: &str, now: Micros) -> Option<String> {
+        let rooms = self.cells.iter().filter_map(|(id, cell)| Some((id == avoid, self.room(cell, now)?, id)));
+        let (is_avoided, fewest, emptiest) = rooms.min()?;
+        let last = self.last_cells.get(&asker).filter(|last| last.as_str() != avoid && !is_avoided);
+        let last_room = last.and_then(|last| self.room(self.cells.get(last)?, now));
+        let is_last_good = last_room.is_some_and(|calls| calls <= fewest.saturating_add(LAST_CELL_MORE));
+        last.filter(|_| is_last_good).or(Some(emptiest)).cloned()
     }
 
     /// Whose turn it is: a new steward's extra dispatches let others pass until they are granted.
@@ -906,7 +924,7 @@
             if is_held || now < self.paused_until {
                 return;
             }
-            let Some(picked_id) = self.pick_cell(&waiting.avoid, now) else { return };
+            let Some(picked_id) = self.pick_cell(waiting.asker, &waiting.avoid, now) else { return };
             let Some(waiting) = self.waitlist.remove(place) else { return };
             if waiting.dispatches > 0 && !self.spend_extra(now) {
                 let retry_after = Micros::from_secs(1);
@@ -933,6 +951,7 @@
                 address,
             };
             self.by_ask.insert((waiting.asker, waiting.ask), ticket_id);
+            self.last_cells.insert(waiting.asker, picked_id.clone());
             let open_ticket = OpenTicket {
                 cell: picked_id,
                 asker: waiting.asker,
