Only leader records are refused to askers; a voter without a vote says so

A voter that does not yet know that it votes left questions unanswered, and its askers waited.

Change: the rule holds for writes and polls of leader records, which is where every node asks all the time; the voter goes by its own doubts, as any asker. A node that owns no keys answers so, and is passed over at once.

--- a/packages/control_registers/src/lib.rs
+++ b/packages/control_registers/src/lib.rs
@@ -64,5 +64,10 @@
     format!("steward/{function}")
 }
 
+/// Whether a key is that of a leader record. Example: `is_leader_key("steward/proof")`.
+pub fn is_leader_key(key: &str) -> bool {
+    key.starts_with("steward/")
+}
+
 #[cfg(test)]
 mod tests;
--- a/packages/node_protocol/src/call_part.rs
+++ b/packages/node_protocol/src/call_part.rs
@@ -62,11 +62,6 @@
         self.silent_since.remove(&node);
     }
 
-    /// Whether a node was heard within this time. One that was never heard has just come.
-    pub(crate) fn is_heard_within(&self, node: NodeId, span: Micros, now: Micros) -> bool {
-        self.heard_at.get(&node).is_none_or(|heard_at| now < *heard_at + span)
-    }
-
     /// Whether a node was heard since then.
     pub(crate) fn is_heard_since(&self, node: NodeId, since: Micros) -> bool {
         self.heard_at.get(&node).is_some_and(|heard_at| *heard_at > since)
--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -22,6 +22,7 @@
 use colleague_messages::{Message, NodeId};
 use control_registers::{ChosenSet, DiskRegisters, KeyOwner, SetCopy, VoterSet};
 use disk::Disk;
+use owner_answers::OWNS_NO_KEYS;
 use record_polls::PollGroups;
 use requests::WriteFlight;
 use std::collections::BTreeMap;
@@ -115,6 +116,7 @@
             Message::KeysTold { fleet_set, disk, keys } => self.keys_told(disk, fleet_set, keys),
             Message::RecordsPoll { mark, since, keys } => self.records_asked(from, mark, since, &keys),
             Message::RecordsPolled { mark, known: 0, .. } => self.poll_unknown(from, mark),
+            Message::RecordsPolled { known: OWNS_NO_KEYS, .. } => self.poll_refused(from),
             Message::RecordsPolled { mark, change, records, renewed, .. } => {
                 self.records_polled(from, (mark, change), records.0, &renewed.0);
             }
--- a/packages/node_protocol/src/control_part/key_owners.rs
+++ b/packages/node_protocol/src/control_part/key_owners.rs
@@ -2,16 +2,13 @@
 
 use super::DISK_VOTING;
 use crate::node::Node;
-use clock_events::Micros;
 use colleague_messages::{Address, List, MemberNews, Message, NodeId};
-use control_registers::CONFIGURATION_KEY;
+use control_registers::{CONFIGURATION_KEY, is_leader_key};
 use std::collections::BTreeSet;
 
 /// An operator gives a node up after about a second; with a quarter of it spent on the wire enough is
 /// left for everything else.
 const WIRE_SECONDS: f64 = 0.25;
-/// Voters hear each other several times a second: one that was not heard for so long owns nothing.
-const VOTER_SILENT: Micros = Micros::from_millis(1_000);
 
 impl Node {
     /// Live members whose disks vote now.
@@ -41,25 +38,15 @@
         }
     }
 
-    /// The nodes that own keys by this voter's own view: itself, and the voters that it hears. Who asks and is
-    /// not answered in time goes to another voter, but does not make that one an owner: two that each serve a
-    /// part of the askers would take the keys from each other with every question, and the more of it the
-    /// slower both are.
-    pub(super) fn own_choices(&self) -> Vec<NodeId> {
-        let own = self.settings.node;
-        let is_sound = |news: &MemberNews| {
-            news.node == own
-                || (news.draining == 0
-                    && news.state == 0
-                    && self.calls.is_heard_within(news.node, VOTER_SILENT, self.now))
-        };
-        self.voting_members().iter().filter(|news| is_sound(news)).map(|news| news.node).collect()
-    }
-
-    /// Whether this voter has a key or is the one to have it.
+    /// Whether this voter has a key, or is the one to have it by its own view. Of leader records, which every
+    /// node asks for all the time, that is the rendezvous choice: a voter asks the other owners
+    /// as every node does, and finds out by itself which of them are silent. Who asks and is not answered in
+    /// time goes to another voter, but does not make that one an owner: two that each serve a part of the
+    /// askers would take the keys from each other with every question, and the more of it the slower both are.
     pub(super) fn is_to_own(&self, key: &str) -> bool {
-        self.control.owner.has(key)
-            || Node::rendezvous_choice(key, self.own_choices().into_iter()) == Some(self.settings.node)
+        !is_leader_key(key)
+            || self.control.owner.has(key)
+            || Node::rendezvous_choice(key, self.owner_choices().into_iter()) == Some(self.settings.node)
     }
 
     /// Asks every voter for a direct answer: what relays and other members tell of it proves no way there.
--- a/packages/node_protocol/src/control_part/owner_answers.rs
+++ b/packages/node_protocol/src/control_part/owner_answers.rs
@@ -7,17 +7,19 @@
 use control_registers::{CONFIGURATION_KEY, NOT_OWNER, OwnerAct, WRITTEN};
 use std::collections::BTreeMap;
 
+/// In a poll's answer: the asked node does not know the mark, and wants the keys.
+const UNKNOWN_MARK: u8 = 0;
+/// In a poll's answer: the asked node has no vote that it knows of, and owns nothing.
+pub(super) const OWNS_NO_KEYS: u8 = 2;
 /// Values up to this size are sent with every answer.
 const SMALL_VALUE: usize = 16 * 1024;
 
 impl Node {
     pub(super) fn writes_asked(&mut self, from: NodeId, entries: List<WriteEntry>) {
-        if !self.owns_keys() {
-            return;
-        }
+        let owns_keys = self.owns_keys();
         let mut refused = Vec::new();
         for entry in entries.0 {
-            match self.is_to_own(&entry.key.0) {
+            match owns_keys && self.is_to_own(&entry.key.0) {
                 true => self.control.owner.write(from, entry, self.now),
                 false => refused.push(not_owner(entry.ask, entry.key)),
             }
@@ -28,20 +30,17 @@
     }
 
     pub(super) fn read_asked(&mut self, from: NodeId, ask: u64, key: Text, digest: u64) {
-        if !self.owns_keys() {
-            return;
-        }
-        match self.is_to_own(&key.0) {
-            true => self.control.owner.confirm(from, ask, key, digest, self.now),
-            false => self.send(from, Message::WriteAnswer { outcomes: List(vec![not_owner(ask, key)]) }),
+        if self.owns_keys() {
+            self.control.owner.confirm(from, ask, key, digest, self.now);
         }
     }
 
     pub(super) fn records_asked(&mut self, from: NodeId, mark: u64, since: u64, keys: &List<Text>) {
         if !self.owns_keys() {
+            self.send(from, no_records(mark, OWNS_NO_KEYS));
             return;
         }
-        let choices = self.own_choices();
+        let choices = self.owner_choices();
         let own = self.settings.node;
         let is_to_own = |key: &str| Node::rendezvous_choice(key, choices.iter().copied()) == Some(own);
         let answer = match self.control.owner.poll(mark, since, &keys.0, is_to_own, self.now) {
@@ -52,13 +51,7 @@
                 records: List(answer.records),
                 renewed: List(answer.renewed),
             },
-            None => Message::RecordsPolled {
-                mark,
-                known: 0,
-                change: 0,
-                records: List(Vec::new()),
-                renewed: List(Vec::new()),
-            },
+            None => no_records(mark, UNKNOWN_MARK),
         };
         self.send(from, answer);
     }
@@ -108,6 +101,10 @@
     }
 }
 
+fn no_records(mark: u64, known: u8) -> Message {
+    Message::RecordsPolled { mark, known, change: 0, records: List(Vec::new()), renewed: List(Vec::new()) }
+}
+
 fn not_owner(ask: u64, key: Text) -> WriteOutcome {
     WriteOutcome { ask, key, outcome: NOT_OWNER, version: 0, value: Bytes::default() }
 }
--- a/packages/node_protocol/src/control_part/record_polls.rs
+++ b/packages/node_protocol/src/control_part/record_polls.rs
@@ -99,6 +99,12 @@
         group.change = group.change.max(change);
     }
 
+    /// The asked node owns nothing: another voter is asked until it does.
+    pub(super) fn poll_refused(&mut self, from: NodeId) {
+        self.control.polls.remove(&from);
+        self.doubt_owner(from);
+    }
+
     /// The owner does not know the keys of a mark: they are listed.
     pub(super) fn poll_unknown(&mut self, from: NodeId, mark: u64) {
         self.control.polls.remove(&from);
--- a/packages/node_protocol/src/control_part/requests.rs
+++ b/packages/node_protocol/src/control_part/requests.rs
@@ -8,7 +8,7 @@
 use colleague_messages::{
     Bytes, LeaderRecord, List, Message, NodeId, PolledRecord, WriteEntry, WriteOutcome, value_digest,
 };
-use control_registers::{AS_KNOWN, CONFIGURATION_KEY, DIFFERS, UNKNOWN, WRITTEN, steward_key};
+use control_registers::{AS_KNOWN, CONFIGURATION_KEY, DIFFERS, NOT_OWNER, UNKNOWN, WRITTEN, steward_key};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// An operator that reads asks elsewhere after about a second.
@@ -136,7 +136,9 @@
     }
 
     pub(super) fn write_answered(&mut self, from: NodeId, outcome: WriteOutcome) {
-        self.control.doubted.remove(&from);
+        if outcome.outcome != NOT_OWNER {
+            self.control.doubted.remove(&from);
+        }
         let Some(flight) = self.control.flights.remove(&outcome.ask) else { return };
         let outcome = self.with_known_value(outcome, &flight);
         match flight.purpose {
@@ -256,11 +258,16 @@
             .map(|(owner, _)| owner)
             .collect();
         for owner in silent_owners {
-            self.control.doubted.insert(owner, now + OWNER_DOUBT);
+            self.doubt_owner(owner);
             self.control.polls.remove(&owner);
         }
     }
 
+    /// Another voter is asked for the keys of this one for a while.
+    pub(super) fn doubt_owner(&mut self, owner: NodeId) {
+        self.control.doubted.insert(owner, self.now + OWNER_DOUBT);
+    }
+
     fn flight_unanswered(&mut self, purpose: WritePurpose) {
         match purpose {
             WritePurpose::Leader { function, .. } => self.stewards.election.unanswered(&function, self.now),
