Where cells are kept by cost, one more is started behind those that boot only if more calls come

Change: cells are wanted for the rate of the calls that come; the limit while cells boot holds where the cost model decides, not where cells are kept by idling.

--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -1005,15 +1005,22 @@
     }
 
     /// A list that fills up turns calls away before the cells of one start after the other run: from an
-    /// eighth on, and for an eighth of a boot, they are to be served within the time of such an eighth.
+    /// eighth on, and for an eighth of a boot, they are to be served within the time of such an eighth, and
+    /// there are to be cells for all that come.
     fn pressed_cells(&self, now: Micros) -> u32 {
         let is_filling = self.waitlist.len() * 8 >= self.settings.waitlist.max(8);
         let patience = Micros(self.learnt_boot.0 / 8);
         let is_lasting = self.waiting_since.is_some_and(|since| now >= since + patience);
-        let needed_cells = self.cells_to_serve_within(patience);
+        let needed_cells = self.cells_to_serve_within(patience).max(self.cells_for_arrivals(now));
         if is_filling && is_lasting { needed_cells.min(self.settings.most_cells) } else { 0 }
     }
 
+    /// Cells whose slots the calls that come keep taken, whatever waits already.
+    fn cells_for_arrivals(&self, now: Micros) -> u32 {
+        let slots = self.demand.peak_rate(now) * self.usual_latency.0 as f64 / 1e6;
+        (slots / f64::from(self.settings.calls_at_once)).ceil() as u32
+    }
+
     fn start_wanted(&mut self, now: Micros) {
         if now < self.no_room_until {
             return;
@@ -1021,10 +1028,13 @@
         let is_waiting = !self.waitlist.is_empty();
         self.waiting_since = is_waiting.then(|| self.waiting_since.unwrap_or(now));
         let patience = Micros(self.learnt_boot.0 / 4);
-        // While a cell boots the calls may be waiting for just that one.
+        // While a cell boots the calls may be waiting for just that one, unless more come than all will carry.
         let is_growing =
             !self.starting.is_empty() || self.cells.values().any(|cell| cell.booted_from.is_some());
-        let is_behind = !is_growing && self.waiting_since.is_some_and(|since| now >= since + patience);
+        // Where cells are kept by idling, one too many is of use later.
+        let is_counted = self.settings.idle.is_none();
+        let is_coming = is_counted && is_growing && self.cell_count() >= self.cells_for_arrivals(now);
+        let is_behind = !is_coming && self.waiting_since.is_some_and(|since| now >= since + patience);
         let behind_cells = if is_behind { self.cell_count() + 1 } else { 0 };
         let pressed_cells = self.pressed_cells(now);
         let wanted = self
