--- a/packages/steward_election/src/tests.rs
+++ b/packages/steward_election/src/tests.rs
@@ -216,3 +216,13 @@
     }
     assert_eq!(node.held(Micros::from_millis(39_990)).len(), 600);
 }
+
+#[test]
+fn the_gate_weighs_machines_and_is_the_papers_where_all_are_alike() {
+    let members = [1, 2, 3];
+    let mut election = Election::new(1, ElectionSettings::default());
+    assert_eq!(election.fair_share(1, &members, 29), 30.0 / 3.0);
+    election.take_capacities([(1, 260), (2, 65), (3, 65)].into());
+    assert_eq!(election.fair_share(1, &members, 29), 20.0);
+    assert_eq!(election.fair_share(2, &members, 29), 5.0);
+}
