Simulator: a machine's processor share is told in one place

Processor time was looked up by the same match in spend and in processor_millis; the comment on CellHosts said what simulated callers do not do.

--- a/packages/fleet_simulator/src/processors.rs
+++ b/packages/fleet_simulator/src/processors.rs
@@ -101,11 +101,10 @@
 
     /// The machine was busy with an event and what came of it.
     pub(crate) fn spend(&mut self, number: usize, event_cost: u64, acts: &[Act]) {
-        let Some(processors) = self.settings.processors else { return };
-        let share = match self.nodes[number].disk.is_some() {
-            true => processors.with_disk,
-            false => processors.others,
-        };
+        if self.settings.processors.is_none() {
+            return;
+        }
+        let share = self.processor_millis(number);
         let sent = acts.iter().filter(|act| matches!(act, Act::Send { .. })).count() as u64;
         let work = event_cost + sent * MESSAGE_SENT;
         self.nodes[number].processor.busy_until = self.now + work * 1_000 / u64::from(share.max(1));
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -1166,7 +1166,7 @@
                 }
                 self.read_answered(number, request, answer);
             }
-            // Simulated callers tell themselves which calls are nested.
+            // Simulated cells make no calls of their own.
             Act::CellHosts { .. } => {}
             Act::Ready => self.nodes[number].is_ready = true,
             Act::Drained => self.nodes[number].is_drained = true,
