Start rate: no burst of a whole fleet; calls ask again soon in a small fleet; stops in turn

Calls without a ticket asked again after up to 0.48 s in a fleet of ten as in one of 77. Starts without room took the whole start rate while the stops that make room waited behind them.

Change: a process begins with one act and saves up its equal part of a second's acts, one to four; the longest pause between asks is 0.12 s and grows with the fleet; starts and stops take turns. StartRate has a file of its own. Replaced expectation: the rate's test counted 23 to 24 acts in two seconds, with a burst of four at the start; now 20 to 21.

--- a/packages/node_protocol/src/call_part.rs
+++ b/packages/node_protocol/src/call_part.rs
@@ -1,6 +1,6 @@
 //! This node's own calls: asking stewards and deputies for tickets, and the tickets it holds.
 
-use crate::node::Node;
+use crate::node::{Node, PAUSE_A_MEMBER};
 use crate::ticket_ledger::{TicketAdmission, TicketLedger};
 use crate::{Act, RefusedAs};
 use clock_events::Micros;
@@ -17,7 +17,10 @@
 const KEEP_ALIVE: Micros = Micros::from_millis(500);
 /// Where nobody had a ticket to give the call asks again after this, and twice as long after each further try.
 const ASK_AGAIN: Micros = Micros::from_millis(60);
-const ASK_AGAIN_AT_MOST: Micros = Micros::from_millis(480);
+/// The longest such pause in a small fleet. In a large one it is as long as the fleet's other questions
+/// are apart, up to a bound: many nodes that ask often keep one that recovers busy.
+const ASK_AGAIN_AT_MOST: Micros = Micros::from_millis(120);
+const LARGE_FLEET_ASK_AGAIN: Micros = Micros::from_millis(480);
 /// A node that left an ask unanswered, and of which nothing else was heard since, is passed over for
 /// so long: membership takes seconds to find many nodes gone at once, and calls do not have them.
 const SILENCE_REMEMBERED: Micros = Micros::from_secs(2);
@@ -160,7 +163,7 @@
                 None => match steward {
                     Some(steward_node) => (steward_node, false),
                     None => {
-                        self.put_off(call, ask_again_after(tries));
+                        self.put_off(call, self.ask_again_after(tries));
                         return;
                     }
                 },
@@ -188,6 +191,14 @@
         self.send(node, message);
     }
 
+    /// Until a call asks again that found nobody with a ticket to give.
+    fn ask_again_after(&self, tries: u32) -> Micros {
+        let fleet_pause = Micros(PAUSE_A_MEMBER.0 * self.member_count() as u64);
+        let longest = fleet_pause.clamp(ASK_AGAIN_AT_MOST, LARGE_FLEET_ASK_AGAIN);
+        let doublings = tries.saturating_sub(2).min(8);
+        Micros(ASK_AGAIN.0 << doublings).min(longest)
+    }
+
     fn put_off(&mut self, call: u64, pause: Micros) {
         let next_at = self.now + pause;
         if let Some(ask) = self.calls.asks.get_mut(&call) {
@@ -225,8 +236,8 @@
                     }
                     _ => {
                         // Not the steward, or a deputy without room: look again shortly.
-                        let pause =
-                            if call_ask.tries <= 1 { Micros(0) } else { ask_again_after(call_ask.tries) };
+                        let tries = call_ask.tries;
+                        let pause = if tries <= 1 { Micros(0) } else { self.ask_again_after(tries) };
                         self.put_off(ask, pause);
                     }
                 }
@@ -309,8 +320,3 @@
         self.calls.silent_since.retain(|_, since| now < *since + SILENCE_REMEMBERED);
     }
 }
-
-fn ask_again_after(tries: u32) -> Micros {
-    let doublings = tries.saturating_sub(2).min(8);
-    Micros(ASK_AGAIN.0 << doublings).min(ASK_AGAIN_AT_MOST)
-}
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -105,6 +105,9 @@
     gone: BTreeSet<NodeId>,
 }
 
+/// What every node does to every owner or to all others is done less often in a large fleet: a pause is at
+/// least so long for each member, so that one node meets at most some 200 such messages a second.
+pub(crate) const PAUSE_A_MEMBER: Micros = Micros::from_millis(5);
 const GATHER_SPAN: Micros = Micros::from_millis(600);
 const DRAIN_SPAN: Micros = Micros::from_millis(2_000);
 /// A node whose clock events stay out this long was frozen.
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -1,7 +1,7 @@
 //! What this node does as steward and as deputy: terms, tickets, cells, the split of allowances.
 
 use crate::list_part::ListPart;
-use crate::node::Node;
+use crate::node::{Node, PAUSE_A_MEMBER};
 use crate::{Act, StartResult, StopResult};
 use clock_events::{ClockEvent, Micros};
 use colleague_messages::{
@@ -31,9 +31,6 @@
 const IDLE_SPLIT_PAUSE: Micros = Micros::from_secs(1);
 const NO_ROOM_TOLD: Micros = Micros::from_secs(5);
 const UNSETTLED_POLL: Micros = Micros::from_millis(100);
-/// What every node does to every owner or to all others is done less often in a large fleet: a pause is at
-/// least so long for each member, so that one node meets at most some 200 such messages a second.
-const PAUSE_A_MEMBER: Micros = Micros::from_millis(5);
 const FRESH_LIST_AGE: Micros = Micros::from_millis(2_200);
 /// Between two functions that a node gives up for balance.
 const BALANCE_PAUSE: Micros = Micros::from_secs(2);
@@ -784,7 +781,8 @@
             starts: acts_per_second / 2.0,
         };
         let shares = allowance_split(&configuration, &demands, totals);
-        let mut own_acts = acts_per_second / 2.0 / member_count;
+        let equal_part = acts_per_second / 2.0 / member_count;
+        let mut own_acts = equal_part;
         for (function, work) in &mut self.stewards.works {
             let Some(settings) = configuration.functions.get(function) else { continue };
             // Who wants nothing is not named.
@@ -794,7 +792,7 @@
             // A function that is called gets one cell as soon as a worker has room for it.
             work.allow_cells(cell_count.max(1));
         }
-        self.stewards.rate.take_rate(own_acts, now);
+        self.stewards.rate.take_rate(own_acts, equal_part, now);
     }
 
     fn tell_demand(&mut self, own_demands: &BTreeMap<String, Demand>, member_count: usize) {
@@ -907,8 +905,20 @@
         self.news.publish(&topic, self.settings.node, sequence, body);
     }
 
-    /// Starts before stops, as far as the start rate goes, and only under a standing term.
+    /// Starts and stops in turn, as far as the start rate goes, and only under a standing term. Where memory
+    /// is short starts wait for the room that stops make: neither may take the whole rate.
     fn serve_platform(&mut self) {
+        loop {
+            let is_start_done = self.serve_start();
+            let is_stop_done = self.serve_stop();
+            if !is_start_done && !is_stop_done {
+                return;
+            }
+        }
+    }
+
+    /// Sends the first start that waits; false if none does, or the start rate allows none now.
+    fn serve_start(&mut self) -> bool {
         let now = self.now;
         while let Some(start) = self.stewards.starts.front() {
             let function = start.function.clone();
@@ -928,7 +938,7 @@
                 }
             };
             let Some(worker) = picked_worker else {
-                let Some(start) = self.stewards.starts.pop_front() else { return };
+                let Some(start) = self.stewards.starts.pop_front() else { return false };
                 self.end_start(&start, StartOutcome::NoRoom);
                 continue;
             };
@@ -936,9 +946,9 @@
                 if let Some(start) = self.stewards.starts.front_mut() {
                     start.worker = Some(worker);
                 }
-                return;
+                return false;
             }
-            let Some(mut start) = self.stewards.starts.pop_front() else { return };
+            let Some(mut start) = self.stewards.starts.pop_front() else { return false };
             start.worker = Some(worker.clone());
             start.tries += 1;
             let start_id = start.start_id.clone();
@@ -949,7 +959,14 @@
                 now,
             );
             self.act(Act::Start { start_id, function, worker, memory_mb, steward_epoch });
+            return true;
         }
+        false
+    }
+
+    /// Sends the first stop that waits; false if none does, or the start rate allows none now.
+    fn serve_stop(&mut self) -> bool {
+        let now = self.now;
         while let Some((function, _)) = self.stewards.stops.front() {
             let term = self.stewards.election.term(function, now);
             let Some(steward_epoch) = term.or_else(|| function.is_empty().then_some(0)) else {
@@ -957,12 +974,14 @@
                 continue;
             };
             if !self.stewards.rate.spend(now) {
-                return;
+                return false;
             }
-            let Some((function, cell)) = self.stewards.stops.pop_front() else { return };
+            let Some((function, cell)) = self.stewards.stops.pop_front() else { return false };
             self.journal.append("stop", json!({"function": function, "cell": cell}), now);
             self.act(Act::Stop { cell, steward_epoch });
+            return true;
         }
+        false
     }
 
     fn end_start(&mut self, start: &WaitingStart, outcome: StartOutcome) {
--- a/packages/steward_work/src/lib.rs
+++ b/packages/steward_work/src/lib.rs
@@ -9,6 +9,7 @@
 mod extra_budget;
 mod function_work;
 mod placement;
+mod start_rate;
 
 pub use allowance_split::{Demand, Share, Totals, allowance_split};
 pub use cell_demand::{CellDemand, CellShape, CostModel};
@@ -17,7 +18,8 @@
 pub use function_work::{
     FunctionWork, HeldBackAs, ListedCell, ReadyCell, StartOutcome, TicketWish, Urgency, WorkAct, WorkSettings,
 };
-pub use placement::{ListedWorker, Placement, StartRate};
+pub use placement::{ListedWorker, Placement};
+pub use start_rate::StartRate;
 
 /// How a ticket came back: the cell ran the call and answered.
 pub const RAN: u8 = 0;
--- /dev/null
+++ b/packages/steward_work/src/start_rate/tests.rs
@@ -0,0 +1,45 @@
+use super::*;
+
+#[test]
+fn acts_keep_to_the_rate_and_hold_twice_as_long_at_each_429() {
+    let mut rate = StartRate::new();
+    rate.take_rate(10.0, 4.0, Micros(0));
+    let spent = |rate: &mut StartRate, from: u64, to: u64| {
+        (from..to).filter(|millisecond| rate.spend(Micros::from_millis(*millisecond))).count()
+    };
+    let in_two_seconds = spent(&mut rate, 0, 2_000);
+    assert!((20..=21).contains(&in_two_seconds), "{in_two_seconds}: one at the start and ten a second");
+    rate.throttled(Micros::from_secs(2));
+    assert_eq!(spent(&mut rate, 2_000, 2_100), 0);
+    assert!(rate.spend(Micros::from_millis(2_200)));
+    rate.throttled(Micros::from_millis(2_200));
+    assert_eq!(spent(&mut rate, 2_200, 2_400), 0);
+    rate.accepted();
+    assert!(rate.spend(Micros::from_millis(2_500)));
+}
+
+#[test]
+fn all_nodes_of_a_large_fleet_that_act_at_once_stay_within_a_second_of_the_platforms_rate() {
+    let (nodes, acts_per_second) = (77, 80.0);
+    let equal_part = acts_per_second / 2.0 / f64::from(nodes);
+    let acts_at = |second: u64| -> usize {
+        (0..nodes)
+            .map(|_| {
+                let mut rate = StartRate::new();
+                rate.take_rate(equal_part, equal_part, Micros(0));
+                let at = Micros::from_secs(second);
+                (0..100).take_while(|_| rate.spend(at)).count()
+            })
+            .sum()
+    };
+    assert!(acts_at(0) <= 80, "all processes are new");
+    assert!(acts_at(60) <= 80, "nothing was done for a minute");
+}
+
+#[test]
+fn a_node_of_a_small_fleet_saves_up_four_acts() {
+    let mut rate = StartRate::new();
+    rate.take_rate(4.0, 4.0, Micros(0));
+    let saved = (0..100).take_while(|_| rate.spend(Micros::from_secs(9))).count();
+    assert_eq!(saved, 4);
+}
