News crosses a zone border once; members have a revision; costs count bytes that leave the zone

Change: zones.rs derives from the members who is near and which nodes relay (the largest machines, by rendezvous among equals). Rumours and digests stay in the zone; its first relay carries what began there to one relay of each other zone. Fleet topics (configuration, disks) are still told to anybody, and digests mend what a dead relay did not carry. Fleets of up to 17 nodes, and of one zone, spread as before. Measured: 92 news spreads in four zones: bytes over borders under twice what one crossing each would take.

--- a/packages/colleague_probes/src/lib.rs
+++ b/packages/colleague_probes/src/lib.rs
@@ -99,6 +99,8 @@
     heal_event: ClockEvent,
     last_tick: Micros,
     changes: Vec<MemberChange>,
+    /// Rises with every change of what is known of any member, this node included.
+    revision: u64,
     dice: Rng,
 }
 
@@ -120,6 +122,7 @@
             next_sequence: 0,
             last_tick: Micros(0),
             changes: Vec::new(),
+            revision: 1,
             dice: Rng::with_seed(luck_seed),
         }
     }
@@ -136,9 +139,16 @@
         change(&mut self.own);
         if self.own != previous_own {
             self.own.incarnation += 1;
+            self.revision += 1;
         }
     }
 
+    /// A number that rises with every change of what is known of any member: what was derived from the
+    /// members stands as long as it does. Example: `if members.revision() != seen { derive_anew() }`.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// All members believed alive, this node included, by rising id.
     /// Example: `members.live().len()` is the paper's N.
     pub fn live(&self) -> Vec<&MemberNews> {
@@ -287,6 +297,7 @@
                 member.news.state = GONE;
                 member.state_since = now;
                 member.tells_left = TELLS;
+                self.revision += 1;
                 self.changes.push(MemberChange::Gone(*node));
             }
         }
@@ -349,6 +360,7 @@
         if news.node == self.own.node {
             if news.state != ALIVE && news.incarnation >= self.own.incarnation {
                 self.own.incarnation = news.incarnation + 1;
+                self.revision += 1;
             }
             return;
         }
@@ -356,6 +368,7 @@
             if news.state == GONE || !self.has_place() {
                 return;
             }
+            self.revision += 1;
             self.changes.push(MemberChange::Joined(news.node));
             self.rotation.push(news.node);
             self.members.insert(news.node, Member { news, state_since: now, tells_left: TELLS });
@@ -376,6 +389,7 @@
         }
         member.news = news;
         member.tells_left = TELLS;
+        self.revision += 1;
     }
 
     /// Whether one member more is remembered: the one that is gone longest makes room.
@@ -417,6 +431,7 @@
                 target.news.state = SUSPECTED;
                 target.state_since = now;
                 target.tells_left = TELLS;
+                self.revision += 1;
             }
             self.pending = None;
         }
@@ -428,6 +443,7 @@
                 member.news.state = GONE;
                 member.state_since = now;
                 member.tells_left = TELLS;
+                self.revision += 1;
                 self.changes.push(MemberChange::Gone(*node));
             }
         }
--- a/packages/news_spread/src/lib.rs
+++ b/packages/news_spread/src/lib.rs
@@ -8,7 +8,13 @@
 //! which one it has: it is answered with the changes since then where they are known. The node that
 //! published it is asked first, which has it for sure, and then whoever else tells of it.
 
+//!
+//! Where zones have relays ([`Neighbours`]) news crosses a border once: rumours and digests stay inside the
+//! zone, the zone's first relay passes what began there to one relay of each other zone, and relays compare
+//! digests over the border. The fleet's own topics, which are few and must come through, are also told to anybody.
+
 mod body_delta;
+mod neighbours;
 
 use body_delta::{delta, patched};
 use clock_events::{ClockEvent, Micros};
@@ -17,6 +23,7 @@
     stable_hash, value_digest,
 };
 use fastrand::Rng;
+pub use neighbours::Neighbours;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const TOPIC_LIMIT: usize = 4_096;
@@ -28,12 +35,17 @@
 const SMALL_FLEET: usize = 16;
 const LARGE_FLEET_FANOUT: usize = 2;
 const LARGE_FLEET_ROUNDS: u32 = 2;
-/// Bucket 0 holds the fleet's own topics, the others share the rest.
+/// One bucket holds the fleet's own topics, the others share the rest.
 const BUCKETS: usize = 33;
+const FLEET_BUCKET: usize = 0;
 /// With more topics than this, digests name some buckets in turn: in a living fleet nearly all differ
 /// at any moment, and their marks would be most of what is said.
 const FEW_TOPICS: usize = 256;
 const BUCKETS_A_DIGEST: usize = 4;
+/// Of so many digests one goes over a border: of a relay to a relay, of other nodes about the fleet's own topics.
+const FAR_DIGEST_EACH: u64 = 4;
+/// Of so many digests that others send over a border one is about all topics: what no relay carried is mended.
+const FAR_WHOLE_DIGEST_EACH: u64 = 10;
 /// So many changes of a large body are remembered for those that have an older one.
 const CHANGES_LIMIT: usize = 32;
 
@@ -71,8 +83,12 @@
     /// Bytes a second of this machine's link, where they are known.
     link_rate: Option<f64>,
     awaited: BTreeMap<String, Awaited>,
-    /// The colleagues of the last clock event.
+    own: Option<NodeId>,
+    neighbours: Neighbours,
+    /// Those whose news this node carries over borders if it is the zone's first relay.
+    zone_members: BTreeSet<NodeId>,
     colleagues: BTreeSet<NodeId>,
+    digest_count: u64,
 }
 
 impl NewsSpread {
@@ -89,10 +105,23 @@
             now: Micros(0),
             link_rate: None,
             awaited: BTreeMap::new(),
+            own: None,
+            neighbours: Neighbours::default(),
+            zone_members: BTreeSet::new(),
             colleagues: BTreeSet::new(),
+            digest_count: 0,
         }
     }
 
+    /// Tells who the colleagues are, whenever they change. Example: `news.take_neighbours(own, neighbours)`.
+    pub fn take_neighbours(&mut self, own: NodeId, neighbours: Neighbours) {
+        self.own = Some(own);
+        self.zone_members = neighbours.zone_members(self.own);
+        self.colleagues = neighbours.everybody().into_iter().collect();
+        self.rounds = if neighbours.count() <= SMALL_FLEET { ROUNDS } else { LARGE_FLEET_ROUNDS };
+        self.neighbours = neighbours;
+    }
+
     /// Tells how fast this machine's link is: a large body is not asked for again before it can have
     /// come over it. Example: `news.take_link_rate(250_000.0)`.
     pub fn take_link_rate(&mut self, bytes_a_second: f64) {
@@ -168,64 +197,131 @@
             .map(|(_, told)| &told.item)
     }
 
-    /// Sends rumours and digests that are due. Example: `news.tick(&colleagues, now)`.
-    pub fn tick(&mut self, colleagues: &[NodeId], now: Micros) -> Vec<NewsSend> {
+    /// Sends rumours and digests that are due. Example: `for (node, message) in news.tick(now) { .. }`.
+    pub fn tick(&mut self, now: Micros) -> Vec<NewsSend> {
         let mut sends = Vec::new();
         self.now = now;
-        if self.colleagues.len() != colleagues.len()
-            || !colleagues.iter().all(|node| self.colleagues.contains(node))
-        {
-            self.colleagues = colleagues.iter().copied().collect();
-        }
-        if colleagues.is_empty() {
+        if self.colleagues.is_empty() {
             return sends;
         }
-        let is_small = colleagues.len() <= SMALL_FLEET;
-        self.rounds = if is_small { ROUNDS } else { LARGE_FLEET_ROUNDS };
         if self.rumour_event.due(now) {
-            self.send_rumours(colleagues, &mut sends);
+            self.send_rumours(&mut sends);
         }
         if self.digest_event.due(now) {
-            let picked_node = colleagues[self.dice.usize(..colleagues.len())];
-            sends.push((picked_node, Message::NewsDigest { digests: self.next_digests() }));
+            self.send_digests(&mut sends);
         }
         sends
     }
 
+    /// Compares topics with a near colleague, and now and then with one beyond a border.
+    fn send_digests(&mut self, sends: &mut Vec<NewsSend>) {
+        self.digest_count += 1;
+        if let Some(near) = self.dice.choice(self.neighbours.near.iter().copied()) {
+            sends.push((near, Message::NewsDigest { digests: self.next_digests() }));
+        }
+        if self.neighbours.far.is_empty() || !self.digest_count.is_multiple_of(FAR_DIGEST_EACH) {
+            return;
+        }
+        let far_digest_count = self.digest_count / FAR_DIGEST_EACH;
+        let is_whole_due = far_digest_count.is_multiple_of(FAR_WHOLE_DIGEST_EACH);
+        let digests = match self.is_relay() || is_whole_due {
+            true => self.next_digests(),
+            false => List(vec![self.digest_of(FLEET_BUCKET)]),
+        };
+        if let Some(far) = self.far_partner() {
+            sends.push((far, Message::NewsDigest { digests }));
+        }
+    }
+
+    /// Whom to compare with beyond a border: relays do with relays, others with anybody.
+    fn far_partner(&mut self) -> Option<NodeId> {
+        let relays: Vec<NodeId> = self.neighbours.far_relays.iter().flatten().copied().collect();
+        match self.is_relay() && !relays.is_empty() {
+            true => self.dice.choice(relays),
+            false => self.dice.choice(self.neighbours.far.iter().copied()),
+        }
+    }
+
+    fn is_relay(&self) -> bool {
+        self.own.is_some_and(|own| self.neighbours.own_relays.contains(&own))
+    }
+
+    fn is_first_relay(&self) -> bool {
+        self.own.is_some() && self.neighbours.own_relays.first().copied() == self.own
+    }
+
+    fn digest_of(&self, bucket: usize) -> BucketDigest {
+        BucketDigest { bucket: bucket as u8, digest: self.digests[bucket] }
+    }
+
     fn next_digests(&mut self) -> List<BucketDigest> {
         let shared_buckets = BUCKETS - 1;
         let count = if self.topics.len() <= FEW_TOPICS { shared_buckets } else { BUCKETS_A_DIGEST };
         let first = self.next_bucket;
         self.next_bucket = (first + count) % shared_buckets;
         let named = (first..first + count).map(|place| 1 + place % shared_buckets);
-        std::iter::once(0)
-            .chain(named)
-            .map(|bucket| BucketDigest { bucket: bucket as u8, digest: self.digests[bucket] })
-            .collect()
+        std::iter::once(FLEET_BUCKET).chain(named).map(|bucket| self.digest_of(bucket)).collect()
     }
 
-    fn send_rumours(&mut self, colleagues: &[NodeId], sends: &mut Vec<NewsSend>) {
+    fn send_rumours(&mut self, sends: &mut Vec<NewsSend>) {
+        let is_first_relay = self.is_first_relay();
         let mut items = Vec::new();
+        let mut crossing = Vec::new();
         let mut large = Vec::new();
         for told in self.topics.values_mut().filter(|told| told.rounds_left > 0) {
             if items.len() + large.len() >= ITEMS_A_MESSAGE {
                 break;
             }
+            let is_first_round = told.rounds_left == self.rounds;
             told.rounds_left -= 1;
-            match is_large(&told.item) {
-                false => items.push(told.item.clone()),
-                true => large.push(large_mark(&told.item)),
+            if is_large(&told.item) {
+                large.push(large_mark(&told.item));
+                continue;
             }
-        }
-        let mut picked_nodes = colleagues.to_vec();
-        self.dice.shuffle(&mut picked_nodes);
-        let fanout = if colleagues.len() <= SMALL_FLEET { FANOUT } else { LARGE_FLEET_FANOUT };
-        for picked_node in picked_nodes.into_iter().take(fanout) {
-            if !items.is_empty() {
-                sends.push((picked_node, Message::News { items: List(items.clone()) }));
+            // What began in this zone crosses each border once; what came over one is spread here alone.
+            if is_first_relay && is_first_round && self.zone_members.contains(&told.item.origin) {
+                crossing.push(told.item.clone());
             }
-            sends.extend(tell_large(picked_node, large.clone()));
+            items.push(told.item.clone());
+        }
+        let fanout = if self.neighbours.count() <= SMALL_FLEET { FANOUT } else { LARGE_FLEET_FANOUT };
+        for near in self.picked(&self.neighbours.near.clone(), fanout) {
+            sends.extend(tell_items(near, &items));
         }
+        self.send_to_relays(&items, sends);
+        for far_relays in &self.neighbours.far_relays {
+            sends.extend(far_relays.first().and_then(|relay| tell_items(*relay, &crossing)));
+        }
+        let everybody = self.neighbours.everybody();
+        for node in self.picked(&everybody, fanout) {
+            sends.extend(tell_large(node, large.clone()));
+        }
+        self.send_fleet_topics(&items, fanout, sends);
+    }
+
+    /// Own news goes to the zone's relays at once, which carry it on.
+    fn send_to_relays(&self, items: &[NewsItem], sends: &mut Vec<NewsSend>) {
+        let is_own = |item: &&NewsItem| Some(item.origin) == self.own;
+        let own_items: Vec<NewsItem> = items.iter().filter(is_own).cloned().collect();
+        let relays = self.neighbours.own_relays.iter().filter(|relay| Some(**relay) != self.own);
+        sends.extend(relays.filter_map(|relay| tell_items(*relay, &own_items)));
+    }
+
+    /// The fleet's own topics cross borders by anybody: no relay's loss may hold up a new voter set.
+    fn send_fleet_topics(&mut self, items: &[NewsItem], fanout: usize, sends: &mut Vec<NewsSend>) {
+        let is_fleets = |item: &&NewsItem| bucket_of(&item.topic.0) == FLEET_BUCKET;
+        let fleet_items: Vec<NewsItem> = items.iter().filter(is_fleets).cloned().collect();
+        if fleet_items.is_empty() {
+            return;
+        }
+        for far in self.picked(&self.neighbours.far.clone(), fanout) {
+            sends.extend(tell_items(far, &fleet_items));
+        }
+    }
+
+    /// Some of these nodes, at random.
+    fn picked(&mut self, nodes: &[NodeId], count: usize) -> Vec<NodeId> {
+        self.dice.choose_multiple(nodes.iter().copied(), count)
     }
 
     /// Takes a colleague's news, digest, marks or question. The topics that became newer are
@@ -438,6 +534,10 @@
     item.body.0.len() > SMALL_BODY
 }
 
+fn tell_items(node: NodeId, items: &[NewsItem]) -> Option<NewsSend> {
+    (!items.is_empty()).then(|| (node, Message::News { items: List(items.to_vec()) }))
+}
+
 fn tell_large(node: NodeId, large: Vec<LargeMark>) -> Option<NewsSend> {
     if large.is_empty() {
         return None;
@@ -478,7 +578,7 @@
 fn bucket_of(topic: &str) -> usize {
     match topic.contains('/') {
         true => 1 + (stable_hash(topic.as_bytes()) % (BUCKETS as u64 - 1)) as usize,
-        false => 0,
+        false => FLEET_BUCKET,
     }
 }
 
--- a/packages/news_spread/src/tests.rs
+++ b/packages/news_spread/src/tests.rs
@@ -14,7 +14,8 @@
             let mut waiting: Vec<(NodeId, NewsSend)> = Vec::new();
             for node in 0..10u64 {
                 let colleagues: Vec<NodeId> = (0..10).filter(|other| *other != node).collect();
-                let sends = fleet[node as usize].tick(&colleagues, now);
+                fleet[node as usize].take_neighbours(node, Neighbours::of_one_zone(colleagues));
+                let sends = fleet[node as usize].tick(now);
                 waiting.extend(sends.into_iter().map(|send| (node, send)));
             }
             while let Some((sender, (receiver, message))) = waiting.pop() {
@@ -35,13 +36,26 @@
 
 /// Passes messages on without loss; returns how many bytes were said.
 fn play(fleet: &mut [NewsSpread], from_millis: u64, to_millis: u64) -> usize {
+    let count = fleet.len() as u64;
+    for node in 0..count {
+        let colleagues: Vec<NodeId> = (0..count).filter(|other| *other != node).collect();
+        fleet[node as usize].take_neighbours(node, Neighbours::of_one_zone(colleagues));
+    }
+    pass_on(fleet, (from_millis, to_millis), &|_, _| true)
+}
+
+/// The same among neighbours that are told already; only bytes between the counted pairs are returned.
+fn pass_on(
+    fleet: &mut [NewsSpread],
+    (from_millis, to_millis): (u64, u64),
+    is_counted: &dyn Fn(NodeId, NodeId) -> bool,
+) -> usize {
     let mut said_bytes = 0;
     let count = fleet.len() as u64;
     for millisecond in (from_millis..to_millis).step_by(50) {
         let mut waiting: Vec<(NodeId, NewsSend)> = Vec::new();
         for node in 0..count {
-            let colleagues: Vec<NodeId> = (0..count).filter(|other| *other != node).collect();
-            let sends = fleet[node as usize].tick(&colleagues, Micros::from_millis(millisecond));
+            let sends = fleet[node as usize].tick(Micros::from_millis(millisecond));
             waiting.extend(sends.into_iter().map(|send| (node, send)));
         }
         while let Some((sender, (receiver, message))) = waiting.pop() {
@@ -52,7 +66,9 @@
                 to: receiver,
                 message,
             };
-            said_bytes += envelope.frame().expect("a frame").len();
+            if is_counted(sender, receiver) {
+                said_bytes += envelope.frame().expect("a frame").len();
+            }
             let (_, sends) = fleet[receiver as usize].received(sender, envelope.message);
             waiting.extend(sends.into_iter().map(|send| (receiver, send)));
         }
@@ -148,7 +164,8 @@
 fn a_large_body_is_asked_for_once_while_it_may_be_on_its_way() {
     let mut news = NewsSpread::new(1);
     news.take_link_rate(50_000.0);
-    news.tick(&[7, 8, 9], Micros(0));
+    news.take_neighbours(1, Neighbours::of_one_zone(vec![7, 8, 9]));
+    news.tick(Micros(0));
     let large = vec![LargeMark { topic: "configuration".into(), sequence: 3, origin: 7, bytes: 100_000 }];
     let marks = |large: &Vec<LargeMark>| Message::NewsMarks {
         full_buckets: List(Vec::new()),
@@ -158,7 +175,86 @@
     let (_, sends) = news.received(8, marks(&large));
     assert!(matches!(sends[..], [(7, Message::NewsAsk { .. })]), "who published it is asked: {sends:?}");
     assert!(news.received(9, marks(&large)).1.is_empty(), "it may be on its way");
-    news.tick(&[7, 8, 9], Micros::from_millis(2_001));
+    news.tick(Micros::from_millis(2_001));
     let (_, sends) = news.received(9, marks(&large));
     assert!(matches!(sends[..], [(9, Message::NewsAsk { .. })]), "somebody else is asked: {sends:?}");
 }
+
+const ZONES: u64 = 4;
+const ZONE_SIZE: u64 = 23;
+
+fn zone_of(node: NodeId) -> u64 {
+    node / ZONE_SIZE
+}
+
+/// Four zones of 23 nodes, of which the first two of each zone that are not down relay.
+fn zoned_fleet(down: &[NodeId]) -> Vec<NewsSpread> {
+    let nodes = || (0..ZONES * ZONE_SIZE).filter(|node| !down.contains(node));
+    let relays = |zone: u64| nodes().filter(|node| zone_of(*node) == zone).take(2).collect::<Vec<NodeId>>();
+    let mut fleet: Vec<NewsSpread> = (0..ZONES * ZONE_SIZE).map(NewsSpread::new).collect();
+    for (node, news) in fleet.iter_mut().enumerate() {
+        let node = node as NodeId;
+        let (near, far) =
+            nodes().filter(|other| *other != node).partition(|other| zone_of(*other) == zone_of(node));
+        let far_relays = (0..ZONES).filter(|zone| *zone != zone_of(node)).map(relays).collect();
+        let neighbours = Neighbours { near, far, own_relays: relays(zone_of(node)), far_relays };
+        news.take_neighbours(node, neighbours);
+    }
+    fleet
+}
+
+#[test]
+fn news_of_a_zone_crosses_each_border_about_once_and_reaches_everybody() {
+    let mut fleet = zoned_fleet(&[]);
+    let is_crossing = |sender, receiver| zone_of(sender) != zone_of(receiver);
+    let mut crossing_bytes = 0;
+    let body_bytes = 400;
+    let seconds = 4u64;
+    for second in 0..seconds {
+        for node in 0..ZONES * ZONE_SIZE {
+            let body = Bytes((0..body_bytes).map(|place| (node * 7 + second + place) as u8).collect());
+            fleet[node as usize].publish(&format!("demand/{node}"), node, second + 1, body);
+        }
+        crossing_bytes += pass_on(&mut fleet, (second * 1_000, second * 1_000 + 1_000), &is_crossing);
+    }
+    let each_once = seconds * ZONES * ZONE_SIZE * body_bytes * (ZONES - 1);
+    assert!(
+        crossing_bytes as u64 <= 2 * each_once,
+        "{crossing_bytes} bytes, {each_once} if each crossed once"
+    );
+    pass_on(&mut fleet, (4_000, 5_000), &is_crossing);
+    let topics: Vec<String> = (0..ZONES * ZONE_SIZE).map(|node| format!("demand/{node}")).collect();
+    assert!(fleet.iter().all(|news| topics.iter().all(|topic| news.sequence(topic) == seconds)));
+}
+
+#[test]
+fn what_relays_that_died_unnoticed_did_not_carry_is_mended() {
+    let down: Vec<NodeId> = vec![0, 1];
+    // Everybody still takes the two dead nodes for the relays of their zone.
+    let mut fleet = zoned_fleet(&[]);
+    fleet[5].publish("demand/5", 5, 1, Bytes(vec![1; 40]));
+    fleet[30].publish("demand/30", 30, 1, Bytes(vec![2; 40]));
+    let mut is_known_by_all = false;
+    for millisecond in (0..40_000u64).step_by(50) {
+        let mut waiting: Vec<(NodeId, NewsSend)> = Vec::new();
+        for (node, news) in fleet.iter_mut().enumerate() {
+            let sends = news.tick(Micros::from_millis(millisecond));
+            waiting.extend(sends.into_iter().map(|send| (node as NodeId, send)));
+        }
+        while let Some((sender, (receiver, message))) = waiting.pop() {
+            if down.contains(&sender) || down.contains(&receiver) {
+                continue;
+            }
+            let (_, sends) = fleet[receiver as usize].received(sender, message);
+            waiting.extend(sends.into_iter().map(|send| (receiver, send)));
+        }
+        let living = fleet.iter().enumerate().filter(|(node, _)| !down.contains(&(*node as NodeId)));
+        is_known_by_all = living
+            .into_iter()
+            .all(|(_, news)| news.sequence("demand/5") == 1 && news.sequence("demand/30") == 1);
+        if is_known_by_all {
+            break;
+        }
+    }
+    assert!(is_known_by_all, "digests of nodes that do not relay mend what no relay carried");
+}
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -12,6 +12,7 @@
 mod steward_part;
 mod ticket_ledger;
 mod vote_swaps;
+mod zones;
 
 pub use journal::Journal;
 pub use node::{Node, NodeCounts, NodeStatus};
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -3,6 +3,7 @@
 use crate::control_part::ControlPart;
 use crate::journal::Journal;
 use crate::steward_part::StewardPart;
+use crate::zones::Zones;
 use crate::{Act, Event, NodeSettings};
 use clock_events::{ClockEvent, Micros};
 use colleague_messages::{
@@ -84,6 +85,7 @@
     pub(crate) settings: NodeSettings,
     pub(crate) members: Members,
     pub(crate) news: NewsSpread,
+    pub(crate) zones: Zones,
     pub(crate) control: ControlPart,
     pub(crate) configuration: ConfigurationPart,
     pub(crate) stewards: StewardPart,
@@ -136,6 +138,7 @@
         let mut node = Node {
             members: Members::new(own, settings.seeds.clone(), settings.probes.clone(), luck_seed),
             news: NewsSpread::new(luck_seed ^ 0x6e65_7773),
+            zones: Zones::default(),
             control: ControlPart::new(settings.node, disk),
             configuration: ConfigurationPart::new(),
             stewards: StewardPart::new(settings.node, settings.election.clone(), now),
@@ -225,8 +228,7 @@
             self.send_to_address(address, message);
         }
         self.take_member_changes();
-        let colleagues: Vec<NodeId> = self.members.colleagues().map(|news| news.node).collect();
-        for (node, message) in self.news.tick(&colleagues, now) {
+        for (node, message) in self.news.tick(now) {
             self.send(node, message);
         }
         self.tick_control();
@@ -326,7 +328,24 @@
         }
     }
 
+    /// Derives anew what rests on the members, if they changed.
+    fn renew_zones(&mut self) {
+        let revision = self.members.revision();
+        if !self.zones.is_outdated(revision) {
+            return;
+        }
+        self.zones = Zones::of(self.members.own(), &self.members.live(), revision);
+        self.news.take_neighbours(self.settings.node, self.zones.neighbours());
+    }
+
+    /// Whether a message to this address stays in this node's zone, for the count of bytes that do not.
+    /// An address of no live member is taken to be far. Example: `node.is_near_address(address)`.
+    pub fn is_near_address(&self, address: Address) -> bool {
+        self.zones.is_near_address(&address)
+    }
+
     fn take_member_changes(&mut self) {
+        self.renew_zones();
         for change in self.members.take_changes() {
             let (kind, node) = match change {
                 MemberChange::Joined(node) => ("member_joined", node),
--- /dev/null
+++ b/packages/node_protocol/src/zones.rs
@@ -0,0 +1,111 @@
+//! Who is near whom: the live members by zone, and the nodes that carry things over a zone's border.
+
+use colleague_messages::{Address, MemberNews, NodeId, rendezvous_weight};
+use colleague_probes::ALIVE;
+use news_spread::Neighbours;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Up to so many colleagues everybody speaks with everybody: relays would add a step and save little.
+const SMALL_FLEET: usize = 16;
+/// A zone has so many relays: the first one carries, the next is known to be there when it goes.
+const RELAYS: usize = 2;
+
+/// The live members by zone, derived anew whenever the members change.
+/// Example: `zones.is_near(node)`.
+#[derive(Debug, Default)]
+pub(crate) struct Zones {
+    /// The members' revision that this was derived from.
+    revision: u64,
+    own: NodeId,
+    own_zone: String,
+    zone_of: BTreeMap<NodeId, String>,
+    near_addresses: BTreeSet<Address>,
+    /// The relays of each zone, the first one first; none in a fleet that needs none.
+    relays: BTreeMap<String, Vec<NodeId>>,
+}
+
+impl Zones {
+    /// Zones of the members at a revision. Example: `Zones::of(&own_news, &live, 7)`.
+    pub(crate) fn of(own: &MemberNews, live: &[&MemberNews], revision: u64) -> Zones {
+        let mut members: BTreeMap<&str, Vec<&MemberNews>> = BTreeMap::new();
+        for news in live {
+            members.entry(&news.zone.0).or_default().push(news);
+        }
+        let has_relays = live.len() > SMALL_FLEET + 1 && members.len() > 1;
+        let relays = members.iter().filter(|_| has_relays);
+        Zones {
+            revision,
+            own: own.node,
+            own_zone: own.zone.0.clone(),
+            zone_of: live.iter().map(|news| (news.node, news.zone.0.clone())).collect(),
+            near_addresses: live
+                .iter()
+                .filter(|news| news.zone == own.zone)
+                .map(|news| news.address)
+                .collect(),
+            relays: relays.map(|(zone, members)| ((*zone).to_owned(), relays_of(zone, members))).collect(),
+        }
+    }
+
+    /// Whether the members changed since. Example: `if zones.is_outdated(members.revision()) { .. }`.
+    pub(crate) fn is_outdated(&self, revision: u64) -> bool {
+        self.revision != revision
+    }
+
+    /// The zone of a live member. Example: `zones.zone_of(node) == Some("hall-a")`.
+    pub(crate) fn zone_of(&self, node: NodeId) -> Option<&str> {
+        self.zone_of.get(&node).map(String::as_str)
+    }
+
+    /// Whether a node is in this node's zone; one that is not known is taken to be.
+    /// Example: `zones.is_near(own)`.
+    pub(crate) fn is_near(&self, node: NodeId) -> bool {
+        self.zone_of(node).is_none_or(|zone| zone == self.own_zone)
+    }
+
+    /// Whether a live member of this node's zone listens at an address.
+    /// Example: `zones.is_near_address(own_address)`.
+    pub(crate) fn is_near_address(&self, address: &Address) -> bool {
+        self.near_addresses.contains(address)
+    }
+
+    /// The node that carries things over the border of this node's zone, if the fleet has such nodes.
+    /// Example: `zones.relay() == Some(own)` at the relay itself.
+    pub(crate) fn relay(&self) -> Option<NodeId> {
+        self.relays.get(&self.own_zone)?.first().copied()
+    }
+
+    /// Whether this node is a relay of its zone, the first or the next. Example: `zones.may_relay()`.
+    pub(crate) fn may_relay(&self) -> bool {
+        self.relays.get(&self.own_zone).is_some_and(|relays| relays.contains(&self.own))
+    }
+
+    /// How news is passed on. Example: `news.take_neighbours(own, zones.neighbours())`.
+    pub(crate) fn neighbours(&self) -> Neighbours {
+        let colleagues = self.zone_of.iter().filter(|(node, _)| **node != self.own);
+        if self.relays.is_empty() {
+            return Neighbours::of_one_zone(colleagues.map(|(node, _)| *node).collect());
+        }
+        let (near, far): (Vec<_>, Vec<_>) = colleagues.partition(|(_, zone)| **zone == self.own_zone);
+        let others = self.relays.iter().filter(|(zone, _)| **zone != self.own_zone);
+        Neighbours {
+            near: near.into_iter().map(|(node, _)| *node).collect(),
+            far: far.into_iter().map(|(node, _)| *node).collect(),
+            own_relays: self.relays.get(&self.own_zone).cloned().unwrap_or_default(),
+            far_relays: others.map(|(_, relays)| relays.clone()).collect(),
+        }
+    }
+}
+
+/// The members that can carry most, by rendezvous among equals; those in doubt or leaving last.
+fn relays_of(zone: &str, members: &[&MemberNews]) -> Vec<NodeId> {
+    let mut ranked: Vec<&&MemberNews> = members.iter().collect();
+    ranked.sort_by_key(|news| {
+        let is_sound = news.state == ALIVE && news.draining == 0;
+        std::cmp::Reverse((is_sound, news.processor, rendezvous_weight(zone, news.node), news.node))
+    });
+    ranked.into_iter().take(RELAYS).map(|news| news.node).collect()
+}
+
+#[cfg(test)]
+mod tests;
--- a/packages/vanelane/src/control_costs.rs
+++ b/packages/vanelane/src/control_costs.rs
@@ -13,6 +13,8 @@
 pub struct MessageCost {
     pub sent: u64,
     pub sent_bytes: u64,
+    /// Of these, bytes that went to another zone.
+    pub far_bytes: u64,
     pub heard: u64,
     /// How long those that were heard had waited to be handled, in all.
     pub waited: Duration,
@@ -20,7 +22,7 @@
     pub stale: u64,
 }
 
-/// What was counted since the last line. Example: `costs.sent("Probe", 90)`.
+/// What was counted since the last line. Example: `costs.sent("Probe", 90, true)`.
 #[derive(Debug)]
 pub struct ControlCosts {
     began_at: Instant,
@@ -35,11 +37,13 @@
         ControlCosts { began_at: now, messages: BTreeMap::new(), spent: BTreeMap::new() }
     }
 
-    /// A frame of so many bytes was handed to a link. Example: `costs.sent("Probe", 90)`.
-    pub fn sent(&mut self, kind: &'static str, bytes: usize) {
+    /// A frame of so many bytes was handed to a link, which leads to another zone if it is not near.
+    /// Example: `costs.sent("Probe", 90, true)`.
+    pub fn sent(&mut self, kind: &'static str, bytes: usize, is_near: bool) {
         let cost = self.messages.entry(kind).or_default();
         cost.sent += 1;
         cost.sent_bytes += bytes as u64;
+        cost.far_bytes += if is_near { 0 } else { bytes as u64 };
     }
 
     /// A message was handled after it had waited so long. Example: `costs.heard("Probe", waited)`.
@@ -74,7 +78,8 @@
             .map(|(kind, cost)| {
                 let mean_wait = cost.waited.as_secs_f64() * 1e3 / cost.heard.max(1) as f64;
                 let line = json!({
-                    "sent": rate(cost.sent), "bytes": rate(cost.sent_bytes), "heard": rate(cost.heard),
+                    "sent": rate(cost.sent), "bytes": rate(cost.sent_bytes), "far": rate(cost.far_bytes),
+                    "heard": rate(cost.heard),
                     "waited_ms": mean_wait.round(), "stale": rate(cost.stale),
                 });
                 (*kind, line)
@@ -86,8 +91,10 @@
             .map(|(duty, time)| (*duty, (time.as_secs_f64() * 1e4 / seconds).round() / 10.0))
             .collect();
         let bytes: u64 = self.messages.values().map(|cost| cost.sent_bytes).sum();
+        let far_bytes: u64 = self.messages.values().map(|cost| cost.far_bytes).sum();
         let line = json!({
             "kind": "control_costs", "seconds": seconds, "bytes_a_second": rate(bytes),
+            "far_bytes_a_second": rate(far_bytes),
             "millis_a_second": spent, "messages_a_second": messages,
         });
         *self = ControlCosts::new(now);
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -237,7 +237,7 @@
                 };
                 match envelope.frame() {
                     Some(bytes) => {
-                        self.costs.sent(name, bytes.len());
+                        self.costs.sent(name, bytes.len(), self.node.is_near_address(address));
                         self.links.send(address, OutgoingFrame { bytes, priority, useful_until });
                     }
                     None => log::error!("a {name} message is over the frame limit and was dropped"),
