Calls go to cells in their zone; records and the list come over a border through the zone's relay

Cause: cells were placed, picked, listed and asked about as if all machines stood side by side; 92 nodes each polled eight owners of leader records and pulled the list over borders. A ticket names a cell in the asker's zone while one there has room; starts go where cells lack most by where calls come from; surplus goes where there are too many.

--- a/packages/colleague_messages/src/delivery.rs
+++ b/packages/colleague_messages/src/delivery.rs
@@ -32,6 +32,8 @@
             | Message::ListTold { .. }
             | Message::RecordsPoll { .. }
             | Message::RecordsPolled { .. }
+            | Message::RelayPoll { .. }
+            | Message::RelayPolled { .. }
             | Message::DecisionsAnswer { .. } => Priority::Bulk,
             _ => Priority::Urgent,
         }
@@ -49,6 +51,8 @@
             | Message::NewsDigest { .. }
             | Message::RecordsPoll { .. }
             | Message::RecordsPolled { .. }
+            | Message::RelayPoll { .. }
+            | Message::RelayPolled { .. }
             | Message::ListAsk { .. } => PROBE_SPAN,
             Message::Promise { .. }
             | Message::Promised { .. }
--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -121,7 +121,7 @@
         /// A cell of the platform's list, from a node that asked for it.
         CellTold { cell: Text, function: Text, worker: Text, address: Address, memory_mb: u64, leaving: u8, started: u8, }
         /// A worker of the platform's list; `free_mb` counts if `tells_free` is 1.
-        WorkerTold { worker: Text, memory_mb: u64, tells_free: u8, free_mb: u64, draining: u8, }
+        WorkerTold { worker: Text, memory_mb: u64, tells_free: u8, free_mb: u64, draining: u8, zone: Text, }
         DecisionLine { node: NodeId, sequence: u64, line: Text, }
         CursorMark { node: NodeId, sequence: u64, }
     }
@@ -155,6 +155,11 @@
         "25" ChangeCarry { ask: u64, change: Bytes, }
         /// Its outcome (JSON) on the way back.
         "26" ChangeSettled { ask: u64, outcome: Bytes, }
+        /// Asks the relay of the zone which of all leader records changed since its change number; the mark is
+        /// that of the configured functions.
+        "28" RelayPoll { mark: u64, since: u64, }
+        /// `relays` 0: the asked node does not relay, or goes by other functions; the owners are to be asked.
+        "29" RelayPolled { mark: u64, relays: u8, change: u64, records: List<PolledRecord>, renewed: List<RenewedRecord>, }
         /// `target_left_micros`: until the answer is late, all ones where the lane names no target.
         "30" TicketAsk {
             ask: u64,
--- a/packages/fleet_simulator/src/sim_platform.rs
+++ b/packages/fleet_simulator/src/sim_platform.rs
@@ -2,6 +2,14 @@
 use std::net::SocketAddr;
 use steward_work::{ListedCell, ListedWorker};
 
+/// Zones of the simulated fleet: nodes and workers are dealt out to them in turn.
+pub(crate) const ZONES: usize = 3;
+
+/// The zone of a node or worker by its number. Example: `zone_name(4) == "zone-1"`.
+pub(crate) fn zone_name(number: usize) -> String {
+    format!("zone-{}", number % ZONES)
+}
+
 /// A cell of the simulated platform.
 #[derive(Clone, Debug)]
 pub(crate) struct SimCell {
@@ -58,6 +66,7 @@
                 memory_mb: worker_memory_mb,
                 free_mb: None,
                 draining: false,
+                zone: zone_name(number),
             })
             .collect();
         SimPlatform {
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -3,7 +3,7 @@
 use crate::sim_disk::SimDisk;
 use crate::sim_links::{LinkRates, SimLinks};
 use crate::sim_operators::{OperatorHappening, SimOperators};
-use crate::sim_platform::{SimPlatform, SimStart};
+use crate::sim_platform::{SimPlatform, SimStart, zone_name};
 use clock_events::Micros;
 use colleague_messages::{Address, Envelope, Message, NodeId, Ticket, fleet_mark, node_id};
 use colleague_probes::ProbeSettings;
@@ -324,7 +324,7 @@
                 .then(|| SimDisk::blank(world.dice.u64(1..)));
             world.nodes.push(SimNode {
                 address,
-                zone: format!("zone-{}", number % 3),
+                zone: zone_name(number),
                 node: None,
                 id: 0,
                 life: 0,
--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -3,13 +3,14 @@
 //!
 //! The parts: the own [`disk`] and its syncs; the [`standing_set`] of voters; [`founding`];
 //! [`voter_changes`] and the copy; [`key_owners`]; [`owner_answers`], this node's work as an owner;
-//! [`requests`] in flight to owners; [`record_polls`].
+//! [`requests`] in flight to owners; [`record_polls`] and the [`record_relay`] of a zone.
 
 mod disk;
 mod founding;
 mod key_owners;
 mod owner_answers;
 mod record_polls;
+mod record_relay;
 mod requests;
 mod standing_set;
 mod voter_changes;
@@ -24,6 +25,7 @@
 use disk::Disk;
 use owner_answers::OWNS_NO_KEYS;
 use record_polls::PollGroups;
+use record_relay::{ObservedRecords, RelayedPoll};
 use requests::WriteFlight;
 use std::collections::BTreeMap;
 
@@ -59,6 +61,8 @@
     /// Owners that were polled and did not answer yet, and since when.
     polls: BTreeMap<NodeId, Micros>,
     poll_groups: PollGroups,
+    observed_records: ObservedRecords,
+    relayed_poll: RelayedPoll,
     sightings: DiskSightings,
     /// The copying that this node does while the voter set changes.
     copy: Option<SetCopy>,
@@ -80,6 +84,8 @@
             doubted: BTreeMap::new(),
             polls: BTreeMap::new(),
             poll_groups: PollGroups::default(),
+            observed_records: ObservedRecords::default(),
+            relayed_poll: RelayedPoll::default(),
             sightings: DiskSightings::default(),
             copy: None,
             found_event: ClockEvent::each(Micros::from_millis(200)),
@@ -120,6 +126,11 @@
             Message::RecordsPolled { mark, change, records, renewed, .. } => {
                 self.records_polled(from, (mark, change), records.0, &renewed.0);
             }
+            Message::RelayPoll { mark, since } => self.relay_polled_by(from, mark, since),
+            Message::RelayPolled { relays: 0, .. } => self.relay_refused(from),
+            Message::RelayPolled { mark, change, records, renewed, .. } => {
+                self.relay_answered(from, (mark, change), &records.0, &renewed.0);
+            }
             Message::Write { entries } => self.writes_asked(from, entries),
             Message::ReadConfirmed { ask, key, digest } => self.read_asked(from, ask, key, digest),
             Message::WriteAnswer { outcomes } => {
--- a/packages/node_protocol/src/control_part/record_polls.rs
+++ b/packages/node_protocol/src/control_part/record_polls.rs
@@ -24,9 +24,13 @@
 }
 
 impl Node {
-    /// Polls the leader records of all functions, one message for each owner: what changed since this
-    /// node's last poll of that owner is answered.
+    /// Polls the leader records of all functions: by one message to the zone's relay, or by one to each owner.
+    /// What changed since this node's last poll there is answered.
     pub(crate) fn poll_records(&mut self) {
+        if let Some(relay) = self.polled_relay() {
+            self.poll_relay(relay);
+            return;
+        }
         self.group_polls();
         let polls: Vec<(NodeId, u64, u64)> = self
             .control
@@ -77,8 +81,10 @@
         let now = self.now;
         self.control.polls.remove(&from);
         let election = &mut self.stewards.election;
+        let observed = &mut self.control.observed_records;
         for record in records {
             if let Some(function) = record.key.0.strip_prefix("steward/") {
+                observed.observe(function, record.version, &record.value);
                 let leader = LeaderRecord::decode(&record.value);
                 election.observe(function, record.version, leader, now);
             }
@@ -90,6 +96,7 @@
         for renewal in renewed {
             if let Some(function) = group.functions.get(usize::from(renewal.place)) {
                 election.renewed(function, renewal.version, now);
+                observed.renewed(function, renewal.version);
             }
         }
         let functions = &group.functions;
@@ -117,6 +124,6 @@
     }
 }
 
-fn keys_of(functions: &[String]) -> Vec<Text> {
+pub(super) fn keys_of(functions: &[String]) -> Vec<Text> {
     functions.iter().map(|function| steward_key(function).into()).collect()
 }
--- a/packages/node_protocol/src/list_part.rs
+++ b/packages/node_protocol/src/list_part.rs
@@ -1,4 +1,5 @@
-//! The platform's list: a few nodes ask the platform, all others pull what changed from one of them.
+//! The platform's list: a few nodes ask the platform, all others pull what changed from one of them. Where
+//! zones have relays a zone's relay pulls it over the border, and the zone pulls it from the relay.
 
 use crate::Act;
 use crate::node::Node;
@@ -107,21 +108,46 @@
 }
 
 impl Node {
-    /// Whom this node gets the list from: itself when it slept, hears nobody, or tried others in vain.
-    /// Machines with disks come first, then rendezvous: all nodes with one view pick the same.
+    /// Whom this node gets the list from: itself when it slept, hears nobody, or tried others in vain; the
+    /// zone's relay, unless this is the fleet's lister or the relay itself.
     pub(crate) fn lister(&self) -> NodeId {
         let own = self.settings.node;
         let lists = &self.stewards.lists;
         if self.stewards.is_list_stale || self.is_unheard() || lists.tries >= LISTERS_TRIED {
             return own;
         }
+        let fleet_lister = self.fleet_lister();
+        let relay = self.zones.relay().filter(|relay| *relay != own && !self.is_lister_doubted(*relay));
+        if fleet_lister == own { own } else { relay.unwrap_or(fleet_lister) }
+    }
+
+    /// The node that asks the platform for all: machines with disks come first, then rendezvous. All nodes
+    /// with one view pick the same.
+    fn fleet_lister(&self) -> NodeId {
         self.members
             .live()
             .into_iter()
             .filter(|news| news.draining == 0 && news.state == 0)
-            .filter(|news| lists.doubted.get(&news.node).is_none_or(|until| self.now >= *until))
+            .filter(|news| !self.is_lister_doubted(news.node))
             .max_by_key(|news| (news.disk != 0, rendezvous_weight("list", news.node), news.node))
-            .map_or(own, |news| news.node)
+            .map_or(self.settings.node, |news| news.node)
+    }
+
+    fn is_lister_doubted(&self, node: NodeId) -> bool {
+        self.stewards.lists.doubted.get(&node).is_some_and(|until| self.now < *until)
+    }
+
+    /// Until the next list of one that was just gotten from there. A pull is cheap and comes twice as often
+    /// as the platform is asked, a relay's four times, so that all ages together stay below two lists'.
+    pub(crate) fn list_pause(&self, lister: NodeId) -> Micros {
+        // All nodes together stay below what the platform takes, also while each lists for itself.
+        let fleet_pace = Micros((1e6 / self.settings.lists_per_second) as u64);
+        let least = self.settings.list_every.max(fleet_pace);
+        match lister == self.settings.node {
+            true => least,
+            false if self.zones.relay() == Some(self.settings.node) => Micros(least.0 / 4),
+            false => Micros(least.0 / 2),
+        }
     }
 
     /// Gives up on a lister that is silent. Whether a pull is still open is returned.
@@ -155,9 +181,12 @@
     /// A colleague pulls the list: it is answered from one that is young enough, or with the next.
     pub(crate) fn list_asked(&mut self, from: NodeId, since: u64) {
         let now = self.now;
-        let lists = &mut self.stewards.lists;
+        let is_pulling = self.zones.may_relay() && self.lister() != self.settings.node;
+        // A list that was pulled here has some age already.
         let list_every = self.settings.list_every;
-        let is_young = lists.ledger.listed_at.is_some_and(|listed_at| now < listed_at + list_every);
+        let young_age = if is_pulling { Micros(list_every.0 * 2) } else { list_every };
+        let lists = &mut self.stewards.lists;
+        let is_young = lists.ledger.listed_at.is_some_and(|listed_at| now < listed_at + young_age);
         if is_young && !self.stewards.is_list_stale {
             let told = lists.ledger.told_since(since, now);
             self.send(from, told);
@@ -166,7 +195,9 @@
         if lists.waiting.len() < WAITING_LIMIT {
             lists.waiting.insert(from, since);
         }
-        if !self.is_platform_asked() {
+        if is_pulling {
+            self.stewards.list_due = now;
+        } else if !self.is_platform_asked() {
             self.ask_platform();
         }
     }
@@ -176,7 +207,7 @@
         self.act(Act::List);
     }
 
-    /// The platform's answer to this node itself: kept for those who pull.
+    /// A list that the platform gave, or that a relay pulled: kept for those who pull it here.
     pub(crate) fn note_list(&mut self, workers: &[ListedWorker], cells: &[ListedCell], asked_at: Micros) {
         let now = self.now;
         let lists = &mut self.stewards.lists;
@@ -245,8 +276,12 @@
                 lists.tries = 0;
                 // The lister answered after this node asked: its list is at least as old as this.
                 let listed_at = pull.asked_at - Micros(age_micros);
-                let (workers, cells) = (copy.workers.clone(), copy.cells.values().cloned().collect());
+                let workers = copy.workers.clone();
+                let cells: Vec<ListedCell> = copy.cells.values().cloned().collect();
                 if self.stewards.listed_at.is_none_or(|newest_at| listed_at > newest_at) {
+                    if self.zones.may_relay() {
+                        self.note_list(&workers, &cells, listed_at);
+                    }
                     self.take_list(workers, cells, listed_at);
                 }
             }
@@ -286,6 +321,7 @@
         tells_free: u8::from(worker.free_mb.is_some()),
         free_mb: worker.free_mb.unwrap_or(0),
         draining: u8::from(worker.draining),
+        zone: worker.zone.as_str().into(),
     }
 }
 
@@ -295,6 +331,7 @@
         memory_mb: told.memory_mb,
         free_mb: (told.tells_free == 1).then_some(told.free_mb),
         draining: told.draining == 1,
+        zone: told.zone.0,
     }
 }
 
--- a/packages/node_protocol/src/list_part/tests.rs
+++ b/packages/node_protocol/src/list_part/tests.rs
@@ -18,7 +18,13 @@
 }
 
 fn worker(free_mb: u64) -> ListedWorker {
-    ListedWorker { id: "w".to_owned(), memory_mb: 1_000, free_mb: Some(free_mb), draining: false }
+    ListedWorker {
+        id: "w".to_owned(),
+        memory_mb: 1_000,
+        free_mb: Some(free_mb),
+        draining: false,
+        zone: "a".to_owned(),
+    }
 }
 
 fn address(port: u16) -> Address {
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -297,6 +297,8 @@
             | Message::KeysTold { .. }
             | Message::RecordsPoll { .. }
             | Message::RecordsPolled { .. }
+            | Message::RelayPoll { .. }
+            | Message::RelayPolled { .. }
             | Message::Write { .. }
             | Message::WriteAnswer { .. }
             | Message::ReadConfirmed { .. } => self.take_control_message(from, message),
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -15,8 +15,9 @@
 use std::net::IpAddr;
 use steward_election::{Election, ElectionSettings, TermChange};
 use steward_work::{
-    CostModel, Demand, DeputyAsk, DeputyCell, DeputyWork, FunctionWork, HeldBackAs, ListedCell, ListedWorker,
-    Placement, StartOutcome, StartRate, Totals, Urgency, WorkAct, WorkSettings, allowance_split,
+    AskDetails, CostModel, Demand, DeputyAsk, DeputyCell, DeputyWork, FunctionWork, HeldBackAs, ListedCell,
+    ListedWorker, Placement, StartOutcome, StartRate, Totals, Urgency, WorkAct, WorkSettings, Zone,
+    allowance_split,
 };
 
 const START_WAITLIST: usize = 2_048;
@@ -62,6 +63,8 @@
     function: String,
     start_id: String,
     worker: Option<String>,
+    /// Where it had better go.
+    zone: Zone,
     tries: u32,
 }
 
@@ -188,15 +191,16 @@
         self.stewards.most_nodes = self.stewards.most_nodes.max(self.member_count());
         let is_look_due = self.stewards.unsettled_poll.due(now);
         let pause = Micros(PAUSE_A_MEMBER.0 * members.len() as u64);
+        let (poll_every, poll_pause) = self.poll_pauses(members.len());
         if is_look_due {
             self.stewards.is_unsettled = self.stewards.election.is_unsettled(&members, now);
         }
         let is_unsettled = self.stewards.is_unsettled;
-        let is_poll_near = now >= self.stewards.polled_at + pause;
+        let is_poll_near = now >= self.stewards.polled_at + poll_pause;
         if now >= self.stewards.poll_due || (is_unsettled && is_look_due && is_poll_near) {
             self.stewards.polled_at = now;
-            let jitter = Micros(self.dice.u64(..self.settings.election.poll.0 / 10 + 1));
-            self.stewards.poll_due = now + self.settings.election.poll - jitter;
+            let jitter = Micros(self.dice.u64(..poll_every.0 / 10 + 1));
+            self.stewards.poll_due = now + poll_every - jitter;
             self.poll_records();
         }
         let writes = self.stewards.election.tick(&members, now);
@@ -226,6 +230,22 @@
         }
     }
 
+    /// Between two polls of the leader records, and at the least between two while something is unheld: who
+    /// is asked meets so many askers, which is the nodes of a zone for a relay, and the relays for an owner. A
+    /// relay polls twice as often, since what it hears reaches others a poll later.
+    fn poll_pauses(&self, member_count: usize) -> (Micros, Micros) {
+        let poll = self.settings.election.poll;
+        let pause = |askers: usize| Micros(PAUSE_A_MEMBER.0 * askers as u64);
+        match (self.zones.relay(), self.polled_relay()) {
+            (None, _) => (poll, pause(member_count)),
+            (Some(relay), _) if relay == self.settings.node => {
+                (Micros(poll.0 / 2), pause(self.zones.count()))
+            }
+            (Some(_), Some(_)) => (poll, pause(self.zones.near_count())),
+            (Some(_), None) => (poll, pause(member_count)),
+        }
+    }
+
     /// The gate counts functions, and one that is called very often may be more than a small machine can
     /// carry, however few it holds: its lease would run out under the calls. It is given to a larger machine,
     /// by rendezvous among those, so that several such functions spread. Where all machines are alike nothing
@@ -386,6 +406,7 @@
             now,
         );
         work.bound_extras(self.settings.extra_bound, now);
+        work.take_worker_zones(self.stewards.placement.zones());
         let known_ready: Vec<String> = self.known_ready(function).into_iter().map(|cell| cell.id).collect();
         if self.stewards.has_list {
             let own_cells = cells_of(&self.stewards.cells, function);
@@ -461,8 +482,10 @@
                 let work = self.stewards.works.get_mut(&function.0).filter(|_| is_steward);
                 if let Some(work) = work {
                     let late_at = Micros(now.0.saturating_add(target_left_micros));
-                    let wanted = (avoid.0.as_str(), Urgency { late_at, rank, is_nested: nested == 1 });
-                    work.ask_urgently(from, ask, time_left, u32::from(extra), wanted, now);
+                    let urgency = Urgency { late_at, rank, is_nested: nested == 1 };
+                    let zone = self.zones.zone_of(from).map_or(Zone::default(), Zone::named);
+                    let details = AskDetails { avoid: &avoid.0, urgency, zone };
+                    work.ask_in_detail(from, ask, time_left, u32::from(extra), details, now);
                     return;
                 }
                 let holder = self.stewards.election.holder(&function.0, now);
@@ -590,8 +613,7 @@
         self.stewards.list_asked_at.is_some_and(|asked_at| self.now < asked_at + LIST_PATIENCE)
     }
 
-    /// Gets the list when it is due, from the platform or from the colleague that asks the platform. A
-    /// pull is cheap and comes twice as often, so that both ages together stay below two lists'.
+    /// Gets the list when it is due, from the platform or from the colleague that has it.
     fn ask_list(&mut self) {
         let now = self.now;
         if self.check_pull() || self.is_platform_asked() || now < self.stewards.list_due {
@@ -599,10 +621,7 @@
         }
         let lister = self.lister();
         let is_own = lister == self.settings.node;
-        // All nodes together stay below what the platform takes, also while each lists for itself.
-        let fleet_pace = Micros((1e6 / self.settings.lists_per_second) as u64);
-        let least = self.settings.list_every.max(fleet_pace);
-        let list_every = if is_own { least } else { Micros(least.0 / 2) };
+        let list_every = self.list_pause(lister);
         let jitter = Micros(self.dice.u64(..list_every.0 / 5 + 1));
         self.stewards.list_due = now + list_every + jitter;
         match is_own {
@@ -678,6 +697,7 @@
             if let Some(work) = self.stewards.works.get_mut(&function) {
                 work.listed(&own_cells, &known_ready, asked_at, now);
                 let placement = &self.stewards.placement;
+                work.take_worker_zones(placement.zones());
                 work.leave_workers(|worker| placement.is_usable(worker), now);
             }
         }
@@ -868,14 +888,15 @@
                 };
                 self.send(asker, message);
             }
-            WorkAct::Start { start_id } => {
+            WorkAct::Start { start_id, zone } => {
                 if self.stewards.starts.len() >= START_WAITLIST {
                     if let Some(work) = self.stewards.works.get_mut(function) {
                         work.started(&start_id, StartOutcome::NoRoom, self.now);
                     }
                     return;
                 }
-                let start = WaitingStart { function: function.to_owned(), start_id, worker: None, tries: 0 };
+                let function = function.to_owned();
+                let start = WaitingStart { function, start_id, worker: None, zone, tries: 0 };
                 self.stewards.starts.push_back(start);
             }
             WorkAct::Stop { cell } => {
@@ -934,7 +955,7 @@
                 None => {
                     let work = self.stewards.works.get(&function);
                     let is_first = work.is_some_and(|work| !work.has_cells());
-                    self.stewards.placement.pick(memory_mb, &start.start_id, is_first, now)
+                    self.stewards.placement.pick(memory_mb, &start.start_id, is_first, start.zone, now)
                 }
             };
             let Some(worker) = picked_worker else {
--- a/packages/node_protocol/src/zones.rs
+++ b/packages/node_protocol/src/zones.rs
@@ -20,6 +20,7 @@
     own_zone: String,
     zone_of: BTreeMap<NodeId, String>,
     near_addresses: BTreeSet<Address>,
+    zone_count: usize,
     /// The relays of each zone, the first one first; none in a fleet that needs none.
     relays: BTreeMap<String, Vec<NodeId>>,
 }
@@ -38,6 +39,7 @@
             own: own.node,
             own_zone: own.zone.0.clone(),
             zone_of: live.iter().map(|news| (news.node, news.zone.0.clone())).collect(),
+            zone_count: members.len(),
             near_addresses: live
                 .iter()
                 .filter(|news| news.zone == own.zone)
@@ -57,10 +59,14 @@
         self.zone_of.get(&node).map(String::as_str)
     }
 
-    /// Whether a node is in this node's zone; one that is not known is taken to be.
-    /// Example: `zones.is_near(own)`.
-    pub(crate) fn is_near(&self, node: NodeId) -> bool {
-        self.zone_of(node).is_none_or(|zone| zone == self.own_zone)
+    /// How many zones there are. Example: `zones.count() == 4`.
+    pub(crate) fn count(&self) -> usize {
+        self.zone_count
+    }
+
+    /// How many live members this node's zone has. Example: `zones.near_count() == 23`.
+    pub(crate) fn near_count(&self) -> usize {
+        self.near_addresses.len()
     }
 
     /// Whether a live member of this node's zone listens at an address.
--- a/packages/node_protocol/src/zones/tests.rs
+++ b/packages/node_protocol/src/zones/tests.rs
@@ -30,7 +30,7 @@
     let mut fleet = fleet();
     assert_eq!(zones(&fleet, 0).relay(), Some(10));
     assert_eq!(zones(&fleet, 14).relay(), Some(20));
-    assert!(zones(&fleet, 9).may_relay() && !zones(&fleet, 0).is_near(20));
+    assert!(zones(&fleet, 9).may_relay() && zones(&fleet, 0).zone_of(20) == Some("b"));
     let neighbours = zones(&fleet, 0).neighbours();
     assert_eq!((neighbours.near.len(), neighbours.far.len()), (9, 10));
     assert_eq!((neighbours.own_relays[0], neighbours.far_relays.len()), (10, 1));
--- a/packages/platform_client/src/lib.rs
+++ b/packages/platform_client/src/lib.rs
@@ -22,8 +22,8 @@
 }
 
 platform_documents! {
-    /// A worker in the list; `state` is `ready` or `draining`.
-    WorkerDocument { id: String, memory_mb: u64, state: String, }
+    /// A worker in the list; `state` is `ready` or `draining`, `zone` may be left out.
+    WorkerDocument { id: String, memory_mb: u64, state: String, #[serde(default)] zone: String, }
     /// A cell in the list; `state` is `running` or `leaving`. Booting cells count as running.
     CellDocument {
         id: String, function: String, worker: String, address: SocketAddr, memory_mb: u64, state: String,
@@ -137,6 +137,7 @@
                 id: worker.id,
                 memory_mb: worker.memory_mb,
                 free_mb: None,
+                zone: worker.zone,
             })
             .collect();
         let cells = list
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -1,9 +1,11 @@
 use crate::extra_budget::{ExtraBound, ExtraBudget};
+use crate::zone::{WorkerZones, Zone, ZoneCalls};
 use crate::{CellDemand, CellShape, CostModel, NOT_RUN, RAN, TURNED_AWAY, UNKNOWN, UNUSED};
 use clock_events::Micros;
 use colleague_messages::{Address, NodeId, Ticket};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// What the configuration says of the function. Example: `WorkSettings { calls_at_once: 4, .. }`.
 #[derive(Clone, Debug, PartialEq)]
@@ -83,8 +85,8 @@
     Grant { asker: NodeId, ask: u64, ticket: Ticket },
     /// Tell the asker that it waits or is refused.
     HoldBack { asker: NodeId, ask: u64, held_back_as: HeldBackAs, reason: &'static str, retry_after: Micros },
-    /// Start a cell under this start id; a repeat of the id starts nothing twice.
-    Start { start_id: String },
+    /// Start a cell under this start id, in this zone if it has room; a repeat of the id starts nothing twice.
+    Start { start_id: String, zone: Zone },
     /// Stop a cell that no call uses any more.
     Stop { cell: String },
     /// The cells known to run have changed.
@@ -131,6 +133,18 @@
     seen_at: Micros,
     avoid: String,
     urgency: Urgency,
+    zone: Zone,
+}
+
+/// What is said of an ask beside its time. Example: `AskDetails { avoid: "c1", ..AskDetails::default() }`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AskDetails<'a> {
+    /// The cell that the call's last dispatch failed on; empty for none.
+    pub avoid: &'a str,
+    /// How urgent the call is.
+    pub urgency: Urgency,
+    /// Where the asker is.
+    pub zone: Zone,
 }
 
 /// What a call's front wants of a steward or deputy. Example: see `node_protocol::Event::CallAsks`.
@@ -195,9 +209,13 @@
     waitlist: VecDeque<WaitingAsk>,
     open: BTreeMap<u64, OpenTicket>,
     by_ask: BTreeMap<(NodeId, u64), u64>,
+    /// Where calls come from, and where workers are.
+    zone_calls: ZoneCalls,
+    worker_zones: Arc<WorkerZones>,
     /// The cell that each asker was sent to last: it may have a connection there still.
     last_cells: BTreeMap<NodeId, String>,
-    starting: BTreeMap<String, Micros>,
+    /// Starts under way: since when, and in which zone they are wanted.
+    starting: BTreeMap<String, (Micros, Zone)>,
     allowed_cells: u32,
     next_ticket: u64,
     next_start: u64,
@@ -291,6 +309,8 @@
             waitlist: VecDeque::new(),
             open: BTreeMap::new(),
             by_ask: BTreeMap::new(),
+            zone_calls: ZoneCalls::default(),
+            worker_zones: Arc::default(),
             last_cells: BTreeMap::new(),
             starting: BTreeMap::new(),
             allowed_cells: 1,
@@ -444,18 +464,19 @@
         avoid: &str,
         now: Micros,
     ) {
-        self.ask_urgently(asker, ask, time_left, dispatches, (avoid, Urgency::default()), now);
+        let details = AskDetails { avoid, ..AskDetails::default() };
+        self.ask_in_detail(asker, ask, time_left, dispatches, details, now);
     }
 
-    /// The same with what the call's lane says of its urgency.
-    /// Example: `work.ask_urgently(9, 1, Micros::from_secs(4), 0, ("", urgency), now)`.
-    pub fn ask_urgently(
+    /// The same with what the call's lane says of its urgency, and where it comes from.
+    /// Example: `work.ask_in_detail(9, 1, Micros::from_secs(4), 0, AskDetails::default(), now)`.
+    pub fn ask_in_detail(
         &mut self,
         asker: NodeId,
         ask: u64,
         time_left: Micros,
         dispatches: u32,
-        (avoid, urgency): (&str, Urgency),
+        AskDetails { avoid, urgency, zone }: AskDetails,
         now: Micros,
     ) {
         let is_extra = dispatches > 0;
@@ -480,6 +501,7 @@
         }
         if !is_extra {
             self.demand.called(now);
+            self.zone_calls.came(zone, now);
         }
         let extras_waiting = self.waitlist.iter().filter(|waiting| waiting.dispatches > 0).count();
         let may_wait = self.extras.is_young(now) && extras_waiting < EXTRAS_WAITING_MOST;
@@ -503,6 +525,7 @@
             seen_at: now,
             avoid: avoid.to_owned(),
             urgency,
+            zone,
         };
         match is_extra {
             // A call that was turned away has waited its turn already.
@@ -808,7 +831,7 @@
         }
         // An asker that went silent is gone; one whose time is over refuses its call itself.
         self.waitlist.retain(|waiting| now < waiting.ends_at && now < waiting.seen_at + ASK_FORGOTTEN);
-        self.starting.retain(|_, sent_at| now < *sent_at + START_FORGOTTEN);
+        self.starting.retain(|_, (sent_at, _)| now < *sent_at + START_FORGOTTEN);
         if self.last_cells.len() > LAST_CELLS_LIMIT {
             self.last_cells.clear();
         }
@@ -878,17 +901,57 @@
         }
     }
 
-    /// The cell with the fewest calls, or the one that the asker used last where that has hardly more: it
-    /// spares a connection, and the calls stay spread.
-    fn pick_cell(&self, asker: NodeId, avoid: &str, now: Micros) -> Option<String> {
-        let rooms = self.cells.iter().filter_map(|(id, cell)| Some((id == avoid, self.room(cell, now)?, id)));
-        let (is_avoided, fewest, emptiest) = rooms.min()?;
-        let last = self.last_cells.get(&asker).filter(|last| last.as_str() != avoid && !is_avoided);
-        let last_room = last.and_then(|last| self.room(self.cells.get(last)?, now));
+    /// In the asker's zone, if a cell there that runs has room, and elsewhere otherwise: the cell with the
+    /// fewest calls, or the one that the asker used last where that has hardly more. It spares a connection,
+    /// and the calls stay spread.
+    fn pick_cell(&self, waiting: &WaitingAsk, now: Micros) -> Option<String> {
+        let rooms = self.cells.iter().filter_map(|(id, cell)| {
+            let room = self.room(cell, now)?;
+            let is_unproven = cell.phase != Phase::Ready;
+            Some((*id == waiting.avoid, is_unproven, self.is_far(cell, waiting.zone), room, id))
+        });
+        let (is_avoided, _, is_far, fewest, emptiest) = rooms.min()?;
+        let last = self.last_cells.get(&waiting.asker).filter(|last| **last != waiting.avoid && !is_avoided);
+        let last_room = last.and_then(|last| {
+            let cell = self.cells.get(last)?;
+            self.room(cell, now).filter(|_| is_far || !self.is_far(cell, waiting.zone))
+        });
         let is_last_good = last_room.is_some_and(|calls| calls <= fewest.saturating_add(LAST_CELL_MORE));
         last.filter(|_| is_last_good).or(Some(emptiest)).cloned()
     }
 
+    fn is_far(&self, cell: &Cell, zone: Zone) -> bool {
+        self.zone_of(&cell.worker).is_far_from(zone)
+    }
+
+    fn zone_of(&self, worker: &str) -> Zone {
+        self.worker_zones.get(worker).copied().unwrap_or_default()
+    }
+
+    /// Cells that are not leaving, and starts under way, by zone.
+    fn cells_by_zone(&self) -> BTreeMap<Zone, usize> {
+        let mut cells: BTreeMap<Zone, usize> = BTreeMap::new();
+        for (_, cell) in self.usable_cells() {
+            *cells.entry(self.zone_of(&cell.worker)).or_default() += 1;
+        }
+        for (_, zone) in self.starting.values() {
+            *cells.entry(*zone).or_default() += 1;
+        }
+        cells
+    }
+
+    /// The zone that lacks a cell most, by where calls come from.
+    fn zone_for_a_start(&self) -> Zone {
+        let missing = self.zone_calls.missing(&self.cells_by_zone());
+        let most = missing.into_iter().max_by(|(_, left), (_, right)| left.total_cmp(right));
+        most.map_or(Zone::default(), |(zone, _)| zone)
+    }
+
+    /// Takes the zones of the workers. Example: `work.take_worker_zones(placement.zones())`.
+    pub fn take_worker_zones(&mut self, zones: Arc<WorkerZones>) {
+        self.worker_zones = zones;
+    }
+
     /// Whose turn it is: a new steward's extra dispatches let others pass until they are granted.
     fn next_place(&mut self, now: Micros) -> Option<usize> {
         let is_extra_held = self.extras.is_young(now) && !self.extras.may_spend(now);
@@ -924,7 +987,7 @@
             if is_held || now < self.paused_until {
                 return;
             }
-            let Some(picked_id) = self.pick_cell(waiting.asker, &waiting.avoid, now) else { return };
+            let Some(picked_id) = self.pick_cell(waiting, now) else { return };
             let Some(waiting) = self.waitlist.remove(place) else { return };
             if waiting.dispatches > 0 && !self.spend_extra(now) {
                 let retry_after = Micros::from_secs(1);
@@ -980,7 +1043,7 @@
                 Phase::Unproven { trial_at } => trial_at.max(now),
                 _ => now,
             })
-            .chain(self.starting.values().map(|sent_at| (*sent_at + self.learnt_boot).max(now)))
+            .chain(self.starting.values().map(|(sent_at, _)| (*sent_at + self.learnt_boot).max(now)))
             .min();
         let calls_at_once = u64::from(self.settings.calls_at_once);
         let cannot_grow = self.cell_count() >= self.allowed_cells.max(1) || now < self.no_room_until;
@@ -1048,8 +1111,9 @@
         while self.cell_count() < wanted {
             self.next_start += 1;
             let start_id = format!("{}-{}-{}", self.function, self.steward_epoch, self.next_start);
-            self.starting.insert(start_id.clone(), now);
-            self.acts.push(WorkAct::Start { start_id });
+            let zone = self.zone_for_a_start();
+            self.starting.insert(start_id.clone(), (now, zone));
+            self.acts.push(WorkAct::Start { start_id, zone });
         }
     }
 
@@ -1058,11 +1122,17 @@
         let usable_count = self.usable_cells().count() as u32;
         if usable_count > kept_cells {
             let surplus_ids: Vec<String> = {
-                // Cells not known to run go first, so that the kept ones do run.
-                let mut by_worth: Vec<(bool, u32, &String)> = self
+                // Cells not known to run go first, so that the kept ones do run; then those of zones that have
+                // more than their calls need.
+                let missing = self.zone_calls.missing(&self.cells_by_zone());
+                let missing_of = |cell: &Cell| {
+                    let missing = missing.get(&self.zone_of(&cell.worker)).copied().unwrap_or(0.0);
+                    (missing * 1e3) as i64
+                };
+                let mut by_worth: Vec<(bool, i64, u32, &String)> = self
                     .usable_cells()
                     .filter(|(_, cell)| !matches!(cell.phase, Phase::Trial))
-                    .map(|(id, cell)| (cell.phase == Phase::Ready, cell.in_flight, id))
+                    .map(|(id, cell)| (cell.phase == Phase::Ready, missing_of(cell), cell.in_flight, id))
                     .collect();
                 by_worth.sort();
                 by_worth
--- a/packages/steward_work/src/function_work/tests.rs
+++ b/packages/steward_work/src/function_work/tests.rs
@@ -38,7 +38,7 @@
 fn first_start(work: &mut FunctionWork) -> String {
     let acts = work.take_acts().into_iter();
     acts.filter_map(|act| match act {
-        WorkAct::Start { start_id } => Some(start_id),
+        WorkAct::Start { start_id, .. } => Some(start_id),
         _ => None,
     })
     .next()
@@ -258,14 +258,9 @@
     work.tick(ms(1_000));
     let trial = grants(&mut work);
     for (ask, late_at, rank) in [(2, 1_010, 0), (3, 9_000, 2), (4, 9_000, 1), (5, 9_000, 1)] {
-        work.ask_urgently(
-            9,
-            ask,
-            LONG,
-            0,
-            ("", Urgency { late_at: ms(late_at), rank, is_nested: false }),
-            ms(1_005),
-        );
+        let urgency = Urgency { late_at: ms(late_at), rank, is_nested: false };
+        let details = AskDetails { urgency, ..AskDetails::default() };
+        work.ask_in_detail(9, ask, LONG, 0, details, ms(1_005));
     }
     work.returned(&trial[0].1, RAN, ms(20), ms(1_020));
     let mut order = Vec::new();
@@ -380,7 +375,69 @@
     }
     // Late by its lane's target, and of the last rank: its caller's slot is taken all the same.
     let nested = Urgency { late_at: ms(1), rank: 9, is_nested: true };
-    work.ask_urgently(9, 50, LONG, 0, ("", nested), ms(1_004));
+    let details = AskDetails { urgency: nested, ..AskDetails::default() };
+    work.ask_in_detail(9, 50, LONG, 0, details, ms(1_004));
     work.returned(&running[0], RAN, ms(30), ms(1_040));
     assert_eq!(grants(&mut work).iter().map(|(ask, _)| *ask).collect::<Vec<u64>>(), [50]);
 }
+
+/// Two cells that run, one in each of two zones.
+fn work_in_two_zones() -> FunctionWork {
+    let mut work = FunctionWork::new("proof", 7, 12, settings(), Vec::new(), Micros(0));
+    work.allow_cells(10);
+    let zones = [("w1", "a"), ("w2", "b")].map(|(worker, zone)| (worker.to_owned(), Zone::named(zone)));
+    work.take_worker_zones(Arc::new(zones.into()));
+    let listed = |id: &str, worker: &str| ListedCell {
+        id: id.to_owned(),
+        function: "proof".to_owned(),
+        worker: worker.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        memory_mb: 1,
+        leaving: false,
+        started: true,
+    };
+    work.listed(&[listed("c1", "w1"), listed("c2", "w2")], &[], Micros(0), Micros(0));
+    work
+}
+
+fn ask_from(work: &mut FunctionWork, ask: u64, zone: &str) -> Option<String> {
+    let details = AskDetails { zone: Zone::named(zone), ..AskDetails::default() };
+    work.ask_in_detail(9, ask, LONG, 0, details, Micros::from_millis(ask));
+    grants(work).first().map(|(_, ticket)| ticket.cell.0.clone())
+}
+
+#[test]
+fn a_call_goes_to_a_cell_in_its_zone_while_one_there_has_room_and_elsewhere_after_that() {
+    let mut work = work_in_two_zones();
+    assert_eq!(ask_from(&mut work, 1, "b").as_deref(), Some("c2"));
+    assert_eq!(ask_from(&mut work, 2, "b").as_deref(), Some("c2"), "though the other cell has no call");
+    assert_eq!(ask_from(&mut work, 3, "b").as_deref(), Some("c1"), "the zone is full");
+    assert_eq!(ask_from(&mut work, 4, "a").as_deref(), Some("c1"));
+    assert_eq!(ask_from(&mut work, 5, "a"), None, "all is full");
+}
+
+#[test]
+fn a_start_is_wanted_where_cells_lack_most_and_the_zone_with_too_many_gives_one_back() {
+    let mut work = work_in_two_zones();
+    for ask in 1..=9 {
+        ask_from(&mut work, ask, if ask == 9 { "a" } else { "b" });
+    }
+    work.tick(Micros::from_millis(700));
+    let zones: Vec<Zone> = work.starting.values().map(|(_, zone)| *zone).collect();
+    assert!(!zones.is_empty() && zones.iter().all(|zone| *zone == Zone::named("b")), "{zones:?}");
+    let mut work = work_in_two_zones();
+    let open: Vec<Ticket> = (1..=4)
+        .filter_map(|ask| {
+            let details = AskDetails { zone: Zone::named("b"), ..AskDetails::default() };
+            work.ask_in_detail(9, ask, LONG, 0, details, Micros::from_millis(ask));
+            grants(&mut work).pop().map(|(_, ticket)| ticket)
+        })
+        .collect();
+    for ticket in open {
+        work.returned(&ticket, RAN, Micros::from_millis(20), Micros::from_millis(40));
+    }
+    work.allow_cells(1);
+    work.tick(Micros::from_millis(100));
+    let ready: Vec<String> = work.ready_cells().into_iter().map(|cell| cell.id).collect();
+    assert_eq!(ready, ["c2"], "no calls come from the zone of c1");
+}
--- a/packages/steward_work/src/lib.rs
+++ b/packages/steward_work/src/lib.rs
@@ -10,16 +10,19 @@
 mod function_work;
 mod placement;
 mod start_rate;
+mod zone;
 
 pub use allowance_split::{Demand, Share, Totals, allowance_split};
 pub use cell_demand::{CellDemand, CellShape, CostModel};
 pub use deputy_work::{DeputyAsk, DeputyCell, DeputyWork};
 pub use extra_budget::ExtraBound;
 pub use function_work::{
-    FunctionWork, HeldBackAs, ListedCell, ReadyCell, StartOutcome, TicketWish, Urgency, WorkAct, WorkSettings,
+    AskDetails, FunctionWork, HeldBackAs, ListedCell, ReadyCell, StartOutcome, TicketWish, Urgency, WorkAct,
+    WorkSettings,
 };
 pub use placement::{ListedWorker, Placement};
 pub use start_rate::StartRate;
+pub use zone::{WorkerZones, Zone, ZoneCalls};
 
 /// How a ticket came back: the cell ran the call and answered.
 pub const RAN: u8 = 0;
--- a/packages/steward_work/src/placement.rs
+++ b/packages/steward_work/src/placement.rs
@@ -1,9 +1,11 @@
+use crate::zone::{WorkerZones, Zone};
 use clock_events::Micros;
 use colleague_messages::rendezvous_weight;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// A worker as the platform lists it.
-/// Example: `ListedWorker { id: "w1".into(), memory_mb: 6500, free_mb: None, draining: false }`.
+/// Example: `ListedWorker { id: "w1".into(), memory_mb: 6500, free_mb: None, draining: false, zone: "a".into() }`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListedWorker {
     /// The platform's name for it.
@@ -14,6 +16,8 @@
     pub free_mb: Option<u64>,
     /// It takes no new cells, and those it has will leave.
     pub draining: bool,
+    /// Its zone's name; empty where the platform tells none.
+    pub zone: String,
 }
 
 #[derive(Clone, Debug)]
@@ -23,8 +27,8 @@
     at: Micros,
 }
 
-/// Where cells go: the workers with most free memory, spread by rendezvous weight.
-/// Example: `placement.pick(600, start_id, false, now)`.
+/// Where cells go: the workers with most free memory in the wanted zone, spread by rendezvous weight.
+/// Example: `placement.pick(600, start_id, false, zone, now)`.
 #[derive(Debug, Default)]
 pub struct Placement {
     workers: Vec<ListedWorker>,
@@ -33,6 +37,7 @@
     used: BTreeMap<String, u64>,
     recent: Vec<RecentStart>,
     full_until: BTreeMap<String, (u64, Micros)>,
+    zones: Arc<WorkerZones>,
 }
 
 /// A start is counted on its own until the late list surely shows it.
@@ -49,6 +54,11 @@
                 used.insert(worker.id.clone(), worker.memory_mb.saturating_sub(free_mb));
             }
         }
+        let zones: WorkerZones =
+            workers.iter().map(|worker| (worker.id.clone(), Zone::named(&worker.zone))).collect();
+        if *self.zones != zones {
+            self.zones = Arc::new(zones);
+        }
         self.workers = workers;
         self.used = used;
     }
@@ -72,10 +82,22 @@
         self.workers.iter().any(|worker| worker.id == worker_name && !worker.draining)
     }
 
-    /// Picks a worker with room: of the three with most free memory the one that the start id
-    /// hashes to, so that many stewards placing at once do not all pick the same.
-    /// Example: `placement.pick(600, "7-1", false, now) == Some("w3".into())`.
-    pub fn pick(&mut self, memory_mb: u64, start_id: &str, is_first: bool, now: Micros) -> Option<String> {
+    /// The zones of the listed workers. Example: `placement.zones()["w3"]`.
+    pub fn zones(&self) -> Arc<WorkerZones> {
+        self.zones.clone()
+    }
+
+    /// Picks a worker with room, in the zone if one there has any: of the three with most free memory
+    /// the one that the start id hashes to, so that many stewards placing at once do not all pick the same.
+    /// Example: `placement.pick(600, "7-1", false, zone, now) == Some("w3".into())`.
+    pub fn pick(
+        &mut self,
+        memory_mb: u64,
+        start_id: &str,
+        is_first: bool,
+        zone: Zone,
+        now: Micros,
+    ) -> Option<String> {
         let kept_mb = if is_first { 0 } else { self.reserve_mb };
         self.recent.retain(|start| now < start.at + RECENT_SPAN);
         self.full_until.retain(|_, (_, until)| now < *until);
@@ -98,6 +120,10 @@
                 (free_mb >= memory_mb + kept_mb).then_some((free_mb, worker.id.as_str()))
             })
             .collect();
+        let is_far = |worker: &str| self.zones.get(worker).is_some_and(|other| other.is_far_from(zone));
+        if rooms.iter().any(|(_, worker)| !is_far(worker)) {
+            rooms.retain(|(_, worker)| !is_far(worker));
+        }
         rooms.sort_by(|left, right| right.cmp(left));
         rooms.truncate(3);
         let picked_worker = rooms
--- a/packages/steward_work/src/placement/tests.rs
+++ b/packages/steward_work/src/placement/tests.rs
@@ -2,24 +2,51 @@
 
 #[test]
 fn cells_go_where_room_is_and_not_where_they_were_just_refused() {
-    let worker =
-        |id: &str, draining| ListedWorker { id: id.to_owned(), memory_mb: 1_000, free_mb: None, draining };
+    let worker = |id: &str, draining| ListedWorker {
+        id: id.to_owned(),
+        memory_mb: 1_000,
+        free_mb: None,
+        draining,
+        zone: String::new(),
+    };
     let mut placement = Placement::default();
     placement.take_list(
         vec![worker("w1", false), worker("w2", false), worker("w3", true)],
         BTreeMap::from([("w1".to_owned(), 500)]),
     );
     assert_eq!(placement.total_memory_mb(), 2_000);
-    assert_eq!(placement.pick(600, "a", false, Micros(0)), Some("w2".to_owned()), "the only one with room");
     assert_eq!(
-        placement.pick(600, "b", false, Micros(0)),
+        placement.pick(600, "a", false, Zone::default(), Micros(0)),
+        Some("w2".to_owned()),
+        "the only one with room"
+    );
+    assert_eq!(
+        placement.pick(600, "b", false, Zone::default(), Micros(0)),
         None,
         "its own starts count before the list shows them"
     );
-    assert_eq!(placement.pick(600, "c", false, RECENT_SPAN), Some("w2".to_owned()));
+    assert_eq!(placement.pick(600, "c", false, Zone::default(), RECENT_SPAN), Some("w2".to_owned()));
     placement.refused("w2", 600, RECENT_SPAN);
     let late = RECENT_SPAN + RECENT_SPAN;
     placement.refused("w2", 600, late);
-    assert_eq!(placement.pick(600, "d", false, late), None);
-    assert_eq!(placement.pick(600, "e", false, late + FULL_SPAN), Some("w2".to_owned()));
+    assert_eq!(placement.pick(600, "d", false, Zone::default(), late), None);
+    assert_eq!(placement.pick(600, "e", false, Zone::default(), late + FULL_SPAN), Some("w2".to_owned()));
+}
+
+#[test]
+fn a_cell_goes_where_its_calls_come_from_and_elsewhere_where_that_zone_is_full() {
+    let worker = |id: &str, zone: &str, free_mb| ListedWorker {
+        id: id.to_owned(),
+        memory_mb: 10_000,
+        free_mb: Some(free_mb),
+        draining: false,
+        zone: zone.to_owned(),
+    };
+    let mut placement = Placement::default();
+    let workers = vec![worker("w1", "a", 900), worker("w2", "b", 9_000), worker("w3", "b", 8_000)];
+    placement.take_list(workers, BTreeMap::new());
+    let near = Zone::named("a");
+    assert_eq!(placement.pick(600, "x", false, near, Micros(0)), Some("w1".to_owned()));
+    let elsewhere = placement.pick(600, "y", false, near, Micros(0)).expect("room beyond the border");
+    assert_ne!(elsewhere, "w1", "it has no more room");
 }
