Memory goes to calls first; functions that nobody calls are kept warm no longer than it can pay

Cause (the users' collapse on a site short of memory): functions whose boot is longer than their target were kept warm, two cells each, before anybody called them, for a minute; the split gave each of a thousand its cell before the few that carry the load got a second one; a split never went under one cell, called or not. Change: demand has three classes, each split over what the one before left: what calls of now need, what keeps called functions quick, what nobody called yet (of which half of the rest stays free). Once any function is called, one that is not is kept warm only while its memory costs less than a call met cold. A relay tells its zone which owners are silent.

--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -112,7 +112,8 @@
         BodyChange { base: u64, sequence: u64, digest: u64, steps: List<DeltaStep>, }
         /// The digest of one bucket of topics.
         BucketDigest { bucket: u8, digest: u64, }
-        DemandEntry { function: Text, memory_mb: u64, milli_starts: u64, }
+        /// Megabytes that calls need, that keep a called function quick, and for a function that nobody called.
+        DemandEntry { function: Text, memory_mb: u32, warm_mb: u32, spare_mb: u32, milli_starts: u32, }
         /// What a node's functions want, as news.
         DemandNews { entries: List<DemandEntry>, }
         CellEntry { cell: Text, address: Address, }
@@ -159,7 +160,15 @@
         /// that of the configured functions.
         "28" RelayPoll { mark: u64, since: u64, }
         /// `relays` 0: the asked node does not relay, or goes by other functions; the owners are to be asked.
-        "29" RelayPolled { mark: u64, relays: u8, change: u64, records: List<PolledRecord>, renewed: List<RenewedRecord>, }
+        /// `silent` are owners that leave the relay's own polls unanswered.
+        "29" RelayPolled {
+            mark: u64,
+            relays: u8,
+            change: u64,
+            records: List<PolledRecord>,
+            renewed: List<RenewedRecord>,
+            silent: List<NodeId>,
+        }
         /// `target_left_micros`: until the answer is late, all ones where the lane names no target.
         "30" TicketAsk {
             ask: u64,
--- a/packages/node_protocol/src/call_part.rs
+++ b/packages/node_protocol/src/call_part.rs
@@ -92,6 +92,7 @@
 
 impl Node {
     pub(crate) fn call_asks(&mut self, call: u64, wish: TicketWish) {
+        self.stewards.traffic_since.get_or_insert(self.now);
         let late_at = wish.target_left.map_or(Micros(u64::MAX), |left| self.now + left);
         let ask = CallAsk {
             function: wish.function,
--- a/packages/node_protocol/src/control_part.rs
+++ b/packages/node_protocol/src/control_part.rs
@@ -128,7 +128,8 @@
             }
             Message::RelayPoll { mark, since } => self.relay_polled_by(from, mark, since),
             Message::RelayPolled { relays: 0, .. } => self.relay_refused(from),
-            Message::RelayPolled { mark, change, records, renewed, .. } => {
+            Message::RelayPolled { mark, change, records, renewed, silent, .. } => {
+                self.owners_silent(silent);
                 self.relay_answered(from, (mark, change), &records.0, &renewed.0);
             }
             Message::Write { entries } => self.writes_asked(from, entries),
--- a/packages/node_protocol/src/control_part/record_relay.rs
+++ b/packages/node_protocol/src/control_part/record_relay.rs
@@ -15,6 +15,9 @@
 /// A node that does not relay by its own view is passed over for so long.
 const RELAY_DOUBT: Micros = Micros::from_secs(1);
 
+/// An owner that this node itself heard within this time is not silent, whatever a relay says.
+const SILENT_FOR: Micros = Micros::from_millis(600);
+
 /// A leader record as this node observed it, and the change numbers at which it last changed, and last
 /// changed otherwise than by a renewal.
 #[derive(Debug)]
@@ -128,14 +131,30 @@
             let since = if since > observed.change_count { 0 } else { since };
             let (records, renewed) = observed.since(&self.control.relayed_poll.functions, since);
             let change = observed.change_count;
-            Message::RelayPolled { mark, relays: 1, change, records: List(records), renewed: List(renewed) }
+            let silent = self.doubted_owners();
+            let (records, renewed) = (List(records), List(renewed));
+            Message::RelayPolled { mark, relays: 1, change, records, renewed, silent }
         } else {
-            let (records, renewed) = (List(Vec::new()), List(Vec::new()));
-            Message::RelayPolled { mark, relays: 0, change: 0, records, renewed }
+            let (records, renewed, silent) = (List(Vec::new()), List(Vec::new()), List(Vec::new()));
+            Message::RelayPolled { mark, relays: 0, change: 0, records, renewed, silent }
         };
         self.send(from, answer);
     }
 
+    fn doubted_owners(&self) -> List<NodeId> {
+        let doubted = self.control.doubted.iter().filter(|(_, until)| self.now < **until);
+        doubted.map(|(owner, _)| *owner).collect()
+    }
+
+    /// Owners that the relay found silent are passed over here as well: this node does not poll them itself.
+    pub(super) fn owners_silent(&mut self, owners: List<NodeId>) {
+        for owner in owners.0 {
+            if !self.calls.is_heard_since(owner, self.now - SILENT_FOR) {
+                self.doubt_owner(owner);
+            }
+        }
+    }
+
     /// What the relay says changed; all else stands as it was.
     pub(super) fn relay_answered(
         &mut self,
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -114,6 +114,8 @@
     large_look: ClockEvent,
     /// The strictest target of the lanes that lead to each function, in milliseconds.
     targets: BTreeMap<String, u64>,
+    /// When this node first saw a call of whatever function.
+    pub(crate) traffic_since: Option<Micros>,
     /// The most nodes ever known at once: deputies share their extra dispatches.
     most_nodes: usize,
     /// Deputies forgot their extra dispatches then, at this node's start or with their functions.
@@ -160,6 +162,7 @@
             balance_due: Micros(0),
             large_look: ClockEvent::each(LARGE_LOOK),
             targets: BTreeMap::new(),
+            traffic_since: None,
             most_nodes: 1,
             deputies_from: now,
         }
@@ -222,8 +225,10 @@
         if self.stewards.work_event.due(now) && !self.stewards.is_list_stale {
             let works = &mut self.stewards.works;
             let election = &self.stewards.election;
+            let traffic_since = self.stewards.traffic_since;
             for (function, work) in works {
                 if election.term(function, now).is_some() {
+                    work.take_traffic(traffic_since);
                     work.tick(now);
                 }
             }
@@ -477,6 +482,7 @@
             } => {
                 let time_left = Micros(time_left_micros);
                 let is_extra = extra > 0;
+                self.stewards.traffic_since.get_or_insert(now);
                 let is_steward =
                     self.stewards.election.term(&function.0, now).is_some() && !self.stewards.is_list_stale;
                 let work = self.stewards.works.get_mut(&function.0).filter(|_| is_steward);
@@ -749,8 +755,12 @@
         let mut own_demands: BTreeMap<String, Demand> = BTreeMap::new();
         for (function, work) in &self.stewards.works {
             let Some(settings) = configuration.functions.get(function) else { continue };
+            let cell_memory_mb = settings.cell_memory_mb as f64;
+            let cells = work.demanded_cells();
             let demand = Demand {
-                memory_mb: f64::from(work.demanded_cells()) * settings.cell_memory_mb as f64,
+                memory_mb: f64::from(cells.needed) * cell_memory_mb,
+                warm_mb: f64::from(cells.warm) * cell_memory_mb,
+                spare_mb: f64::from(cells.spare) * cell_memory_mb,
                 starts: f64::from(work.wanted_acts()),
             };
             if demand != Demand::default() {
@@ -787,8 +797,12 @@
             }
             let Ok((_, demand_news)) = DemandNews::from_bytes((&item.body.0, 0)) else { continue };
             for entry in demand_news.entries.0 {
-                let demand =
-                    Demand { memory_mb: entry.memory_mb as f64, starts: entry.milli_starts as f64 / 1_000.0 };
+                let demand = Demand {
+                    memory_mb: f64::from(entry.memory_mb),
+                    warm_mb: f64::from(entry.warm_mb),
+                    spare_mb: f64::from(entry.spare_mb),
+                    starts: f64::from(entry.milli_starts) / 1_000.0,
+                };
                 demands.entry(entry.function.0).or_insert(demand);
             }
         }
@@ -809,8 +823,7 @@
             let share = shares.get(function).copied().unwrap_or_default();
             own_acts += share.starts;
             let cell_count = (share.memory_mb / settings.cell_memory_mb as f64 + 0.001).floor() as u32;
-            // A function that is called gets one cell as soon as a worker has room for it.
-            work.allow_cells(cell_count.max(1));
+            work.allow_cells(cell_count);
         }
         self.stewards.rate.take_rate(own_acts, equal_part, now);
     }
@@ -821,8 +834,10 @@
             .iter()
             .map(|(function, demand)| DemandEntry {
                 function: function.as_str().into(),
-                memory_mb: demand.memory_mb as u64,
-                milli_starts: (demand.starts * 1_000.0) as u64,
+                memory_mb: demand.memory_mb as u32,
+                warm_mb: demand.warm_mb as u32,
+                spare_mb: demand.spare_mb as u32,
+                milli_starts: (demand.starts * 1_000.0) as u32,
             })
             .collect();
         let demand_news = DemandNews { entries };
--- a/packages/steward_work/src/allowance_split.rs
+++ b/packages/steward_work/src/allowance_split.rs
@@ -2,11 +2,18 @@
 use configuration_check::{Allowance, Configuration, Function};
 use std::collections::BTreeMap;
 
-/// What a function wants now. Example: `Demand { memory_mb: 1200.0, starts: 2.0 }`.
+/// What a function wants now. Memory goes to calls first: what calls of now need, then what keeps called
+/// functions quick, then what is kept ready for calls that nobody has made yet.
+///
+/// Example: `Demand { memory_mb: 1200.0, starts: 2.0, ..Demand::default() }`.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Demand {
-    /// Memory of all the cells it wants.
+    /// Memory of the cells that calls under way and calls that wait need.
     pub memory_mb: f64,
+    /// Memory of further cells that answer calls in time, by the rate at which they come.
+    pub warm_mb: f64,
+    /// Memory of cells for a function that nobody called yet.
+    pub spare_mb: f64,
     /// Starts and stops a second it wants.
     pub starts: f64,
 }
@@ -35,6 +42,8 @@
     weight: f64,
     floor: f64,
     ceiling: f64,
+    /// What the functions below were granted already.
+    granted: f64,
     children: Vec<&'a str>,
     /// Places in the list of functions that want something.
     leaves: Vec<usize>,
@@ -58,18 +67,12 @@
             Some(Leaf { name, function, demand: *demand })
         })
         .collect();
-    let memory = split_one(
-        configuration,
-        totals.memory_mb,
-        &wanting,
-        &|leaf| leaf.demand.memory_mb,
-        &|allowance| (allowance.memory_floor_mb, allowance.memory_ceiling_mb),
-        &|function| function.cell_memory_mb as f64,
-    );
+    let memory = split_memory(configuration, totals.memory_mb, &wanting);
     let starts = split_one(
         configuration,
         totals.starts,
         &wanting,
+        &vec![0.0; wanting.len()],
         &|leaf| leaf.demand.starts,
         &|allowance| (allowance.starts_floor_per_second, allowance.starts_ceiling_per_second),
         &|_| 0.0,
@@ -81,6 +84,32 @@
         .collect()
 }
 
+/// Of the memory that no call needs, so much at the most is held ready for functions that nobody called.
+const SPARE_PART: f64 = 0.5;
+
+/// Three splits of the memory, each of which leaves everybody what the one before it gave: for the calls of
+/// now, for called functions that are to be quick, and for functions that nobody called yet.
+fn split_memory(configuration: &Configuration, total: f64, wanting: &[Leaf]) -> Vec<f64> {
+    let split = |total: f64, granted: &[f64], demand_of: &dyn Fn(&Leaf) -> f64| {
+        let bounds_of: &dyn Fn(&Allowance) -> Bounds =
+            &|allowance| (allowance.memory_floor_mb, allowance.memory_ceiling_mb);
+        let unit_of: &dyn Fn(&Function) -> f64 = &|function| function.cell_memory_mb as f64;
+        split_one(configuration, total, wanting, granted, demand_of, bounds_of, unit_of)
+    };
+    let needed = split(total, &vec![0.0; wanting.len()], &|leaf| leaf.demand.memory_mb);
+    let wants = |part: fn(&Demand) -> f64| wanting.iter().any(|leaf| part(&leaf.demand) > 0.0);
+    if !wants(|demand| demand.warm_mb) && !wants(|demand| demand.spare_mb) {
+        return needed;
+    }
+    let warm = split(total, &needed, &|leaf| leaf.demand.memory_mb + leaf.demand.warm_mb);
+    if !wants(|demand| demand.spare_mb) {
+        return warm;
+    }
+    let warm_total: f64 = warm.iter().sum();
+    let spare_total = warm_total + (total - warm_total).max(0.0) * SPARE_PART;
+    split(spare_total, &warm, &|leaf| leaf.demand.memory_mb + leaf.demand.warm_mb + leaf.demand.spare_mb)
+}
+
 type Bounds = (Option<f64>, Option<f64>);
 
 /// A function that wants something.
@@ -90,11 +119,12 @@
     demand: Demand,
 }
 
-/// The grants of one total, in the order of the leaves.
+/// The grants of one total, in the order of the leaves; none is less than what was granted already.
 fn split_one(
     configuration: &Configuration,
     total: f64,
     wanting: &[Leaf],
+    granted: &[f64],
     demand_of: &dyn Fn(&Leaf) -> f64,
     bounds_of: &dyn Fn(&Allowance) -> Bounds,
     unit_of: &dyn Fn(&Function) -> f64,
@@ -115,7 +145,7 @@
     for (place, leaf) in wanting.iter().enumerate() {
         nodes.entry(&leaf.function.allowance).or_default().leaves.push(place);
     }
-    let leaves = Leaves { wanting, demand_of, unit_of };
+    let leaves = Leaves { wanting, granted, demand_of, unit_of };
     for root in &roots {
         sum_demand(&mut nodes, root, &leaves);
     }
@@ -127,16 +157,23 @@
     grants
 }
 
-fn sum_demand(nodes: &mut BTreeMap<&str, TreeNode>, name: &str, leaves: &Leaves) -> f64 {
-    let Some(node) = nodes.get(name) else { return 0.0 };
+/// Sums up what is wanted below a node, and what was granted there already.
+fn sum_demand(nodes: &mut BTreeMap<&str, TreeNode>, name: &str, leaves: &Leaves) -> (f64, f64) {
+    let Some(node) = nodes.get(name) else { return (0.0, 0.0) };
     let (children, ceiling) = (node.children.clone(), node.ceiling);
-    let leaf_demand: f64 = node.leaves.iter().map(|place| leaves.demand(*place)).sum();
-    let child_demand: f64 = children.iter().map(|child| sum_demand(nodes, child, leaves)).sum();
-    let demand = (leaf_demand + child_demand).min(ceiling);
+    let mut demand: f64 = node.leaves.iter().map(|place| leaves.demand(*place)).sum();
+    let mut granted: f64 = node.leaves.iter().map(|place| leaves.granted[*place]).sum();
+    for child in children {
+        let (child_demand, child_granted) = sum_demand(nodes, child, leaves);
+        demand += child_demand;
+        granted += child_granted;
+    }
+    let demand = demand.min(ceiling);
     if let Some(node) = nodes.get_mut(name) {
         node.demand = demand;
+        node.granted = granted;
     }
-    demand
+    (demand, granted)
 }
 
 struct Claim {
@@ -146,7 +183,7 @@
 }
 
 fn claim_of(node: &TreeNode) -> Claim {
-    Claim { demand: node.demand, weight: node.weight, floor: node.floor }
+    Claim { demand: node.demand, weight: node.weight, floor: node.floor.max(node.granted) }
 }
 
 fn hand_down(
@@ -160,7 +197,7 @@
     let leaf_claims = node.leaves.iter().map(|place| Claim {
         demand: leaves.demand(*place),
         weight: leaves.wanting[*place].function.weight,
-        floor: 0.0,
+        floor: leaves.granted[*place],
     });
     let claims: Vec<Claim> =
         node.children.iter().map(|child| claim_of(&nodes[child])).chain(leaf_claims).collect();
@@ -209,6 +246,8 @@
 /// What is asked of the functions: their demand, and the size of one cell, zero for what is divisible.
 struct Leaves<'a> {
     wanting: &'a [Leaf<'a>],
+    /// What each was granted already.
+    granted: &'a [f64],
     demand_of: &'a dyn Fn(&Leaf) -> f64,
     unit_of: &'a dyn Fn(&Function) -> f64,
 }
--- a/packages/steward_work/src/allowance_split/tests.rs
+++ b/packages/steward_work/src/allowance_split/tests.rs
@@ -20,7 +20,7 @@
             "d": {"allowance": "capped", "cell_memory_mb": 1, "calls_at_once": 1}},
           "lanes": {}}"#,
     );
-    let demand = |memory_mb| Demand { memory_mb, starts: 0.0 };
+    let demand = |memory_mb| Demand { memory_mb, ..Demand::default() };
     let share = |demands: [f64; 4]| {
         let wanted =
             ["a", "b", "c", "d"].iter().map(|name| name.to_string()).zip(demands.map(demand)).collect();
@@ -46,7 +46,8 @@
     );
     let split = |demands: [f64; 3]| {
         let wanted = ["a", "b", "c"].iter().zip(demands);
-        let wanted = wanted.map(|(name, memory_mb)| (name.to_string(), Demand { memory_mb, starts: 0.0 }));
+        let wanted =
+            wanted.map(|(name, memory_mb)| (name.to_string(), Demand { memory_mb, ..Demand::default() }));
         let shares = allowance_split(&tree, &wanted.collect(), Totals { memory_mb: 300.0, starts: 0.0 });
         ["a", "b", "c"].map(|name| shares[name].memory_mb)
     };
@@ -54,3 +55,46 @@
     assert_eq!(hungry.iter().sum::<f64>(), 300.0, "five cells, not three: {hungry:?}");
     assert_eq!(split([60.0, 60.0, 60.0]), [60.0; 3]);
 }
+
+/// Two functions of one group; memory in cells of ten.
+fn pair(demands: [Demand; 2], total: f64) -> [f64; 2] {
+    let tree = configuration(
+        r#"{"allowances": {"all": {"weight": 1}},
+          "functions": {
+            "a": {"allowance": "all", "cell_memory_mb": 10, "calls_at_once": 1},
+            "b": {"allowance": "all", "cell_memory_mb": 10, "calls_at_once": 1}},
+          "lanes": {}}"#,
+    );
+    let wanted = ["a", "b"].iter().map(|name| name.to_string()).zip(demands).collect();
+    let shares = allowance_split(&tree, &wanted, Totals { memory_mb: total, starts: 0.0 });
+    ["a", "b"].map(|name| shares.get(name).map_or(0.0, |share| share.memory_mb))
+}
+
+#[test]
+fn calls_get_memory_before_what_keeps_functions_quick_and_that_before_what_nobody_called() {
+    let calls = Demand { memory_mb: 80.0, warm_mb: 20.0, ..Demand::default() };
+    let quick = Demand { memory_mb: 10.0, warm_mb: 60.0, ..Demand::default() };
+    let uncalled = Demand { spare_mb: 100.0, ..Demand::default() };
+    assert_eq!(pair([calls, uncalled], 80.0), [80.0, 0.0], "all of it is needed for calls");
+    assert_eq!(pair([calls, uncalled], 90.0), [90.0, 0.0], "the rest keeps a called function quick");
+    assert_eq!(pair([calls, quick], 100.0), [80.0, 20.0], "nobody loses what its calls need");
+    let [called, spare] = pair([calls, uncalled], 160.0);
+    assert_eq!((called, spare), (100.0, 30.0), "half of what is left stays free for calls to come");
+    assert_eq!(pair([quick, quick], 200.0), [70.0, 70.0], "where there is enough everybody has all");
+}
+
+#[test]
+fn a_ceiling_holds_over_all_classes_of_demand() {
+    let tree = configuration(
+        r#"{"allowances": {"all": {"weight": 1}, "capped": {"parent": "all", "memory_ceiling_mb": 30, "weight": 1}},
+          "functions": {
+            "a": {"allowance": "capped", "cell_memory_mb": 10, "calls_at_once": 1},
+            "b": {"allowance": "capped", "cell_memory_mb": 10, "calls_at_once": 1}},
+          "lanes": {}}"#,
+    );
+    let called = Demand { memory_mb: 20.0, warm_mb: 20.0, ..Demand::default() };
+    let uncalled = Demand { spare_mb: 20.0, ..Demand::default() };
+    let wanted = BTreeMap::from([("a".to_owned(), called), ("b".to_owned(), uncalled)]);
+    let shares = allowance_split(&tree, &wanted, Totals { memory_mb: 500.0, starts: 0.0 });
+    assert_eq!((shares["a"].memory_mb, shares["b"].memory_mb), (30.0, 0.0));
+}
--- a/packages/steward_work/src/cell_demand.rs
+++ b/packages/steward_work/src/cell_demand.rs
@@ -52,6 +52,8 @@
     /// The same over the last moment, for what cannot wait until the other follows.
     rate_fast: f64,
     first_call_at: Option<Micros>,
+    /// Since when other functions are called, as far as is known.
+    traffic_since: Option<Micros>,
     /// What was wanted lately, each with the time until which it holds: falling counts, oldest first.
     held: VecDeque<(Micros, u32)>,
 }
@@ -84,6 +86,7 @@
             rate: 0.0,
             rate_fast: 0.0,
             first_call_at: None,
+            traffic_since: None,
             held: VecDeque::new(),
         }
     }
@@ -96,6 +99,22 @@
         self.first_call_at.get_or_insert(now);
     }
 
+    /// Whether a call ever came. Example: `CellDemand::new(now).is_called() == false`.
+    pub fn is_called(&self) -> bool {
+        self.first_call_at.is_some()
+    }
+
+    /// Slots that calls take, over the last moment or the last seconds, whichever is more.
+    /// Example: `demand.load() >= 0.0`.
+    pub fn load(&self) -> f64 {
+        self.load_fast.max(self.load_slow)
+    }
+
+    /// Tells since when calls of any function come. Example: `demand.take_traffic(Some(now))`.
+    pub fn take_traffic(&mut self, since: Option<Micros>) {
+        self.traffic_since = since;
+    }
+
     /// Notes the slots that calls take now. Example: `demand.note(now, 3.0)` each 40 ms.
     pub fn note(&mut self, now: Micros, calls: f64) {
         let (fast, slow) = (self.share_of(now, FAST), self.share_of(now, SLOW));
@@ -160,11 +179,22 @@
         self.held.iter().map(|(_, cells)| *cells).max().unwrap_or(0).max(wanted)
     }
 
+    /// Whether a function that nobody called yet is likely enough to be called to be worth a warm cell. Before
+    /// any traffic that is not known, for a while. Once others are called, one that was not for some seconds
+    /// has no more than about one call in as many seconds, and each call met cold would cost so much.
+    fn may_be_called_soon(&self, shape: &CellShape, now: Micros) -> bool {
+        let Some(traffic_since) = self.traffic_since else {
+            return now < self.began_at + UNCALLED_SPAN;
+        };
+        let cold_cost = shape.costs.start + shape.memory_mb * seconds(shape.boot) + shape.costs.late_call;
+        seconds(now - traffic_since.max(self.began_at)) * shape.memory_mb < cold_cost
+    }
+
     fn worth(&self, shape: &CellShape, latency: Micros, now: Micros) -> u32 {
         let boot = seconds(shape.boot);
         let is_slow_cold = shape.boot + latency > shape.target;
         let Some(first_call_at) = self.first_call_at else {
-            let is_waited_for = is_slow_cold && now < self.began_at + UNCALLED_SPAN;
+            let is_waited_for = is_slow_cold && self.may_be_called_soon(shape, now);
             return if is_waited_for { UNKNOWN_CELLS } else { 0 };
         };
         let rate = self.rate(now);
@@ -173,7 +203,7 @@
         // All calls of a boot's time are late where the first is.
         let late_calls = late_share * (1.0 + if is_slow_cold { rate * boot } else { 0.0 });
         let cold_cost = shape.costs.start + shape.memory_mb * boot + shape.costs.late_call * late_calls;
-        let load = self.load_fast.max(self.load_slow);
+        let load = self.load();
         if rate * cold_cost < shape.memory_mb && load < 0.5 {
             return 0;
         }
--- a/packages/steward_work/src/cell_demand/tests.rs
+++ b/packages/steward_work/src/cell_demand/tests.rs
@@ -73,6 +73,20 @@
     assert_eq!(demand.wanted(&busy(), LATENCY, UNCALLED_SPAN), 0, "nobody calls it");
 }
 
+#[test]
+fn a_function_that_nobody_calls_while_others_are_called_is_not_kept_warm_for_long() {
+    let mut demand = CellDemand::new(Micros(0));
+    let seconds = Micros::from_secs;
+    assert_eq!(demand.wanted(&busy(), LATENCY, seconds(20)), UNKNOWN_CELLS, "there is no traffic yet");
+    demand.take_traffic(Some(seconds(21)));
+    assert_eq!(demand.wanted(&busy(), LATENCY, seconds(22)), UNKNOWN_CELLS);
+    // A cell of 768 MB held for 2.4 s costs what one call met cold does.
+    assert_eq!(demand.wanted(&busy(), LATENCY, seconds(24)), 0);
+    let small = CellShape { memory_mb: 128.0, ..busy() };
+    assert_eq!(demand.wanted(&small, LATENCY, seconds(24)), UNKNOWN_CELLS, "a small one is held for longer");
+    assert_eq!(demand.wanted(&small, LATENCY, seconds(30)), 0);
+}
+
 #[test]
 fn cells_follow_the_load_and_a_rare_function_lets_its_cell_go_at_once() {
     let mut demand = CellDemand::new(Micros(0));
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -78,6 +78,24 @@
     NotSteward,
 }
 
+/// Cells that a function claims memory for. Example: `DemandedCells { needed: 2, warm: 1, spare: 0 }`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DemandedCells {
+    /// What calls of now need.
+    pub needed: u32,
+    /// What answers calls in time, by the rate at which they come.
+    pub warm: u32,
+    /// What is kept ready although nobody called yet.
+    pub spare: u32,
+}
+
+impl DemandedCells {
+    /// All of them. Example: `demanded.total() == 3`.
+    pub fn total(&self) -> u32 {
+        self.needed + self.warm + self.spare
+    }
+}
+
 /// What the steward wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum WorkAct {
@@ -313,7 +331,7 @@
             worker_zones: Arc::default(),
             last_cells: BTreeMap::new(),
             starting: BTreeMap::new(),
-            allowed_cells: 1,
+            allowed_cells: 0,
             next_ticket: 0,
             next_start: 0,
             unheard,
@@ -386,14 +404,46 @@
         u64::from(self.needed_calls()).div_ceil(calls_each) as u32
     }
 
-    /// Cells to claim memory for: what is wanted now or was in the last idle span.
-    /// Example: `work.demanded_cells() >= work.wanted_cells()`.
-    pub fn demanded_cells(&self) -> u32 {
+    /// Cells to claim memory for: what is wanted now, was in the last idle span, or is worth its memory; by
+    /// how much depends on them. Example: `work.demanded_cells().total() >= work.wanted_cells()`.
+    pub fn demanded_cells(&self) -> DemandedCells {
         let kept_cells = match self.settings.idle {
             Some(_) => self.peak.0.max(self.peak.1).div_ceil(self.settings.calls_at_once),
             None => self.worth.1,
         };
-        kept_cells.min(self.settings.most_cells).max(self.wanted_cells())
+        let total = kept_cells.min(self.settings.most_cells).max(self.wanted_cells());
+        let needed = match self.settings.idle {
+            Some(_) => total,
+            None => self.cells_for_calls().min(total),
+        };
+        let rest = total - needed;
+        match self.is_called() {
+            true => DemandedCells { needed, warm: rest, spare: 0 },
+            false => DemandedCells { needed, warm: 0, spare: rest },
+        }
+    }
+
+    /// Cells that the calls of now and of the last seconds take, without any that only make them quicker.
+    fn cells_for_calls(&self) -> u32 {
+        let waiting_cells = self.cells_to_serve_within(Micros(self.learnt_boot.0 / 4));
+        let loaded_cells = (self.demand.load() / f64::from(self.settings.calls_at_once)).ceil() as u32;
+        waiting_cells.max(loaded_cells).max(self.settings.least_cells)
+    }
+
+    /// Whether a call ever came, or such are under way from before.
+    fn is_called(&self) -> bool {
+        self.settings.idle.is_some() || self.demand.is_called() || self.needed_calls() > 0
+    }
+
+    /// Cells that it may have now. A function that is called gets one as soon as a worker has room for it.
+    fn allowed_cells(&self) -> u32 {
+        self.allowed_cells.max(u32::from(self.is_called()))
+    }
+
+    /// Tells when traffic began, of whatever function, as far as is known here.
+    /// Example: `work.take_traffic(Some(now))`.
+    pub fn take_traffic(&mut self, since: Option<Micros>) {
+        self.demand.take_traffic(since);
     }
 
     /// Nodes that have not yet told which tickets they hold. Example: `work.unheard().is_empty()`.
@@ -1046,7 +1096,7 @@
             .chain(self.starting.values().map(|(sent_at, _)| (*sent_at + self.learnt_boot).max(now)))
             .min();
         let calls_at_once = u64::from(self.settings.calls_at_once);
-        let cannot_grow = self.cell_count() >= self.allowed_cells.max(1) || now < self.no_room_until;
+        let cannot_grow = self.cell_count() >= self.allowed_cells() || now < self.no_room_until;
         let turn_time = Micros(self.usual_latency.0 / (usable_count * calls_at_once).max(1));
         let mut refused = Vec::new();
         for (place, waiting) in self.waitlist.iter().enumerate() {
@@ -1104,7 +1154,7 @@
             .wanted_cells()
             .max(behind_cells.min(self.settings.most_cells))
             .max(pressed_cells)
-            .min(self.allowed_cells);
+            .min(self.allowed_cells());
         if self.cell_count() < wanted {
             self.waiting_since = None;
         }
@@ -1118,7 +1168,7 @@
     }
 
     fn stop_surplus(&mut self, now: Micros) {
-        let kept_cells = self.demanded_cells().min(self.allowed_cells);
+        let kept_cells = self.demanded_cells().total().min(self.allowed_cells());
         let usable_count = self.usable_cells().count() as u32;
         if usable_count > kept_cells {
             let surplus_ids: Vec<String> = {
