Stops come to their turn; cells that nobody called for get what acts are left

New stewards started cells before demand was known. Change: the turn is kept between calls; starts of uncalled functions wait two seconds and for idle acts; a start that two workers refuse waits for room.

--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -21,6 +21,8 @@
 };
 
 const START_WAITLIST: usize = 2_048;
+/// Where that many workers had no room a start waits for stops rather than for luck.
+const ROOM_TRIES: u32 = 2;
 const START_TRIES: u32 = 4;
 /// After a failed list the next is asked for sooner.
 const LIST_AGAIN: Micros = Micros::from_millis(300);
@@ -79,6 +81,9 @@
     placement: Placement,
     rate: StartRate,
     starts: VecDeque<WaitingStart>,
+    /// Starts of functions that nobody called yet: they get what acts are left.
+    spare_starts: VecDeque<WaitingStart>,
+    is_stop_turn: bool,
     starts_out: BTreeMap<String, WaitingStart>,
     stops: VecDeque<(String, String)>,
     /// When the platform was asked by this node itself, if its answer is still out.
@@ -134,6 +139,8 @@
             placement: Placement::default(),
             rate: StartRate::new(),
             starts: VecDeque::new(),
+            spare_starts: VecDeque::new(),
+            is_stop_turn: false,
             starts_out: BTreeMap::new(),
             stops: VecDeque::new(),
             list_asked_at: None,
@@ -399,6 +406,7 @@
                     self.flush_works();
                     self.stewards.works.remove(&function);
                     self.stewards.starts.retain(|start| start.function != function);
+                    self.stewards.spare_starts.retain(|start| start.function != function);
                 }
             }
         }
@@ -911,8 +919,12 @@
                 };
                 self.send(asker, message);
             }
-            WorkAct::Start { start_id, zone } => {
-                if self.stewards.starts.len() >= START_WAITLIST {
+            WorkAct::Start { start_id, zone, is_spare } => {
+                let starts = match is_spare {
+                    true => &mut self.stewards.spare_starts,
+                    false => &mut self.stewards.starts,
+                };
+                if starts.len() >= START_WAITLIST {
                     if let Some(work) = self.stewards.works.get_mut(function) {
                         work.started(&start_id, StartOutcome::NoRoom, self.now);
                     }
@@ -920,7 +932,7 @@
                 }
                 let function = function.to_owned();
                 let start = WaitingStart { function, start_id, worker: None, zone, tries: 0 };
-                self.stewards.starts.push_back(start);
+                starts.push_back(start);
             }
             WorkAct::Stop { cell } => {
                 let is_waiting = self.stewards.stops.iter().any(|(_, waiting)| *waiting == cell);
@@ -950,15 +962,23 @@
     }
 
     /// Starts and stops in turn, as far as the start rate goes, and only under a standing term. Where memory
-    /// is short starts wait for the room that stops make: neither may take the whole rate.
+    /// is short starts wait for the room that stops make: neither may take the whole rate. What nobody called
+    /// yet is started with what acts are left.
     fn serve_platform(&mut self) {
         loop {
-            let is_start_done = self.serve_start();
-            let is_stop_done = self.serve_stop();
-            if !is_start_done && !is_stop_done {
-                return;
+            let is_done = match self.stewards.is_stop_turn {
+                true => self.serve_stop() || self.serve_start(),
+                false => self.serve_start() || self.serve_stop(),
+            };
+            if !is_done {
+                break;
             }
         }
+        if self.stewards.starts.is_empty() && self.stewards.stops.is_empty() {
+            std::mem::swap(&mut self.stewards.starts, &mut self.stewards.spare_starts);
+            self.serve_start();
+            std::mem::swap(&mut self.stewards.starts, &mut self.stewards.spare_starts);
+        }
     }
 
     /// Sends the first start that waits; false if none does, or the start rate allows none now.
@@ -1003,6 +1023,7 @@
                 now,
             );
             self.act(Act::Start { start_id, function, worker, memory_mb, steward_epoch });
+            self.stewards.is_stop_turn = true;
             return true;
         }
         false
@@ -1023,6 +1044,7 @@
             let Some((function, cell)) = self.stewards.stops.pop_front() else { return false };
             self.journal.append("stop", json!({"function": function, "cell": cell}), now);
             self.act(Act::Stop { cell, steward_epoch });
+            self.stewards.is_stop_turn = false;
             return true;
         }
         false
@@ -1056,7 +1078,7 @@
                 let configuration = self.configuration.current();
                 let memory_mb = configuration.functions.get(&start.function).map_or(0, |f| f.cell_memory_mb);
                 self.stewards.placement.refused(&worker, memory_mb, now);
-                if start.tries >= START_TRIES {
+                if start.tries >= ROOM_TRIES {
                     self.end_start(&start, StartOutcome::NoRoom);
                     return;
                 }
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -104,7 +104,8 @@
     /// Tell the asker that it waits or is refused.
     HoldBack { asker: NodeId, ask: u64, held_back_as: HeldBackAs, reason: &'static str, retry_after: Micros },
     /// Start a cell under this start id, in this zone if it has room; a repeat of the id starts nothing twice.
-    Start { start_id: String, zone: Zone },
+    /// `is_spare` where nobody called the function yet.
+    Start { start_id: String, zone: Zone, is_spare: bool },
     /// Stop a cell that no call uses any more.
     Stop { cell: String },
     /// The cells known to run have changed.
@@ -270,6 +271,8 @@
 
 /// A function that was not called for so long counts as one that nobody calls.
 const IDLE_AFTER: Micros = Micros::from_secs(5);
+/// A new steward starts nothing for a function that nobody called before all nodes can know what all want.
+const SPARE_PATIENCE: Micros = Micros::from_secs(2);
 /// Where no lane names a target.
 const UNNAMED_TARGET: Micros = Micros::from_secs(1);
 /// Cells found by a new steward are kept for so long at the least.
@@ -1151,6 +1154,9 @@
         if now < self.no_room_until {
             return;
         }
+        if !self.is_called() && now < self.called_at + SPARE_PATIENCE {
+            return;
+        }
         let is_waiting = !self.waitlist.is_empty();
         self.waiting_since = is_waiting.then(|| self.waiting_since.unwrap_or(now));
         let patience = Micros(self.learnt_boot.0 / 4);
@@ -1176,7 +1182,8 @@
             let start_id = format!("{}-{}-{}", self.function, self.steward_epoch, self.next_start);
             let zone = self.zone_for_a_start();
             self.starting.insert(start_id.clone(), (now, zone));
-            self.acts.push(WorkAct::Start { start_id, zone });
+            let is_spare = !self.is_called();
+            self.acts.push(WorkAct::Start { start_id, zone, is_spare });
         }
     }
 
