--- a/packages/fleet_simulator/src/allowance_scenarios.rs
+++ b/packages/fleet_simulator/src/allowance_scenarios.rs
@@ -6,6 +6,43 @@
 use clock_events::Micros;
 use serde_json::json;
 
+/// Every cold start is late, and memory holds nine tenths of a cell for each function.
+fn short_of_memory() -> WorldSettings {
+    WorldSettings {
+        busy: 4,
+        rare: 100,
+        kept_by_cost: Some(Micros::from_millis(300)),
+        extra_boot: Micros::from_millis(400),
+        workers: (12, 1_140),
+        ..WorldSettings::default()
+    }
+}
+
+/// Calls a second of the function that is called most.
+const CROWD_A_SECOND: usize = 160;
+
+/// Functions that nobody calls, kept ready as long as there is room, yield to one that a crowd calls.
+pub(crate) fn uncalled_functions_yield(seed: u64) -> Verdict {
+    let mut trial = Trial::founded(short_of_memory(), seed);
+    trial.world.call_rate = 0.0;
+    trial.checks.count_refusals = false;
+    // A cell that was filled while its calls were given up on turns some away.
+    trial.checks.turned_away_in_five_seconds = 18;
+    let crowd = |trial: &mut Trial, seconds: usize| {
+        for call in 0..CROWD_A_SECOND * seconds {
+            trial.world.send_call(call % 10, "busy-0", 0);
+            trial.world.run_for(1.0 / CROWD_A_SECOND as f64);
+        }
+    };
+    crowd(&mut trial, 8);
+    let before = trial.world.outcomes;
+    crowd(&mut trial, 6);
+    trial.must_have_served(before, 0.9);
+    let uncalled_mb = trial.world.platform.memory_of("rare");
+    trial.figures.push(("uncalled_mb", uncalled_mb as f64));
+    trial.verdict()
+}
+
 /// Memory of all workers: a quarter of it is the rare functions' share, three quarters the busy ones'.
 const MEMORY_MB: f64 = 8.0 * 2_600.0;
 
--- a/packages/fleet_simulator/src/processor_scenarios.rs
+++ b/packages/fleet_simulator/src/processor_scenarios.rs
@@ -86,7 +86,7 @@
 
 impl Trial {
     /// Of the calls that ended since then, at least this share ran.
-    fn must_have_served(&mut self, before: [u64; 4], least: f64) {
+    pub(crate) fn must_have_served(&mut self, before: [u64; 4], least: f64) {
         let ended: Vec<u64> =
             self.world.outcomes.iter().zip(before).map(|(now, before)| now - before).collect();
         let all: u64 = ended.iter().sum();
--- a/packages/fleet_simulator/src/scenarios.rs
+++ b/packages/fleet_simulator/src/scenarios.rs
@@ -3,7 +3,9 @@
 use crate::acknowledgement_scenarios::{
     acknowledging_node_killed, all_disks_lose_power_after_acknowledging, killed_around_the_acknowledgement,
 };
-use crate::allowance_scenarios::{allowances_contended, allowances_moved, lone_start_beside_hunger};
+use crate::allowance_scenarios::{
+    allowances_contended, allowances_moved, lone_start_beside_hunger, uncalled_functions_yield,
+};
 use crate::catch_up_scenarios::hundreds_of_changes;
 use crate::control_scenarios::{
     control_machine_cut_off, orders_crowd_at_a_cut_off_machine, orders_meet_a_returning_machine,
@@ -120,6 +122,7 @@
     grown_links,
     busy_function_on_small_machines,
     grown_herd_killed,
+    uncalled_functions_yield,
     disks_damaged,
 }
 
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -52,6 +52,8 @@
     pub extra_boot: Micros,
     /// How long surplus cells may idle.
     pub idle_seconds: u64,
+    /// Functions keep cells by what these cost, and lanes name this target.
+    pub kept_by_cost: Option<Micros>,
     /// Workers of the platform, and the memory of each.
     pub workers: (usize, u64),
     /// How much faster or slower the nodes' clocks run, at the most.
@@ -87,6 +89,7 @@
             list_late: Micros::from_secs(1),
             extra_boot: Micros(0),
             idle_seconds: 15,
+            kept_by_cost: None,
             workers: (12, 6_500),
             clock_drift: 0.0,
             disks: 3,
@@ -384,6 +387,10 @@
                 "idle_seconds": self.settings.idle_seconds,
             });
             document["lanes"][&name] = json!({"function": name, "path_prefix": format!("/{name}")});
+            if let Some(target) = self.settings.kept_by_cost {
+                document["functions"][&name]["kept_by"] = json!("cost");
+                document["lanes"][&name]["target_millis"] = json!(target.millis());
+            }
         }
         document
     }
--- a/packages/fleet_simulator/tests/scenarios.rs
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -110,6 +110,7 @@
     grown_links: 1..=2;
     busy_function_on_small_machines: 1..=20;
     grown_herd_killed: 1..=1;
+    uncalled_functions_yield: 1..=10;
     disks_damaged: 1..=20;
 }
 
