A change goes on to the next voter when its owner settles nothing

Change: a change that was sent twice to one voter without an outcome goes to the next by rendezvous.

--- a/packages/node_protocol/src/configuration_part/carried_changes.rs
+++ b/packages/node_protocol/src/configuration_part/carried_changes.rs
@@ -5,12 +5,15 @@
 use crate::Act;
 use crate::node::Node;
 use clock_events::Micros;
-use colleague_messages::{Bytes, Message, NodeId};
+use colleague_messages::{Bytes, Message, NodeId, rendezvous_weight};
 use configuration_check::{Change, ChangeOutcome};
 use control_registers::CONFIGURATION_KEY;
 
 /// A change is sent anew after this without an outcome.
 const CARRY_PATIENCE: Micros = Micros::from_millis(1_000);
+/// After so many sendings without an outcome the next voter is tried: an owner that is cut off from the other
+/// voters is heard by everybody else, and settles nothing.
+const TRIES_EACH: u32 = 2;
 /// An operator that hears nothing goes on to another node after about a second: a node that reaches no
 /// majority says so before that, and carries the change on all the same.
 const ANSWER_WITHIN: Micros = Micros::from_millis(900);
@@ -24,6 +27,8 @@
     sent_at: Micros,
     /// The owner it was sent to; none while there is no owner.
     owner: Option<NodeId>,
+    /// How often it was sent.
+    tries: u32,
     /// The operator was told that the outcome is not known yet.
     is_answered: bool,
     /// How long it is under way over this machine's link, at the most.
@@ -46,6 +51,7 @@
             asked_at: self.now,
             sent_at: self.now,
             owner: None,
+            tries: 0,
             is_answered: false,
             travel: Micros(0),
         };
@@ -56,11 +62,13 @@
     /// Sends a change to the owner of the configuration's key; repeating it is harmless, since its id
     /// is remembered with the configuration.
     fn carry_change(&mut self, ask: u64) {
-        let owner = self.key_owner(CONFIGURATION_KEY);
         let now = self.now;
+        let Some(carried) = self.configuration.carried.get(&ask) else { return };
+        let owner = self.settling_voter((carried.tries / TRIES_EACH) as usize);
         let Some(carried) = self.configuration.carried.get_mut(&ask) else { return };
         carried.sent_at = now;
         carried.owner = owner;
+        carried.tries += u32::from(owner.is_some());
         let Some(owner) = owner else { return };
         if owner == self.settings.node {
             let (change, asked_at) = (carried.change.clone(), carried.asked_at);
@@ -73,6 +81,14 @@
         self.send(owner, Message::ChangeCarry { ask, change });
     }
 
+    /// The voter to settle a change: the owner of the configuration's key first, then the others in the order
+    /// in which they come after it.
+    fn settling_voter(&self, place: usize) -> Option<NodeId> {
+        let mut voters = self.owner_choices();
+        voters.sort_by_key(|node| std::cmp::Reverse((rendezvous_weight(CONFIGURATION_KEY, *node), *node)));
+        voters.get(place % voters.len().max(1)).copied()
+    }
+
     /// The owner's outcome of a change that this node passed on.
     pub(crate) fn change_settled(&mut self, ask: u64, outcome_bytes: &Bytes) {
         let Ok(outcome) = serde_json::from_slice::<ChangeOutcome>(&outcome_bytes.0) else { return };
--- a/packages/node_protocol/src/control_part/key_owners.rs
+++ b/packages/node_protocol/src/control_part/key_owners.rs
@@ -23,7 +23,7 @@
     }
 
     /// The nodes that own keys: live voters, those in doubt only where there are no others.
-    pub(super) fn owner_choices(&self) -> Vec<NodeId> {
+    pub(crate) fn owner_choices(&self) -> Vec<NodeId> {
         let voters = self.voting_members();
         let is_doubted = |news: &MemberNews| {
             news.draining == 1
