Starts go before stops unless memory is short; zones with many calls get cells of their own; short frames are packed

In the first ten seconds 11 of 16 KB a second and node over borders were questions for tickets that nobody can hold, of functions that never had a steward. Change: turns only where a start found no room lately or a stop waited two seconds; two seconds' equal part may be saved up; the cost model counts calls that cross (far_call_cost); a function's first steward asks nobody; frames from 256 B are packed.

--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -28,7 +28,7 @@
 /// The payload is packed (LZ4, its length in front).
 const PACKED_MARK: u32 = 0x5A4C_4E56; // "VNLZ"
 /// Shorter payloads are not worth packing.
-const PACKED_FROM: usize = 1_024;
+const PACKED_FROM: usize = 256;
 /// What LZ4 packs tightest: a length beyond this is a lie.
 const PACKED_RATIO: usize = 255;
 
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -21,6 +21,12 @@
 };
 
 const START_WAITLIST: usize = 2_048;
+/// The epoch of the first steward that a function ever has.
+const FIRST_EPOCH: u64 = 1;
+/// Stops wait behind starts for no longer than this.
+const STOP_PATIENCE: Micros = Micros::from_secs(2);
+/// After a start found no room memory counts as short for so long.
+const SHORT_SPAN: Micros = Micros::from_secs(3);
 /// Where that many workers had no room a start waits for stops rather than for luck.
 const ROOM_TRIES: u32 = 2;
 const START_TRIES: u32 = 4;
@@ -70,6 +76,14 @@
     tries: u32,
 }
 
+#[derive(Debug)]
+struct WaitingStop {
+    /// Empty for a cell of a function that is configured no more.
+    function: String,
+    cell: String,
+    since: Micros,
+}
+
 #[derive(Debug)]
 pub(crate) struct StewardPart {
     pub(crate) election: Election,
@@ -85,7 +99,9 @@
     spare_starts: VecDeque<WaitingStart>,
     is_stop_turn: bool,
     starts_out: BTreeMap<String, WaitingStart>,
-    stops: VecDeque<(String, String)>,
+    stops: VecDeque<WaitingStop>,
+    /// Memory is short as far as is known: a start found no room lately.
+    short_until: Micros,
     /// When the platform was asked by this node itself, if its answer is still out.
     pub(crate) list_asked_at: Option<Micros>,
     pub(crate) list_due: Micros,
@@ -143,6 +159,7 @@
             is_stop_turn: false,
             starts_out: BTreeMap::new(),
             stops: VecDeque::new(),
+            short_until: Micros(0),
             list_asked_at: None,
             list_due: Micros(0),
             lists: ListPart::default(),
@@ -416,7 +433,10 @@
         let now = self.now;
         let configuration = self.configuration.current();
         let Some(settings) = configuration.functions.get(function) else { return };
-        let unheard: Vec<NodeId> = self.members.colleagues().map(|news| news.node).collect();
+        // Before a function's first steward nobody started a cell of it, and nobody holds a ticket for one.
+        let is_first_steward = steward_epoch == FIRST_EPOCH;
+        let colleagues = self.members.colleagues().filter(|_| !is_first_steward);
+        let unheard: Vec<NodeId> = colleagues.map(|news| news.node).collect();
         let mut work = FunctionWork::new(
             function,
             self.settings.node,
@@ -755,10 +775,11 @@
             let since = *self.stewards.orphan_since.entry(orphan.clone()).or_insert(now);
             let is_own_task =
                 Node::rendezvous_choice(&orphan, members.iter().copied()) == Some(self.settings.node);
-            let is_waiting = self.stewards.stops.iter().any(|(_, cell)| *cell == orphan);
+            let is_waiting = self.stewards.stops.iter().any(|stop| stop.cell == orphan);
             if is_own_task && now >= since + Micros::from_secs(5) && !is_waiting {
                 self.stewards.orphan_since.insert(orphan.clone(), now);
-                self.stewards.stops.push_back((String::new(), orphan));
+                let stop = WaitingStop { function: String::new(), cell: orphan, since: now };
+                self.stewards.stops.push_back(stop);
             }
         }
     }
@@ -935,9 +956,10 @@
                 starts.push_back(start);
             }
             WorkAct::Stop { cell } => {
-                let is_waiting = self.stewards.stops.iter().any(|(_, waiting)| *waiting == cell);
+                let is_waiting = self.stewards.stops.iter().any(|waiting| waiting.cell == cell);
                 if !is_waiting {
-                    self.stewards.stops.push_back((function.to_owned(), cell));
+                    let stop = WaitingStop { function: function.to_owned(), cell, since: self.now };
+                    self.stewards.stops.push_back(stop);
                 }
             }
             WorkAct::ReadyChanged => self.tell_ready_cells(function),
@@ -961,12 +983,16 @@
         self.news.publish(&topic, self.settings.node, sequence, body);
     }
 
-    /// Starts and stops in turn, as far as the start rate goes, and only under a standing term. Where memory
-    /// is short starts wait for the room that stops make: neither may take the whole rate. What nobody called
-    /// yet is started with what acts are left.
+    /// Starts before stops, as far as the start rate goes, and only under a standing term: a call may wait
+    /// for a start. Where memory is short starts wait for the room that stops make, and they take turns, as
+    /// they do when stops waited for long. What nobody called yet is started with what acts are left.
     fn serve_platform(&mut self) {
+        let now = self.now;
         loop {
-            let is_done = match self.stewards.is_stop_turn {
+            let oldest_stop = self.stewards.stops.front().map(|stop| stop.since);
+            let is_stop_late = oldest_stop.is_some_and(|since| now >= since + STOP_PATIENCE);
+            let takes_turns = is_stop_late || now < self.stewards.short_until;
+            let is_done = match takes_turns && self.stewards.is_stop_turn {
                 true => self.serve_stop() || self.serve_start(),
                 false => self.serve_start() || self.serve_stop(),
             };
@@ -1032,16 +1058,18 @@
     /// Sends the first stop that waits; false if none does, or the start rate allows none now.
     fn serve_stop(&mut self) -> bool {
         let now = self.now;
-        while let Some((function, _)) = self.stewards.stops.front() {
-            let term = self.stewards.election.term(function, now);
-            let Some(steward_epoch) = term.or_else(|| function.is_empty().then_some(0)) else {
+        while let Some(stop) = self.stewards.stops.front() {
+            let term = self.stewards.election.term(&stop.function, now);
+            let Some(steward_epoch) = term.or_else(|| stop.function.is_empty().then_some(0)) else {
                 self.stewards.stops.pop_front();
                 continue;
             };
             if !self.stewards.rate.spend(now) {
                 return false;
             }
-            let Some((function, cell)) = self.stewards.stops.pop_front() else { return false };
+            let Some(WaitingStop { function, cell, .. }) = self.stewards.stops.pop_front() else {
+                return false;
+            };
             self.journal.append("stop", json!({"function": function, "cell": cell}), now);
             self.act(Act::Stop { cell, steward_epoch });
             self.stewards.is_stop_turn = false;
@@ -1053,6 +1081,7 @@
     fn end_start(&mut self, start: &WaitingStart, outcome: StartOutcome) {
         let now = self.now;
         if outcome == StartOutcome::NoRoom {
+            self.stewards.short_until = now + SHORT_SPAN;
             // Told once in a while, however often it is tried.
             let told = self.stewards.no_room_told.get(&start.function);
             if told.is_none_or(|told_at| now >= *told_at + NO_ROOM_TOLD) {
--- a/packages/steward_work/src/cell_demand.rs
+++ b/packages/steward_work/src/cell_demand.rs
@@ -9,11 +9,13 @@
     pub start: f64,
     /// One call that is answered later than its target.
     pub late_call: f64,
+    /// One call that is sent to a cell in another zone.
+    pub far_call: f64,
 }
 
 impl Default for CostModel {
     fn default() -> CostModel {
-        CostModel { start: 110.0, late_call: 600.0 }
+        CostModel { start: 110.0, late_call: 600.0, far_call: 20.0 }
     }
 }
 
@@ -155,9 +157,10 @@
         self.held.push_back((until, cells));
     }
 
-    /// Cells that the load is worth now. Example: `demand.wanted(&shape, Micros::from_millis(60), now)`.
-    pub fn wanted(&mut self, shape: &CellShape, latency: Micros, now: Micros) -> u32 {
-        let wanted = self.worth(shape, latency, now);
+    /// Cells that the load is worth now; `zone_shares` are the shares of the calls that come from each zone,
+    /// the largest first. Example: `demand.wanted(&shape, &[0.7, 0.3], Micros::from_millis(60), now)`.
+    pub fn wanted(&mut self, shape: &CellShape, zone_shares: &[f64], latency: Micros, now: Micros) -> u32 {
+        let wanted = self.worth(shape, zone_shares, latency, now);
         // Going down and up again costs a start and a boot: what was wanted holds for about as long as
         // its memory costs that much.
         let hold = shape.costs.start / shape.memory_mb + seconds(shape.boot);
@@ -190,7 +193,7 @@
         seconds(now - traffic_since.max(self.began_at)) * shape.memory_mb < cold_cost
     }
 
-    fn worth(&self, shape: &CellShape, latency: Micros, now: Micros) -> u32 {
+    fn worth(&self, shape: &CellShape, zone_shares: &[f64], latency: Micros, now: Micros) -> u32 {
         let boot = seconds(shape.boot);
         let is_slow_cold = shape.boot + latency > shape.target;
         let Some(first_call_at) = self.first_call_at else {
@@ -207,14 +210,14 @@
         if rate * cold_cost < shape.memory_mb && load < 0.5 {
             return 0;
         }
-        let cells = cells_for(load, rate, shape, latency);
+        let cells = cells_for(load, rate, shape, zone_shares, latency);
         let is_unknown = is_slow_cold && now < first_call_at + UNKNOWN_SPAN;
         if is_unknown { cells.max(UNKNOWN_CELLS) } else { cells }
     }
 }
 
-/// The cheapest number of cells for a load, at least one.
-fn cells_for(load: f64, rate: f64, shape: &CellShape, latency: Micros) -> u32 {
+/// The cheapest number of cells for a load, at least one. Each takes the zone with most calls that has none.
+fn cells_for(load: f64, rate: f64, shape: &CellShape, zone_shares: &[f64], latency: Micros) -> u32 {
     let service = seconds(latency).max(0.001);
     // What an answer may wait and still be in time, given that some calls take twice as long.
     let patience = (seconds(shape.target) - 2.0 * service).max(0.2 * service);
@@ -223,7 +226,9 @@
     let cost_of = |cells: u32| {
         let servers = f64::from(cells) * calls_at_once;
         let late = erlang_c(servers as u32, load) * (-(servers - load) * patience / service).exp();
-        f64::from(cells) * shape.memory_mb + rate * late * shape.costs.late_call
+        let far: f64 = zone_shares.iter().skip(cells as usize).sum();
+        f64::from(cells) * shape.memory_mb
+            + rate * (late * shape.costs.late_call + far * shape.costs.far_call)
     };
     let mut cost = cost_of(cells);
     while cells < MOST_CELLS {
--- a/packages/steward_work/src/cell_demand/tests.rs
+++ b/packages/steward_work/src/cell_demand/tests.rs
@@ -23,7 +23,7 @@
 const LATENCY: Micros = Micros::from_millis(70);
 
 fn kept(demand: &mut CellDemand, shape: &CellShape, now: Micros) -> u32 {
-    let wanted = demand.wanted(shape, LATENCY, now);
+    let wanted = demand.wanted(shape, &[], LATENCY, now);
     demand.kept(wanted, now)
 }
 
@@ -68,23 +68,27 @@
 #[test]
 fn a_function_that_a_cold_start_makes_late_is_warm_before_its_first_call_and_others_are_not() {
     let mut demand = CellDemand::new(Micros(0));
-    assert_eq!(demand.wanted(&busy(), LATENCY, Micros(1)), UNKNOWN_CELLS);
-    assert_eq!(demand.wanted(&rare(), LATENCY, Micros(1)), 0);
-    assert_eq!(demand.wanted(&busy(), LATENCY, UNCALLED_SPAN), 0, "nobody calls it");
+    assert_eq!(demand.wanted(&busy(), &[], LATENCY, Micros(1)), UNKNOWN_CELLS);
+    assert_eq!(demand.wanted(&rare(), &[], LATENCY, Micros(1)), 0);
+    assert_eq!(demand.wanted(&busy(), &[], LATENCY, UNCALLED_SPAN), 0, "nobody calls it");
 }
 
 #[test]
 fn a_function_that_nobody_calls_while_others_are_called_is_not_kept_warm_for_long() {
     let mut demand = CellDemand::new(Micros(0));
     let seconds = Micros::from_secs;
-    assert_eq!(demand.wanted(&busy(), LATENCY, seconds(20)), UNKNOWN_CELLS, "there is no traffic yet");
+    assert_eq!(demand.wanted(&busy(), &[], LATENCY, seconds(20)), UNKNOWN_CELLS, "there is no traffic yet");
     demand.take_traffic(Some(seconds(21)));
-    assert_eq!(demand.wanted(&busy(), LATENCY, seconds(22)), UNKNOWN_CELLS);
+    assert_eq!(demand.wanted(&busy(), &[], LATENCY, seconds(22)), UNKNOWN_CELLS);
     // A cell of 768 MB held for 2.4 s costs what one call met cold does.
-    assert_eq!(demand.wanted(&busy(), LATENCY, seconds(24)), 0);
+    assert_eq!(demand.wanted(&busy(), &[], LATENCY, seconds(24)), 0);
     let small = CellShape { memory_mb: 128.0, ..busy() };
-    assert_eq!(demand.wanted(&small, LATENCY, seconds(24)), UNKNOWN_CELLS, "a small one is held for longer");
-    assert_eq!(demand.wanted(&small, LATENCY, seconds(30)), 0);
+    assert_eq!(
+        demand.wanted(&small, &[], LATENCY, seconds(24)),
+        UNKNOWN_CELLS,
+        "a small one is held for longer"
+    );
+    assert_eq!(demand.wanted(&small, &[], LATENCY, seconds(30)), 0);
 }
 
 #[test]
@@ -113,3 +117,13 @@
     assert_eq!(kept(&mut demand, &busy(), Micros::from_secs(2)), 3);
     assert!(kept(&mut demand, &busy(), Micros::from_secs(4)) < 3);
 }
+
+#[test]
+fn a_zone_with_many_calls_is_worth_a_cell_of_its_own() {
+    let shares = [0.4, 0.3, 0.2, 0.1];
+    let cells = |rate: f64| cells_for(rate * 0.07, rate, &busy(), &shares, LATENCY);
+    let without_zones = |rate: f64| cells_for(rate * 0.07, rate, &busy(), &[], LATENCY);
+    assert_eq!((cells(10.0), without_zones(10.0)), (1, 1), "few calls cross");
+    // A cell of 768 MB saves the crossing of 39 calls a second or more.
+    assert_eq!((cells(140.0), without_zones(140.0)), (3, 2));
+}
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -915,7 +915,8 @@
                 target: self.settings.target.unwrap_or(UNNAMED_TARGET),
                 costs: self.settings.costs,
             };
-            let wanted = self.demand.wanted(&shape, self.usual_latency, now);
+            let zone_shares = self.zone_calls.largest_shares();
+            let wanted = self.demand.wanted(&shape, &zone_shares, self.usual_latency, now);
             self.worth = (wanted, self.demand.kept(wanted, now));
             return;
         };
--- a/packages/steward_work/src/start_rate.rs
+++ b/packages/steward_work/src/start_rate.rs
@@ -15,9 +15,10 @@
     hold: Micros,
 }
 
-/// A node may save up so many acts, at the most: in a large fleet no more than its equal part of a
-/// second's acts, so that all nodes that act at once stay within what the platform takes.
+/// A node may save up so many acts, at the most: in a large fleet no more than its equal part of two
+/// seconds' acts, since half of the acts is dealt out so and all nodes may act at once.
 const LARGEST_SAVING: f64 = 4.0;
+const SAVING_SECONDS: f64 = 2.0;
 /// Nothing can be done with less than one act saved.
 const SMALLEST_SAVING: f64 = 1.0;
 const FIRST_HOLD: Micros = Micros::from_millis(100);
@@ -42,7 +43,7 @@
     pub fn take_rate(&mut self, per_second: f64, equal_part: f64, now: Micros) {
         self.fill(now);
         self.per_second = per_second;
-        let equal_saving = equal_part.clamp(SMALLEST_SAVING, LARGEST_SAVING);
+        let equal_saving = (equal_part * SAVING_SECONDS).clamp(SMALLEST_SAVING, LARGEST_SAVING);
         self.most_saved = equal_saving.max(per_second / 4.0);
     }
 
--- a/packages/steward_work/src/zone.rs
+++ b/packages/steward_work/src/zone.rs
@@ -57,6 +57,15 @@
         self.counts.iter().map(|(zone, count)| (*zone, count / total)).collect()
     }
 
+    /// The shares alone, the largest first; none while all calls come from places without a zone.
+    /// Example: `calls.largest_shares() == [0.75, 0.25]`.
+    pub fn largest_shares(&self) -> Vec<f64> {
+        let named = self.shares().into_iter().filter(|(zone, _)| *zone != Zone::default());
+        let mut shares: Vec<f64> = named.map(|(_, share)| share).collect();
+        shares.sort_by(|left, right| right.total_cmp(left));
+        shares
+    }
+
     /// How many more cells each zone that calls come from should have, if all cells stood where the calls
     /// come from; less than zero where it has too many. Zones without calls have all their cells too many.
     /// Example: `calls.missing(&cells_by_zone)[&zone] > 0.0`.
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -324,7 +324,11 @@
         zone: settings.zone.clone(),
         seeds: settings.seeds.iter().map(|seed| Address::from(*seed)).collect(),
         founding_disks: settings.founding_disks,
-        costs: CostModel { start: settings.start_cost, late_call: settings.late_call_cost },
+        costs: CostModel {
+            start: settings.start_cost,
+            late_call: settings.late_call_cost,
+            far_call: settings.far_call_cost,
+        },
         may_found: settings.may_found,
         lists_per_second: settings.lists_per_second,
         list_every: Micros::from_millis(settings.list_every_millis),
--- a/packages/vanelane/src/settings.rs
+++ b/packages/vanelane/src/settings.rs
@@ -37,6 +37,7 @@
     kept_connections: u64,
     start_cost: f64,
     late_call_cost: f64,
+    far_call_cost: f64,
     extra_ratio: f64,
     extra_fixed: u64,
     extra_window_seconds: u64,
@@ -84,6 +85,7 @@
     pub kept_connections: usize,
     pub start_cost: f64,
     pub late_call_cost: f64,
+    pub far_call_cost: f64,
     pub extra_ratio: f64,
     pub extra_fixed: u64,
     pub extra_window_seconds: u64,
@@ -270,13 +272,14 @@
     let costs = [
         ("start_cost", file.start_cost.unwrap_or(110.0)),
         ("late_call_cost", file.late_call_cost.unwrap_or(600.0)),
+        ("far_call_cost", file.far_call_cost.unwrap_or(20.0)),
     ];
     for (field, cost) in costs {
         if !(0.0..=1e9).contains(&cost) {
             checker.reasons.push((field, format!("{cost} is not within 0 to 1000000000")));
         }
     }
-    let [(_, start_cost), (_, late_call_cost)] = costs;
+    let [(_, start_cost), (_, late_call_cost), (_, far_call_cost)] = costs;
     let own_name = file.node_name.unwrap_or_else(|| colleague_address.to_string());
     let settings = Settings {
         fleet,
@@ -308,6 +311,7 @@
         lists_per_second,
         start_cost,
         late_call_cost,
+        far_call_cost,
         extra_ratio,
         extra_fixed: checker.number("extra_fixed", file.extra_fixed, 60, 0, 1_000_000),
         extra_window_seconds: checker.number("extra_window_seconds", file.extra_window_seconds, 10, 1, 3_600),
