--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -1,44 +1,37 @@
 //! What this node does as steward and as deputy: terms, tickets, cells, the split of allowances.
 
+mod allowances;
+mod platform_acts;
+
+use crate::Act;
 use crate::list_part::ListPart;
 use crate::node::{Node, PAUSE_A_MEMBER};
-use crate::{Act, StartResult, StopResult};
+use allowances::Split;
 use clock_events::{ClockEvent, Micros};
 use colleague_messages::{
-    Address, Bytes, CellEntry, CellsNews, DemandEntry, DemandNews, HeldAnswerEntry, HeldAskEntry, List,
-    Message, NodeId, Ticket,
+    Address, Bytes, CellEntry, CellsNews, DemandNews, HeldAnswerEntry, HeldAskEntry, List, Message, NodeId,
+    Ticket,
 };
 use configuration_check::{Function, KeptBy};
-use deku::{DekuContainerRead, DekuContainerWrite};
+use deku::DekuContainerWrite;
+use platform_acts::{WaitingStart, WaitingStop};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::IpAddr;
 use steward_election::{Election, ElectionSettings, TermChange};
 use steward_work::{
-    AskDetails, CostModel, Demand, DeputyAsk, DeputyCell, DeputyWork, FunctionWork, HeldBackAs, ListedCell,
-    ListedWorker, Placement, StartOutcome, StartRate, Totals, Urgency, WorkAct, WorkSettings, Zone,
-    allowance_split,
+    AskDetails, CostModel, DeputyAsk, DeputyCell, DeputyWork, FunctionWork, HeldBackAs, ListedCell,
+    ListedWorker, Placement, StartOutcome, StartRate, Urgency, WorkAct, WorkSettings, Zone,
 };
 
 const START_WAITLIST: usize = 2_048;
 /// The epoch of the first steward that a function ever has.
 const FIRST_EPOCH: u64 = 1;
-/// Stops wait behind starts for no longer than this.
-const STOP_PATIENCE: Micros = Micros::from_secs(2);
-/// After a start found no room memory counts as short for so long.
-const SHORT_SPAN: Micros = Micros::from_secs(3);
-/// Where that many workers had no room a start waits for stops rather than for luck.
-const ROOM_TRIES: u32 = 2;
-const START_TRIES: u32 = 4;
 /// After a failed list the next is asked for sooner.
 const LIST_AGAIN: Micros = Micros::from_millis(300);
 const LIST_PATIENCE: Micros = Micros::from_secs(3);
 /// Whoever did not tell which tickets it holds is asked again after this.
 const HELD_PATIENCE: Micros = Micros::from_millis(300);
-/// Between two splits that only other nodes' news asks for, and between two that nothing asks for.
-const SPLIT_PAUSE: Micros = Micros::from_millis(300);
-const IDLE_SPLIT_PAUSE: Micros = Micros::from_secs(1);
-const NO_ROOM_TOLD: Micros = Micros::from_secs(5);
 const UNSETTLED_POLL: Micros = Micros::from_millis(100);
 const FRESH_LIST_AGE: Micros = Micros::from_millis(2_200);
 /// Between two functions that a node gives up for balance.
@@ -55,35 +48,6 @@
 /// Until the first list is in, a new steward may not know of cells that run: it starts none.
 const ADOPTION_SPAN: Micros = Micros::from_millis(1_500);
 
-/// What the last split of allowances rested on: the generation, the workers' memory, the counts of
-/// members and of own works, and what the own functions want.
-type SplitBasis = (u64, u64, usize, usize, BTreeMap<String, Demand>);
-
-#[derive(Debug, Default)]
-struct Split {
-    basis: SplitBasis,
-    news_mark: u64,
-    done_at: Micros,
-}
-
-#[derive(Debug)]
-struct WaitingStart {
-    function: String,
-    start_id: String,
-    worker: Option<String>,
-    /// Where it had better go.
-    zone: Zone,
-    tries: u32,
-}
-
-#[derive(Debug)]
-struct WaitingStop {
-    /// Empty for a cell of a function that is configured no more.
-    function: String,
-    cell: String,
-    since: Micros,
-}
-
 #[derive(Debug)]
 pub(crate) struct StewardPart {
     pub(crate) election: Election,
@@ -784,112 +748,6 @@
         }
     }
 
-    /// Tells what own functions want and applies the split of everything to them.
-    fn split_allowances(&mut self, members: &[NodeId]) {
-        let now = self.now;
-        let configuration = self.configuration.current();
-        let mut own_demands: BTreeMap<String, Demand> = BTreeMap::new();
-        for (function, work) in &self.stewards.works {
-            let Some(settings) = configuration.functions.get(function) else { continue };
-            let cell_memory_mb = settings.cell_memory_mb as f64;
-            let cells = work.demanded_cells();
-            let demand = Demand {
-                memory_mb: f64::from(cells.needed) * cell_memory_mb,
-                warm_mb: f64::from(cells.warm) * cell_memory_mb,
-                spare_mb: f64::from(cells.spare) * cell_memory_mb,
-                starts: f64::from(work.wanted_acts()),
-            };
-            if demand != Demand::default() {
-                own_demands.insert(function.clone(), demand);
-            }
-        }
-        self.tell_demand(&own_demands, members.len());
-        // The split goes over the whole configuration: it is done when something it rests on changed.
-        let news_mark = self
-            .news
-            .topics("demand/")
-            .fold(0u64, |sum, item| sum.rotate_left(5) ^ item.sequence.wrapping_add(item.origin));
-        let basis = (
-            self.configuration.generation(),
-            self.stewards.placement.total_memory_mb(),
-            members.len(),
-            self.stewards.works.len(),
-            own_demands.clone(),
-        );
-        let split = &self.stewards.split;
-        let pause = match (split.basis == basis, split.news_mark == news_mark) {
-            (false, _) => Micros(0),
-            (true, false) => SPLIT_PAUSE,
-            (true, true) => IDLE_SPLIT_PAUSE,
-        };
-        if now < split.done_at + pause {
-            return;
-        }
-        self.stewards.split = Split { basis, news_mark, done_at: now };
-        let mut demands = own_demands.clone();
-        for item in self.news.topics("demand/") {
-            if item.origin == self.settings.node || !members.contains(&item.origin) {
-                continue;
-            }
-            let Ok((_, demand_news)) = DemandNews::from_bytes((&item.body.0, 0)) else { continue };
-            for entry in demand_news.entries.0 {
-                let demand = Demand {
-                    memory_mb: f64::from(entry.memory_mb),
-                    warm_mb: f64::from(entry.warm_mb),
-                    spare_mb: f64::from(entry.spare_mb),
-                    starts: f64::from(entry.milli_starts) / 1_000.0,
-                };
-                demands.entry(entry.function.0).or_insert(demand);
-            }
-        }
-        let member_count = members.len().max(1) as f64;
-        let acts_per_second = self.settings.acts_per_second;
-        // Half of the acts is every node's own in equal parts, so that a lone start never waits for
-        // news; the other half follows the demand through the tree.
-        let totals = Totals {
-            memory_mb: self.stewards.placement.total_memory_mb() as f64,
-            starts: acts_per_second / 2.0,
-        };
-        let shares = allowance_split(&configuration, &demands, totals);
-        let equal_part = acts_per_second / 2.0 / member_count;
-        let mut own_acts = equal_part;
-        for (function, work) in &mut self.stewards.works {
-            let Some(settings) = configuration.functions.get(function) else { continue };
-            // Who wants nothing is not named.
-            let share = shares.get(function).copied().unwrap_or_default();
-            own_acts += share.starts;
-            let cell_count = (share.memory_mb / settings.cell_memory_mb as f64 + 0.001).floor() as u32;
-            work.allow_cells(cell_count);
-        }
-        self.stewards.rate.take_rate(own_acts, equal_part, now);
-    }
-
-    fn tell_demand(&mut self, own_demands: &BTreeMap<String, Demand>, member_count: usize) {
-        let now = self.now;
-        let entries: List<DemandEntry> = own_demands
-            .iter()
-            .map(|(function, demand)| DemandEntry {
-                function: function.as_str().into(),
-                memory_mb: demand.memory_mb as u32,
-                warm_mb: demand.warm_mb as u32,
-                spare_mb: demand.spare_mb as u32,
-                milli_starts: (demand.starts * 1_000.0) as u32,
-            })
-            .collect();
-        let demand_news = DemandNews { entries };
-        let (told_at, told_news) = &self.stewards.demand_told;
-        // All nodes' news reaches every node: in a large fleet each tells its own less often.
-        let pause = Micros::from_millis(300.max(member_count as u64 * 13));
-        if *told_news == demand_news || now < *told_at + pause {
-            return;
-        }
-        let topic = format!("demand/{:016x}", self.settings.node);
-        let sequence = self.news.sequence(&topic) + 1;
-        let body = Bytes(demand_news.to_bytes().unwrap_or_default());
-        self.news.publish(&topic, self.settings.node, sequence, body);
-        self.stewards.demand_told = (now, demand_news);
-    }
-
     /// Hands out the acts of all works and serves the platform's waitlists.
     pub(crate) fn flush_stewards(&mut self) {
         self.flush_works();
@@ -982,162 +840,6 @@
         let body = Bytes(CellsNews { cells }.to_bytes().unwrap_or_default());
         self.news.publish(&topic, self.settings.node, sequence, body);
     }
-
-    /// Starts before stops, as far as the start rate goes, and only under a standing term: a call may wait
-    /// for a start. Where memory is short starts wait for the room that stops make, and they take turns, as
-    /// they do when stops waited for long. What nobody called yet is started with what acts are left.
-    fn serve_platform(&mut self) {
-        let now = self.now;
-        loop {
-            let oldest_stop = self.stewards.stops.front().map(|stop| stop.since);
-            let is_stop_late = oldest_stop.is_some_and(|since| now >= since + STOP_PATIENCE);
-            let takes_turns = is_stop_late || now < self.stewards.short_until;
-            let is_done = match takes_turns && self.stewards.is_stop_turn {
-                true => self.serve_stop() || self.serve_start(),
-                false => self.serve_start() || self.serve_stop(),
-            };
-            if !is_done {
-                break;
-            }
-        }
-        if self.stewards.starts.is_empty() && self.stewards.stops.is_empty() {
-            std::mem::swap(&mut self.stewards.starts, &mut self.stewards.spare_starts);
-            self.serve_start();
-            std::mem::swap(&mut self.stewards.starts, &mut self.stewards.spare_starts);
-        }
-    }
-
-    /// Sends the first start that waits; false if none does, or the start rate allows none now.
-    fn serve_start(&mut self) -> bool {
-        let now = self.now;
-        while let Some(start) = self.stewards.starts.front() {
-            let function = start.function.clone();
-            let term = self.stewards.election.term(&function, now);
-            let memory_mb =
-                self.configuration.current().functions.get(&function).map(|found| found.cell_memory_mb);
-            let (Some(steward_epoch), Some(memory_mb)) = (term, memory_mb) else {
-                self.stewards.starts.pop_front();
-                continue;
-            };
-            let picked_worker = match &start.worker {
-                Some(worker) => Some(worker.clone()),
-                None => {
-                    let work = self.stewards.works.get(&function);
-                    let is_first = work.is_some_and(|work| !work.has_cells());
-                    self.stewards.placement.pick(memory_mb, &start.start_id, is_first, start.zone, now)
-                }
-            };
-            let Some(worker) = picked_worker else {
-                let Some(start) = self.stewards.starts.pop_front() else { return false };
-                self.end_start(&start, StartOutcome::NoRoom);
-                continue;
-            };
-            if !self.stewards.rate.spend(now) {
-                if let Some(start) = self.stewards.starts.front_mut() {
-                    start.worker = Some(worker);
-                }
-                return false;
-            }
-            let Some(mut start) = self.stewards.starts.pop_front() else { return false };
-            start.worker = Some(worker.clone());
-            start.tries += 1;
-            let start_id = start.start_id.clone();
-            self.stewards.starts_out.insert(start_id.clone(), start);
-            self.journal.append(
-                "start",
-                json!({"function": function, "worker": worker, "start_id": start_id}),
-                now,
-            );
-            self.act(Act::Start { start_id, function, worker, memory_mb, steward_epoch });
-            self.stewards.is_stop_turn = true;
-            return true;
-        }
-        false
-    }
-
-    /// Sends the first stop that waits; false if none does, or the start rate allows none now.
-    fn serve_stop(&mut self) -> bool {
-        let now = self.now;
-        while let Some(stop) = self.stewards.stops.front() {
-            let term = self.stewards.election.term(&stop.function, now);
-            let Some(steward_epoch) = term.or_else(|| stop.function.is_empty().then_some(0)) else {
-                self.stewards.stops.pop_front();
-                continue;
-            };
-            if !self.stewards.rate.spend(now) {
-                return false;
-            }
-            let Some(WaitingStop { function, cell, .. }) = self.stewards.stops.pop_front() else {
-                return false;
-            };
-            self.journal.append("stop", json!({"function": function, "cell": cell}), now);
-            self.act(Act::Stop { cell, steward_epoch });
-            self.stewards.is_stop_turn = false;
-            return true;
-        }
-        false
-    }
-
-    fn end_start(&mut self, start: &WaitingStart, outcome: StartOutcome) {
-        let now = self.now;
-        if outcome == StartOutcome::NoRoom {
-            self.stewards.short_until = now + SHORT_SPAN;
-            // Told once in a while, however often it is tried.
-            let told = self.stewards.no_room_told.get(&start.function);
-            if told.is_none_or(|told_at| now >= *told_at + NO_ROOM_TOLD) {
-                self.stewards.no_room_told.insert(start.function.clone(), now);
-                self.journal.append("no_room", json!({"function": start.function}), now);
-            }
-        }
-        if let Some(work) = self.stewards.works.get_mut(&start.function) {
-            work.started(&start.start_id, outcome, now);
-        }
-    }
-
-    pub(crate) fn start_done(&mut self, start_id: &str, result: StartResult) {
-        let now = self.now;
-        let Some(mut start) = self.stewards.starts_out.remove(start_id) else { return };
-        let worker = start.worker.clone().unwrap_or_default();
-        match result {
-            StartResult::Started { cell, address } => {
-                self.stewards.rate.accepted();
-                self.end_start(&start, StartOutcome::Started { cell, address, worker });
-            }
-            StartResult::NoRoom => {
-                let configuration = self.configuration.current();
-                let memory_mb = configuration.functions.get(&start.function).map_or(0, |f| f.cell_memory_mb);
-                self.stewards.placement.refused(&worker, memory_mb, now);
-                if start.tries >= ROOM_TRIES {
-                    self.end_start(&start, StartOutcome::NoRoom);
-                    return;
-                }
-                start.worker = None;
-                self.stewards.starts.push_front(start);
-            }
-            StartResult::Throttled => {
-                self.stewards.rate.throttled(now);
-                self.journal.append("throttled", json!({"function": start.function}), now);
-                start.tries = start.tries.saturating_sub(1);
-                self.stewards.starts.push_front(start);
-            }
-            StartResult::Unknown => {
-                if start.tries >= START_TRIES {
-                    self.end_start(&start, StartOutcome::NoRoom);
-                    return;
-                }
-                // The same id at the same worker: the platform starts it once.
-                self.stewards.starts.push_back(start);
-            }
-        }
-    }
-
-    pub(crate) fn stop_done(&mut self, cell: &str, result: StopResult) {
-        if result == StopResult::Throttled {
-            self.stewards.rate.throttled(self.now);
-            self.journal.append("throttled", json!({"cell": cell}), self.now);
-        }
-        // A stop that did not take is asked for again by the function's work.
-    }
 }
 
 fn cells_of(cells: &[ListedCell], function: &str) -> Vec<ListedCell> {
--- /dev/null
+++ b/packages/node_protocol/src/steward_part/platform_acts.rs
@@ -0,0 +1,192 @@
+//! Starts and stops on their way to the platform: their order, the start rate, and what their answers mean.
+
+use crate::node::Node;
+use crate::{Act, StartResult, StopResult};
+use clock_events::Micros;
+use serde_json::json;
+use steward_work::{StartOutcome, Zone};
+
+const START_TRIES: u32 = 4;
+/// Where that many workers had no room a start waits for stops rather than for luck.
+const ROOM_TRIES: u32 = 2;
+/// Stops wait behind starts for no longer than this.
+const STOP_PATIENCE: Micros = Micros::from_secs(2);
+/// After a start found no room memory counts as short for so long.
+const SHORT_SPAN: Micros = Micros::from_secs(3);
+const NO_ROOM_TOLD: Micros = Micros::from_secs(5);
+
+#[derive(Debug)]
+pub(super) struct WaitingStart {
+    pub(super) function: String,
+    pub(super) start_id: String,
+    pub(super) worker: Option<String>,
+    /// Where it had better go.
+    pub(super) zone: Zone,
+    pub(super) tries: u32,
+}
+
+#[derive(Debug)]
+pub(super) struct WaitingStop {
+    /// Empty for a cell of a function that is configured no more.
+    pub(super) function: String,
+    pub(super) cell: String,
+    pub(super) since: Micros,
+}
+
+impl Node {
+    /// Starts before stops, as far as the start rate goes, and only under a standing term: a call may wait
+    /// for a start. Where memory is short starts wait for the room that stops make, and they take turns, as
+    /// they do when stops waited for long. What nobody called yet is started with what acts are left.
+    pub(super) fn serve_platform(&mut self) {
+        let now = self.now;
+        loop {
+            let oldest_stop = self.stewards.stops.front().map(|stop| stop.since);
+            let is_stop_late = oldest_stop.is_some_and(|since| now >= since + STOP_PATIENCE);
+            let takes_turns = is_stop_late || now < self.stewards.short_until;
+            let is_done = match takes_turns && self.stewards.is_stop_turn {
+                true => self.serve_stop() || self.serve_start(),
+                false => self.serve_start() || self.serve_stop(),
+            };
+            if !is_done {
+                break;
+            }
+        }
+        if self.stewards.starts.is_empty() && self.stewards.stops.is_empty() {
+            std::mem::swap(&mut self.stewards.starts, &mut self.stewards.spare_starts);
+            self.serve_start();
+            std::mem::swap(&mut self.stewards.starts, &mut self.stewards.spare_starts);
+        }
+    }
+
+    /// Sends the first start that waits; false if none does, or the start rate allows none now.
+    fn serve_start(&mut self) -> bool {
+        let now = self.now;
+        while let Some(start) = self.stewards.starts.front() {
+            let function = start.function.clone();
+            let term = self.stewards.election.term(&function, now);
+            let memory_mb =
+                self.configuration.current().functions.get(&function).map(|found| found.cell_memory_mb);
+            let (Some(steward_epoch), Some(memory_mb)) = (term, memory_mb) else {
+                self.stewards.starts.pop_front();
+                continue;
+            };
+            let picked_worker = match &start.worker {
+                Some(worker) => Some(worker.clone()),
+                None => {
+                    let work = self.stewards.works.get(&function);
+                    let is_first = work.is_some_and(|work| !work.has_cells());
+                    self.stewards.placement.pick(memory_mb, &start.start_id, is_first, start.zone, now)
+                }
+            };
+            let Some(worker) = picked_worker else {
+                let Some(start) = self.stewards.starts.pop_front() else { return false };
+                self.end_start(&start, StartOutcome::NoRoom);
+                continue;
+            };
+            if !self.stewards.rate.spend(now) {
+                if let Some(start) = self.stewards.starts.front_mut() {
+                    start.worker = Some(worker);
+                }
+                return false;
+            }
+            let Some(mut start) = self.stewards.starts.pop_front() else { return false };
+            start.worker = Some(worker.clone());
+            start.tries += 1;
+            let start_id = start.start_id.clone();
+            self.stewards.starts_out.insert(start_id.clone(), start);
+            self.journal.append(
+                "start",
+                json!({"function": function, "worker": worker, "start_id": start_id}),
+                now,
+            );
+            self.act(Act::Start { start_id, function, worker, memory_mb, steward_epoch });
+            self.stewards.is_stop_turn = true;
+            return true;
+        }
+        false
+    }
+
+    /// Sends the first stop that waits; false if none does, or the start rate allows none now.
+    fn serve_stop(&mut self) -> bool {
+        let now = self.now;
+        while let Some(stop) = self.stewards.stops.front() {
+            let term = self.stewards.election.term(&stop.function, now);
+            let Some(steward_epoch) = term.or_else(|| stop.function.is_empty().then_some(0)) else {
+                self.stewards.stops.pop_front();
+                continue;
+            };
+            if !self.stewards.rate.spend(now) {
+                return false;
+            }
+            let Some(WaitingStop { function, cell, .. }) = self.stewards.stops.pop_front() else {
+                return false;
+            };
+            self.journal.append("stop", json!({"function": function, "cell": cell}), now);
+            self.act(Act::Stop { cell, steward_epoch });
+            self.stewards.is_stop_turn = false;
+            return true;
+        }
+        false
+    }
+
+    fn end_start(&mut self, start: &WaitingStart, outcome: StartOutcome) {
+        let now = self.now;
+        if outcome == StartOutcome::NoRoom {
+            self.stewards.short_until = now + SHORT_SPAN;
+            // Told once in a while, however often it is tried.
+            let told = self.stewards.no_room_told.get(&start.function);
+            if told.is_none_or(|told_at| now >= *told_at + NO_ROOM_TOLD) {
+                self.stewards.no_room_told.insert(start.function.clone(), now);
+                self.journal.append("no_room", json!({"function": start.function}), now);
+            }
+        }
+        if let Some(work) = self.stewards.works.get_mut(&start.function) {
+            work.started(&start.start_id, outcome, now);
+        }
+    }
+
+    pub(crate) fn start_done(&mut self, start_id: &str, result: StartResult) {
+        let now = self.now;
+        let Some(mut start) = self.stewards.starts_out.remove(start_id) else { return };
+        let worker = start.worker.clone().unwrap_or_default();
+        match result {
+            StartResult::Started { cell, address } => {
+                self.stewards.rate.accepted();
+                self.end_start(&start, StartOutcome::Started { cell, address, worker });
+            }
+            StartResult::NoRoom => {
+                let configuration = self.configuration.current();
+                let memory_mb = configuration.functions.get(&start.function).map_or(0, |f| f.cell_memory_mb);
+                self.stewards.placement.refused(&worker, memory_mb, now);
+                if start.tries >= ROOM_TRIES {
+                    self.end_start(&start, StartOutcome::NoRoom);
+                    return;
+                }
+                start.worker = None;
+                self.stewards.starts.push_front(start);
+            }
+            StartResult::Throttled => {
+                self.stewards.rate.throttled(now);
+                self.journal.append("throttled", json!({"function": start.function}), now);
+                start.tries = start.tries.saturating_sub(1);
+                self.stewards.starts.push_front(start);
+            }
+            StartResult::Unknown => {
+                if start.tries >= START_TRIES {
+                    self.end_start(&start, StartOutcome::NoRoom);
+                    return;
+                }
+                // The same id at the same worker: the platform starts it once.
+                self.stewards.starts.push_back(start);
+            }
+        }
+    }
+
+    pub(crate) fn stop_done(&mut self, cell: &str, result: StopResult) {
+        if result == StopResult::Throttled {
+            self.stewards.rate.throttled(self.now);
+            self.journal.append("throttled", json!({"cell": cell}), self.now);
+        }
+        // A stop that did not take is asked for again by the function's work.
+    }
+}
