--- a/packages/colleague_messages/src/parts.rs
+++ b/packages/colleague_messages/src/parts.rs
@@ -2,7 +2,7 @@
 
 use deku::no_std_io::{Read, Seek, Write};
 use deku::prelude::*;
-use std::net::{IpAddr, Ipv6Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 
 /// Bytes behind a 32-bit count. Example: `Bytes::from(vec![1, 2])`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -16,29 +16,43 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct List<T>(pub Vec<T>);
 
-/// A socket address as 16 bytes of IPv6 (IPv4 mapped) and a port.
+/// An IP address by its family: every message carries some, so a short one takes four bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, DekuRead, DekuWrite)]
+#[deku(id_type = "u8")]
+enum Host {
+    #[deku(id = "4")]
+    Short([u8; 4]),
+    #[deku(id = "6")]
+    Long([u8; 16]),
+}
+
+/// A socket address: an IP address and a port. An IPv4 address that is mapped to IPv6 is an IPv4 address.
 ///
 /// Example: `Address::from("127.0.0.1:80".parse::<SocketAddr>().unwrap()).socket().port() == 80`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, DekuRead, DekuWrite)]
 pub struct Address {
-    ip: [u8; 16],
+    host: Host,
     port: u16,
 }
 
 impl Address {
     /// The address for the socket library. Example: `address.socket().is_ipv4()`.
     pub fn socket(&self) -> SocketAddr {
-        SocketAddr::new(Ipv6Addr::from(self.ip).to_canonical(), self.port)
+        let ip = match self.host {
+            Host::Short(octets) => IpAddr::V4(octets.into()),
+            Host::Long(octets) => IpAddr::V6(octets.into()),
+        };
+        SocketAddr::new(ip, self.port)
     }
 }
 
 impl From<SocketAddr> for Address {
     fn from(socket_address: SocketAddr) -> Address {
-        let mapped_ip = match socket_address.ip() {
-            IpAddr::V4(short_ip) => short_ip.to_ipv6_mapped(),
-            IpAddr::V6(long_ip) => long_ip,
+        let host = match socket_address.ip().to_canonical() {
+            IpAddr::V4(short_ip) => Host::Short(short_ip.octets()),
+            IpAddr::V6(long_ip) => Host::Long(long_ip.octets()),
         };
-        Address { ip: mapped_ip.octets(), port: socket_address.port() }
+        Address { host, port: socket_address.port() }
     }
 }
 
--- a/packages/colleague_messages/src/tests.rs
+++ b/packages/colleague_messages/src/tests.rs
@@ -104,3 +104,16 @@
     }
     assert_eq!(unpack(&[0xff, 0xff, 0xff, 0, 1, 2]), None, "a length that lies");
 }
+
+#[test]
+fn an_address_is_told_by_its_family_and_a_mapped_one_is_the_one_it_stands_for() {
+    let address = |text: &str| Address::from(text.parse::<std::net::SocketAddr>().expect("an address"));
+    for (text, length) in [("10.1.0.20:7300", 7), ("[2001:db8::7]:7300", 19)] {
+        let bytes = address(text).to_bytes().expect("bytes");
+        assert_eq!(bytes.len(), length, "{text}");
+        let (_, read) = Address::from_bytes((&bytes, 0)).expect("an address");
+        assert_eq!((read, read.socket().to_string().as_str()), (address(text), text));
+    }
+    assert_eq!(address("[::ffff:10.1.0.20]:7300"), address("10.1.0.20:7300"));
+    assert!(Address::from_bytes((&[5, 10, 1, 0, 20, 7, 7], 0)).is_err(), "no such family");
+}
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -13,7 +13,8 @@
 use function_front::{DispatchEnd, LaneTable};
 use history_checks::{Line, Outcome};
 use node_protocol::{
-    Act, ConfigurationAnswer, Event, Node, NodeSettings, NodeStatus, RefusedAs, StartResult, StopResult,
+    Act, ConfigurationAnswer, Event, Node, NodeSettings, NodeStatus, Policy, RefusedAs, StartResult,
+    StopResult,
 };
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -68,6 +69,8 @@
     pub rare_ceiling_mb: Option<f64>,
     /// Rates of the nodes' links; without them any message takes the same time.
     pub link_rates: Option<LinkRates>,
+    /// Policies that are switched off.
+    pub switched_off: BTreeSet<Policy>,
     /// Processor time of the machines; without it work takes no time.
     pub processors: Option<Processors>,
 }
@@ -97,6 +100,7 @@
             founding_disks: 3,
             rare_ceiling_mb: None,
             link_rates: None,
+            switched_off: BTreeSet::new(),
             processors: None,
         }
     }
@@ -555,6 +559,7 @@
             processor_millis: self.processor_millis(number),
             election: self.settings.election.clone(),
             probes: ProbeSettings::default(),
+            switched_off: self.settings.switched_off.clone(),
             luck_seed: self.dice.u64(..),
         };
         let now = self.now;
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -9,6 +9,7 @@
 mod journal;
 mod list_part;
 mod node;
+mod policy;
 mod steward_part;
 mod ticket_ledger;
 mod vote_swaps;
@@ -16,6 +17,7 @@
 
 pub use journal::Journal;
 pub use node::{Node, NodeCounts, NodeStatus};
+pub use policy::{Policy, UnknownPolicy};
 pub use ticket_ledger::{TicketAdmission, TicketLedger};
 
 use clock_events::Micros;
@@ -63,6 +65,8 @@
     pub election: ElectionSettings,
     /// The probes' times.
     pub probes: ProbeSettings,
+    /// Policies that are switched off, to measure what they are worth.
+    pub switched_off: BTreeSet<Policy>,
     /// Seeds every random choice.
     pub luck_seed: u64,
 }
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -4,7 +4,7 @@
 use crate::journal::Journal;
 use crate::steward_part::StewardPart;
 use crate::zones::Zones;
-use crate::{Act, Event, NodeSettings};
+use crate::{Act, Event, NodeSettings, Policy};
 use clock_events::{ClockEvent, Micros};
 use colleague_messages::{
     Address, CursorMark, DecisionLine, Envelope, List, MemberNews, Message, NodeId, rendezvous_weight,
@@ -332,13 +332,19 @@
         }
     }
 
+    /// Whether a policy is followed here.
+    pub(crate) fn is_on(&self, policy: Policy) -> bool {
+        !self.settings.switched_off.contains(&policy)
+    }
+
     /// Derives anew what rests on the members, if they changed.
     fn renew_zones(&mut self) {
         let revision = self.members.revision();
         if !self.zones.is_outdated(revision) {
             return;
         }
-        self.zones = Zones::of(self.members.own(), &self.members.live(), revision);
+        let has_relays = self.is_on(Policy::Relays);
+        self.zones = Zones::of(self.members.own(), &self.members.live(), has_relays, revision);
         self.news.take_neighbours(self.settings.node, self.zones.neighbours());
     }
 
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -3,9 +3,9 @@
 mod allowances;
 mod platform_acts;
 
-use crate::Act;
 use crate::list_part::ListPart;
 use crate::node::{Node, PAUSE_A_MEMBER};
+use crate::{Act, Policy};
 use allowances::Split;
 use clock_events::{ClockEvent, Micros};
 use colleague_messages::{
@@ -196,7 +196,7 @@
             self.stewards.poll_due = now + poll_every - jitter;
             self.poll_records();
         }
-        if self.stewards.idle_look.due(now) {
+        if self.stewards.idle_look.due(now) && self.is_on(Policy::IdleLeases) {
             let works = self.stewards.works.iter().filter(|(_, work)| work.is_idle(now));
             let idle = works.map(|(function, _)| function.clone()).collect();
             self.stewards.election.take_idle(idle);
@@ -205,7 +205,7 @@
         self.send_leader_writes(writes);
         self.take_term_changes();
         self.balance(&members, is_unsettled);
-        if self.stewards.large_look.due(now) {
+        if self.stewards.large_look.due(now) && self.is_on(Policy::LargeFunctions) {
             self.give_large_functions();
         }
         self.ask_list();
@@ -484,11 +484,12 @@
                 self.stewards.traffic_since.get_or_insert(now);
                 let is_steward =
                     self.stewards.election.term(&function.0, now).is_some() && !self.stewards.is_list_stale;
+                let zone = self.zones.zone_of(from).filter(|_| self.is_on(Policy::NearCells));
+                let zone = zone.map_or(Zone::default(), Zone::named);
                 let work = self.stewards.works.get_mut(&function.0).filter(|_| is_steward);
                 if let Some(work) = work {
                     let late_at = Micros(now.0.saturating_add(target_left_micros));
                     let urgency = Urgency { late_at, rank, is_nested: nested == 1 };
-                    let zone = self.zones.zone_of(from).map_or(Zone::default(), Zone::named);
                     let details = AskDetails { avoid: &avoid.0, urgency, zone };
                     work.ask_in_detail(from, ask, time_left, u32::from(extra), details, now);
                     return;
@@ -564,7 +565,11 @@
     ) -> Option<Ticket> {
         let now = self.now;
         // A deputy goes by the list alone: without a fresh one it may not know of cells that leave.
-        if self.draining_since.is_some() || self.stewards.is_list_stale || !self.has_fresh_list() {
+        if self.draining_since.is_some()
+            || self.stewards.is_list_stale
+            || !self.has_fresh_list()
+            || !self.is_on(Policy::Deputies)
+        {
             return None;
         }
         let calls_at_once = self.configuration.current().functions.get(function)?.calls_at_once;
--- a/packages/node_protocol/src/steward_part/allowances.rs
+++ b/packages/node_protocol/src/steward_part/allowances.rs
@@ -1,12 +1,13 @@
 //! The split of memory and start rate: what own functions want is told as news, and every node splits what
 //! there is by what all want.
 
+use crate::Policy;
 use crate::node::Node;
 use clock_events::Micros;
 use colleague_messages::{Bytes, DemandEntry, DemandNews, List, NodeId};
 use deku::{DekuContainerRead, DekuContainerWrite};
 use std::collections::BTreeMap;
-use steward_work::{Demand, Totals, allowance_split};
+use steward_work::{Demand, DemandedCells, Totals, allowance_split};
 
 /// Between two splits that only other nodes' news asks for, and between two that nothing asks for.
 const SPLIT_PAUSE: Micros = Micros::from_millis(300);
@@ -32,7 +33,13 @@
         for (function, work) in &self.stewards.works {
             let Some(settings) = configuration.functions.get(function) else { continue };
             let cell_memory_mb = settings.cell_memory_mb as f64;
-            let cells = work.demanded_cells();
+            let mut cells = work.demanded_cells();
+            if !self.is_on(Policy::SpareCells) {
+                cells.spare = 0;
+            }
+            if !self.is_on(Policy::DemandClasses) {
+                cells = DemandedCells { needed: cells.total(), ..DemandedCells::default() };
+            }
             let demand = Demand {
                 memory_mb: f64::from(cells.needed) * cell_memory_mb,
                 warm_mb: f64::from(cells.warm) * cell_memory_mb,
--- a/packages/node_protocol/src/zones.rs
+++ b/packages/node_protocol/src/zones.rs
@@ -26,13 +26,14 @@
 }
 
 impl Zones {
-    /// Zones of the members at a revision. Example: `Zones::of(&own_news, &live, 7)`.
-    pub(crate) fn of(own: &MemberNews, live: &[&MemberNews], revision: u64) -> Zones {
+    /// Zones of the members at a revision, with relays where a fleet of this size may have some.
+    /// Example: `Zones::of(&own_news, &live, true, 7)`.
+    pub(crate) fn of(own: &MemberNews, live: &[&MemberNews], may_have_relays: bool, revision: u64) -> Zones {
         let mut members: BTreeMap<&str, Vec<&MemberNews>> = BTreeMap::new();
         for news in live {
             members.entry(&news.zone.0).or_default().push(news);
         }
-        let has_relays = live.len() > SMALL_FLEET + 1 && members.len() > 1;
+        let has_relays = may_have_relays && live.len() > SMALL_FLEET + 1 && members.len() > 1;
         let relays = members.iter().filter(|_| has_relays);
         Zones {
             revision,
--- a/packages/node_protocol/src/zones/tests.rs
+++ b/packages/node_protocol/src/zones/tests.rs
@@ -22,7 +22,7 @@
 }
 
 fn zones(fleet: &[MemberNews], own: usize) -> Zones {
-    Zones::of(&fleet[own], &fleet.iter().collect::<Vec<_>>(), 1)
+    Zones::of(&fleet[own], &fleet.iter().collect::<Vec<_>>(), true, 1)
 }
 
 #[test]
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -349,6 +349,7 @@
             ..ElectionSettings::default()
         },
         probes: colleague_probes::ProbeSettings::default(),
+        switched_off: settings.switched_off.clone(),
         luck_seed: fastrand::u64(..),
     }
 }
--- a/packages/vanelane/src/settings.rs
+++ b/packages/vanelane/src/settings.rs
@@ -1,7 +1,9 @@
 //! The node's settings: a TOML file, flags over it, every field checked and named when it is wrong.
 
 use crate::command_line::Run;
+use node_protocol::Policy;
 use serde::Deserialize;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -32,6 +34,7 @@
     poll_millis: u64,
     renewal_millis: u64,
     gate: bool,
+    switched_off: Vec<String>,
     replace_disk_after_seconds: u64,
     worker_threads: u64,
     kept_connections: u64,
@@ -80,6 +83,7 @@
     pub poll_millis: u64,
     pub renewal_millis: u64,
     pub gate: bool,
+    pub switched_off: BTreeSet<Policy>,
     pub replace_disk_after_seconds: u64,
     pub worker_threads: usize,
     pub kept_connections: usize,
@@ -207,6 +211,17 @@
         }
         number
     }
+
+    fn policies(&mut self, names: Option<Vec<String>>) -> BTreeSet<Policy> {
+        let mut policies = BTreeSet::new();
+        for name in names.unwrap_or_default() {
+            match name.parse::<Policy>() {
+                Ok(policy) => _ = policies.insert(policy),
+                Err(unknown) => self.reasons.push(("switched_off", unknown.to_string())),
+            }
+        }
+        policies
+    }
 }
 
 /// Checks every field; all reasons are told. Example: `checked(file).map_err(print_all)`.
@@ -299,6 +314,7 @@
         poll_millis: checker.number("poll_millis", file.poll_millis, 500, 50, 600_000),
         renewal_millis,
         gate: file.gate.unwrap_or(true),
+        switched_off: checker.policies(file.switched_off),
         replace_disk_after_seconds: checker.number(
             "replace_disk_after_seconds",
             file.replace_disk_after_seconds,
