--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -209,7 +209,10 @@
     last_cells: BTreeMap<NodeId, String>,
     /// Starts under way: since when, and in which zone they are wanted.
     starting: BTreeMap<String, (Micros, Zone)>,
-    allowed_cells: u32,
+    /// What the allowance lets it have; none before the first split since this steward began.
+    allowed_cells: Option<u32>,
+    /// Cells that were found count as called for until then: the steward before had its reasons.
+    found_until: Micros,
     next_ticket: u64,
     next_start: u64,
     unheard: Vec<NodeId>,
@@ -240,6 +243,7 @@
     waiting_since: Option<Micros>,
     /// When it was last called, or this steward began.
     called_at: Micros,
+    ticked_at: Micros,
     acts: Vec<WorkAct>,
 }
 
@@ -301,7 +305,8 @@
             worker_zones: Arc::default(),
             last_cells: BTreeMap::new(),
             starting: BTreeMap::new(),
-            allowed_cells: 0,
+            allowed_cells: None,
+            found_until: Micros(0),
             next_ticket: 0,
             next_start: 0,
             unheard,
@@ -323,6 +328,7 @@
             knows_latency: false,
             waiting_since: None,
             called_at: now,
+            ticked_at: now,
             acts: Vec::new(),
         }
     }
@@ -352,7 +358,7 @@
 
     /// How many cells the allowance lets this function have. Example: `work.allow_cells(3)`.
     pub fn allow_cells(&mut self, cell_count: u32) {
-        self.allowed_cells = cell_count;
+        self.allowed_cells = Some(cell_count);
     }
 
     /// Cells that the calls of now want, at most what the settings allow.
@@ -403,12 +409,18 @@
 
     /// Whether a call ever came, or such are under way from before.
     fn is_called(&self) -> bool {
-        self.settings.idle.is_some() || self.demand.is_called() || self.needed_calls() > 0
+        let is_found = self.ticked_at < self.found_until;
+        self.settings.idle.is_some() || self.demand.is_called() || self.needed_calls() > 0 || is_found
     }
 
     /// Cells that it may have now. A function that is called gets one as soon as a worker has room for it.
     fn allowed_cells(&self) -> u32 {
-        self.allowed_cells.max(u32::from(self.is_called()))
+        self.allowed_cells.unwrap_or(0).max(u32::from(self.is_called()))
+    }
+
+    /// Cells that it may keep. Before the first split nothing speaks against what runs already.
+    fn keepable_cells(&self) -> u32 {
+        self.allowed_cells.map_or(u32::MAX, |_| self.allowed_cells())
     }
 
     /// Tells when traffic began, of whatever function, as far as is known here.
@@ -766,6 +778,7 @@
             let usable_count = self.usable_cells().count() as u32;
             self.peak.0 = self.peak.0.max(usable_count * self.settings.calls_at_once);
             self.demand.hold(usable_count, now + FOUND_SPAN);
+            self.found_until = now + FOUND_SPAN;
         }
         // From now on it is known which cells run.
         if std::mem::take(&mut self.is_adopting) {
@@ -829,6 +842,7 @@
 
     /// Clock event: serves, sheds, starts, stops. Example: `work.tick(now)` each 25 ms.
     pub fn tick(&mut self, now: Micros) {
+        self.ticked_at = now;
         self.expire(now);
         self.serve(now);
         self.shed(now);
@@ -1152,7 +1166,7 @@
     }
 
     fn stop_surplus(&mut self, now: Micros) {
-        let kept_cells = self.demanded_cells().total().min(self.allowed_cells());
+        let kept_cells = self.demanded_cells().total().min(self.keepable_cells());
         let usable_count = self.usable_cells().count() as u32;
         if usable_count > kept_cells {
             let surplus_ids: Vec<String> = {
--- a/packages/steward_work/src/function_work/tests.rs
+++ b/packages/steward_work/src/function_work/tests.rs
@@ -441,3 +441,30 @@
     let ready: Vec<String> = work.ready_cells().into_iter().map(|cell| cell.id).collect();
     assert_eq!(ready, ["c2"], "no calls come from the zone of c1");
 }
+
+#[test]
+fn cells_that_a_new_steward_finds_are_kept_while_it_does_not_know_what_it_is_allowed() {
+    let mut work =
+        FunctionWork::new("proof", 7, 12, WorkSettings { idle: None, ..settings() }, Vec::new(), Micros(0));
+    let listed = |id: &str| ListedCell {
+        id: id.to_owned(),
+        function: "proof".to_owned(),
+        worker: "w1".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        memory_mb: 1,
+        leaving: false,
+        started: true,
+    };
+    work.listed(&[listed("c1"), listed("c2"), listed("c3")], &[], Micros(0), Micros(0));
+    let ms = Micros::from_millis;
+    work.tick(ms(40));
+    assert_eq!(work.ready_cells().len(), 3, "there was no split yet");
+    let demanded = work.demanded_cells();
+    assert_eq!((demanded.warm + demanded.needed, demanded.spare), (3, 0), "they were called for before");
+    work.allow_cells(2);
+    work.tick(ms(80));
+    assert_eq!(work.ready_cells().len(), 2, "what the split says holds");
+    work.take_traffic(Some(ms(40)));
+    work.tick(Micros::from_secs(12));
+    assert_eq!(work.ready_cells().len(), 0, "others are called, and this one is not any more");
+}
