--- a/packages/steward_election/src/lib.rs
+++ b/packages/steward_election/src/lib.rs
@@ -158,6 +158,8 @@
 const USUAL_CAPACITY: u32 = 1_000;
 /// Claims in flight at once for what this machine held before.
 const CLAIMS_BACK: usize = 64;
+/// The holder in a record that is given back.
+const NOBODY: NodeId = 0;
 /// Where nobody calls a function its lease is so many times as long, and renewed so many times less often.
 const IDLE_TIMES: u64 = 2;
 /// An unanswered write is sent anew after this.
@@ -360,7 +362,7 @@
         self.draining = true;
         let held: Vec<String> = self.terms.keys().cloned().collect();
         for function in held {
-            self.give_to(0, &function);
+            self.give_to(NOBODY, &function);
         }
     }
 
@@ -412,21 +414,25 @@
         self.terms.retain(|function, term| {
             let is_over = now >= term.ends_at();
             let is_unknown = !functions.contains(function) && term.given_to.is_none();
-            if is_over && term.given_to.is_none() {
+            // It is given back: if the function comes again soon, nobody has to wait out the lease.
+            if is_unknown {
+                term.given_to = Some(NOBODY);
+            }
+            if is_over && !is_unknown && term.given_to.is_none() {
                 changes.push(TermChange::Lost {
                     function: function.clone(),
                     steward_epoch: term.record.steward_epoch,
                     why: "lease ran out",
                 });
             }
-            if is_unknown && !is_over {
+            if is_unknown {
                 changes.push(TermChange::Lost {
                     function: function.clone(),
                     steward_epoch: term.record.steward_epoch,
                     why: "function no longer configured",
                 });
             }
-            !is_over && !is_unknown
+            !is_over
         });
         let called = &mut self.called;
         let is_claim_wanted = &mut self.is_claim_wanted;
--- a/packages/steward_election/src/tests.rs
+++ b/packages/steward_election/src/tests.rs
@@ -268,3 +268,24 @@
     assert!(node.term("proof", may_claim_at - Micros(1)).is_some());
     assert!(node.term("proof", may_claim_at).is_none(), "the lease acknowledged before would last until 7 s");
 }
+
+#[test]
+fn a_function_that_is_configured_no_more_is_given_back_and_one_that_comes_again_is_claimed_at_once() {
+    let (mut node, _) = idle_holder();
+    node.take_functions(BTreeSet::new());
+    assert!(node.term("proof", Micros::from_secs(2)).is_some(), "its end is found at the next clock event");
+    let release = node.tick(&[1, 2], Micros::from_secs(2)).pop().expect("a release");
+    assert_eq!((release.record.holder, release.hasty), (NOBODY, true));
+    assert!(node.term("proof", Micros::from_secs(2)).is_none());
+    let lost = node.take_changes();
+    assert!(
+        matches!(&lost[..], [.., TermChange::Lost { why: "function no longer configured", .. }]),
+        "{lost:?}"
+    );
+    node.written("proof", 3, &release.record, Micros::from_secs(2));
+    assert!(node.is_empty());
+    let mut follower = Election::new(2, ElectionSettings::default());
+    follower.take_functions(BTreeSet::from(["proof".to_owned()]));
+    follower.observe("proof", 3, Some(release.record), Micros::from_secs(9));
+    assert_eq!(follower.tick(&[1, 2], Micros::from_secs(9)).len(), 1);
+}
