What is given away is claimed at once, under the short lease, and by a few nodes at a time

Added routes lead to idle functions. Change: what names a node is claimed past the gate, 64 at once; a given record has the short lease; the pause between two gives grows with the fleet (0.15 s a member).

--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -34,8 +34,10 @@
 const HELD_PATIENCE: Micros = Micros::from_millis(300);
 const UNSETTLED_POLL: Micros = Micros::from_millis(100);
 const FRESH_LIST_AGE: Micros = Micros::from_millis(2_200);
-/// Between two functions that a node gives up for balance.
+/// Between two functions that a node gives up for balance, and at least so long for each member: all of them may
+/// find the same node the lightest.
 const BALANCE_PAUSE: Micros = Micros::from_secs(2);
+const BALANCE_PAUSE_A_MEMBER: Micros = Micros::from_millis(150);
 /// Processor time that a steward spends on a call: the ask, the grant and the return, in thousandths of a
 /// core for one call a second (`local_fleet` takes 1.15 ms for a call's whole way).
 const CALL_COST: f64 = 0.2;
@@ -292,8 +294,9 @@
         if is_unsettled || self.draining_since.is_some() || now < self.stewards.balance_due {
             return;
         }
-        let jitter = Micros(self.dice.u64(..BALANCE_PAUSE.0 / 2));
-        self.stewards.balance_due = now + BALANCE_PAUSE + jitter;
+        let pause = BALANCE_PAUSE.max(Micros(BALANCE_PAUSE_A_MEMBER.0 * members.len() as u64));
+        let jitter = Micros(self.dice.u64(..pause.0 / 2));
+        self.stewards.balance_due = now + pause + jitter;
         if !self.settings.election.gate {
             return;
         }
--- a/packages/steward_election/src/lib.rs
+++ b/packages/steward_election/src/lib.rs
@@ -352,8 +352,10 @@
         (self.gate_refusals, self.lost_races, self.passed_gate_over)
     }
 
-    fn held_before(&self, copy: &ObserverCopy) -> bool {
-        copy.record.as_ref().is_some_and(|record| is_former_life(self.own, record.holder))
+    /// Whether a record names this process, or one that ran at its place before.
+    fn is_named(&self, copy: &ObserverCopy) -> bool {
+        let holder = copy.record.as_ref().map(|record| record.holder);
+        holder.is_some_and(|holder| holder == self.own || is_former_life(self.own, holder))
     }
 
     /// Stops claiming and gives every term back to nobody; the writes come with the next tick.
@@ -459,7 +461,9 @@
             }
             term.renewal_sent_at = Some(now);
             term.first_sent_at.get_or_insert(now);
-            let times = if self.idle.contains(function) { IDLE_TIMES } else { 1 };
+            // What is given away is nobody's until the other claims it: that must not last for long.
+            let is_idle = term.given_to.is_none() && self.idle.contains(function);
+            let times = if is_idle { IDLE_TIMES } else { 1 };
             let lease = Micros(self.settings.lease.0 * times);
             term.renewal_due = now + Micros(self.settings.renewal.0 * times);
             term.open_lease = Some(term.open_lease.map_or(lease, |shortest| shortest.min(lease)));
@@ -503,8 +507,9 @@
         let mut looks = 0;
         for (_, _, function) in candidates {
             // What this machine held before its process ended it takes back past the gate: nothing in
-            // the balance changes, and nobody else may claim it yet.
-            let is_own_before = self.copies.get(&function).is_some_and(|copy| self.held_before(copy));
+            // the balance changes, and nobody else may claim it yet. So it does with what another gave it:
+            // nobody leads the function until it does.
+            let is_own_before = self.copies.get(&function).is_some_and(|copy| self.is_named(copy));
             let most_claims = if is_own_before { CLAIMS_BACK } else { self.settings.claims_at_once };
             if self.claims.len() >= most_claims {
                 continue;
--- a/packages/steward_election/src/tests.rs
+++ b/packages/steward_election/src/tests.rs
@@ -289,3 +289,27 @@
     follower.observe("proof", 3, Some(release.record), Micros::from_secs(9));
     assert_eq!(follower.tick(&[1, 2], Micros::from_secs(9)).len(), 1);
 }
+
+#[test]
+fn what_another_gave_is_claimed_at_once_past_the_gate_under_the_short_lease() {
+    let (mut giver, _) = idle_holder();
+    giver.give_to(2, "proof");
+    let given = giver.tick(&[1, 2], Micros::from_secs(2)).pop().expect("a write");
+    assert_eq!((given.record.holder, given.record.lease_micros), (2, 3_000_000));
+    // Node 2 leads more than its share already, by the gate alone it would not claim.
+    let functions: BTreeSet<String> = (0..9).map(|n| format!("f{n}")).chain(["proof".to_owned()]).collect();
+    let mut taker = Election::new(2, ElectionSettings::default());
+    taker.take_functions(functions);
+    for number in 0..9 {
+        taker.observe(&format!("f{number}"), 0, None, Micros(0));
+    }
+    for _ in 0..4 {
+        for claim in taker.tick(&[2], Micros(0)) {
+            taker.written(&claim.function, 1, &claim.record, Micros(0));
+        }
+    }
+    assert!(taker.own_count() >= 8, "{}", taker.own_count());
+    taker.observe("proof", 3, Some(given.record), Micros::from_secs(2));
+    let writes = taker.tick(&[1, 2], Micros::from_secs(2));
+    assert!(writes.iter().any(|write| write.function == "proof" && write.record.holder == 2), "{writes:?}");
+}
