Sight: a planned stop says what it leaves behind; open calls by what they wait for

Change: OpenCalls, two gauges in the metrics page, and the stop's last line, a warning where anything is left. No behaviour changes.

--- a/packages/function_front/src/front.rs
+++ b/packages/function_front/src/front.rs
@@ -2,10 +2,13 @@
 
 mod answer_bodies;
 mod call_guards;
+mod open_calls;
 mod request_facts;
 
 use answer_bodies::{StreamedBody, WholeBody};
 use call_guards::{AskGuard, Held, TicketGuard};
+pub use open_calls::OpenCalls;
+use open_calls::StageCount;
 use request_facts::{CallPlace, head_bytes, time_left, told_body_bytes};
 
 use crate::call_chart::{CallChart, CallState, DispatchEnd, NextStep};
@@ -134,6 +137,8 @@
     next_call: AtomicU64,
     memory_used: AtomicUsize,
     calls_open: AtomicUsize,
+    awaiting_ticket: Arc<StageCount>,
+    at_cell: Arc<StageCount>,
     draining: AtomicBool,
     /// Until the node knows whether there is a configuration.
     awaits_configuration: AtomicBool,
@@ -174,6 +179,8 @@
             next_call: AtomicU64::new(1 << 32),
             memory_used: AtomicUsize::new(0),
             calls_open: AtomicUsize::new(0),
+            awaiting_ticket: Arc::default(),
+            at_cell: Arc::default(),
             draining: AtomicBool::new(false),
             awaits_configuration: AtomicBool::new(true),
             node_count: AtomicUsize::new(1),
@@ -257,6 +264,15 @@
         self.calls_open.load(Ordering::Relaxed)
     }
 
+    /// Calls under way by what they wait for. Example: `front.open_calls_by_stage().awaiting_ticket`.
+    pub fn open_calls_by_stage(&self) -> OpenCalls {
+        OpenCalls {
+            all: self.open_calls(),
+            awaiting_ticket: self.awaiting_ticket.get(),
+            at_cell: self.at_cell.get(),
+        }
+    }
+
     /// From now on answers ask visitors to close their connections. Example: `front.drain()`.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
@@ -501,7 +517,9 @@
                 }
                 (outcome, guard)
             });
+            let at_cell = self.at_cell.enter();
             let dispatched = dispatching.await;
+            drop(at_cell);
             if let Some(trace) = trace {
                 trace.end_span(&[("vanelane.cell", &cell)]);
             }
@@ -583,6 +601,7 @@
             return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "the node is overloaded", retry_after));
         }
         let mut guard = AskGuard { front: self.clone(), call, answer, is_open: true };
+        let _awaiting_ticket = self.awaiting_ticket.enter();
         // The protocol refuses at its next clock event; the visitor is not kept waiting for that.
         let waiting = tokio::time::timeout((ends_at - asked_at).duration(), &mut guard.answer);
         let Ok(Ok(ticket_answer)) = waiting.await else { return Err(no_time_left()) };
--- a/packages/function_front/src/lib.rs
+++ b/packages/function_front/src/lib.rs
@@ -16,7 +16,7 @@
 pub use call_dialect::CallDialect;
 pub use cell_dispatch::{CellAnswer, DispatchCall, DispatchOutcome, DispatchSettings, dispatch};
 pub use connection_use::{AnswerEnd, AnswerOwner, ConnectionUse, IdleCheck};
-pub use front::{Front, FrontAnswer, FrontCounts, FrontLink, FrontSettings, TicketAnswer};
+pub use front::{Front, FrontAnswer, FrontCounts, FrontLink, FrontSettings, OpenCalls, TicketAnswer};
 pub use lane_table::{LaneRow, LaneTable};
 pub use recording::{RecordedCall, Recorder};
 
--- a/packages/vanelane/src/control_pages.rs
+++ b/packages/vanelane/src/control_pages.rs
@@ -242,7 +242,10 @@
         for (name, value) in self.port.front.counts.all() {
             line(&format!("calls_{name}"), value);
         }
-        line("calls_open", self.port.front.open_calls() as u64);
+        let open_calls = self.port.front.open_calls_by_stage();
+        line("calls_open", open_calls.all as u64);
+        line("calls_awaiting_ticket", open_calls.awaiting_ticket as u64);
+        line("calls_at_cell", open_calls.at_cell as u64);
         line("records_dropped", self.port.front.records_dropped());
         line("generation", status.generation);
         line("members", status.members.len() as u64);
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -17,7 +17,7 @@
 use clock_events::{Micros, MonotonicClock};
 use colleague_messages::{Address, fleet_mark, node_id};
 use configuration_check::{DOCUMENT_LIMIT, VisitorLimits};
-use function_front::{CallDialect, DispatchSettings, Front, FrontSettings, Recorder};
+use function_front::{CallDialect, DispatchSettings, Front, FrontSettings, OpenCalls, Recorder};
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Root};
 use log4rs::encode::json::JsonEncoder;
@@ -461,14 +461,18 @@
     if stop.threaded.is_some() {
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
-    log::info!(
-        "stopped after {} ms with {} calls open",
-        began.elapsed().as_millis(),
-        stop.front.open_calls()
-    );
+    log_stopped(began.elapsed(), stop.front.open_calls_by_stage(), stop.client_connections.get());
     Ok(())
 }
 
+/// The last line of a planned stop: a warning if it leaves anything behind, which clients lose.
+fn log_stopped(took: Duration, open_calls: OpenCalls, client_connections: usize) {
+    let is_clean = open_calls.all == 0 && client_connections == 0;
+    let level = if is_clean { log::Level::Info } else { log::Level::Warn };
+    let millis = took.as_millis();
+    log::log!(level, "stopped after {millis} ms with {open_calls}, {client_connections} client connections");
+}
+
 /// Seeds, the platform's address and the log level take effect at once; what cannot is named.
 async fn reload(seams: &Seams, inbox: &mpsc::Sender<ShellEvent>, log_handle: &log4rs::Handle) {
     let settings = match (seams.reread)() {
