--- a/packages/vanelane/tests/one_node.rs
+++ b/packages/vanelane/tests/one_node.rs
@@ -1,144 +1,15 @@
 //! A real node against real sockets: settings, the whole path, cells that misbehave, the planned stop.
 
+mod running_node;
+
 use history_checks::{CheckSettings, History, check_all};
-use stand_ins::{FunctionStandIn, Misbehaviour, PlatformSettings, PlatformStandIn};
-use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use running_node::*;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::Command;
 use std::sync::{Arc, Barrier};
 use std::time::{Duration, Instant};
 
-struct RunningNode {
-    child: Child,
-    visitors: SocketAddr,
-    control: SocketAddr,
-    folder: std::path::PathBuf,
-}
-
-impl Drop for RunningNode {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
-fn vanelane() -> Command {
-    Command::new(env!("CARGO_BIN_EXE_vanelane"))
-}
-
-fn platform(history: &Arc<History>) -> PlatformStandIn {
-    let behaviour = FunctionStandIn {
-        boot_millis: 100,
-        calls_at_once: 4,
-        work_millis: 5,
-        misbehaviour: Misbehaviour::default(),
-    };
-    let settings = PlatformSettings {
-        workers: 2,
-        worker_memory_mb: 2_000,
-        acts_per_second: 80.0,
-        list_late: Duration::from_millis(50),
-        functions: BTreeMap::from([("proof".to_owned(), behaviour.clone()), ("again".to_owned(), behaviour)]),
-        leave_within: Duration::from_millis(500),
-    };
-    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
-    PlatformStandIn::start(listen, settings, history.clone(), Instant::now()).expect("a platform")
-}
-
-/// Starts a lone node and waits for its own word that it is ready.
-fn start_node(name: &str, platform: SocketAddr) -> RunningNode {
-    start_node_by(vanelane(), name, platform)
-}
-
-fn start_node_by(program: Command, name: &str, platform: SocketAddr) -> RunningNode {
-    let folder = std::env::temp_dir().join(format!("vanelane-test-{name}-{}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&folder);
-    start_node_in(program, folder, platform, "\"message\":\"ready\"")
-}
-
-/// Starts a lone node on a folder as it is, and waits for a line of its log.
-fn start_node_in(
-    mut program: Command,
-    folder: std::path::PathBuf,
-    platform: SocketAddr,
-    awaited: &str,
-) -> RunningNode {
-    let holders: Vec<TcpListener> =
-        (0..3).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
-    let addresses: Vec<SocketAddr> =
-        holders.iter().map(|holder| holder.local_addr().expect("bound")).collect();
-    drop(holders);
-    if program.get_args().next().is_none() {
-        program.arg("run");
-    }
-    let mut child = program
-        .args(["--zone", "a", "--founding-disks", "1"])
-        .args(["--visitor-address", &addresses[0].to_string()])
-        .args(["--control-address", &addresses[1].to_string()])
-        .args(["--colleague-address", &addresses[2].to_string()])
-        .args(["--platform-address", &platform.to_string()])
-        .arg("--data-folder")
-        .arg(&folder)
-        .stdout(Stdio::null())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program");
-    let mut log = BufReader::new(child.stderr.take().expect("piped"));
-    let mut line = String::new();
-    while !line.contains(awaited) {
-        line.clear();
-        assert!(log.read_line(&mut line).expect("a log") > 0, "the node ended before it told {awaited}");
-    }
-    // The rest of the log is read away, so that the node never waits on a full pipe.
-    std::thread::spawn(move || {
-        let _ = std::io::copy(&mut log, &mut std::io::sink());
-    });
-    RunningNode { child, visitors: addresses[0], control: addresses[1], folder }
-}
-
-/// One raw exchange; everything up to the end of the connection.
-fn exchange(address: SocketAddr, request: &[u8]) -> Vec<u8> {
-    let mut stream = TcpStream::connect(address).expect("a connection");
-    stream.set_read_timeout(Some(Duration::from_secs(60))).expect("a limit");
-    stream.write_all(request).expect("sent");
-    let mut answer = Vec::new();
-    let _ = stream.read_to_end(&mut answer);
-    answer
-}
-
-fn call(node: &RunningNode, path: &str, headers: &str, body: &str) -> (u16, String) {
-    let request = format!(
-        "POST {path} HTTP/1.1\r\nhost: here\r\nconnection: close\r\n{headers}content-length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    split(&exchange(node.visitors, request.as_bytes()))
-}
-
-fn split(answer: &[u8]) -> (u16, String) {
-    let text = String::from_utf8_lossy(answer).into_owned();
-    let status = text.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0);
-    (status, text)
-}
-
-fn change(node: &RunningNode, lines: &str) -> String {
-    let request = format!(
-        "POST /control/changes HTTP/1.1\r\nhost: here\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{lines}",
-        lines.len()
-    );
-    split(&exchange(node.control, request.as_bytes())).1
-}
-
-const WHOLE: &str = r#"{"change_id": "first", "whole": {
-    "allowances": {"all": {"weight": 1}},
-    "functions": {
-        "proof": {"allowance": "all", "cell_memory_mb": 300, "calls_at_once": 4, "boot_millis": 150},
-        "again": {"allowance": "all", "cell_memory_mb": 300, "calls_at_once": 4, "boot_millis": 150}},
-    "lanes": {
-        "proofs": {"function": "proof", "path_prefix": "/proof", "patience_millis": 20000},
-        "agains": {"function": "again", "path_prefix": "/again", "repeatable": true, "patience_millis": 20000}}}}"#;
-
 #[test]
 fn bad_settings_end_with_two_and_name_the_field() {
     let output =
