A planned stop answers every call that it has: none is held past the time that is left

Change: PlannedStop in the front tells calls when to end: those without a cell are refused with when to come back halfway through the stop, those at a cell get an answer of unknown fate a tenth of the stop (0.5 s at most) before its end.

--- a/packages/function_front/src/front.rs
+++ b/packages/function_front/src/front.rs
@@ -3,12 +3,14 @@
 mod answer_bodies;
 mod call_guards;
 mod open_calls;
+mod planned_stop;
 mod request_facts;
 
 use answer_bodies::{StreamedBody, WholeBody};
 use call_guards::{AskGuard, Held, TicketGuard};
 pub use open_calls::OpenCalls;
 use open_calls::StageCount;
+use planned_stop::PlannedStop;
 use request_facts::{CallPlace, head_bytes, time_left, told_body_bytes};
 
 use crate::call_chart::{CallChart, CallState, DispatchEnd, NextStep};
@@ -32,6 +34,7 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
 use steward_work::{RAN, TicketWish, UNKNOWN, UNUSED};
 use tokio::sync::{mpsc, oneshot};
 
@@ -139,7 +142,7 @@
     calls_open: AtomicUsize,
     awaiting_ticket: Arc<StageCount>,
     at_cell: Arc<StageCount>,
-    draining: AtomicBool,
+    planned_stop: PlannedStop,
     /// Until the node knows whether there is a configuration.
     awaits_configuration: AtomicBool,
     node_count: AtomicUsize,
@@ -181,7 +184,7 @@
             calls_open: AtomicUsize::new(0),
             awaiting_ticket: Arc::default(),
             at_cell: Arc::default(),
-            draining: AtomicBool::new(false),
+            planned_stop: PlannedStop::none_yet(),
             awaits_configuration: AtomicBool::new(true),
             node_count: AtomicUsize::new(1),
             lag_micros: AtomicU64::new(0),
@@ -273,9 +276,12 @@
         }
     }
 
-    /// From now on answers ask visitors to close their connections. Example: `front.drain()`.
-    pub fn drain(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+    /// The process ends within this time. From now on answers ask clients to close their connections; calls
+    /// that find no cell in the first half of the time are refused, and those whose cell does not answer until
+    /// shortly before its end are answered as of unknown fate.
+    /// Example: `front.begin_stop(Duration::from_secs(5))`.
+    pub fn begin_stop(&self, within: Duration) {
+        self.planned_stop.begin(self.clock.now(), within);
     }
 
     /// Takes one call to its end. Example: the HTTP service calls `front.call(request)` for each.
@@ -309,7 +315,7 @@
             record.latency_micros = (self.clock.now() - Micros(record.at_micros)).0;
             recorder.record(&record);
         }
-        if self.draining.load(Ordering::Relaxed) {
+        if self.planned_stop.has_begun() {
             answer.head_mut().set_connection_type(actix_http::ConnectionType::Close);
         }
         answer
@@ -402,7 +408,12 @@
         let mut body = BytesMut::new();
         loop {
             let time_left = ends_at - self.clock.now();
-            let Ok(chunk) = tokio::time::timeout(time_left.duration(), payload.next()).await else {
+            let next_chunk = tokio::time::timeout(time_left.duration(), payload.next());
+            let chunk = tokio::select! {
+                chunk = next_chunk => chunk,
+                () = self.planned_stop.answers_are_due(&self.clock) => return Err(stopping()),
+            };
+            let Ok(chunk) = chunk else {
                 return Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "the body did not come in time", None));
             };
             let Some(chunk) = chunk else { return Ok(body.freeze()) };
@@ -518,12 +529,19 @@
                 (outcome, guard)
             });
             let at_cell = self.at_cell.enter();
-            let dispatched = dispatching.await;
+            let dispatched = tokio::select! {
+                dispatched = dispatching => Some(dispatched),
+                () = self.planned_stop.answers_are_due(&self.clock) => None,
+            };
             drop(at_cell);
             if let Some(trace) = trace {
                 trace.end_span(&[("vanelane.cell", &cell)]);
             }
             let limit = lane.dispatch_limit.unwrap_or(self.settings.dispatch_limit);
+            let Some(dispatched) = dispatched else {
+                chart.dispatch_ended(DispatchEnd::TimedOut, false, limit);
+                return Err(Refusal::new(StatusCode::GATEWAY_TIMEOUT, "the node stops", None));
+            };
             let Ok((outcome, mut guard)) = dispatched else {
                 chart.dispatch_ended(DispatchEnd::Unknown, false, limit);
                 return Err(Refusal::new(StatusCode::BAD_GATEWAY, "the dispatch broke down", None));
@@ -604,7 +622,11 @@
         let _awaiting_ticket = self.awaiting_ticket.enter();
         // The protocol refuses at its next clock event; the visitor is not kept waiting for that.
         let waiting = tokio::time::timeout((ends_at - asked_at).duration(), &mut guard.answer);
-        let Ok(Ok(ticket_answer)) = waiting.await else { return Err(no_time_left()) };
+        let waited = tokio::select! {
+            waited = waiting => waited,
+            () = self.planned_stop.dispatch_is_over(&self.clock) => return Err(stopping()),
+        };
+        let Ok(Ok(ticket_answer)) = waited else { return Err(no_time_left()) };
         guard.is_open = false;
         match ticket_answer {
             TicketAnswer::Granted(ticket) => {
@@ -691,6 +713,14 @@
 /// When to come back to a node that does not know its lanes yet.
 const NOT_READY_PAUSE: Micros = Micros::from_millis(200);
 
+/// When to come back, to another node, from one that stops.
+const STOPPING_PAUSE: Micros = Micros::from_millis(100);
+
+/// The node stops before it could send the call to a cell.
+fn stopping() -> Refusal {
+    Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "the node stops", Some(STOPPING_PAUSE))
+}
+
 /// What visitors are told of their call's end.
 fn outcome_name(chart: &CallChart) -> &'static str {
     match chart.state() {
--- a/packages/function_front/tests/front_calls.rs
+++ b/packages/function_front/tests/front_calls.rs
@@ -310,3 +310,60 @@
         assert_eq!(front.call(request(b"ten bytes!")).await.status(), StatusCode::OK);
     });
 }
+
+const STOP_WITHIN: Duration = Duration::from_millis(600);
+
+/// The answer to a call on a front whose stop begins at once, and how long it took.
+async fn answered_in_a_stop(front: Arc<Front>, request: Request) -> (FrontAnswer, Duration) {
+    let began = Instant::now();
+    let call = actix_rt::spawn(front.clone().call(request));
+    actix_rt::task::yield_now().await;
+    front.begin_stop(STOP_WITHIN);
+    let answer = call.await.expect("the call ended");
+    assert_eq!(front.open_calls(), 0);
+    (answer, began.elapsed())
+}
+
+#[test]
+fn a_call_that_waits_for_a_ticket_is_refused_halfway_through_a_stop() {
+    run(async {
+        let (front, heard) = front(&patient_lane(), nowhere(), 0);
+        let (answer, took) = answered_in_a_stop(front, request(b"x")).await;
+        assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.headers().contains_key(header::RETRY_AFTER));
+        assert!(took < STOP_WITHIN * 3 / 4, "{took:?}");
+        actix_rt::task::yield_now().await;
+        assert_eq!(heard.lock().expect("no test broke").withdrawn, 1);
+    });
+}
+
+#[test]
+fn a_call_at_a_silent_cell_is_told_its_unknown_fate_before_a_stop_ends() {
+    run(async {
+        let cell = ScriptedCell::start(|_, _| Reply { bytes: Vec::new(), after: After::Silence });
+        for repeatable in ["", r#", "repeatable": true"#] {
+            let lane = format!(
+                r#""lanes": {{"l": {{"function": "f", "path_prefix": "/", "patience_millis": 30000{repeatable}}}}}"#
+            );
+            let (front, heard) = front(&lanes(&lane), cell.address, 1);
+            let (answer, took) = answered_in_a_stop(front, request(b"x")).await;
+            assert_eq!(answer.status(), StatusCode::GATEWAY_TIMEOUT);
+            assert!(!answer.headers().contains_key(header::RETRY_AFTER), "it may have run");
+            assert!(took > STOP_WITHIN / 2 && took < STOP_WITHIN, "{took:?}");
+            assert_eq!(heard.lock().expect("no test broke").asks, 1, "no second cell is asked for");
+        }
+    });
+}
+
+#[test]
+fn a_body_that_does_not_come_is_refused_before_a_stop_ends() {
+    run(async {
+        let (front, _) = front(&patient_lane(), nowhere(), 0);
+        let (_sender, payload) = actix_http::h1::Payload::create(false);
+        let request = request(b"").replace_payload(Payload::from(payload)).0;
+        let (answer, took) = answered_in_a_stop(front, request).await;
+        assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.headers().contains_key(header::RETRY_AFTER));
+        assert!(took < STOP_WITHIN, "{took:?}");
+    });
+}
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -180,11 +180,7 @@
                 self.confirmed.insert(request, reply);
                 self.handle(Event::ConfigurationAsked { request });
             }
-            ShellEvent::Drain => {
-                self.flags.draining.store(true, Ordering::Relaxed);
-                self.front.drain();
-                self.handle(Event::Drain);
-            }
+            ShellEvent::Drain => self.handle(Event::Drain),
         }
     }
 
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -441,7 +441,7 @@
     log::info!("stopping: leases are released and calls finished");
     // Told at once: the inbox of a busy node may be long.
     stop.flags.draining.store(true, Ordering::Relaxed);
-    stop.front.drain();
+    stop.front.begin_stop(stop.within);
     let _ = stop.inbox.send(ShellEvent::Drain).await;
     tokio::time::sleep(stop.still_accepting).await;
     // Accepts no more; connections that are open go on to the end of their calls.
