--- /dev/null
+++ b/packages/vanelane/src/client_connection.rs
@@ -0,0 +1,98 @@
+//! One connection of an HTTP/1.1 client, from its acceptance to its end.
+
+mod closing_stream;
+
+use actix_http::{HttpService, KeepAlive, Request, Response, body::BoxBody};
+use actix_service::{Service, ServiceFactory};
+use closing_stream::{AnswerBody, ClosingStream, PendingAnswer};
+use futures_util::future::LocalBoxFuture;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// How patient a server is with its clients. Example: `ClientPatience { idle: .., header_wait: .., linger: .. }`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ClientPatience {
+    /// How long a connection may stay idle between two requests.
+    pub idle: Duration,
+    /// How long a request's head may take to come.
+    pub header_wait: Duration,
+    /// How long what a client still sends is read after the last answer, so that it sees the answer.
+    pub linger: Duration,
+}
+
+/// The server library counts its waits from a clock that it reads twice a second: without this much
+/// more, a wait could end that much sooner than clients were told.
+const TIMER_GRAIN: Duration = Duration::from_millis(500);
+
+/// Makes the answer to one request.
+pub type Answering = Rc<dyn Fn(Request) -> LocalBoxFuture<'static, Response<BoxBody>>>;
+
+/// Connections that are open, on any thread. One is open until its last answer has left.
+/// Example: `open_connections.get() == 0` before a process ends.
+#[derive(Clone, Debug, Default)]
+pub struct OpenConnections(Arc<AtomicUsize>);
+
+impl OpenConnections {
+    /// How many are open now.
+    pub fn get(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn enter(&self) -> OpenConnection {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        OpenConnection(self.clone())
+    }
+}
+
+/// One open connection's place in the count.
+struct OpenConnection(OpenConnections);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// What a connection is served with.
+#[derive(Clone)]
+pub struct ConnectionTerms {
+    pub answering: Answering,
+    pub patience: ClientPatience,
+    /// Rises to true: idle connections are closed. A request that has come by then is answered.
+    pub closing: watch::Receiver<bool>,
+    pub open_connections: OpenConnections,
+}
+
+/// Serves one connection to its end. It counts as open from the call on, not from the first poll.
+pub fn serve_connection(stream: TcpStream, terms: ConnectionTerms) -> impl Future<Output = ()> {
+    let place = terms.open_connections.enter();
+    async move {
+        let _place = place;
+        let _ = stream.set_nodelay(true);
+        let peer_address = stream.peer_addr().ok();
+        let pending_answer = PendingAnswer::default();
+        let stream = ClosingStream::new(stream, terms.closing, pending_answer.clone());
+        let answering = terms.answering;
+        let patience = terms.patience;
+        let factory = HttpService::build()
+            .client_request_timeout(patience.header_wait + TIMER_GRAIN)
+            .client_disconnect_timeout(patience.linger)
+            .keep_alive(KeepAlive::Timeout(patience.idle + TIMER_GRAIN))
+            .h1(move |request: Request| {
+                let answer = answering(request);
+                let pending_answer = pending_answer.clone();
+                async move {
+                    let answer = answer.await;
+                    Ok::<_, Infallible>(answer.map_body(|_, body| AnswerBody::new(body, pending_answer)))
+                }
+            });
+        if let Ok(service) = factory.new_service(()).await {
+            let _ = service.call((stream, peer_address)).await;
+        }
+    }
+}
--- /dev/null
+++ b/packages/vanelane/src/client_connection/closing_stream.rs
@@ -0,0 +1,153 @@
+//! Closes idle connections of clients without losing a request.
+//!
+//! The HTTP library's own graceful end throws away what it reads from the moment of its signal on: a request
+//! that waits in the socket of a busy machine would be lost. Here an idle connection is ended by an end of
+//! the stream, which the library sees only once nothing is left to be read.
+
+use actix_http::body::{BodySize, BoxBody, MessageBody};
+use bytes::Bytes;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// Whether something was read on a connection that was not answered yet: it is not idle then.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PendingAnswer(Rc<AnswerState>);
+
+#[derive(Debug, Default)]
+struct AnswerState {
+    is_pending: Cell<bool>,
+    /// A connection that is to be closed once it is idle.
+    waits_for_idle: RefCell<Option<Waker>>,
+}
+
+impl PendingAnswer {
+    fn set(&self) {
+        self.0.is_pending.set(true);
+    }
+
+    /// The answer was handed over.
+    fn clear(&self) {
+        self.0.is_pending.set(false);
+        if let Some(waker) = self.0.waits_for_idle.take() {
+            waker.wake();
+        }
+    }
+
+    fn poll_idle(&self, context: &Context<'_>) -> Poll<()> {
+        if !self.0.is_pending.get() {
+            return Poll::Ready(());
+        }
+        self.0.waits_for_idle.replace(Some(context.waker().clone()));
+        Poll::Pending
+    }
+}
+
+/// A client's connection that ends when its server closes, as soon as it is idle.
+pub(super) struct ClosingStream {
+    stream: TcpStream,
+    /// Done when the server closes; none once that was seen.
+    closing: Option<Pin<Box<dyn Future<Output = ()>>>>,
+    pending_answer: PendingAnswer,
+}
+
+impl ClosingStream {
+    pub(super) fn new(
+        stream: TcpStream,
+        mut closing: watch::Receiver<bool>,
+        pending_answer: PendingAnswer,
+    ) -> ClosingStream {
+        let closing = Box::pin(async move {
+            // A sender that is gone closes too.
+            let _ = closing.wait_for(|is_closing| *is_closing).await;
+            // Comes back once the runtime has looked at its sockets: until then it does not know what has come.
+            tokio::task::yield_now().await;
+        });
+        ClosingStream { stream, closing: Some(closing), pending_answer }
+    }
+
+    fn poll_closing(&mut self, context: &mut Context<'_>) -> bool {
+        if let Some(closing) = &mut self.closing
+            && closing.as_mut().poll(context).is_ready()
+        {
+            self.closing = None;
+        }
+        self.closing.is_none()
+    }
+}
+
+impl AsyncRead for ClosingStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled_before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > filled_before {
+            self.pending_answer.set();
+        }
+        let is_closing = read.is_pending() && self.poll_closing(context);
+        if is_closing && self.pending_answer.poll_idle(context).is_ready() {
+            // No byte: the end of the stream.
+            return Poll::Ready(Ok(()));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for ClosingStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+/// An answer's body, which makes the connection idle again once it was handed over.
+pub(super) struct AnswerBody {
+    body: BoxBody,
+    pending_answer: PendingAnswer,
+}
+
+impl AnswerBody {
+    pub(super) fn new(body: BoxBody, pending_answer: PendingAnswer) -> AnswerBody {
+        AnswerBody { body, pending_answer }
+    }
+}
+
+impl MessageBody for AnswerBody {
+    type Error = <BoxBody as MessageBody>::Error;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        self.body.as_pin_mut().poll_next(context)
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        self.pending_answer.clear();
+    }
+}
--- a/packages/vanelane/src/lib.rs
+++ b/packages/vanelane/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod run_node;
 pub mod settings;
 
+mod client_connection;
 mod colleague_links;
 mod control_costs;
 mod control_pages;
--- a/packages/vanelane/src/local_server/tests.rs
+++ b/packages/vanelane/src/local_server/tests.rs
@@ -1,21 +1,21 @@
 use super::*;
-use actix_http::StatusCode;
+use actix_http::{Response, StatusCode, body::BoxBody};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 const ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
 /// A server whose answers are larger than what a connection holds, and its open connections.
-async fn started() -> (std::net::SocketAddr, Rc<Cell<usize>>, watch::Sender<bool>) {
+async fn started() -> (std::net::SocketAddr, OpenConnections, watch::Sender<bool>) {
     started_with_answers(ANSWER_BYTES).await
 }
 
 async fn started_with_answers(
     answer_bytes: usize,
-) -> (std::net::SocketAddr, Rc<Cell<usize>>, watch::Sender<bool>) {
+) -> (std::net::SocketAddr, OpenConnections, watch::Sender<bool>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    let open_connections = Rc::new(Cell::new(0));
+    let open_connections = OpenConnections::default();
     let (closing, is_closing) = watch::channel(false);
     let server = LocalServer {
         listener: Rc::new(listener),
@@ -91,6 +91,7 @@
     for client in [&kept, &unused] {
         assert_eq!(client.try_write(REQUEST).expect("a request"), REQUEST.len());
     }
+    let closed_at = std::time::Instant::now();
     let _ = closing.send(true);
     for client in [&mut kept, &mut unused] {
         let answer = one_answer(client).await;
@@ -98,6 +99,21 @@
         assert_eq!(client.read(&mut [0]).await.expect("an end in order"), 0);
     }
     assert_eq!(idle.read(&mut [0]).await.expect("an end in order"), 0);
+    assert!(closed_at.elapsed() < Duration::from_secs(1), "{:?}", closed_at.elapsed());
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert_eq!(open_connections.get(), 0);
 }
+
+#[actix_rt::test]
+async fn a_connection_that_waits_to_be_accepted_as_the_listener_closes_is_answered() {
+    let (address, _, closing) = started_with_answers(1).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    // A blocking connection: the server, on this thread, cannot accept it meanwhile.
+    let waiting = std::net::TcpStream::connect(address).expect("a connection");
+    waiting.set_nonblocking(true).expect("not blocking");
+    let mut waiting = TcpStream::from_std(waiting).expect("a connection");
+    waiting.write_all(REQUEST).await.expect("a request");
+    let _ = closing.send(true);
+    let answer = one_answer(&mut waiting).await;
+    assert!(answer.starts_with(b"HTTP/1.1 200"), "{:?}", String::from_utf8_lossy(&answer));
+}
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -1,18 +1,19 @@
 //! `vanelane run`: settings, logs, threads, signals.
 
+use crate::client_connection::{ClientPatience, ConnectionTerms, OpenConnections, serve_connection};
 use crate::colleague_links::{self, ColleagueLinks, FrameCounts, PeerInbox};
 use crate::command_line::Run;
 use crate::control_costs::ControlCosts;
 use crate::control_pages::ControlPages;
 use crate::disk_opening;
 use crate::disk_thread::DiskThread;
-use crate::local_server::{self, ClientPatience, LocalServer, TIMER_GRAIN};
+use crate::local_server::{self, LocalServer};
 use crate::operator_port::{OperatorPages, OperatorPort};
 use crate::protocol_shell::{NodeFlags, ProtocolShell, ShellEvent};
 use crate::settings::{self, Settings, SettingsReason};
 use crate::settings_watch;
-use actix_http::{HttpService, KeepAlive, Request};
 use actix_server::{Server, ServerHandle};
+use actix_service::fn_service;
 use call_traces::TraceWriter;
 use clock_events::{Micros, MonotonicClock};
 use colleague_messages::{Address, fleet_mark, node_id};
@@ -23,7 +24,7 @@
 use log4rs::encode::json::JsonEncoder;
 use node_protocol::{Event, Node, NodeSettings};
 use platform_client::{PlatformApi, PlatformClient};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -35,6 +36,7 @@
 use steward_election::ElectionSettings;
 use steward_work::{CostModel, ExtraBound};
 use supervisor::{Patience, Supervisor};
+use tokio::net::TcpStream;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
@@ -225,7 +227,7 @@
     let page_linger = VISITOR_LINGER.max(Duration::from_secs_f64(document_time));
     let page_patience = ClientPatience { linger: page_linger, ..patience };
     let mut local_servers = Vec::new();
-    let client_connections = Rc::new(Cell::new(0));
+    let client_connections = OpenConnections::default();
     let mut threaded = None;
     match settings.worker_threads {
         0 => {
@@ -240,7 +242,15 @@
                 closing: is_closing.clone(),
             });
         }
-        threads => threaded = Some(visitor_server(visitor_listener, front.clone(), threads, patience)?),
+        threads => {
+            let clients = ThreadedClients {
+                front: front.clone(),
+                patience,
+                closing: is_closing.clone(),
+                open_connections: client_connections.clone(),
+            };
+            threaded = Some(visitor_server(visitor_listener, clients, threads)?);
+        }
     }
     let mut page_listeners = vec![("control_address", control_listener)];
     if let Some(address) = settings.ready_address {
@@ -253,7 +263,7 @@
             answering: Rc::new(move |request| pages.answer(port.clone(), request)),
             patience: Rc::new(move || page_patience),
             connections_limit: CONTROL_CONNECTIONS,
-            open_connections: Rc::new(Cell::new(0)),
+            open_connections: OpenConnections::default(),
             closing: are_pages_closing.clone(),
         });
     }
@@ -370,12 +380,32 @@
     }
 }
 
+/// What clients are served with on threads of their own.
+#[derive(Clone)]
+struct ThreadedClients {
+    front: Arc<Front>,
+    patience: ClientPatience,
+    closing: watch::Receiver<bool>,
+    open_connections: OpenConnections,
+}
+
+impl ThreadedClients {
+    fn terms(&self) -> ConnectionTerms {
+        let front = self.front.clone();
+        ConnectionTerms {
+            answering: Rc::new(move |request| Box::pin(front.clone().call(request))),
+            patience: limited(self.patience, self.front.visitor_limits()),
+            closing: self.closing.clone(),
+            open_connections: self.open_connections.clone(),
+        }
+    }
+}
+
 /// Visitors on threads of their own.
 fn visitor_server(
     listener: TcpListener,
-    front: Arc<Front>,
+    clients: ThreadedClients,
     worker_threads: usize,
-    patience: ClientPatience,
 ) -> Result<Server, String> {
     let builder = Server::build()
         .workers(worker_threads)
@@ -383,16 +413,14 @@
         .shutdown_timeout(6)
         .disable_signals();
     let bound = builder.listen("visitors", listener, move || {
-        let front = front.clone();
-        HttpService::build()
-            .client_request_timeout(patience.header_wait + TIMER_GRAIN)
-            .client_disconnect_timeout(Duration::from_secs(1))
-            .keep_alive(KeepAlive::Timeout(patience.idle + TIMER_GRAIN))
-            .h1(move |request: Request| {
-                let front = front.clone();
-                async move { Ok::<_, std::convert::Infallible>(front.call(request).await) }
-            })
-            .tcp()
+        let clients = clients.clone();
+        fn_service(move |stream: TcpStream| {
+            let serving = serve_connection(stream, clients.terms());
+            async move {
+                serving.await;
+                Ok::<(), std::convert::Infallible>(())
+            }
+        })
     });
     Ok(bound.map_err(|failure| format!("visitors: {failure}"))?.run())
 }
@@ -403,8 +431,7 @@
     front: Arc<Front>,
     flags: Arc<NodeFlags>,
     closing: watch::Sender<bool>,
-    /// Connections of clients on this thread: one is open until its last answer has left.
-    client_connections: Rc<Cell<usize>>,
+    client_connections: OpenConnections,
     _pages_closing: watch::Sender<bool>,
     threaded: Option<ServerHandle>,
     /// New connections are still taken this long after the stop began, until visitors are elsewhere.
@@ -457,10 +484,6 @@
     while !is_done() && began.elapsed() < stop.within {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    // With threads of their own for clients the connections are not counted here.
-    if stop.threaded.is_some() {
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
     log_stopped(began.elapsed(), stop.front.open_calls_by_stage(), stop.client_connections.get());
     Ok(())
 }
