--- /dev/null
+++ b/packages/vanelane/tests/clients_that_leave.rs
@@ -0,0 +1,42 @@
+//! Clients that close their connection before their answer: nothing goes on without them.
+
+mod running_node;
+
+use history_checks::{History, Line};
+use running_node::*;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+
+const BOOT_MILLIS: u64 = 1_500;
+
+#[test]
+fn a_call_whose_client_has_left_is_not_sent_to_a_cell() {
+    let history = Arc::new(History::default());
+    let platform = platform_that_boots(&history, BOOT_MILLIS);
+    let node = start_node("client-left", platform.address());
+    let outcome = change(&node, &format!("{}\n", WHOLE.replace('\n', " ")));
+    assert!(outcome.contains("\"outcome\":\"accepted\""), "{outcome}");
+    for path in ["/proof/1", "/again/1"] {
+        let request = |id: &str| {
+            format!("POST {path} HTTP/1.1\r\nhost: h\r\nx-call-id: {id}\r\ncontent-length: 1\r\n\r\nx")
+        };
+        // Its call waits for a cell to boot; the client closes in order meanwhile.
+        let mut leaving = TcpStream::connect(node.visitors).expect("a connection");
+        leaving.write_all(request(&format!("left{path}")).as_bytes()).expect("sent");
+        std::thread::sleep(Duration::from_millis(200));
+        drop(leaving);
+        let headers = format!("x-call-id: stayed{path}\r\n");
+        assert_eq!(call(&node, path, &headers, "x").0, 200);
+    }
+    let taken: Vec<String> = history
+        .lines()
+        .into_iter()
+        .filter_map(|line| match line {
+            Line::CellTook { call, .. } => Some(call),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(taken, ["stayed/proof/1", "stayed/again/1"]);
+}
