A call ends when its client closes its connection

Change: the end of a client's stream ends its call. The test now configures the boots as slow as its platform has them: with 150 ms for 1,500 a call that was alone used up its twelve dispatches on a cell that was not up, where before the mend the call without a client had taken them; it fails before as it did.

--- a/packages/vanelane/src/client_connection.rs
+++ b/packages/vanelane/src/client_connection.rs
@@ -83,6 +83,9 @@
             .client_request_timeout(patience.header_wait + TIMER_GRAIN)
             .client_disconnect_timeout(patience.linger)
             .keep_alive(KeepAlive::Timeout(patience.idle + TIMER_GRAIN))
+            // A client that ends its stream has left, and its call ends with it. One that still reads cannot be
+            // told from it, and calls for nobody take cells from others.
+            .h1_allow_half_closed(false)
             .h1(move |request: Request| {
                 let answer = answering(request);
                 let pending_answer = pending_answer.clone();
--- a/packages/vanelane/tests/clients_that_leave.rs
+++ b/packages/vanelane/tests/clients_that_leave.rs
@@ -16,7 +16,9 @@
     let history = Arc::new(History::default());
     let platform = platform_that_boots(&history, BOOT_MILLIS);
     let node = start_node("client-left", platform.address());
-    let outcome = change(&node, &format!("{}\n", WHOLE.replace('\n', " ")));
+    // The platform boots as slowly as it is configured to.
+    let whole = WHOLE.replace("\"boot_millis\": 150", &format!("\"boot_millis\": {BOOT_MILLIS}"));
+    let outcome = change(&node, &format!("{}\n", whole.replace('\n', " ")));
     assert!(outcome.contains("\"outcome\":\"accepted\""), "{outcome}");
     for path in ["/proof/1", "/again/1"] {
         let request = |id: &str| {
@@ -28,7 +30,8 @@
         std::thread::sleep(Duration::from_millis(200));
         drop(leaving);
         let headers = format!("x-call-id: stayed{path}\r\n");
-        assert_eq!(call(&node, path, &headers, "x").0, 200);
+        let (status, text) = call(&node, path, &headers, "x");
+        assert_eq!(status, 200, "{path}: {text}");
     }
     let taken: Vec<String> = history
         .lines()
