--- a/packages/function_front/tests/front_calls.rs
+++ b/packages/function_front/tests/front_calls.rs
@@ -370,3 +370,72 @@
         assert!(took < STOP_WITHIN, "{took:?}");
     });
 }
+
+/// What a cell that never answers saw of its connections.
+enum CellSaw {
+    Request,
+    /// The connection ended.
+    End,
+}
+
+/// A cell that reads requests and never answers, and what it sees.
+fn watching_cell() -> (SocketAddr, thread_channel::Receiver<CellSaw>) {
+    let (seen, sees) = thread_channel::channel();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || watch_connections(&listener, &seen));
+    (address, sees)
+}
+
+fn watch_connections(listener: &std::net::TcpListener, seen: &thread_channel::Sender<CellSaw>) {
+    use std::io::Read;
+    let mut bytes = [0; 4096];
+    for stream in listener.incoming() {
+        let Ok(mut stream) = stream else { return };
+        if !matches!(stream.read(&mut bytes), Ok(count) if count > 0) {
+            continue;
+        }
+        let _ = seen.send(CellSaw::Request);
+        while matches!(stream.read(&mut bytes), Ok(count) if count > 0) {}
+        let _ = seen.send(CellSaw::End);
+    }
+}
+
+async fn next_seen(sees: &thread_channel::Receiver<CellSaw>, within: Duration) -> Option<CellSaw> {
+    let began = Instant::now();
+    while began.elapsed() < within {
+        if let Ok(seen) = sees.try_recv() {
+            return Some(seen);
+        }
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+    None
+}
+
+/// A cell is to stop its work soon after the client left, if the call may be repeated.
+const ENDS_WITH_ITS_CLIENT: Duration = Duration::from_millis(400);
+
+#[test]
+fn a_repeatable_call_at_its_cell_ends_with_its_client() {
+    run(async {
+        for is_repeatable in [true, false] {
+            let (cell, sees) = watching_cell();
+            let lane = format!(
+                r#""lanes": {{"l": {{"function": "f", "path_prefix": "/", "patience_millis": 30000,
+                    "repeatable": {is_repeatable}}}}}"#
+            );
+            let (front, heard) = front(&lanes(&lane), cell, 1);
+            let call = actix_rt::spawn(front.clone().call(request(b"x")));
+            let reached = next_seen(&sees, Duration::from_secs(5)).await;
+            assert!(matches!(reached, Some(CellSaw::Request)));
+            call.abort();
+            let ended = next_seen(&sees, ENDS_WITH_ITS_CLIENT).await;
+            assert_eq!(ended.is_some(), is_repeatable, "one that may not run twice is left to its end");
+            assert_eq!(front.open_calls(), 0);
+            // The place at the cell counts as taken for a while: nothing tells whether it stopped.
+            let returned = heard.lock().expect("no test broke").returned.clone();
+            assert_eq!(returned.len(), usize::from(is_repeatable));
+            assert!(!returned.contains(&UNUSED));
+        }
+    });
+}
