What a call left at a cell ends with its client, as far as it may

Change: the call holds a token that is cancelled when it ends, however it ends; a dispatch that has sent nothing then sends nothing (Withdrawn, the ticket is unused), a repeatable one at a cell closes its connection (Abandoned). One that may not run twice goes on. An abandoned ticket keeps its place at the cell for as long as calls take and, unlike one of unknown fate, says nothing against the cell: six clients that leave no longer replace it.

--- a/packages/function_front/src/cell_dispatch.rs
+++ b/packages/function_front/src/cell_dispatch.rs
@@ -24,6 +24,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// What is carried to the cell. Example: see `Front`.
 #[derive(Clone, Debug)]
@@ -46,6 +47,10 @@
     pub address: SocketAddr,
     /// The call's time left.
     pub time_left: Micros,
+    /// Cancelled when nobody waits for the answer any more. What was not sent by then is not sent.
+    pub client_left: CancellationToken,
+    /// The cell's work may be broken off when nobody waits for it: the call may run again.
+    pub is_repeatable: bool,
 }
 
 /// Limits of a dispatch. Example: `DispatchSettings::default().buffer_limit`.
@@ -105,21 +110,41 @@
     Unknown(&'static str),
     /// The same, and the call's time is over.
     TimedOut,
+    /// The client left before a byte was sent.
+    Withdrawn,
+    /// The client left while the cell may have been at work; its connection was closed.
+    Abandoned,
 }
 
 /// Dispatches once, within the call's time left. A connection that is not up by then carried nothing.
 /// Example: `dispatch(call, &DispatchSettings::default()).await`.
 pub async fn dispatch(call: DispatchCall, settings: &DispatchSettings) -> DispatchOutcome {
     let ends_at = Instant::now() + call.time_left.duration();
-    let Some(connection) = connect(&call, settings, ends_at).await else { return DispatchOutcome::NotRun };
+    let client_left = call.client_left.clone();
+    let connected = tokio::select! {
+        connected = connect(&call, settings, ends_at) => connected,
+        () = client_left.cancelled() => return DispatchOutcome::Withdrawn,
+    };
+    if client_left.is_cancelled() {
+        return DispatchOutcome::Withdrawn;
+    }
+    let Some(connection) = connected else { return DispatchOutcome::NotRun };
     // Connecting took a part of the call's time.
     let time_left = Micros(ends_at.saturating_duration_since(Instant::now()).as_micros() as u64);
     if time_left.millis() == 0 {
         return DispatchOutcome::NotRun;
     }
+    let is_repeatable = call.is_repeatable;
     let call = DispatchCall { time_left, ..call };
     let exchanged = tokio::time::timeout_at(ends_at, exchange(call, connection, settings));
-    exchanged.await.unwrap_or(DispatchOutcome::TimedOut)
+    if !is_repeatable {
+        return exchanged.await.unwrap_or(DispatchOutcome::TimedOut);
+    }
+    tokio::select! {
+        biased;
+        exchanged = exchanged => exchanged.unwrap_or(DispatchOutcome::TimedOut),
+        () = client_left.cancelled() => DispatchOutcome::Abandoned,
+    }
 }
 
 /// A kept connection to the cell, or a new one that came up in time.
--- a/packages/function_front/src/front.rs
+++ b/packages/function_front/src/front.rs
@@ -35,8 +35,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
-use steward_work::{RAN, TicketWish, UNKNOWN, UNUSED};
+use steward_work::{ABANDONED, NOT_RUN, RAN, TURNED_AWAY, TicketWish, UNKNOWN, UNUSED};
 use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
 
 /// Limits of the front. Example: `FrontSettings::default().body_limit == 4 << 20`.
 #[derive(Clone, Debug)]
@@ -382,6 +383,9 @@
         }
         lane.function = lane.pick(fastrand::f64()).to_owned();
         let call = self.next_call.fetch_add(1, Ordering::Relaxed);
+        // However the call ends, what it left at a cell hears of it.
+        let client_left = CancellationToken::new();
+        let _ends_with_this_call = client_left.clone().drop_guard();
         let dispatch_call = DispatchCall {
             method: request.method().clone(),
             uri: request.uri().clone(),
@@ -392,6 +396,8 @@
             cell: String::new(),
             address: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
             time_left: Micros(0),
+            client_left: client_left.clone(),
+            is_repeatable: lane.repeatable,
         };
         drop(request);
         self.dispatch_in_turn(call, &place, &lane, dispatch_call, ends_at, chart, trace).await
@@ -496,6 +502,7 @@
                 lane = current_lane.clone();
                 lane.function = lane.pick(fastrand::f64()).to_owned();
                 dispatch_call.function.clone_from(&lane.function);
+                dispatch_call.is_repeatable = lane.repeatable;
                 avoid.clear();
                 continue;
             }
@@ -523,9 +530,7 @@
             let dispatch_settings = DispatchSettings { idle_limit: kept, ..self.settings.dispatch.clone() };
             let dispatching = actix_rt::spawn(async move {
                 let outcome = dispatch(own_dispatch, &dispatch_settings).await;
-                if let DispatchOutcome::Answered(cell_answer) = &outcome {
-                    guard.how = if cell_answer.rest.is_none() { RAN } else { UNUSED };
-                }
+                guard.how = how_without_client(&outcome);
                 (outcome, guard)
             });
             let at_cell = self.at_cell.enter();
@@ -559,6 +564,9 @@
                     last_reason = "the cell could not be reached";
                     DispatchEnd::NotRun
                 }
+                // Nobody is there to be told: these two end with the call.
+                DispatchOutcome::Withdrawn => DispatchEnd::NotRun,
+                DispatchOutcome::Abandoned => DispatchEnd::Unknown,
                 DispatchOutcome::TurnedAway => {
                     self.counts.turned_away.fetch_add(1, Ordering::Relaxed);
                     last_reason = "the cell turned the call away";
@@ -713,6 +721,19 @@
 /// When to come back to a node that does not know its lanes yet.
 const NOT_READY_PAUSE: Micros = Micros::from_millis(200);
 
+/// How a ticket is returned when its dispatch ends and the call has ended before.
+fn how_without_client(outcome: &DispatchOutcome) -> u8 {
+    match outcome {
+        DispatchOutcome::Answered(cell_answer) if cell_answer.rest.is_none() => RAN,
+        // A long answer whose rest nobody reads.
+        DispatchOutcome::Answered(_) | DispatchOutcome::Abandoned => ABANDONED,
+        DispatchOutcome::Withdrawn => UNUSED,
+        DispatchOutcome::NotRun => NOT_RUN,
+        DispatchOutcome::TurnedAway => TURNED_AWAY,
+        DispatchOutcome::Unknown(_) | DispatchOutcome::TimedOut => UNKNOWN,
+    }
+}
+
 /// When to come back, to another node, from one that stops.
 const STOPPING_PAUSE: Micros = Micros::from_millis(100);
 
--- a/packages/function_front/tests/dispatch_faults.rs
+++ b/packages/function_front/tests/dispatch_faults.rs
@@ -22,6 +22,8 @@
         DispatchOutcome::TurnedAway => "turned away".to_owned(),
         DispatchOutcome::Unknown(_) => "unknown".to_owned(),
         DispatchOutcome::TimedOut => "timed out".to_owned(),
+        DispatchOutcome::Withdrawn => "withdrawn".to_owned(),
+        DispatchOutcome::Abandoned => "abandoned".to_owned(),
     }
 }
 
--- a/packages/function_front/tests/front_calls.rs
+++ b/packages/function_front/tests/front_calls.rs
@@ -439,3 +439,39 @@
         }
     });
 }
+#[test]
+fn a_call_whose_client_leaves_while_its_connection_comes_up_is_not_sent() {
+    run(async {
+        // Connections beyond the listener's queue hang until it accepts.
+        let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        listener.listen(0).expect("listening");
+        let address = listener.local_addr().expect("bound").as_socket().expect("IPv4");
+        let listener = std::net::TcpListener::from(listener);
+        let _first = std::net::TcpStream::connect(address).expect("the queue takes one");
+        let (link, mut links) = mpsc::channel(64);
+        let mut dispatch = keeping(platform_words());
+        dispatch.connect_within = Duration::from_secs(20);
+        let front = Arc::new(Front::new(FrontSettings { dispatch, ..FrontSettings::default() }, link));
+        front.take_configuration(1, &patient_lane());
+        let call = actix_rt::spawn(front.clone().call(request(b"x")));
+        let Some(FrontLink::Ask { reply, wish, .. }) = links.recv().await else { panic!("no ask") };
+        let ticket = Ticket {
+            id: 1,
+            granted_by: 1,
+            steward_epoch: 1,
+            function: wish.function.as_str().into(),
+            cell: "c".into(),
+            address: Address::from(address),
+        };
+        assert!(reply.send(TicketAnswer::Granted(ticket)).is_ok());
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        call.abort();
+        let returned = tokio::time::timeout(ENDS_WITH_ITS_CLIENT, links.recv()).await;
+        assert!(matches!(returned, Ok(Some(FrontLink::Done { how: UNUSED, .. }))), "{returned:?}");
+        // The system sends the opening packet again after a second: the connection may come up now.
+        let (seen, sees) = thread_channel::channel();
+        std::thread::spawn(move || watch_connections(&listener, &seen));
+        assert!(next_seen(&sees, Duration::from_millis(2_500)).await.is_none(), "it was sent");
+    });
+}
--- a/packages/function_front/tests/kept_connections.rs
+++ b/packages/function_front/tests/kept_connections.rs
@@ -1,7 +1,9 @@
 //! Kept connections never mix answers: a cell that sends an extra answer, late, at every point.
 
-use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
-use actix_http::{Method, Uri};
+mod scripted_cell;
+
+use actix_http::Method;
+use actix_http::header::HeaderName;
 use bytes::Bytes;
 use clock_events::Micros;
 use function_front::{CallDialect, DispatchCall, DispatchOutcome, DispatchSettings, dispatch};
@@ -83,18 +85,10 @@
 }
 
 async fn call(address: SocketAddr, id: &str, settings: &DispatchSettings) -> Option<Bytes> {
-    let mut headers = HeaderMap::new();
-    headers.insert(HeaderName::from_static("request-id"), HeaderValue::from_str(id).expect("a value"));
     let call = DispatchCall {
         method: Method::GET,
-        uri: Uri::from_static("/x"),
-        headers,
         body: Bytes::new(),
-        function: "f".to_owned(),
-        is_nested: false,
-        cell: format!("cell at {address}"),
-        address,
-        time_left: Micros::from_secs(4),
+        ..scripted_cell::call_to(address, id, Micros::from_secs(4))
     };
     match dispatch(call, settings).await {
         DispatchOutcome::Answered(answered) => Some(answered.body),
--- a/packages/function_front/tests/scripted_cell/mod.rs
+++ b/packages/function_front/tests/scripted_cell/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio_util::sync::CancellationToken;
 
 /// What the cell does once its bytes are sent.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -159,5 +160,7 @@
         cell: format!("cell at {address}"),
         address,
         time_left,
+        client_left: CancellationToken::new(),
+        is_repeatable: false,
     }
 }
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -4,7 +4,7 @@
 
 use crate::extra_budget::{ExtraBound, ExtraBudget};
 use crate::zone::{WorkerZones, Zone, ZoneCalls};
-use crate::{CellDemand, CellShape, CostModel, NOT_RUN, RAN, TURNED_AWAY, UNKNOWN, UNUSED};
+use crate::{ABANDONED, CellDemand, CellShape, CostModel, NOT_RUN, RAN, TURNED_AWAY, UNKNOWN, UNUSED};
 use cell::{Cell, FIRST_HOLD, Phase, learn_boot, learn_latency, take_outcome};
 use clock_events::Micros;
 use colleague_messages::{Address, NodeId, Ticket};
@@ -643,7 +643,7 @@
         self.forget_ask(&open_ticket, ticket.id);
         self.count_arrival(&open_ticket, how);
         let mut ready_changed = false;
-        let is_lingering = how == UNKNOWN && !open_ticket.is_over;
+        let is_lingering = matches!(how, UNKNOWN | ABANDONED) && !open_ticket.is_over;
         if let Some(cell) = self.cells.get_mut(&open_ticket.cell) {
             if !is_lingering {
                 cell.in_flight = cell.in_flight.saturating_sub(1);
--- a/packages/steward_work/src/function_work/cell.rs
+++ b/packages/steward_work/src/function_work/cell.rs
@@ -12,7 +12,7 @@
 pub(super) const TRIAL_BACKOFF: Micros = Micros::from_millis(150);
 const LEAST_TRIAL_PAUSE: Micros = Micros::from_millis(40);
 const MOST_TRIAL_PAUSE: Micros = Micros::from_millis(900);
-const REPLACE_AFTER_ERRORS: u32 = 6;
+pub(super) const REPLACE_AFTER_ERRORS: u32 = 6;
 const DOUBT_AFTER_ERRORS: u32 = 3;
 const DOUBT_SPAN: Micros = Micros::from_millis(500);
 
--- a/packages/steward_work/src/function_work/tests.rs
+++ b/packages/steward_work/src/function_work/tests.rs
@@ -468,3 +468,35 @@
     work.tick(Micros::from_secs(12));
     assert_eq!(work.ready_cells().len(), 0, "others are called, and this one is not any more");
 }
+
+#[test]
+fn clients_that_leave_keep_their_place_for_a_while_and_say_nothing_against_the_cell() {
+    let ms = Micros::from_millis;
+    let mut work = proved(work());
+    let many = u64::from(cell::REPLACE_AFTER_ERRORS) * 2;
+    for number in 0..many {
+        let now = ms(2_000 + number * 1_000);
+        work.ask(9, 100 + number, LONG, 0, "", now);
+        let granted = grants(&mut work);
+        assert_eq!(granted.len(), 1, "the cell is trusted after {number} clients left");
+        work.returned(&granted[0].1, ABANDONED, ms(40), now + ms(40));
+        work.tick(now + ms(50));
+    }
+    // One place of two is taken still, since the cell may be at work for the client that left last.
+    let now = ms(2_000 + many * 1_000) + MOST_LINGERING;
+    work.tick(now);
+    work.ask(9, 500, LONG, 0, "", now);
+    let left = grants(&mut work);
+    work.returned(&left[0].1, ABANDONED, ms(40), now);
+    for ask in 501..=502 {
+        work.ask(9, ask, LONG, 0, "", now);
+    }
+    assert_eq!(grants(&mut work).len(), 1);
+    let mut waited = ms(0);
+    while grants(&mut work).is_empty() {
+        waited = waited + ms(100);
+        assert!(waited <= MOST_LINGERING, "the place is given back");
+        work.ask(9, 502, LONG, 0, "", now + waited);
+        work.tick(now + waited);
+    }
+}
--- a/packages/steward_work/src/lib.rs
+++ b/packages/steward_work/src/lib.rs
@@ -34,3 +34,6 @@
 pub const UNKNOWN: u8 = 3;
 /// The ticket was not used.
 pub const UNUSED: u8 = 4;
+/// The client left and the connection to the cell was closed: the cell may still be at work. It says nothing
+/// against the cell.
+pub const ABANDONED: u8 = 5;
