--- a/packages/local_fleet/src/fleet.rs
+++ b/packages/local_fleet/src/fleet.rs
@@ -11,8 +11,12 @@
 pub const DISK_NODES: [usize; 3] = [0, 1, 2];
 
 /// How the nodes are set up besides their addresses.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct NodeOptions {
+    /// How many nodes; those beyond the first three hold no state.
+    pub nodes: usize,
+    /// Lines for every node's settings file.
+    pub settings: &'static str,
     pub times: Option<[u64; 3]>,
     pub no_gate: bool,
 }
@@ -51,11 +55,11 @@
         platform: SocketAddr,
         options: &NodeOptions,
     ) -> std::io::Result<Fleet> {
-        let addresses = free_addresses(NODES * 3)?;
+        let addresses = free_addresses(options.nodes * 3)?;
         let seeds: Vec<String> =
             DISK_NODES.iter().map(|number| format!("\"{}\"", addresses[number * 3 + 2])).collect();
         let mut nodes = Vec::new();
-        for number in 0..NODES {
+        for number in 0..options.nodes {
             let name = format!("node-{number}");
             let [visitors, control, colleagues] = [0, 1, 2].map(|place| addresses[number * 3 + place]);
             let mut text = format!(
@@ -65,6 +69,7 @@
                 number % 3,
                 seeds.join(", ")
             );
+            text.push_str(options.settings);
             if DISK_NODES.contains(&number) {
                 let data = folder.join(format!("data-{number}"));
                 text.push_str(&format!("data_folder = {:?}\n", data.display().to_string()));
@@ -175,6 +180,18 @@
         None
     }
 
+    /// Whether a process that was told to stop has ended by now.
+    pub fn is_gone(&mut self, number: usize) -> bool {
+        let node = &mut self.nodes[number];
+        node.look();
+        let has_ended = node.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))));
+        if has_ended {
+            node.child = None;
+            node.spent_cpu += std::mem::take(&mut node.last_cpu);
+        }
+        has_ended
+    }
+
     pub fn is_running(&self, number: usize) -> bool {
         self.nodes[number].child.is_some()
     }
--- a/packages/local_fleet/src/main.rs
+++ b/packages/local_fleet/src/main.rs
@@ -20,9 +20,13 @@
         optional --seconds seconds: u64
         /// Calls a second; 300 if not given.
         optional --calls-per-second calls_per_second: f64
-        /// What happens midway: quiet, kills, herd, restart-all, rolling, reload, workers, freeze, crowd, replace, misbehave or changes;
-        /// kills if not given.
+        /// What happens midway: quiet, kills, herd, restart-all, rolling, reload, workers, freeze, crowd, replace, misbehave, changes
+        /// or soak; kills if not given.
         optional --scenario scenario: String
+        /// Seeds the order of calls, and what a soak does; 7 if not given.
+        optional --seed seed: u64
+        /// How many nodes; 10 if not given, which only a soak may differ from.
+        optional --nodes nodes: usize
         /// lease,poll,renewal in milliseconds; the nodes' defaults if not given.
         optional --times times: String
         /// Turns the balance gate off, to measure what it does.
--- a/packages/local_fleet/src/scenarios.rs
+++ b/packages/local_fleet/src/scenarios.rs
@@ -1,5 +1,7 @@
 //! What happens to the fleet, and what is reported of it.
 
+mod soak;
+
 use crate::LocalFleet;
 use crate::deployments::{self, Deployment};
 use crate::fleet::{DISK_NODES, Fleet, NODES, NodeOptions};
@@ -25,6 +27,7 @@
     "changes",
     "reload",
     "misbehave",
+    "soak",
 ];
 
 struct Run {
@@ -36,6 +39,8 @@
     deployment: Deployment,
     notes: Vec<(String, Value)>,
     changes: u64,
+    seed: u64,
+    is_soak: bool,
 }
 
 pub fn run(command_line: &LocalFleet) -> Result<bool, String> {
@@ -47,7 +52,14 @@
     let deployment_name = command_line.deployment.as_deref().unwrap_or("tiszacimke");
     let deployment = deployments::find(deployment_name)
         .ok_or_else(|| "--deployment is tiszacimke or ledgerwick".to_owned())?;
+    let nodes = command_line.nodes.unwrap_or(NODES);
+    if nodes != NODES && !(scenario == "soak" && nodes > NODES) {
+        return Err(format!("--nodes is {NODES}, or more for a soak"));
+    }
+    let is_soak = scenario == "soak";
     let options = NodeOptions {
+        nodes,
+        settings: if is_soak { soak::NODE_SETTINGS } else { "" },
         times: match &command_line.times {
             None => None,
             Some(text) => {
@@ -83,6 +95,8 @@
         deployment,
         notes: Vec::new(),
         changes: 0,
+        seed: command_line.seed.unwrap_or(7),
+        is_soak,
     };
     let seconds = command_line.seconds.unwrap_or(60);
     let rate = command_line.calls_per_second.unwrap_or(300.0);
@@ -163,34 +177,36 @@
         Ok((generation, spread))
     }
 
-    fn callers(
-        &self,
-        span: Duration,
-        rate: f64,
-        hasty: u32,
-        behaviours: (f64, Vec<&'static str>),
-    ) -> Result<Callers, String> {
-        let settings = CallerSettings {
+    /// Calls to all functions at this rate, by callers that wait longer than any lane does.
+    fn caller_settings(&self, span: Duration, rate: f64) -> CallerSettings {
+        CallerSettings {
             calls_per_second: rate,
             span,
             targets: self.deployment.targets(),
             patience: Duration::from_secs(6),
-            luck_seed: 7,
-            hasty_retries: hasty,
+            luck_seed: self.seed,
+            hasty_retries: 0,
             body_length: 400,
-            behaviours,
-        };
+            behaviours: (0.0, Vec::new()),
+            keeps_connections: self.is_soak,
+        }
+    }
+
+    fn callers(&self, settings: CallerSettings) -> Result<Callers, String> {
         Callers::start(settings, self.fleet.running_visitors(), self.history.clone(), self.began)
             .map_err(|failure| failure.to_string())
     }
 
     fn play(&mut self, scenario: &str, span: Duration, rate: f64) -> Result<CallersReport, String> {
-        for number in 0..NODES {
+        for number in 0..self.fleet.nodes.len() {
             self.fleet.start(number).map_err(|failure| failure.to_string())?;
         }
         let ready = self.wait_until("readiness", Duration::from_secs(60), Run::all_ready)?;
         self.note("ready_ms", ready.as_millis() as u64);
-        let document = self.deployment.document();
+        let mut document = self.deployment.document();
+        if self.is_soak {
+            soak::narrow(&self.deployment, &mut document);
+        }
         let at = micros_since(self.began);
         let lanes = self.deployment.functions().into_iter().map(|name| (format!("/{name}"), name));
         self.history.append(history_checks::first_lanes(at, lanes));
@@ -207,7 +223,9 @@
             "misbehave" => (0.125, MISBEHAVIOURS.to_vec()),
             _ => (0.0, Vec::new()),
         };
-        let callers = self.callers(span, rate, hasty, behaviours)?;
+        let settings =
+            CallerSettings { hasty_retries: hasty, behaviours, ..self.caller_settings(span, rate) };
+        let callers = self.callers(settings)?;
         let part = |share: f64| span.mul_f64(share);
         let load_began = Instant::now();
         let until = |share: f64| {
@@ -266,7 +284,9 @@
             }
             "crowd" => {
                 until(0.4);
-                let crowd = self.callers(part(0.2), rate * 2.0, 3, (0.0, Vec::new()))?;
+                let settings =
+                    CallerSettings { hasty_retries: 3, ..self.caller_settings(part(0.2), rate * 2.0) };
+                let crowd = self.callers(settings)?;
                 let crowd_report = crowd.finish();
                 self.note("crowd", callers_page(&crowd_report));
             }
@@ -308,6 +328,7 @@
                     self.note(&format!("change_{number}_spread_ms"), spread.as_millis() as u64);
                 }
             }
+            "soak" => soak::disturb(self, load_began, span)?,
             _ => {}
         }
         let report = callers.finish();
@@ -440,10 +461,12 @@
             .filter(|line| matches!(line, Line::CallEnded { outcome: Outcome::NoAnswer, .. }))
             .count();
         // With nothing killed or frozen no call may go without an answer.
-        let is_gentle = ["quiet", "rolling", "reload", "workers", "changes", "crowd"].contains(&scenario);
+        let is_gentle =
+            ["quiet", "rolling", "reload", "workers", "changes", "crowd", "soak"].contains(&scenario);
         let is_sound = breaches.is_empty() && !(is_gentle && dropped > 0);
         let page = json!({
             "scenario": scenario,
+            "seed": self.seed,
             "deployment": self.deployment.name,
             "notes": self.notes.iter().cloned().collect::<serde_json::Map<String, Value>>(),
             "callers": callers_page(callers),
@@ -501,6 +524,7 @@
         "not_run": report.not_run,
         "unknown": report.unknown,
         "no_answer": report.no_answer,
+        "not_taken": report.not_taken,
         "latency_ms": {
             "median": report.quantile(0.5) / 1_000,
             "p99": report.quantile(0.99) / 1_000,
--- a/packages/stand_ins/src/callers.rs
+++ b/packages/stand_ins/src/callers.rs
@@ -1,7 +1,9 @@
+mod kept_connections;
+
 use crate::{BEHAVE_HEADER, CALL_HEADER, micros_since};
 use actix_codec::Framed;
 use actix_http::body::BodySize;
-use actix_http::h1::{ClientCodec, Message, MessageType};
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{ConnectionType, Method, RequestHead, RequestHeadType, StatusCode};
 use bytes::BytesMut;
@@ -9,6 +11,7 @@
 use function_front::OUTCOME_HEADER;
 use futures_util::{SinkExt, StreamExt};
 use history_checks::{History, Line, Outcome};
+use kept_connections::{KeptConnections, NodeConnection};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -49,6 +52,8 @@
     pub body_length: usize,
     /// The share of calls that ask their cell to behave in one of these ways.
     pub behaviours: (f64, Vec<&'static str>),
+    /// Connections are used again until their node closes them; otherwise each call has its own.
+    pub keeps_connections: bool,
 }
 
 /// What the callers saw, in short.
@@ -64,6 +69,8 @@
     pub unknown: u64,
     /// Never answered.
     pub no_answer: u64,
+    /// Requests that their node did not take, since it was gone or closed at that moment; sent again to another.
+    pub not_taken: u64,
     /// Sorted latencies of whole answers, in microseconds.
     pub latencies: Vec<u64>,
     /// Reasons of refusals and unknowns with their counts.
@@ -129,6 +136,17 @@
     report: RefCell<CallersReport>,
     settings: CallerSettings,
     nodes: Arc<Mutex<Vec<SocketAddr>>>,
+    kept: KeptConnections,
+}
+
+impl Shared {
+    fn random_node(&self, dice: &mut Rng) -> Option<SocketAddr> {
+        let nodes = match self.nodes.lock() {
+            Ok(nodes) => nodes.clone(),
+            Err(poisoned) => poisoned.into_inner().clone(),
+        };
+        dice.choice(nodes)
+    }
 }
 
 async fn call_all(
@@ -140,8 +158,14 @@
 ) -> CallersReport {
     let weight_sum: f64 = settings.targets.iter().map(|target| target.weight).sum();
     let mut dice = Rng::with_seed(settings.luck_seed);
-    let shared =
-        Rc::new(Shared { history, began, report: RefCell::default(), settings: settings.clone(), nodes });
+    let shared = Rc::new(Shared {
+        history,
+        began,
+        report: RefCell::default(),
+        settings: settings.clone(),
+        nodes,
+        kept: KeptConnections::default(),
+    });
     let mut calls = tokio::task::JoinSet::new();
     let start = Instant::now();
     let mut sent_count = 0u64;
@@ -178,11 +202,7 @@
 }
 
 async fn call_once(shared: &Rc<Shared>, target: &Target, dice: &mut Rng) -> Outcome {
-    let nodes = match shared.nodes.lock() {
-        Ok(nodes) => nodes.clone(),
-        Err(poisoned) => poisoned.into_inner().clone(),
-    };
-    let Some(node) = dice.choice(nodes) else { return Outcome::NoAnswer };
+    let Some(node) = shared.random_node(dice) else { return Outcome::NoAnswer };
     let call = NEXT_CALL.fetch_add(1, Ordering::Relaxed).to_string();
     let sent_at = micros_since(shared.began);
     shared.history.append(Line::CallSent {
@@ -194,7 +214,7 @@
     });
     let (share, behaviours) = &shared.settings.behaviours;
     let asked = if dice.f64() < *share { dice.choice(behaviours).copied() } else { None };
-    let (outcome, is_own, reason) = exchange(shared, target, node, &call, asked.unwrap_or("")).await;
+    let (outcome, is_own, reason) = exchange(shared, target, node, &call, asked.unwrap_or(""), dice).await;
     let at = micros_since(shared.began);
     let latency = at - sent_at;
     shared.history.append(Line::CallEnded { at, call, outcome, is_own, latency });
@@ -224,10 +244,10 @@
     node: SocketAddr,
     call: &str,
     behaviour: &str,
+    dice: &mut Rng,
 ) -> (Outcome, bool, String) {
-    let read =
-        tokio::time::timeout(shared.settings.patience, read_answer(shared, target, node, call, behaviour));
-    let (status, told, body) = match read.await {
+    let answered = answer_from_some_node(shared, target, node, call, behaviour, dice);
+    let (status, told, body) = match tokio::time::timeout(shared.settings.patience, answered).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(reason)) => return (Outcome::NoAnswer, false, reason.to_owned()),
         Err(_) => return (Outcome::NoAnswer, false, "no answer in time".to_owned()),
@@ -245,21 +265,118 @@
     }
 }
 
-/// One call over a connection of its own, read by the codec itself: a chunked body that ends without
-/// its last chunk is seen to be cut, which higher clients pass over in silence.
+/// How a request went without an answer.
+enum Unanswered {
+    /// The node was gone, or closed the connection as the request came: another may be asked.
+    NotTaken,
+    /// The request was taken, and this came of it.
+    Failed(&'static str),
+}
+
+/// A status, the outcome that the node tells, and the body.
+type Answer = (StatusCode, Option<String>, BytesMut);
+
+/// A connection that ends without an answer so soon after its request may have been closed as that came.
+const CROSSING: Duration = Duration::from_millis(500);
+/// How many nodes a request is offered to that do not take it.
+const OFFERS_MOST: u32 = 40;
+const OFFER_PAUSE: Duration = Duration::from_millis(20);
+
+async fn answer_from_some_node(
+    shared: &Rc<Shared>,
+    target: &Target,
+    first_node: SocketAddr,
+    call: &str,
+    behaviour: &str,
+    dice: &mut Rng,
+) -> Result<Answer, &'static str> {
+    let mut node = first_node;
+    for _ in 0..OFFERS_MOST {
+        match read_answer(shared, target, node, call, behaviour).await {
+            Ok(answer) => return Ok(answer),
+            Err(Unanswered::Failed(reason)) => return Err(reason),
+            Err(Unanswered::NotTaken) if !shared.settings.keeps_connections => return Err("no connection"),
+            Err(Unanswered::NotTaken) => {}
+        }
+        shared.report.borrow_mut().not_taken += 1;
+        tokio::time::sleep(OFFER_PAUSE).await;
+        node = shared.random_node(dice).unwrap_or(node);
+    }
+    Err("no node takes it")
+}
+
+/// One call, read by the codec itself: a chunked body that ends without its last chunk is seen to be cut,
+/// which higher clients pass over in silence.
 async fn read_answer(
     shared: &Shared,
     target: &Target,
     node: SocketAddr,
     call: &str,
     behaviour: &str,
-) -> Result<(StatusCode, Option<String>, BytesMut), &'static str> {
-    let stream = TcpStream::connect(node).await.map_err(|_| "no connection")?;
+) -> Result<Answer, Unanswered> {
+    let failed = Unanswered::Failed;
+    let keeps = shared.settings.keeps_connections;
+    let mut framed = match shared.kept.take(node) {
+        Some(kept) => kept,
+        None => connected(node).await?,
+    };
+    let head = request_head(target, node, call, behaviour, keeps).map_err(failed)?;
+    let length = shared.settings.body_length;
+    let begin = Message::Item((RequestHeadType::from(head), BodySize::Sized(length as u64)));
+    framed.send(begin).await.map_err(|_| Unanswered::NotTaken)?;
+    if length > 0 {
+        let body = vec![b'b'; length].into();
+        framed.send(Message::Chunk(Some(body))).await.map_err(|_| Unanswered::NotTaken)?;
+    }
+    let sent_at = Instant::now();
+    let ended = |reason| match keeps && sent_at.elapsed() < CROSSING {
+        true => Unanswered::NotTaken,
+        false => Unanswered::Failed(reason),
+    };
+    let answer = match framed.next().await {
+        Some(Ok(answer)) => answer,
+        Some(Err(_)) => return Err(ended("the connection broke, or the answer is no HTTP")),
+        None => return Err(ended("no answer")),
+    };
+    let status = answer.status;
+    let told = answer.headers.get(OUTCOME_HEADER).and_then(|value| value.to_str().ok()).map(str::to_owned);
+    let may_be_kept = keeps && answer.connection_type() == ConnectionType::KeepAlive;
+    let mut body = BytesMut::new();
+    if framed.codec_ref().message_type() != MessageType::None {
+        let mut payload = framed.into_map_codec(ClientCodec::into_payload_codec);
+        loop {
+            match payload.next().await {
+                Some(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
+                Some(Ok(None)) => break,
+                Some(Err(_)) => return Err(failed("the answer is damaged")),
+                None => return Err(failed("the answer was cut")),
+            }
+        }
+        framed = payload.into_map_codec(ClientPayloadCodec::into_message_codec);
+    }
+    if may_be_kept {
+        shared.kept.give_back(node, framed);
+    }
+    Ok((status, told, body))
+}
+
+async fn connected(node: SocketAddr) -> Result<NodeConnection, Unanswered> {
+    let stream = TcpStream::connect(node).await.map_err(|_| Unanswered::NotTaken)?;
     let _ = stream.set_nodelay(true);
+    Ok(Framed::new(stream, ClientCodec::default()))
+}
+
+fn request_head(
+    target: &Target,
+    node: SocketAddr,
+    call: &str,
+    behaviour: &str,
+    keeps: bool,
+) -> Result<RequestHead, &'static str> {
     let mut head = RequestHead::default();
     head.method = Method::POST;
     head.uri = target.path.parse().map_err(|_| "no path")?;
-    head.set_connection_type(ConnectionType::Close);
+    head.set_connection_type(if keeps { ConnectionType::KeepAlive } else { ConnectionType::Close });
     for (name, value) in
         [("host", node.to_string().as_str()), (CALL_HEADER, call), (BEHAVE_HEADER, behaviour)]
     {
@@ -269,30 +386,7 @@
         };
         head.headers.insert(name, value);
     }
-    let mut framed = Framed::new(stream, ClientCodec::default());
-    let length = shared.settings.body_length;
-    let begin = Message::Item((RequestHeadType::from(head), BodySize::Sized(length as u64)));
-    framed.send(begin).await.map_err(|_| "the connection broke")?;
-    if length > 0 {
-        let body = vec![b'b'; length].into();
-        framed.send(Message::Chunk(Some(body))).await.map_err(|_| "the connection broke")?;
-    }
-    let answer = framed.next().await.ok_or("no answer")?.map_err(|_| "the answer is no HTTP")?;
-    let status = answer.status;
-    let told = answer.headers.get(OUTCOME_HEADER).and_then(|value| value.to_str().ok()).map(str::to_owned);
-    let mut body = BytesMut::new();
-    if framed.codec_ref().message_type() == MessageType::None {
-        return Ok((status, told, body));
-    }
-    let mut payload = framed.into_map_codec(ClientCodec::into_payload_codec);
-    loop {
-        match payload.next().await {
-            Some(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
-            Some(Ok(None)) => return Ok((status, told, body)),
-            Some(Err(_)) => return Err("the answer is damaged"),
-            None => return Err("the answer was cut"),
-        }
-    }
+    Ok(head)
 }
 
 fn strip_numbers(text: &str) -> String {
--- /dev/null
+++ b/packages/stand_ins/src/callers/kept_connections.rs
@@ -0,0 +1,36 @@
+//! Connections to nodes that callers use again, until the node closes them.
+
+use actix_codec::Framed;
+use actix_http::h1::ClientCodec;
+use futures_util::{FutureExt, StreamExt};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use tokio::net::TcpStream;
+
+/// One connection to a node.
+pub(super) type NodeConnection = Framed<TcpStream, ClientCodec>;
+
+/// Idle connections by node.
+#[derive(Default)]
+pub(super) struct KeptConnections(RefCell<HashMap<SocketAddr, Vec<NodeConnection>>>);
+
+impl KeptConnections {
+    /// The connection to this node that was idle longest, of those that it has not closed.
+    pub(super) fn take(&self, node: SocketAddr) -> Option<NodeConnection> {
+        let mut idle = self.0.borrow_mut();
+        let connections = idle.get_mut(&node)?;
+        while !connections.is_empty() {
+            let mut connection = connections.remove(0);
+            // Nothing is to come on an idle connection but its end.
+            if connection.next().now_or_never().is_none() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    pub(super) fn give_back(&self, node: SocketAddr, connection: NodeConnection) {
+        self.0.borrow_mut().entry(node).or_default().push(connection);
+    }
+}
