--- a/packages/local_fleet/src/fleet.rs
+++ b/packages/local_fleet/src/fleet.rs
@@ -58,12 +58,14 @@
         let addresses = free_addresses(options.nodes * 3)?;
         let seeds: Vec<String> =
             DISK_NODES.iter().map(|number| format!("\"{}\"", addresses[number * 3 + 2])).collect();
+        // Another fleet on this machine may be given a port that a stopped node of this one had.
+        let fleet = format!("local-{}", std::process::id());
         let mut nodes = Vec::new();
         for number in 0..options.nodes {
             let name = format!("node-{number}");
             let [visitors, control, colleagues] = [0, 1, 2].map(|place| addresses[number * 3 + place]);
             let mut text = format!(
-                "zone = \"zone-{}\"\nvisitor_address = \"{visitors}\"\ncontrol_address = \"{control}\"\n\
+                "fleet = \"{fleet}\"\nzone = \"zone-{}\"\nvisitor_address = \"{visitors}\"\ncontrol_address = \"{control}\"\n\
                  colleague_address = \"{colleagues}\"\nplatform_address = \"{platform}\"\nseeds = [{}]\n\
                  worker_threads = 1\n",
                 number % 3,
