A change of the configuration costs what it changes, at every node that has the one before

Cause: each change was decoded whole, built into a whole configuration and a whole routing table, and handed to the election as all names anew; leader records were polled for at once by every node at every change. Change: whoever publishes a generation says with the news what changed, item by item (ConfigurationDelta); a node that has the generation before applies that to its configuration, its routing table (persistent maps, imbl), its targets, its election and the work that it leads, and polls only for functions that are new.

--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -108,8 +108,9 @@
         LargeMark { topic: Text, sequence: u64, origin: NodeId, bytes: u32, }
         /// A stretch copied from the base, and new bytes behind it.
         DeltaStep { from: u32, length: u32, insert: Bytes, }
-        /// How the body of one sequence became another; `digest` is that of the outcome.
-        BodyChange { base: u64, sequence: u64, digest: u64, steps: List<DeltaStep>, }
+        /// How the body of one sequence became another; `digest` is that of the outcome. `meaning` is what
+        /// the publisher says of the change, for whoever reads the topic; none where it is empty.
+        BodyChange { base: u64, sequence: u64, digest: u64, steps: List<DeltaStep>, meaning: Bytes, }
         /// The digest of one bucket of topics.
         BucketDigest { bucket: u8, digest: u64, }
         /// Megabytes that calls need, that keep a called function quick, and for a function that nobody called.
--- /dev/null
+++ b/packages/configuration_check/src/delta/tests.rs
@@ -0,0 +1,102 @@
+use super::*;
+use crate::tests::small_document;
+use crate::{Change, ChangeOutcome, FunctionTargets, StoredConfiguration};
+use arbtest::arbitrary::{Result, Unstructured};
+use serde_json::json;
+
+/// One seed makes arbtest run a single case: each case has its own, so that all are the same each time.
+const CASES: u64 = 60;
+const CHANGES_A_CASE: u64 = 200;
+const NAMES: u64 = 12;
+
+fn name(source: &mut Unstructured<'_>, kind: &str) -> Result<String> {
+    Ok(format!("{kind}-{}", source.int_in_range(0..=NAMES - 1)?))
+}
+
+/// Any item, or none to remove it. Many are refused, since they name what is not there.
+fn item(source: &mut Unstructured<'_>, kind: &str) -> Result<Value> {
+    if source.ratio(1u8, 4u8)? {
+        return Ok(Value::Null);
+    }
+    let weight = f64::from(source.int_in_range(1..=1_000_000u32)?) / 7.0;
+    Ok(match kind {
+        "allowances" => json!({ "weight": weight, "parent": "all" }),
+        "functions" => json!({
+            "allowance": "all", "weight": weight, "cell_memory_mb": source.int_in_range(1..=900u32)?,
+            "calls_at_once": source.int_in_range(1..=9u32)?, "annotations": { "seen": weight },
+        }),
+        _ => json!({
+            "split": [
+                { "function": name(source, "functions")?, "weight": weight },
+                { "function": "proof", "weight": 1 },
+            ],
+            "path_prefix": format!("/{}", name(source, "lanes")?),
+            "target_millis": source.int_in_range(1..=4_000u32)?,
+        }),
+    })
+}
+
+fn change(source: &mut Unstructured<'_>, number: u64) -> Result<Change> {
+    let change = Change { change_id: number.to_string(), ..Change::default() };
+    if source.ratio(1u8, 40u8)? {
+        return Ok(Change { whole: Some(small_document()), ..change });
+    }
+    if source.ratio(1u8, 20u8)? {
+        let limits = match source.ratio(1u8, 3u8)? {
+            true => Value::Null,
+            false => json!({ "body_bytes": source.int_in_range(1_024..=9_999u32)? }),
+        };
+        return Ok(Change { partial: Some(json!({ "visitor_limits": limits })), ..change });
+    }
+    let kind = *source.choose(&["allowances", "functions", "lanes", "lanes"])?;
+    let mut items = json!({});
+    for _ in 0..source.int_in_range(1..=3u32)? {
+        items[kind][name(source, kind)?] = item(source, kind)?;
+    }
+    Ok(Change { items: Some(items), ..change })
+}
+
+/// Deltas that travelled, applied in turn, make what decoding each stored document whole makes.
+#[test]
+fn deltas_make_the_configuration_that_the_whole_document_makes() {
+    let mut taken_count = 0;
+    for number in 0..CASES {
+        arbtest::arbtest(|source| {
+            let mut stored = StoredConfiguration::empty();
+            let mut applied = Configuration::empty();
+            let mut targets = FunctionTargets::default();
+            for number in 0..CHANGES_A_CASE {
+                let before = stored.clone();
+                let outcome = stored.apply(&change(source, number)?);
+                if !matches!(outcome, ChangeOutcome::Accepted { .. }) {
+                    continue;
+                }
+                taken_count += 1;
+                let (old, new) = (before.trusted().expect("checked"), stored.trusted().expect("checked"));
+                let delta = ConfigurationDelta::between((before.generation, &old), (stored.generation, &new));
+                let travelled = ConfigurationDelta::decode(&delta.encode()).expect("a delta");
+                let functions = travelled.changed_functions(&applied);
+                targets.take(&travelled, &applied);
+                travelled.apply(&mut applied);
+                assert_eq!(targets, FunctionTargets::of(&applied));
+                let decoded = StoredConfiguration::decode(&stored.encode()).expect("stored");
+                assert_eq!(applied, decoded.trusted().expect("checked"));
+                let is_there = |name: &String| new.functions.contains_key(name);
+                let was_there = |name: &String| old.functions.contains_key(name);
+                assert!(functions.added.iter().all(|name| is_there(name) && !was_there(name)));
+                assert!(functions.removed.iter().all(|name| !is_there(name) && was_there(name)));
+                assert!(functions.altered.iter().all(|name| is_there(name) && was_there(name)));
+            }
+            Ok(())
+        })
+        .seed((0x5eed_0007 + number) << 32 | 0x8000);
+    }
+    assert!(taken_count > 1_000, "{taken_count} changes were taken");
+}
+
+#[test]
+fn foreign_bytes_are_no_delta() {
+    for foreign in [&b""[..], b"{}", b"[]", b"null", b"\xff"] {
+        assert_eq!(ConfigurationDelta::decode(foreign), None);
+    }
+}
--- a/packages/configuration_check/src/lib.rs
+++ b/packages/configuration_check/src/lib.rs
@@ -5,8 +5,12 @@
 //! whole under a new generation, or not at all.
 
 mod changes;
+mod delta;
+mod function_targets;
 
 pub use changes::{Change, ChangeOutcome, EXPECTED_VERSION, StoredConfiguration};
+pub use delta::{ChangedAnnotations, ChangedFunctions, ChangedLimits, ConfigurationDelta};
+pub use function_targets::FunctionTargets;
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -205,22 +209,6 @@
     }
 }
 
-impl Configuration {
-    /// The shortest target latency of the lanes that lead to each function, in milliseconds.
-    /// Example: a function without a lane that names a target is not in the map.
-    pub fn function_targets(&self) -> BTreeMap<&str, u64> {
-        let mut targets = BTreeMap::new();
-        for lane in self.lanes.values() {
-            let Some(target) = lane.target_millis else { continue };
-            for (function, _) in lane.shares() {
-                let shortest = targets.entry(function).or_insert(target);
-                *shortest = target.min(*shortest);
-            }
-        }
-        targets
-    }
-}
-
 static VALIDATOR: LazyLock<Result<jsonschema::Validator, String>> = LazyLock::new(|| {
     let schema_value: Value = serde_json::from_str(SCHEMA).map_err(|failure| failure.to_string())?;
     jsonschema::validator_for(&schema_value).map_err(|failure| failure.to_string())
--- a/packages/fleet_simulator/src/scenarios.rs
+++ b/packages/fleet_simulator/src/scenarios.rs
@@ -84,6 +84,7 @@
     list_late_by_seconds,
     operators_race,
     storm_of_changes,
+    changes_by_item,
     large_configuration,
     restarts_amid_changes,
     rolling_stops,
@@ -640,6 +641,49 @@
     trial.verdict()
 }
 
+/// Lanes and functions come, change and go, at any node, while nodes are restarted: whoever has the generation
+/// before takes the next by what changed, which the world holds against the whole document each time.
+fn changes_by_item(seed: u64) -> Verdict {
+    const CHANGES: usize = 300;
+    const BY_ITEM_AT_LEAST: u64 = CHANGES as u64;
+    let mut trial = Trial::default(seed);
+    let mut dice = fastrand::Rng::with_seed(seed);
+    for number in 0..CHANGES {
+        let change_id = format!("item-{number}");
+        let extra = format!("extra-{}", dice.u8(..20));
+        let mut partial = json!({"lanes": {}});
+        match dice.u8(..4) {
+            0 => {
+                partial["functions"][&extra] =
+                    json!({"allowance": "rare", "cell_memory_mb": 128, "calls_at_once": dice.u32(1..4)});
+                partial["lanes"][&extra] = json!({
+                    "function": &extra, "path_prefix": format!("/{extra}"), "target_millis": dice.u64(50..900),
+                });
+            }
+            1 => {
+                partial["lanes"][&extra] = json!(null);
+                partial["functions"][&extra] = json!(null);
+            }
+            _ => partial["lanes"][&extra] = json!({"function": "busy-0", "path_prefix": format!("/{extra}")}),
+        }
+        trial.world.lay_mark(&mut partial, &change_id);
+        trial.world.change(dice.usize(..10), &change_id, None, Some(partial));
+        trial.world.run_for(dice.f64() * 0.1);
+        if number % 25 == 24 {
+            let victim = dice.usize(..10);
+            trial.world.kill_either_way(victim);
+            trial.world.run_for(0.2);
+            trial.world.start(victim);
+        }
+    }
+    trial.must_settle();
+    trial.must_spread();
+    let by_item = trial.world.changed_configurations;
+    let seen = format!("{by_item} generations were taken by item");
+    trial.must(by_item >= BY_ITEM_AT_LEAST, "a change costs what it changes", &seen);
+    trial.verdict()
+}
+
 fn large_configuration(seed: u64) -> Verdict {
     let mut trial = Trial::default(seed);
     let mut partial = json!({"lanes": {}});
--- a/packages/fleet_simulator/src/world.rs
+++ b/packages/fleet_simulator/src/world.rs
@@ -7,7 +7,7 @@
 use clock_events::Micros;
 use colleague_messages::{Address, Envelope, Message, NodeId, Ticket, fleet_mark, node_id};
 use colleague_probes::ProbeSettings;
-use configuration_check::{Change, ChangeOutcome, Configuration};
+use configuration_check::{Change, ChangeOutcome, Configuration, StoredConfiguration};
 use control_registers::VoterSet;
 use fastrand::Rng;
 use function_front::{DispatchEnd, LaneTable};
@@ -199,6 +199,17 @@
 }
 
 impl SimNode {
+    /// What a node makes of the items that changed is what the stored document, decoded whole, says.
+    fn check_changed_configuration(&self, generation: u64, configuration: &Configuration) {
+        assert_eq!(self.lanes, LaneTable::new(generation, configuration), "the table at {:?}", self.address);
+        let stored_bytes = self.node.as_ref().map(Node::stored_configuration).unwrap_or_default();
+        let stored =
+            StoredConfiguration::decode(&stored_bytes).filter(|stored| stored.generation == generation);
+        if let Some(whole) = stored.and_then(|stored| stored.trusted()) {
+            assert_eq!(*configuration, whole, "the configuration at {:?}", self.address);
+        }
+    }
+
     fn local_time(&self, now: u64) -> Micros {
         Micros(((now - self.started_at) as f64 * self.clock_rate) as u64)
     }
@@ -277,6 +288,8 @@
     told_lanes: (u64, BTreeMap<String, String>),
     /// Why calls were refused, with counts.
     pub refusals: BTreeMap<String, u64>,
+    /// Generations that nodes took by what changed, not as a whole.
+    pub changed_configurations: u64,
     links: SimLinks,
     /// The longest frame that passed a link of a node without a disk, while link rates are set.
     pub largest_small_link_message: usize,
@@ -320,6 +333,7 @@
             settings,
             told_lanes: (0, BTreeMap::new()),
             refusals: BTreeMap::new(),
+            changed_configurations: 0,
             links: SimLinks::default(),
             largest_small_link_message: 0,
             reads_ended: BTreeSet::new(),
@@ -1158,8 +1172,13 @@
                 *self.refusals.entry(reason).or_default() += 1;
                 self.call_refused(call, refused_as == RefusedAs::NoFunction);
             }
-            Act::ConfigurationTaken { generation, configuration } => {
-                self.nodes[number].lanes = LaneTable::new(generation, &configuration);
+            Act::ConfigurationTaken { generation, configuration, deltas } => {
+                let lanes = &mut self.nodes[number].lanes;
+                lanes.take_changed(generation, &configuration, &deltas);
+                if !deltas.is_empty() {
+                    self.changed_configurations += 1;
+                    self.nodes[number].check_changed_configuration(generation, &configuration);
+                }
                 self.note_lanes(generation, &configuration);
                 let (node, life) = (format!("node-{number}"), life.to_string());
                 self.history(Line::GenerationHeld { at: self.now, node, life, generation });
--- a/packages/fleet_simulator/tests/scenarios.rs
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -66,6 +66,7 @@
     list_late_by_seconds: 1..=20;
     operators_race: 1..=20;
     storm_of_changes: 1..=20;
+    changes_by_item: 1..=6;
     large_configuration: 1..=20;
     // 399: an owner that had just started refused a change by a base from before its first read.
     restarts_amid_changes: (1..=20).chain([399]);
--- a/packages/function_front/src/front.rs
+++ b/packages/function_front/src/front.rs
@@ -27,7 +27,7 @@
 use call_traces::{CallTrace, TraceWriter};
 use clock_events::{Micros, MonotonicClock};
 use colleague_messages::Ticket;
-use configuration_check::{Configuration, VisitorLimits};
+use configuration_check::{Configuration, ConfigurationDelta, VisitorLimits};
 use futures_util::StreamExt;
 use serde_json::json;
 use std::collections::BTreeSet;
@@ -232,6 +232,19 @@
         self.lanes.store(Arc::new(LaneTable::new(generation, configuration)));
     }
 
+    /// The same by what changed since the generation that holds here, where that is known whole.
+    /// Example: `front.take_changed_configuration(5, &configuration, &deltas)`.
+    pub fn take_changed_configuration(
+        &self,
+        generation: u64,
+        configuration: &Configuration,
+        deltas: &[ConfigurationDelta],
+    ) {
+        let mut lanes = LaneTable::clone(&self.lanes.load());
+        lanes.take_changed(generation, configuration, deltas);
+        self.lanes.store(Arc::new(lanes));
+    }
+
     /// Takes the hosts that cells run on. Calls from there are made by running calls and go first.
     /// Example: `front.take_cell_hosts(hosts)` when the platform's list shows others.
     pub fn take_cell_hosts(&self, hosts: BTreeSet<IpAddr>) {
--- a/packages/function_front/src/lane_table.rs
+++ b/packages/function_front/src/lane_table.rs
@@ -1,6 +1,7 @@
 use clock_events::Micros;
-use configuration_check::{Configuration, VisitorLimits};
-use std::collections::{BTreeMap, HashMap};
+use configuration_check::{Configuration, ConfigurationDelta, Function, Lane, VisitorLimits};
+use imbl::HashMap;
+use std::sync::Arc;
 
 /// A lane as calls are matched to it. Example: `table.find("POST", None, "/proof/1").unwrap().function`.
 #[derive(Clone, Debug, PartialEq)]
@@ -47,59 +48,139 @@
     }
 }
 
-/// All lanes of one generation, by path prefix. Example: `LaneTable::new(4, &configuration)`.
-#[derive(Debug, Default)]
+impl LaneRow {
+    fn new(name: &str, lane: &Lane) -> LaneRow {
+        let shares = lane.shares();
+        LaneRow {
+            name: name.to_owned(),
+            function: shares.first().map_or_else(String::new, |(function, _)| (*function).to_owned()),
+            split: match lane.split.is_empty() {
+                true => Vec::new(),
+                false => shares.into_iter().map(|(function, part)| (function.to_owned(), part)).collect(),
+            },
+            dispatch_limit: lane.dispatch_limit,
+            target: lane.target_millis.map(Micros::from_millis),
+            rank: lane.rank,
+            repeatable: lane.repeatable,
+            patience: Micros::from_millis(lane.patience_millis),
+            host: lane.host.clone(),
+            methods: lane.methods.clone(),
+            prefix: lane.path_prefix.trim_end_matches('/').to_owned(),
+        }
+    }
+
+    /// The narrower lane of a prefix comes first: one with a host, then one with methods.
+    fn place(&self) -> (bool, bool, &str) {
+        (self.host.is_none(), self.methods.is_empty(), &self.name)
+    }
+}
+
+/// What one cell of a function takes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct CellLimits {
+    /// Connections, from all nodes together, where they are bounded.
+    connections: Option<u32>,
+    calls_at_once: u32,
+}
+
+/// All lanes of one generation, by path prefix. Its maps are persistent: the table of the next generation
+/// shares with this one all that did not change. Example: `LaneTable::new(4, &configuration)`.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct LaneTable {
     /// The configuration's generation.
     pub generation: u64,
     /// Bounds on visitors, as far as the configuration names them.
     pub visitor_limits: Option<VisitorLimits>,
-    /// Connections each cell of a function takes, and calls it may run at once.
-    cell_limits: HashMap<String, (Option<u32>, u32)>,
-    by_prefix: BTreeMap<String, Vec<LaneRow>>,
+    cell_limits: HashMap<String, CellLimits>,
+    by_prefix: HashMap<String, Arc<Vec<LaneRow>>>,
+    /// The prefix under which each lane stands.
+    prefixes: HashMap<String, String>,
 }
 
 impl LaneTable {
     /// Lays out a configuration's lanes. Example: `LaneTable::new(0, &Configuration::empty())`.
     pub fn new(generation: u64, configuration: &Configuration) -> LaneTable {
-        let mut by_prefix: BTreeMap<String, Vec<LaneRow>> = BTreeMap::new();
+        let mut table = LaneTable {
+            generation,
+            visitor_limits: configuration.visitor_limits.clone(),
+            ..LaneTable::default()
+        };
         for (name, lane) in &configuration.lanes {
-            let prefix = lane.path_prefix.trim_end_matches('/').to_owned();
-            by_prefix.entry(prefix.clone()).or_default().push(LaneRow {
-                name: name.clone(),
-                function: lane.shares().first().map_or_else(String::new, |(name, _)| (*name).to_owned()),
-                split: match lane.split.is_empty() {
-                    true => Vec::new(),
-                    false => lane.shares().into_iter().map(|(name, part)| (name.to_owned(), part)).collect(),
-                },
-                dispatch_limit: lane.dispatch_limit,
-                target: lane.target_millis.map(Micros::from_millis),
-                rank: lane.rank,
-                repeatable: lane.repeatable,
-                patience: Micros::from_millis(lane.patience_millis),
-                host: lane.host.clone(),
-                methods: lane.methods.clone(),
-                prefix,
-            });
+            table.put_lane(name, lane);
+        }
+        for (name, function) in &configuration.functions {
+            table.put_function(name, function);
+        }
+        table
+    }
+
+    /// Becomes the table of a later generation: by what changed since this one, where the deltas tell all of
+    /// it, and anew otherwise. Example: `table.take_changed(5, &configuration, &deltas)`.
+    pub fn take_changed(
+        &mut self,
+        generation: u64,
+        configuration: &Configuration,
+        deltas: &[ConfigurationDelta],
+    ) {
+        for delta in deltas {
+            if delta.base_generation == self.generation {
+                self.take_delta(delta);
+            }
         }
-        // The narrower lane of a prefix comes first: one with a host, then one with methods.
-        for rows in by_prefix.values_mut() {
-            rows.sort_by_key(|row| (row.host.is_none(), row.methods.is_empty(), row.name.clone()));
+        if self.generation != generation {
+            *self = LaneTable::new(generation, configuration);
         }
-        let cell_limits = configuration
-            .functions
-            .iter()
-            .map(|(name, function)| (name.clone(), (function.connection_limit, function.calls_at_once)))
-            .collect();
-        LaneTable { generation, visitor_limits: configuration.visitor_limits.clone(), cell_limits, by_prefix }
+    }
+
+    fn take_delta(&mut self, delta: &ConfigurationDelta) {
+        self.generation = delta.generation;
+        for (name, lane) in &delta.lanes {
+            self.remove_lane(name);
+            if let Some(lane) = lane {
+                self.put_lane(name, lane);
+            }
+        }
+        for (name, function) in &delta.functions {
+            match function {
+                Some(function) => self.put_function(name, function),
+                None => drop(self.cell_limits.remove(name)),
+            }
+        }
+        if let Some(changed) = &delta.limits {
+            self.visitor_limits.clone_from(&changed.limits);
+        }
+    }
+
+    fn put_lane(&mut self, name: &str, lane: &Lane) {
+        let row = LaneRow::new(name, lane);
+        self.prefixes.insert(name.to_owned(), row.prefix.clone());
+        let rows = self.by_prefix.entry(row.prefix.clone()).or_default();
+        let rows = Arc::make_mut(rows);
+        let place = rows.partition_point(|other| other.place() < row.place());
+        rows.insert(place, row);
+    }
+
+    fn remove_lane(&mut self, name: &str) {
+        let Some(prefix) = self.prefixes.remove(name) else { return };
+        let Some(rows) = self.by_prefix.get_mut(&prefix) else { return };
+        Arc::make_mut(rows).retain(|row| row.name != name);
+        if rows.is_empty() {
+            self.by_prefix.remove(&prefix);
+        }
+    }
+
+    fn put_function(&mut self, name: &str, function: &Function) {
+        let limits =
+            CellLimits { connections: function.connection_limit, calls_at_once: function.calls_at_once };
+        self.cell_limits.insert(name.to_owned(), limits);
     }
 
     /// Idle connections that one of so many nodes may keep to each cell of a function.
     /// Example: 106 connections over 10 nodes, for cells of six calls at once, are six.
     pub fn idle_limit(&self, function: &str, node_count: usize) -> usize {
-        let Some((connections, calls_at_once)) = self.cell_limits.get(function) else { return 0 };
-        let calls_at_once = *calls_at_once as usize;
-        connections.map_or(calls_at_once, |all| (all as usize / node_count.max(1)).min(calls_at_once))
+        let Some(limits) = self.cell_limits.get(function) else { return 0 };
+        let calls_at_once = limits.calls_at_once as usize;
+        limits.connections.map_or(calls_at_once, |all| (all as usize / node_count.max(1)).min(calls_at_once))
     }
 
     /// The lane for a call: the longest prefix of whole segments wins.
@@ -128,7 +209,7 @@
 
     /// How many lanes there are. Example: `table.count() == 158`.
     pub fn count(&self) -> usize {
-        self.by_prefix.values().map(Vec::len).sum()
+        self.prefixes.len()
     }
 }
 
--- a/packages/function_front/src/lane_table/tests.rs
+++ b/packages/function_front/src/lane_table/tests.rs
@@ -21,3 +21,73 @@
     assert_eq!(name("GET", None, "/proof/../admin"), None);
     assert_eq!(LaneTable::default().find("GET", None, "/"), None);
 }
+
+/// A lane drawn so that many share a prefix and differ by host, methods, split or target.
+fn drawn_lane(dice: &mut fastrand::Rng) -> Lane {
+    let host = dice.bool().then(|| format!("host-{}.example", dice.u8(..3)));
+    let methods = if dice.bool() { vec!["POST".to_owned()] } else { Vec::new() };
+    let document = serde_json::json!({
+        "function": format!("f-{}", dice.u8(..5)),
+        "path_prefix": format!("/{}/", dice.u8(..6)),
+        "host": host,
+        "methods": methods,
+        "target_millis": dice.u64(1..500),
+    });
+    serde_json::from_value(document).expect("a lane")
+}
+
+fn drawn_change(dice: &mut fastrand::Rng, configuration: &mut Configuration) {
+    for _ in 0..dice.u8(1..4) {
+        let lane = format!("lane-{}", dice.u8(..20));
+        match dice.u8(..4) {
+            0 => drop(configuration.lanes.remove(&lane)),
+            1 => drop(configuration.functions.remove(&format!("f-{}", dice.u8(..5)))),
+            2 => {
+                let document = serde_json::json!({
+                    "allowance": "all", "cell_memory_mb": 1, "calls_at_once": dice.u32(1..9),
+                    "connection_limit": dice.u32(1..99),
+                });
+                let function = serde_json::from_value(document).expect("a function");
+                configuration.functions.insert(format!("f-{}", dice.u8(..5)), function);
+            }
+            _ => drop(configuration.lanes.insert(lane, drawn_lane(dice))),
+        }
+    }
+    let body_bytes = dice.u64(1_024..9_999);
+    configuration.visitor_limits =
+        dice.bool().then(|| serde_json::from_value(serde_json::json!({ "body_bytes": body_bytes })).unwrap());
+}
+
+/// Over hundreds of random changes, some taken one by one, some several at once, some after a gap that no
+/// delta fills, the table is the one that the whole configuration makes.
+#[test]
+fn a_changed_table_equals_the_one_built_from_the_whole_configuration() {
+    for seed in 0..20 {
+        let mut dice = fastrand::Rng::with_seed(seed);
+        let mut configuration = Configuration::empty();
+        let mut table = LaneTable::default();
+        let mut generation = 0;
+        for _ in 0..150 {
+            let mut deltas = Vec::new();
+            for _ in 0..dice.u8(1..4) {
+                let before = configuration.clone();
+                drawn_change(&mut dice, &mut configuration);
+                let base = (generation, &before);
+                generation += dice.u64(1..3);
+                deltas.push(ConfigurationDelta::between(base, (generation, &configuration)));
+            }
+            match dice.u8(..8) {
+                // What this node had was older than the deltas build on.
+                0 => drop(deltas.remove(0)),
+                // It had some of them already, as after a catch-up by another way.
+                1 => table.take_changed(deltas[0].generation, &configuration, &deltas[..1]),
+                _ => {}
+            }
+            let before = table.clone();
+            table.take_changed(generation, &configuration, &deltas);
+            assert_eq!(table, LaneTable::new(generation, &configuration), "seed {seed}");
+            // A call that began under the older table goes on by it.
+            assert!(before.generation <= generation);
+        }
+    }
+}
--- a/packages/news_spread/src/lib.rs
+++ b/packages/news_spread/src/lib.rs
@@ -145,11 +145,38 @@
         self.take(item)
     }
 
+    /// Publishes own news of a large topic and says what changed since the last: colleagues that have the
+    /// last get both. Example: `news.publish_changed("configuration", own, 5, body, meaning)`.
+    pub fn publish_changed(
+        &mut self,
+        topic: &str,
+        origin: NodeId,
+        sequence: u64,
+        body: Bytes,
+        meaning: Bytes,
+    ) -> bool {
+        let item = NewsItem { topic: topic.into(), origin, sequence, body };
+        let change = self.change_to(&item).map(|change| BodyChange { meaning, ..change });
+        self.take_changed(item, change.into_iter().collect())
+    }
+
     fn take(&mut self, item: NewsItem) -> bool {
-        let change = self.topics.get(&item.topic.0).and_then(|told| change_between(&told.item, &item));
+        let change = self.change_to(&item);
         self.take_changed(item, change.into_iter().collect())
     }
 
+    fn change_to(&self, item: &NewsItem) -> Option<BodyChange> {
+        self.topics.get(&item.topic.0).and_then(|told| change_between(&told.item, item))
+    }
+
+    /// What the publishers said of each change of a topic since a sequence; none where some change since is
+    /// not known here, or has no meaning. Example: `news.meanings_since("configuration", 4)`.
+    pub fn meanings_since(&self, topic: &str, sequence: u64) -> Option<Vec<Bytes>> {
+        let changes = self.topics.get(topic)?.changes_since(sequence)?;
+        let meanings = changes.into_iter().map(|change| change.meaning);
+        meanings.map(|meaning| (!meaning.0.is_empty()).then_some(meaning)).collect()
+    }
+
     /// Takes an item whose body came of the known one by these changes.
     fn take_changed(&mut self, item: NewsItem, changes: Vec<BodyChange>) -> bool {
         let topic = item.topic.0.clone();
@@ -513,7 +540,8 @@
     }
     let steps = delta(&previous.body.0, &next.body.0)?;
     let digest = value_digest(&next.body.0);
-    Some(BodyChange { base: previous.sequence, sequence: next.sequence, digest, steps })
+    let meaning = Bytes::default();
+    Some(BodyChange { base: previous.sequence, sequence: next.sequence, digest, steps, meaning })
 }
 
 /// The body after all changes, each of which must build on the one before and come out as it was told.
--- a/packages/node_protocol/src/configuration_part/standing_generation.rs
+++ b/packages/node_protocol/src/configuration_part/standing_generation.rs
@@ -7,7 +7,7 @@
 use crate::{Act, ConfigurationAnswer};
 use clock_events::Micros;
 use colleague_messages::{Bytes, WriteOutcome};
-use configuration_check::{Configuration, StoredConfiguration};
+use configuration_check::{Configuration, ConfigurationDelta, StoredConfiguration};
 use control_registers::{CONFIGURATION_KEY, WRITTEN};
 use serde_json::json;
 use std::sync::Arc;
@@ -94,12 +94,51 @@
             return;
         }
         let (generation, stored_bytes) = (stored.generation, Bytes(stored.encode()));
-        self.news.publish(CONFIGURATION_KEY, self.settings.node, generation, stored_bytes);
+        let meaning = stored.trusted().map_or_else(Vec::new, |next| {
+            let base = (self.configuration.generation, &*self.configuration.current);
+            ConfigurationDelta::between(base, (generation, &next)).encode()
+        });
+        let own = self.settings.node;
+        self.news.publish_changed(CONFIGURATION_KEY, own, generation, stored_bytes, Bytes(meaning));
         self.configuration_news();
     }
 
     /// Newer news of the configuration: it was checked before it was stored.
     pub(crate) fn configuration_news(&mut self) {
+        // The news' sequence is the generation.
+        if self.news.sequence(CONFIGURATION_KEY) <= self.configuration.generation {
+            return;
+        }
+        match self.known_deltas() {
+            Some(deltas) => self.take_deltas(deltas),
+            None => self.take_whole_configuration(),
+        }
+    }
+
+    /// What changed since the generation that holds here, item by item, if the news tell all of it.
+    fn known_deltas(&self) -> Option<Vec<ConfigurationDelta>> {
+        let held = self.configuration.generation;
+        let meanings = self.news.meanings_since(CONFIGURATION_KEY, held)?;
+        let deltas: Vec<ConfigurationDelta> =
+            meanings.iter().map(|meaning| ConfigurationDelta::decode(&meaning.0)).collect::<Option<_>>()?;
+        let made = deltas.iter().try_fold(held, |generation, delta| {
+            (delta.base_generation == generation).then_some(delta.generation)
+        })?;
+        (made == self.news.sequence(CONFIGURATION_KEY)).then_some(deltas)
+    }
+
+    /// Costs what changed, not what the configuration holds.
+    fn take_deltas(&mut self, deltas: Vec<ConfigurationDelta>) {
+        for delta in &deltas {
+            let touched = self.configuration_changes(delta);
+            delta.apply(Arc::make_mut(&mut self.configuration.current));
+            self.configuration.generation = delta.generation;
+            self.settings_changed(delta, &touched);
+        }
+        self.tell_configuration(deltas);
+    }
+
+    fn take_whole_configuration(&mut self) {
         let Some(news_body) = self.news.body(CONFIGURATION_KEY) else { return };
         let Some(stored) = StoredConfiguration::decode(&news_body.0) else { return };
         if stored.generation <= self.configuration.generation {
@@ -109,13 +148,16 @@
             self.journal.append("foreign_configuration", json!({"generation": stored.generation}), self.now);
             return;
         };
-        let configuration = Arc::new(configuration);
-        self.configuration.current = configuration.clone();
+        self.configuration.current = Arc::new(configuration);
         self.configuration.generation = stored.generation;
-        self.stewards.election.take_functions(configuration.functions.keys().cloned().collect());
-        self.configuration_changed();
-        self.journal.append("configuration", json!({"generation": stored.generation}), self.now);
-        self.act(Act::ConfigurationTaken { generation: stored.generation, configuration });
+        self.configuration_replaced();
+        self.tell_configuration(Vec::new());
+    }
+
+    fn tell_configuration(&mut self, deltas: Vec<ConfigurationDelta>) {
+        let (generation, configuration) = (self.configuration.generation, self.configuration.current());
+        self.journal.append("configuration", json!({"generation": generation}), self.now);
+        self.act(Act::ConfigurationTaken { generation, configuration, deltas });
     }
 
     /// An operator's read is confirmed by a majority, so that it never shows less than what was
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -23,7 +23,7 @@
 use clock_events::Micros;
 use colleague_messages::{Address, DecisionLine, Envelope, Message, NodeId, Ticket};
 use colleague_probes::ProbeSettings;
-use configuration_check::{Change, ChangeOutcome, Configuration};
+use configuration_check::{Change, ChangeOutcome, Configuration, ConfigurationDelta};
 use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -176,7 +176,12 @@
     /// The call is refused: it did not run.
     CallRefused { call: u64, refused_as: RefusedAs, reason: String, retry_after: Micros },
     /// A newer configuration holds here from now on.
-    ConfigurationTaken { generation: u64, configuration: Arc<Configuration> },
+    ConfigurationTaken {
+        generation: u64,
+        configuration: Arc<Configuration>,
+        /// What changed since the generation that this node had; empty where that is not known by item.
+        deltas: Vec<ConfigurationDelta>,
+    },
     /// The hosts that cells run on, as the newest list has them: calls from there are made by running calls.
     CellHosts { hosts: BTreeSet<IpAddr> },
     /// The operator's change has this outcome.
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -1,6 +1,7 @@
 //! What this node does as steward and as deputy: terms, tickets, cells, the split of allowances.
 
 mod allowances;
+mod configured;
 mod platform_acts;
 
 use crate::list_part::ListPart;
@@ -12,7 +13,7 @@
     Address, Bytes, CellEntry, CellsNews, DemandNews, HeldAnswerEntry, HeldAskEntry, List, Message, NodeId,
     Ticket,
 };
-use configuration_check::{Function, KeptBy};
+use configuration_check::{Function, FunctionTargets, KeptBy};
 use deku::DekuContainerWrite;
 use platform_acts::{WaitingStart, WaitingStop};
 use serde_json::json;
@@ -101,7 +102,7 @@
     large_look: ClockEvent,
     idle_look: ClockEvent,
     /// The strictest target of the lanes that lead to each function, in milliseconds.
-    targets: BTreeMap<String, u64>,
+    targets: FunctionTargets,
     /// When this node first saw a call of whatever function.
     pub(crate) traffic_since: Option<Micros>,
     /// The most nodes ever known at once: deputies share their extra dispatches.
@@ -153,7 +154,7 @@
             balance_due: Micros(0),
             large_look: ClockEvent::each(LARGE_LOOK),
             idle_look: ClockEvent::each(LARGE_LOOK),
-            targets: BTreeMap::new(),
+            targets: FunctionTargets::default(),
             traffic_since: None,
             most_nodes: 1,
             deputies_from: now,
@@ -328,34 +329,6 @@
         self.take_term_changes();
     }
 
-    pub(crate) fn configuration_changed(&mut self) {
-        let configuration = self.configuration.current();
-        let targets = configuration.function_targets();
-        for (function, work) in &mut self.stewards.works {
-            if let Some(settings) = configuration.functions.get(function) {
-                let target = targets.get(function.as_str()).copied();
-                work.take_settings(work_settings(settings, target, self.settings.costs));
-            }
-        }
-        self.stewards.targets =
-            targets.into_iter().map(|(function, target)| (function.to_owned(), target)).collect();
-        let smallest_cell = configuration.functions.values().map(|function| function.cell_memory_mb).min();
-        self.stewards.placement.keep_free(smallest_cell.unwrap_or(0));
-        let deputy_count = self.stewards.deputies.len();
-        self.stewards.deputies.retain(|function, _| configuration.functions.contains_key(function));
-        if self.stewards.deputies.len() < deputy_count {
-            self.stewards.deputies_from = self.now;
-        }
-        self.stewards.no_room_told.retain(|function, _| configuration.functions.contains_key(function));
-        self.news.forget(|topic| {
-            topic
-                .strip_prefix("cells/")
-                .is_some_and(|function| !configuration.functions.contains_key(function))
-        });
-        // New functions are polled for at once.
-        self.stewards.poll_due = self.now;
-    }
-
     pub(crate) fn release_stewards(&mut self) {
         self.stewards.election.release_all();
         let members = self.serving_members();
@@ -408,7 +381,7 @@
             function,
             self.settings.node,
             steward_epoch,
-            work_settings(settings, self.stewards.targets.get(function).copied(), self.settings.costs),
+            work_settings(settings, self.stewards.targets.get(function), self.settings.costs),
             unheard,
             now,
         );
--- a/packages/steward_election/src/lib.rs
+++ b/packages/steward_election/src/lib.rs
@@ -204,6 +204,23 @@
         self.standing.rebuild(&self.copies);
     }
 
+    /// The functions that a change of the configuration brought and took out: costs what changed.
+    /// Example: `election.change_functions(["new".to_owned()].into(), &BTreeSet::new())`.
+    pub fn change_functions(&mut self, added: BTreeSet<String>, removed: &BTreeSet<String>) {
+        if added.is_empty() && removed.is_empty() {
+            return;
+        }
+        self.functions.extend(added);
+        self.is_claim_wanted = true;
+        for function in removed {
+            self.functions.remove(function);
+            self.copies.remove(function);
+        }
+        if !removed.is_empty() {
+            self.standing.rebuild(&self.copies);
+        }
+    }
+
     /// What the members can carry beside each other: the gate weighs a node's count by its machine.
     /// Example: `election.take_capacities([(7, 260), (9, 62)].into())`.
     pub fn take_capacities(&mut self, capacities: BTreeMap<NodeId, u32>) {
--- a/packages/vanelane/src/protocol_shell.rs
+++ b/packages/vanelane/src/protocol_shell.rs
@@ -304,9 +304,9 @@
                     });
                 }
             }
-            Act::ConfigurationTaken { generation, configuration } => {
+            Act::ConfigurationTaken { generation, configuration, deltas } => {
                 log::info!("configuration generation {generation} holds");
-                self.front.take_configuration(generation, &configuration);
+                self.front.take_changed_configuration(generation, &configuration, &deltas);
             }
             Act::CellHosts { hosts } => self.front.take_cell_hosts(hosts),
             Act::ChangeAnswered { request, outcome, .. } => {
