A changed body of the news is made with one copy of the last

Cause: applying a change copied the whole body twice and grew the new one step by step. Change: the old body is borrowed and the new one made at its length.

--- a/packages/news_spread/src/body_delta.rs
+++ b/packages/news_spread/src/body_delta.rs
@@ -49,7 +49,8 @@
 /// The body that the steps make of the base; `None` where they do not fit it.
 /// Example: `patched(&old, &delta(&old, &new)?)? == new`.
 pub(crate) fn patched(base: &[u8], steps: &List<DeltaStep>, most_bytes: usize) -> Option<Vec<u8>> {
-    let mut body = Vec::new();
+    let lengths = steps.0.iter().map(|step| step.length as usize + step.insert.0.len());
+    let mut body = Vec::with_capacity(lengths.sum::<usize>().min(most_bytes));
     for step in &steps.0 {
         let from = step.from as usize;
         let copied = base.get(from..from.checked_add(step.length as usize)?)?;
--- a/packages/news_spread/src/lib.rs
+++ b/packages/news_spread/src/lib.rs
@@ -24,6 +24,7 @@
 };
 use fastrand::Rng;
 pub use neighbours::Neighbours;
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const TOPIC_LIMIT: usize = 4_096;
@@ -507,7 +508,8 @@
         let Some(sequence) = fitting.last().map(|change| change.sequence) else {
             return (Vec::new(), Vec::new());
         };
-        let own_body = self.body(&topic.0).cloned().unwrap_or_default();
+        let no_body = Bytes::default();
+        let own_body = self.body(&topic.0).unwrap_or(&no_body);
         match changed_body(own_body, own_sequence, &fitting) {
             Some(body) => {
                 let item = NewsItem { topic: topic.clone(), origin, sequence, body };
@@ -545,17 +547,17 @@
 }
 
 /// The body after all changes, each of which must build on the one before and come out as it was told.
-fn changed_body(base: Bytes, base_sequence: u64, changes: &[BodyChange]) -> Option<Bytes> {
-    let mut body = base.0;
+fn changed_body(base: &Bytes, base_sequence: u64, changes: &[BodyChange]) -> Option<Bytes> {
+    let mut body = Cow::Borrowed(&base.0);
     let mut sequence = base_sequence;
     for change in changes {
         let next_body = patched(&body, &change.steps, FRAME_LIMIT)?;
         if change.base != sequence || value_digest(&next_body) != change.digest {
             return None;
         }
-        (body, sequence) = (next_body, change.sequence);
+        (body, sequence) = (Cow::Owned(next_body), change.sequence);
     }
-    Some(Bytes(body))
+    Some(Bytes(body.into_owned()))
 }
 
 fn is_large(item: &NewsItem) -> bool {
