--- /dev/null
+++ b/packages/fleet_simulator/benches/configuration_change.rs
@@ -0,0 +1,143 @@
+//! What one changed lane costs a node that has the generation before, at 100, 1,000 and 10,000 lanes: the parts
+//! that go by what changed, the body of the news, and taking the document whole as before.
+//!
+//! `cargo bench -p fleet_simulator --bench configuration_change`
+
+use clock_events::Micros;
+use colleague_messages::{Bytes, Message};
+use configuration_check::{Configuration, ConfigurationDelta, StoredConfiguration};
+use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+use function_front::LaneTable;
+use news_spread::{Neighbours, NewsSpread};
+use serde_json::{Map, Value, json};
+use std::hint::black_box;
+
+const SIZES: [usize; 3] = [100, 1_000, 10_000];
+const TOPIC: &str = "configuration";
+const OWNER: u64 = 1;
+const READER: u64 = 2;
+
+/// Two generations that differ by one lane, in all the forms in which a node meets them.
+struct Generations {
+    old_stored: StoredConfiguration,
+    new_stored: StoredConfiguration,
+    old: Configuration,
+    delta: ConfigurationDelta,
+}
+
+fn document(lanes: usize) -> Value {
+    let mut functions = Map::new();
+    let mut rows = Map::new();
+    for number in 0..lanes {
+        let name = format!("function-{number}");
+        let function = json!({
+            "allowance": "all", "cell_memory_mb": 128, "calls_at_once": 1, "boot_millis": 900,
+            "connection_limit": 95, "annotations": {"healthPath": null, "protocol": "h1", "tls": false},
+        });
+        let lane = json!({
+            "function": &name, "host": "traders.example", "path_prefix": format!("/{name}/"),
+            "patience_millis": 4_000, "target_millis": 200, "rank": 2, "dispatch_limit": 2, "repeatable": true,
+        });
+        functions.insert(name.clone(), function);
+        rows.insert(format!("lane-{number}"), lane);
+    }
+    json!({"allowances": {"all": {"weight": 1}}, "functions": functions, "lanes": rows})
+}
+
+/// What stands in the register; the schema's bounds, which are below the largest size here, are not asked.
+fn stored(generation: u64, document: &Value) -> StoredConfiguration {
+    let text = json!({"generation": generation, "document": document, "recent": []}).to_string();
+    StoredConfiguration::decode(text.as_bytes()).expect("a stored configuration")
+}
+
+fn generations(lanes: usize) -> Generations {
+    let mut document = document(lanes);
+    let old_stored = stored(1, &document);
+    document["lanes"][format!("lane-{}", lanes / 2)]["patience_millis"] = json!(3_000);
+    let new_stored = stored(2, &document);
+    let (old, new) = (old_stored.trusted().expect("sound"), new_stored.trusted().expect("sound"));
+    let delta = ConfigurationDelta::between((1, &old), (2, &new));
+    Generations { old_stored, new_stored, old, delta }
+}
+
+/// The message that tells a colleague of the change, and that colleague's news before it.
+fn told(generations: &Generations) -> (Message, NewsSpread) {
+    let mut owner = NewsSpread::new(7);
+    owner.take_neighbours(OWNER, Neighbours::of_one_zone(vec![READER]));
+    let body = |stored: &StoredConfiguration| Bytes(stored.encode());
+    owner.publish(TOPIC, OWNER, 1, body(&generations.old_stored));
+    let meaning = Bytes(generations.delta.encode());
+    owner.publish_changed(TOPIC, OWNER, 2, body(&generations.new_stored), meaning);
+    let known =
+        colleague_messages::List(vec![colleague_messages::NewsMark { topic: TOPIC.into(), sequence: 1 }]);
+    let (_, sends) = owner.received(READER, Message::NewsAsk { known });
+    let message = sends.into_iter().map(|(_, message)| message).next().expect("an answer");
+    let mut reader = NewsSpread::new(8);
+    reader.publish(TOPIC, OWNER, 1, body(&generations.old_stored));
+    (message, reader)
+}
+
+fn by_item(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("by_item");
+    for lanes in SIZES {
+        let generations = generations(lanes);
+        let table = LaneTable::new(1, &generations.old);
+        let meaning = generations.delta.encode();
+        let mut configuration = generations.old.clone();
+        group.bench_function(BenchmarkId::new("configuration and table", lanes), |bencher| {
+            bencher.iter(|| {
+                let delta = ConfigurationDelta::decode(black_box(&meaning)).expect("a delta");
+                delta.apply(&mut configuration);
+                let mut next = table.clone();
+                next.take_changed(2, &configuration, std::slice::from_ref(&delta));
+                next
+            });
+        });
+    }
+    group.finish();
+}
+
+fn news(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("news");
+    for lanes in SIZES {
+        let generations = generations(lanes);
+        let (message, _) = told(&generations);
+        group.bench_function(BenchmarkId::new("the body", lanes), |bencher| {
+            bencher.iter_batched(
+                || (message.clone(), told(&generations).1),
+                |(message, mut reader)| {
+                    let (newer, _) = reader.received(OWNER, message);
+                    assert_eq!(newer, [TOPIC]);
+                    reader
+                },
+                BatchSize::LargeInput,
+            );
+        });
+    }
+    group.finish();
+}
+
+fn whole(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("whole");
+    for lanes in SIZES {
+        let stored_bytes = generations(lanes).new_stored.encode();
+        group.bench_function(BenchmarkId::new("configuration and table", lanes), |bencher| {
+            bencher.iter(|| {
+                let stored = StoredConfiguration::decode(black_box(&stored_bytes)).expect("stored");
+                let configuration = stored.trusted().expect("checked");
+                LaneTable::new(stored.generation, &configuration)
+            });
+        });
+    }
+    group.finish();
+}
+
+fn bounded() -> Criterion {
+    Criterion::default()
+        .sample_size(20)
+        .warm_up_time(Micros::from_millis(300).duration())
+        .measurement_time(Micros::from_millis(1_500).duration())
+}
+
+criterion_group! { name = changes; config = bounded(); targets = by_item, news, whole }
+criterion_main!(changes);
