--- a/packages/stand_ins/src/platform_stand_in.rs
+++ b/packages/stand_ins/src/platform_stand_in.rs
@@ -253,7 +253,8 @@
     let Some((socket, address)) = bind(reused_port.unwrap_or(0)).or_else(|| bind(0)) else {
         return (StatusCode::CONFLICT, json!({"reason": "no address"}).to_string());
     };
-    let id = format!("cell-{}", platform.next_cell);
+    // Another platform on this machine may hand out the same port: its cells bear other names.
+    let id = format!("cell-{}-{}", std::process::id(), platform.next_cell);
     platform.next_cell += 1;
     platform.starts += 1;
     let boot = Duration::from_millis(behaviour.boot_millis);
