Local fleet: a node whose port was taken before it could bind is started again

The ports are chosen first and bound by the processes later. Change: until the fleet is first ready, processes that ended are started again. No source of the product changes.

--- a/packages/local_fleet/src/fleet.rs
+++ b/packages/local_fleet/src/fleet.rs
@@ -194,6 +194,18 @@
         has_ended
     }
 
+    /// Starts the processes again that ended by themselves: between the choice of a port and its use another
+    /// program on this machine may have been given it.
+    pub fn start_ended(&mut self) -> std::io::Result<()> {
+        for number in 0..self.nodes.len() {
+            let child = self.nodes[number].child.as_mut();
+            if child.is_some_and(|child| matches!(child.try_wait(), Ok(Some(_)))) {
+                self.start(number)?;
+            }
+        }
+        Ok(())
+    }
+
     pub fn is_running(&self, number: usize) -> bool {
         self.nodes[number].child.is_some()
     }
--- a/packages/local_fleet/src/scenarios.rs
+++ b/packages/local_fleet/src/scenarios.rs
@@ -197,11 +197,24 @@
             .map_err(|failure| failure.to_string())
     }
 
+    fn wait_for_first_readiness(&mut self) -> Result<Duration, String> {
+        const PAUSE: Duration = Duration::from_millis(500);
+        const LOOKS: u32 = 120;
+        let began = Instant::now();
+        for _ in 0..LOOKS {
+            if self.wait_until("readiness", PAUSE, Run::all_ready).is_ok() {
+                return Ok(began.elapsed());
+            }
+            self.fleet.start_ended().map_err(|failure| failure.to_string())?;
+        }
+        Err(format!("readiness did not come within {} s", began.elapsed().as_secs()))
+    }
+
     fn play(&mut self, scenario: &str, span: Duration, rate: f64) -> Result<CallersReport, String> {
         for number in 0..self.fleet.nodes.len() {
             self.fleet.start(number).map_err(|failure| failure.to_string())?;
         }
-        let ready = self.wait_until("readiness", Duration::from_secs(60), Run::all_ready)?;
+        let ready = self.wait_for_first_readiness()?;
         self.note("ready_ms", ready.as_millis() as u64);
         let mut document = self.deployment.document();
         if self.is_soak {
