Deputies pass asks on to a leader that they reach; what is given away has a lease of a second

A node cut off from the machine that leads a called function got tickets from its deputy alone, whose limit falls to one call and whose pauses double at each turn-away, although the deputy itself reached the leader. Change: a deputy that heard the leader within 200 ms, or may not grant, passes the ask on under a number of its own; ticket, refusal, withdrawal and return take the same way, so the leader counts every ticket. The record that names whom a term is given to has a lease of one renewal (1 s); nobody acts under it.

--- a/packages/node_protocol/src/call_part.rs
+++ b/packages/node_protocol/src/call_part.rs
@@ -1,5 +1,6 @@
 //! This node's own calls: asking stewards and deputies for tickets, and the tickets it holds.
 
+use crate::ask_relay::{AskRelay, is_relayed};
 use crate::node::{Node, PAUSE_A_MEMBER};
 use crate::ticket_ledger::{TicketAdmission, TicketLedger};
 use crate::{Act, RefusedAs};
@@ -44,6 +45,9 @@
     /// By call: a call has one ask at a time and the ask's number is the call's.
     asks: BTreeMap<u64, CallAsk>,
     tickets: TicketLedger,
+    relay: AskRelay,
+    /// Which node passed a ticket on, where it did not come from whoever granted it.
+    relayed_by: BTreeMap<u64, NodeId>,
     /// When each node was last heard, and since when it is silent.
     heard_at: BTreeMap<NodeId, Micros>,
     silent_since: BTreeMap<NodeId, Micros>,
@@ -54,6 +58,8 @@
         CallPart {
             asks: BTreeMap::new(),
             tickets: TicketLedger::default(),
+            relay: AskRelay::default(),
+            relayed_by: BTreeMap::new(),
             heard_at: BTreeMap::new(),
             silent_since: BTreeMap::new(),
         }
@@ -223,6 +229,19 @@
 
     pub(crate) fn take_call_message(&mut self, from: NodeId, message: Message) {
         match message {
+            Message::TicketGranted { ask, ticket } if is_relayed(ask) => {
+                self.relayed_grant(from, ask, ticket);
+            }
+            Message::TicketHeldBack { ask, outcome, reason, retry_after_millis } if is_relayed(ask) => {
+                let Some((asker, own_ask)) = self.calls.relay.answered(ask, from) else { return };
+                if outcome != 0 {
+                    self.calls.relay.finish(ask);
+                }
+                self.send(
+                    asker,
+                    Message::TicketHeldBack { ask: own_ask, outcome, reason, retry_after_millis },
+                );
+            }
             Message::TicketGranted { ask, ticket } => self.ticket_granted(from, ask, ticket),
             Message::TicketHeldBack { ask, outcome, reason, retry_after_millis } => {
                 let Some(call_ask) = self.calls.asks.get(&ask) else { return };
@@ -277,6 +296,9 @@
             }
             TicketAdmission::Used => {
                 self.calls.asks.remove(&call);
+                if ticket.granted_by != from {
+                    self.calls.relayed_by.insert(ticket.id, from);
+                }
                 self.act(Act::CallGranted { call, ticket });
             }
         }
@@ -290,9 +312,76 @@
         if let Some(steward) = steward.filter(|node| *node != ticket.granted_by) {
             self.send(steward, message.clone());
         }
+        if let Some(relay) = self.calls.relayed_by.remove(&ticket.id) {
+            self.send(relay, message.clone());
+        }
         self.send(ticket.granted_by, message);
     }
 
+    /// Passes an ask on to the function's leader for a node that cannot reach it; `true` if it went.
+    pub(crate) fn relay_ask(&mut self, asker: NodeId, leader: NodeId, mut message: Message) -> bool {
+        let now = self.now;
+        let Message::TicketAsk { ref mut ask, time_left_micros, ref mut deputy, .. } = message else {
+            return false;
+        };
+        let is_serving = self.members.find(leader).is_some_and(|news| news.draining == 0);
+        if leader == self.settings.node || leader == asker || !is_serving {
+            return false;
+        }
+        let before = self.calls.relay.number_of(asker, *ask).and_then(|number| self.calls.relay.get(number));
+        let unanswered = before.filter(|relayed| relayed.leader == leader);
+        let unanswered_since = unanswered.and_then(|relayed| relayed.unanswered_since);
+        if let Some(asked_at) = unanswered_since.filter(|asked_at| now >= *asked_at + STEWARD_PATIENCE) {
+            self.calls.note_silence(leader, asked_at, now);
+        }
+        if self.calls.is_silent(leader, now) {
+            return false;
+        }
+        let ends_at = now + Micros(time_left_micros);
+        let Some(number) = self.calls.relay.pass_on(asker, *ask, leader, ends_at, now) else { return false };
+        *ask = number;
+        // Whoever is asked by a relay answers for itself: an ask is passed on once.
+        *deputy = 0;
+        self.send(leader, message);
+        true
+    }
+
+    /// Whether a node was heard within the time that an ask has for its answer.
+    pub(crate) fn is_heard_lately(&self, node: NodeId) -> bool {
+        let heard_at = self.calls.heard_at.get(&node);
+        heard_at.is_some_and(|heard_at| self.now < *heard_at + STEWARD_PATIENCE)
+    }
+
+    fn relayed_grant(&mut self, from: NodeId, number: u64, ticket: Ticket) {
+        let ends_at = self.calls.relay.end_of(number);
+        let asker = self.calls.relay.answered(number, from);
+        let (Some(ends_at), Some((asker, ask))) = (ends_at, asker) else {
+            self.send(from, Message::TicketReturn { ticket, how: UNUSED, latency_micros: 0 });
+            return;
+        };
+        self.calls.relay.note_ticket(&ticket, ends_at);
+        self.send(asker, Message::TicketGranted { ask, ticket });
+    }
+
+    /// The call of a relayed ask is over.
+    pub(crate) fn relayed_withdraw(&mut self, asker: NodeId, ask: u64, function: &str) {
+        let number = self.calls.relay.number_of(asker, ask);
+        let Some((number, relayed)) =
+            number.and_then(|number| Some((number, self.calls.relay.finish(number)?)))
+        else {
+            return;
+        };
+        self.send(relayed.leader, Message::TicketWithdraw { ask: number, function: function.into() });
+    }
+
+    /// A ticket that went through this node is returned through it.
+    pub(crate) fn relayed_return(&mut self, ticket: Ticket, how: u8, latency_micros: u64) {
+        let granted_by = ticket.granted_by;
+        if granted_by != self.settings.node && self.calls.relay.takes_back(&ticket) {
+            self.send(granted_by, Message::TicketReturn { ticket, how, latency_micros });
+        }
+    }
+
     /// The cells that a steward told it knows to run.
     pub(crate) fn known_ready(&self, function: &str) -> Vec<ReadyCell> {
         let Some(body) = self.news.body(&format!("cells/{function}")) else { return Vec::new() };
@@ -318,6 +407,9 @@
             self.drive_ask(call);
         }
         self.calls.tickets.expire(now);
+        self.calls.relay.expire(now);
+        let CallPart { relayed_by, tickets, .. } = &mut self.calls;
+        relayed_by.retain(|ticket, _| tickets.is_known(*ticket));
         self.calls.silent_since.retain(|_, since| now < *since + SILENCE_REMEMBERED);
     }
 }
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -3,6 +3,7 @@
 //! The program's shell and the fleet simulator drive the very same [`Node`]; neither the clock, the
 //! network, the disk nor the platform is touched here.
 
+mod ask_relay;
 mod call_part;
 mod configuration_part;
 mod control_part;
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -444,53 +444,7 @@
     pub(crate) fn take_steward_message(&mut self, from: NodeId, message: Message) {
         let now = self.now;
         match message {
-            Message::TicketAsk {
-                ask,
-                function,
-                time_left_micros,
-                extra,
-                avoid,
-                deputy,
-                target_left_micros,
-                rank,
-                nested,
-            } => {
-                let time_left = Micros(time_left_micros);
-                let is_extra = extra > 0;
-                self.stewards.traffic_since.get_or_insert(now);
-                let is_steward =
-                    self.stewards.election.term(&function.0, now).is_some() && !self.stewards.is_list_stale;
-                let zone = self.zones.zone_of(from).filter(|_| self.is_on(Policy::NearCells));
-                let zone = zone.map_or(Zone::default(), Zone::named);
-                let work = self.stewards.works.get_mut(&function.0).filter(|_| is_steward);
-                if let Some(work) = work {
-                    let late_at = Micros(now.0.saturating_add(target_left_micros));
-                    let urgency = Urgency { late_at, rank, is_nested: nested == 1 };
-                    let details = AskDetails { avoid: &avoid.0, urgency, zone };
-                    work.ask_in_detail(from, ask, time_left, u32::from(extra), details, now);
-                    return;
-                }
-                let holder = self.stewards.election.holder(&function.0, now);
-                if holder.is_none() {
-                    self.stewards.election.call_waits(&function.0);
-                }
-                if deputy == 1
-                    && let Some(ticket) = self.deputy_ticket(&function.0, is_extra, &avoid.0, time_left)
-                {
-                    self.counts.deputy_tickets += 1;
-                    self.send(from, Message::TicketGranted { ask, ticket });
-                    return;
-                }
-                self.send(
-                    from,
-                    Message::TicketHeldBack {
-                        ask,
-                        outcome: 2,
-                        reason: "not the steward".into(),
-                        retry_after_millis: 0,
-                    },
-                );
-            }
+            Message::TicketAsk { .. } => self.take_ticket_ask(from, message),
             Message::TicketReturn { ticket, how, latency_micros } => {
                 let latency = Micros(latency_micros);
                 if ticket.steward_epoch == 0 {
@@ -502,11 +456,13 @@
                 if let Some(work) = self.stewards.works.get_mut(&ticket.function.0) {
                     work.returned(&ticket, how, latency, now);
                 }
+                self.relayed_return(ticket, how, latency_micros);
             }
             Message::TicketWithdraw { ask, function } => {
                 if let Some(work) = self.stewards.works.get_mut(&function.0) {
                     work.withdraw(from, ask);
                 }
+                self.relayed_withdraw(from, ask, &function.0);
             }
             Message::HeldAnswer { functions } => {
                 for answer in functions.0 {
@@ -517,6 +473,70 @@
         }
     }
 
+    /// Takes an ask as the function's leader; else as its deputy, who passes it on or grants it; else says who
+    /// it is not.
+    fn take_ticket_ask(&mut self, from: NodeId, message: Message) {
+        let now = self.now;
+        let Message::TicketAsk {
+            ask,
+            ref function,
+            time_left_micros,
+            extra,
+            ref avoid,
+            deputy,
+            target_left_micros,
+            rank,
+            nested,
+        } = message
+        else {
+            return;
+        };
+        let time_left = Micros(time_left_micros);
+        self.stewards.traffic_since.get_or_insert(now);
+        let is_leader =
+            self.stewards.election.term(&function.0, now).is_some() && !self.stewards.is_list_stale;
+        let zone = self.zones.zone_of(from).filter(|_| self.is_on(Policy::NearCells));
+        let zone = zone.map_or(Zone::default(), Zone::named);
+        let work = self.stewards.works.get_mut(&function.0).filter(|_| is_leader);
+        if let Some(work) = work {
+            let late_at = Micros(now.0.saturating_add(target_left_micros));
+            let urgency = Urgency { late_at, rank, is_nested: nested == 1 };
+            let details = AskDetails { avoid: &avoid.0, urgency, zone };
+            work.ask_in_detail(from, ask, time_left, u32::from(extra), details, now);
+            return;
+        }
+        let leader = self.stewards.election.holder(&function.0, now).map(|(node, _)| node);
+        if leader.is_none() {
+            self.stewards.election.call_waits(&function.0);
+        }
+        if deputy == 1 && self.take_ask_as_deputy(from, leader, &message) {
+            return;
+        }
+        let reason = "not the steward".into();
+        self.send(from, Message::TicketHeldBack { ask, outcome: 2, reason, retry_after_millis: 0 });
+    }
+
+    /// The deputy passes an ask on to a leader that it has just heard; it grants by itself where the leader is
+    /// not heard, and where it may not, tries the leader all the same. `true` if one of these was done.
+    fn take_ask_as_deputy(&mut self, from: NodeId, leader: Option<NodeId>, message: &Message) -> bool {
+        let Message::TicketAsk { ask, function, time_left_micros, extra, avoid, .. } = message else {
+            return false;
+        };
+        let is_on = self.is_on(Policy::Deputies);
+        let heard = leader.filter(|node| is_on && self.is_heard_lately(*node));
+        if heard.is_some_and(|node| self.relay_ask(from, node, message.clone())) {
+            return true;
+        }
+        let time_left = Micros(*time_left_micros);
+        if let Some(ticket) = self.deputy_ticket(&function.0, *extra > 0, &avoid.0, time_left) {
+            self.counts.deputy_tickets += 1;
+            self.send(from, Message::TicketGranted { ask: *ask, ticket });
+            return true;
+        }
+        let unheard = leader.filter(|_| is_on && heard.is_none());
+        unheard.is_some_and(|node| self.relay_ask(from, node, message.clone()))
+    }
+
     fn held_answered(&mut self, from: NodeId, answer: HeldAnswerEntry) {
         let now = self.now;
         let Some(work) = self.stewards.works.get_mut(&answer.function.0) else { return };
--- a/packages/node_protocol/src/ticket_ledger.rs
+++ b/packages/node_protocol/src/ticket_ledger.rs
@@ -70,6 +70,11 @@
         TicketAdmission::Used
     }
 
+    /// Whether a ticket is still kept in mind. Example: `ledger.is_known(ticket.id)`.
+    pub fn is_known(&self, ticket_id: u64) -> bool {
+        self.held.contains_key(&ticket_id)
+    }
+
     /// The ticket's dispatch is over. Example: `ledger.done(ticket.id)`.
     pub fn done(&mut self, ticket_id: u64) {
         if let Some(held) = self.held.get_mut(&ticket_id) {
--- a/packages/steward_election/src/lib.rs
+++ b/packages/steward_election/src/lib.rs
@@ -478,10 +478,14 @@
             }
             term.renewal_sent_at = Some(now);
             term.first_sent_at.get_or_insert(now);
-            // What is given away is nobody's until the other claims it: that must not last for long.
             let is_idle = term.given_to.is_none() && self.idle.contains(function);
             let times = if is_idle { IDLE_TIMES } else { 1 };
-            let lease = Micros(self.settings.lease.0 * times);
+            let lease = match term.given_to {
+                // What is given away is nobody's until the other claims it, and nobody acts under this
+                // record: where the other cannot, the next may soon.
+                Some(_) => self.settings.renewal,
+                None => Micros(self.settings.lease.0 * times),
+            };
             term.renewal_due = now + Micros(self.settings.renewal.0 * times);
             term.open_lease = Some(term.open_lease.map_or(lease, |shortest| shortest.min(lease)));
             let record = LeaderRecord {
