A planned stop hands its terms over: successors named, tickets, queue and demand told

Change: a stop names a successor for each function by the gate's weighted share (steward_election::Successors); once that record stands, the successor is sent the record, the tickets that are out, and demand, latency, boots and cells kept; those who wait and whoever asks or returns at the old leader is passed on. A successor that stops as well names the next. Askers believe a leader's own word before they see its record. No split before the first list; found cells are claimed at once. Balance and large functions take the same way.

--- a/packages/colleague_messages/src/lib.rs
+++ b/packages/colleague_messages/src/lib.rs
@@ -32,6 +32,16 @@
 /// What LZ4 packs tightest: a length beyond this is a lie.
 const PACKED_RATIO: usize = 255;
 
+/// In what part a node is asked for a ticket: the values of `TicketAsk`'s `deputy`.
+pub mod ticket_ask {
+    /// As the function's leader.
+    pub const NOT_AS_DEPUTY: u8 = 0;
+    /// As its deputy: the leader did not answer.
+    pub const AS_DEPUTY: u8 = 1;
+    /// As its deputy, who may pass the ask on: the leader is out of the asker's reach.
+    pub const AS_RELAY: u8 = 2;
+}
+
 /// Declares message parts and the one enum of messages, all with the same derives.
 macro_rules! messages {
     (
@@ -100,6 +110,21 @@
         /// The right to one dispatch to one cell.
         Ticket { id: u64, granted_by: NodeId, steward_epoch: u64, function: Text, cell: Text, address: Address, }
         HeldTicket { ticket: Ticket, ends_in_micros: u64, }
+        /// A ticket that is out as its leader hands the term over; `is_over` 1 where the asker is done with it and
+        /// the cell may not be.
+        HandedTicket { asker: NodeId, held: HeldTicket, is_over: u8, }
+        /// What a leader saw of a function's calls, loads and rates in thousandths; `called_for_micros` since the first
+        /// call, zero where none came; `cells_kept` cells that it keeps now.
+        HandedDemand {
+            load_fast: u32,
+            load_slow: u32,
+            rate: u32,
+            rate_fast: u32,
+            called_for_micros: u64,
+            cells_kept: u32,
+            usual_latency_micros: u64,
+            boot_micros: u64,
+        }
         HeldAskEntry { function: Text, steward_epoch: u64, }
         HeldAnswerEntry { function: Text, steward_epoch: u64, tickets: List<HeldTicket>, }
         NewsItem { topic: Text, origin: NodeId, sequence: u64, body: Bytes, }
@@ -170,7 +195,7 @@
             renewed: List<RenewedRecord>,
             silent: List<NodeId>,
         }
-        /// `target_left_micros`: until the answer is late, all ones where the lane names no target.
+        /// `deputy`: one of `ticket_ask`. `target_left_micros`: until the answer is late, all ones where the lane names no target.
         "30" TicketAsk {
             ask: u64,
             function: Text,
@@ -191,6 +216,16 @@
         /// A new steward asks which tickets are held of its functions.
         "35" HeldAsk { functions: List<HeldAskEntry>, }
         "36" HeldAnswer { functions: List<HeldAnswerEntry>, }
+        /// The sender led the function under this epoch and gave its term to the receiver, whom the record at
+        /// this version names. `is_whole` 1 where the tickets are all that are out.
+        "37" TermHandedOver {
+            function: Text,
+            version: u64,
+            record: LeaderRecord,
+            is_whole: u8,
+            tickets: List<HandedTicket>,
+            demand: HandedDemand,
+        }
         "40" News { items: List<NewsItem>, }
         "41" NewsDigest { digests: List<BucketDigest>, }
         /// Every topic that the sender has in the named buckets is in the list.
--- a/packages/fleet_simulator/src/lib.rs
+++ b/packages/fleet_simulator/src/lib.rs
@@ -22,6 +22,7 @@
 mod sim_links;
 mod sim_operators;
 mod sim_platform;
+mod stop_scenarios;
 mod world;
 
 pub use processors::Processors;
--- a/packages/fleet_simulator/src/scenarios.rs
+++ b/packages/fleet_simulator/src/scenarios.rs
@@ -20,6 +20,7 @@
 use crate::machine_scenarios::{clocks_drift, frozen_in_the_act, full_size};
 use crate::order_scenarios::{eight_orders_at_once, lost_answers_repeated, orders_race_on_one_version};
 use crate::processor_scenarios::{busy_function_on_small_machines, grown_herd_killed};
+use crate::stop_scenarios::stops_together;
 use crate::{World, WorldSettings};
 use clock_events::Micros;
 use history_checks::{Breach, CheckSettings, Line, check_all};
@@ -88,6 +89,7 @@
     large_configuration,
     restarts_amid_changes,
     rolling_stops,
+    stops_together,
     second_failure_in_recovery,
     chaos,
     cut_in_a_crowd,
--- a/packages/fleet_simulator/tests/scenarios.rs
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -71,6 +71,7 @@
     // 399: an owner that had just started refused a change by a base from before its first read.
     restarts_amid_changes: (1..=20).chain([399]);
     rolling_stops: 1..=20;
+    stops_together: 1..=20;
     second_failure_in_recovery: 1..=20;
     // 91026: a node that restarted beyond a cut took a colleague's older generation for the newest.
     chaos: (1..=20).chain([91_026]);
--- a/packages/node_protocol/src/ask_relay.rs
+++ b/packages/node_protocol/src/ask_relay.rs
@@ -7,7 +7,7 @@
 //! number, and a return that is lost is made up for by the end of the ticket, as on the direct way.
 
 use clock_events::Micros;
-use colleague_messages::{NodeId, Ticket};
+use colleague_messages::{HeldTicket, NodeId, Ticket};
 use std::collections::BTreeMap;
 
 /// Numbers from here on are those of relayed asks; a node's own calls stay below.
@@ -36,7 +36,7 @@
     by_number: BTreeMap<u64, RelayedAsk>,
     numbers: BTreeMap<(NodeId, u64), u64>,
     /// Tickets that went through here, by id, until they cannot be returned any more.
-    tickets: BTreeMap<u64, Micros>,
+    tickets: BTreeMap<u64, (Ticket, Micros)>,
     next: u64,
 }
 
@@ -101,7 +101,7 @@
     /// A ticket went through here: its return does too.
     pub(crate) fn note_ticket(&mut self, ticket: &Ticket, ends_at: Micros) {
         if self.tickets.len() < RELAYED_MOST {
-            self.tickets.insert(ticket.id, ends_at + RETURN_SPAN);
+            self.tickets.insert(ticket.id, (ticket.clone(), ends_at + RETURN_SPAN));
         }
     }
 
@@ -126,7 +126,16 @@
         for number in over {
             self.finish(number);
         }
-        self.tickets.retain(|_, ends_at| now < *ends_at);
+        self.tickets.retain(|_, (_, ends_at)| now < *ends_at);
+    }
+
+    /// The tickets for a function that went through here and did not come back yet.
+    pub(crate) fn held_for(&self, function: &str, now: Micros) -> impl Iterator<Item = HeldTicket> {
+        let tickets = self.tickets.values().filter(move |(ticket, _)| ticket.function.0 == function);
+        tickets.map(move |(ticket, ends_at)| HeldTicket {
+            ticket: ticket.clone(),
+            ends_in_micros: (*ends_at - now).0,
+        })
     }
 }
 
--- a/packages/node_protocol/src/call_part.rs
+++ b/packages/node_protocol/src/call_part.rs
@@ -5,6 +5,7 @@
 use crate::ticket_ledger::{TicketAdmission, TicketLedger};
 use crate::{Act, RefusedAs};
 use clock_events::Micros;
+use colleague_messages::ticket_ask::{AS_DEPUTY, AS_RELAY, NOT_AS_DEPUTY};
 use colleague_messages::{
     CellsNews, HeldAnswerEntry, HeldAskEntry, HeldTicket, List, Message, NodeId, Ticket,
 };
@@ -22,6 +23,10 @@
 /// are apart, up to a bound: many nodes that ask often keep one that recovers busy.
 const ASK_AGAIN_AT_MOST: Micros = Micros::from_millis(120);
 const LARGE_FLEET_ASK_AGAIN: Micros = Micros::from_millis(480);
+/// Whoever left asks unanswered and was not heard for so long is out of reach.
+const OUT_OF_REACH_AFTER: Micros = Micros::from_secs(1);
+/// A leader that was told of is believed for so long before its record is seen.
+const TOLD_LEADER_SPAN: Micros = Micros::from_secs(3);
 /// A node that left an ask unanswered, and of which nothing else was heard since, is passed over for
 /// so long: membership takes seconds to find many nodes gone at once, and calls do not have them.
 const SILENCE_REMEMBERED: Micros = Micros::from_secs(2);
@@ -40,6 +45,14 @@
     tries: u32,
 }
 
+/// A leader that was told of before its record was seen.
+#[derive(Clone, Copy, Debug)]
+struct ToldLeader {
+    leader: NodeId,
+    steward_epoch: u64,
+    told_at: Micros,
+}
+
 #[derive(Debug)]
 pub(crate) struct CallPart {
     /// By call: a call has one ask at a time and the ask's number is the call's.
@@ -48,6 +61,7 @@
     relay: AskRelay,
     /// Which node passed a ticket on, where it did not come from whoever granted it.
     relayed_by: BTreeMap<u64, NodeId>,
+    told_leaders: BTreeMap<String, ToldLeader>,
     /// When each node was last heard, and since when it is silent.
     heard_at: BTreeMap<NodeId, Micros>,
     silent_since: BTreeMap<NodeId, Micros>,
@@ -60,6 +74,7 @@
             tickets: TicketLedger::default(),
             relay: AskRelay::default(),
             relayed_by: BTreeMap::new(),
+            told_leaders: BTreeMap::new(),
             heard_at: BTreeMap::new(),
             silent_since: BTreeMap::new(),
         }
@@ -91,8 +106,20 @@
         self.silent_since.get(&node).is_some_and(|since| now < *since + SILENCE_REMEMBERED)
     }
 
+    /// The tickets in use for a function, here and by nodes that this one relays for.
     pub(crate) fn held_for(&self, function: &str, now: Micros) -> Vec<HeldTicket> {
-        self.tickets.held_for(function, now)
+        let mut held = self.tickets.held_for(function, now);
+        held.extend(self.relay.held_for(function, now));
+        held
+    }
+
+    /// A node that leads a function under this epoch, as it said itself or as whoever gave it the term says.
+    pub(crate) fn note_leader(&mut self, function: &str, leader: NodeId, steward_epoch: u64, now: Micros) {
+        let known = self.told_leaders.get(function);
+        if known.is_none_or(|known| known.steward_epoch < steward_epoch) {
+            let told = ToldLeader { leader, steward_epoch, told_at: now };
+            self.told_leaders.insert(function.to_owned(), told);
+        }
     }
 }
 
@@ -150,11 +177,10 @@
             self.refuse_call(call, RefusedAs::NoFunction, "function not configured", Micros::from_secs(1));
             return;
         }
-        let holder = self.stewards.election.holder(&function, now).map(|(node, _)| node);
+        let holder = self.leader_of(&function);
         let steward = holder.filter(|node| {
             *node == self.settings.node
-                || (self.members.find(*node).is_some_and(|news| news.draining == 0)
-                    && !self.calls.is_silent(*node, now))
+                || (self.members.find(*node).is_some() && !self.calls.is_silent(*node, now))
         });
         if steward.is_none() {
             self.stewards.election.call_waits(&function);
@@ -176,6 +202,7 @@
                 },
             },
         };
+        let is_leader_out_of_reach = holder.is_some_and(|leader| self.is_out_of_reach(leader));
         let Some(ask) = self.calls.asks.get_mut(&call) else { return };
         ask.asked = Some(node);
         ask.asked_at = now;
@@ -187,7 +214,11 @@
             time_left_micros: (ask.ends_at - now).0,
             extra: u8::try_from(ask.dispatches).unwrap_or(u8::MAX),
             avoid: ask.avoid.as_str().into(),
-            deputy: u8::from(is_deputy),
+            deputy: match (is_deputy, is_leader_out_of_reach) {
+                (false, _) => NOT_AS_DEPUTY,
+                (true, false) => AS_DEPUTY,
+                (true, true) => AS_RELAY,
+            },
             target_left_micros: match ask.urgency.late_at {
                 Micros(u64::MAX) => u64::MAX,
                 late_at => (late_at - now).0,
@@ -198,6 +229,18 @@
         self.send(node, message);
     }
 
+    /// Who leads a function: by its record, or by a newer word of a leader that the record does not show yet.
+    pub(crate) fn leader_of(&self, function: &str) -> Option<NodeId> {
+        let by_record = self.stewards.election.holder(function, self.now);
+        let told = self.calls.told_leaders.get(function);
+        let told = told.filter(|told| self.now < told.told_at + TOLD_LEADER_SPAN);
+        match (by_record, told) {
+            (Some((node, epoch)), Some(told)) if epoch >= told.steward_epoch => Some(node),
+            (_, Some(told)) => Some(told.leader),
+            (by_record, None) => by_record.map(|(node, _)| node),
+        }
+    }
+
     /// Until a call asks again that found nobody with a ticket to give.
     fn ask_again_after(&self, tries: u32) -> Micros {
         let fleet_pause = Micros(PAUSE_A_MEMBER.0 * self.member_count() as u64);
@@ -271,6 +314,7 @@
             Message::HeldAsk { functions } => {
                 let mut answers = Vec::new();
                 for HeldAskEntry { function, steward_epoch } in functions.0 {
+                    self.calls.note_leader(&function.0, from, steward_epoch, self.now);
                     self.calls.tickets.saw_epoch(&function.0, steward_epoch);
                     let tickets = List(self.calls.held_for(&function.0, self.now));
                     answers.push(HeldAnswerEntry { function, steward_epoch, tickets });
@@ -286,6 +330,9 @@
         let ask = self.calls.asks.get(&call).filter(|ask| ask.function == ticket.function.0);
         let ask_ends_at = ask.map(|ask| ask.ends_at);
         let is_barred = self.configuration.is_doubted() || self.is_barred(&ticket);
+        if ticket.steward_epoch > 0 {
+            self.calls.note_leader(&ticket.function.0, ticket.granted_by, ticket.steward_epoch, now);
+        }
         match self.calls.tickets.admit(&ticket, ask_ends_at, is_barred, now) {
             TicketAdmission::Repeated => {}
             TicketAdmission::Returned { is_wanted } => {
@@ -308,7 +355,7 @@
         self.calls.tickets.done(ticket.id);
         let message = Message::TicketReturn { ticket: ticket.clone(), how, latency_micros: latency.0 };
         // The steward of now may count a ticket that a deputy, or the steward before, granted.
-        let steward = self.stewards.election.holder(&ticket.function.0, self.now).map(|(node, _)| node);
+        let steward = self.leader_of(&ticket.function.0);
         if let Some(steward) = steward.filter(|node| *node != ticket.granted_by) {
             self.send(steward, message.clone());
         }
@@ -341,11 +388,19 @@
         let Some(number) = self.calls.relay.pass_on(asker, *ask, leader, ends_at, now) else { return false };
         *ask = number;
         // Whoever is asked by a relay answers for itself: an ask is passed on once.
-        *deputy = 0;
+        *deputy = NOT_AS_DEPUTY;
         self.send(leader, message);
         true
     }
 
+    /// Whether a node left asks unanswered, and was not heard otherwise, for so long that it is likelier cut off
+    /// from this one than slow.
+    fn is_out_of_reach(&self, node: NodeId) -> bool {
+        let is_silent = self.calls.is_silent(node, self.now);
+        let heard_at = self.calls.heard_at.get(&node);
+        is_silent && heard_at.is_some_and(|heard_at| self.now >= *heard_at + OUT_OF_REACH_AFTER)
+    }
+
     /// Whether a node was heard within the time that an ask has for its answer.
     pub(crate) fn is_heard_lately(&self, node: NodeId) -> bool {
         let heard_at = self.calls.heard_at.get(&node);
@@ -410,6 +465,7 @@
         self.calls.relay.expire(now);
         let CallPart { relayed_by, tickets, .. } = &mut self.calls;
         relayed_by.retain(|ticket, _| tickets.is_known(*ticket));
+        self.calls.told_leaders.retain(|_, told| now < told.told_at + TOLD_LEADER_SPAN);
         self.calls.silent_since.retain(|_, since| now < *since + SILENCE_REMEMBERED);
     }
 }
--- a/packages/node_protocol/src/control_part/requests.rs
+++ b/packages/node_protocol/src/control_part/requests.rs
@@ -6,7 +6,7 @@
 use crate::{Act, ConfigurationAnswer};
 use clock_events::Micros;
 use colleague_messages::{
-    Bytes, LeaderRecord, List, Message, NodeId, PolledRecord, WriteEntry, WriteOutcome, value_digest,
+    Bytes, LeaderRecord, List, Message, NodeId, WriteEntry, WriteOutcome, value_digest,
 };
 use control_registers::{AS_KNOWN, CONFIGURATION_KEY, DIFFERS, NOT_OWNER, UNKNOWN, WRITTEN, steward_key};
 use std::collections::{BTreeMap, BTreeSet};
@@ -168,7 +168,7 @@
             WRITTEN => {
                 self.stewards.election.written(function, outcome.version, record, now);
                 if ![0, self.settings.node].contains(&record.holder) {
-                    self.tell_holder(record, outcome);
+                    self.term_written_away(function, record, outcome.version);
                 }
             }
             DIFFERS => {
@@ -179,19 +179,6 @@
         }
     }
 
-    /// The node that a function was given to need not wait for its next poll.
-    fn tell_holder(&mut self, record: &LeaderRecord, outcome: WriteOutcome) {
-        let polled = PolledRecord { key: outcome.key, version: outcome.version, value: record.encode() };
-        let told = Message::RecordsPolled {
-            mark: 0,
-            known: 1,
-            change: 0,
-            records: List(vec![polled]),
-            renewed: List(Vec::new()),
-        };
-        self.send(record.holder, told);
-    }
-
     fn operators_read_answered(&mut self, from: NodeId, request: u64, outcome: WriteOutcome) {
         let answer = match outcome.outcome {
             WRITTEN => ConfigurationAnswer::Stored(outcome.value.0),
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -309,6 +309,7 @@
             Message::TicketAsk { .. }
             | Message::TicketReturn { .. }
             | Message::TicketWithdraw { .. }
+            | Message::TermHandedOver { .. }
             | Message::HeldAnswer { .. } => self.take_steward_message(from, message),
             Message::TicketGranted { .. } | Message::TicketHeldBack { .. } | Message::HeldAsk { .. } => {
                 self.take_call_message(from, message);
--- a/packages/node_protocol/src/policy.rs
+++ b/packages/node_protocol/src/policy.rs
@@ -21,10 +21,12 @@
     Deputies,
     /// A function that takes much of a small machine goes to a larger one.
     LargeFunctions,
+    /// A node that stops names who takes over what it leads.
+    NamedSuccessors,
 }
 
 /// All policies with their names in settings.
-const NAMES: [(Policy, &str); 7] = [
+const NAMES: [(Policy, &str); 8] = [
     (Policy::Relays, "relays"),
     (Policy::NearCells, "near_cells"),
     (Policy::IdleLeases, "idle_leases"),
@@ -32,6 +34,7 @@
     (Policy::DemandClasses, "demand_classes"),
     (Policy::Deputies, "deputies"),
     (Policy::LargeFunctions, "large_functions"),
+    (Policy::NamedSuccessors, "named_successors"),
 ];
 
 /// A name that is no policy's. Example: `"relay".parse::<Policy>().is_err()`.
--- a/packages/node_protocol/src/steward_part.rs
+++ b/packages/node_protocol/src/steward_part.rs
@@ -2,6 +2,7 @@
 
 mod allowances;
 mod configured;
+mod hand_over;
 mod platform_acts;
 
 use crate::list_part::ListPart;
@@ -9,12 +10,14 @@
 use crate::{Act, Policy};
 use allowances::Split;
 use clock_events::{ClockEvent, Micros};
+use colleague_messages::ticket_ask::{AS_RELAY, NOT_AS_DEPUTY};
 use colleague_messages::{
     Address, Bytes, CellEntry, CellsNews, DemandNews, HeldAnswerEntry, HeldAskEntry, List, Message, NodeId,
     Ticket,
 };
 use configuration_check::{Function, FunctionTargets, KeptBy};
 use deku::DekuContainerWrite;
+use hand_over::HandOvers;
 use platform_acts::{WaitingStart, WaitingStop};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -107,6 +110,8 @@
     pub(crate) traffic_since: Option<Micros>,
     /// The most nodes ever known at once: deputies share their extra dispatches.
     most_nodes: usize,
+    /// Terms on their way from this node, and to it.
+    hand_overs: HandOvers,
     /// Deputies forgot their extra dispatches then, at this node's start or with their functions.
     deputies_from: Micros,
 }
@@ -157,6 +162,7 @@
             targets: FunctionTargets::default(),
             traffic_since: None,
             most_nodes: 1,
+            hand_overs: HandOvers::default(),
             deputies_from: now,
         }
     }
@@ -217,6 +223,7 @@
             self.stewards.held_asked_at = now;
             self.ask_held();
         }
+        self.tick_hand_overs();
         if self.stewards.split_event.due(now) {
             self.split_allowances(&members);
         }
@@ -267,7 +274,7 @@
         let larger = live
             .filter(|news| news.draining == 0 && news.state == 0 && news.processor / LARGER >= own_processor);
         let Some(larger) = Node::rendezvous_choice(&function, larger.map(|news| news.node)) else { return };
-        self.stewards.election.give_to(larger, &function);
+        self.give_term(&function, larger);
         self.journal.append(
             "steward_given",
             json!({"function": function, "to": format!("{larger:016x}"), "calls_per_second": rate.round()}),
@@ -320,7 +327,8 @@
         let works = &self.stewards.works;
         let idle = works.iter().find(|(_, work)| work.open_count() == 0 && work.waiting_count() == 0);
         let Some(function) = idle.map(|(function, _)| function.clone()) else { return };
-        self.stewards.election.give_to(*lightest, &function);
+        let (lightest, fewest) = (*lightest, *fewest);
+        self.give_term(&function, lightest);
         self.journal.append(
             "steward_given",
             json!({"function": function, "to": format!("{lightest:016x}"), "own": own_count, "theirs": fewest}),
@@ -329,9 +337,13 @@
         self.take_term_changes();
     }
 
+    /// Names a successor for all that this node leads, and gives back what nobody can be named for.
     pub(crate) fn release_stewards(&mut self) {
-        self.stewards.election.release_all();
         let members = self.serving_members();
+        if self.is_on(Policy::NamedSuccessors) {
+            self.name_successors(&members);
+        }
+        self.stewards.election.release_all();
         let releases = self.stewards.election.tick(&members, self.now);
         self.send_leader_writes(releases);
         self.take_term_changes();
@@ -340,7 +352,7 @@
     fn take_term_changes(&mut self) {
         for change in self.stewards.election.take_changes() {
             match change {
-                TermChange::Taken { function, steward_epoch, past_gate, waited } => {
+                TermChange::Taken { function, steward_epoch, past_gate, waited, given_epoch } => {
                     self.journal.append(
                         "steward_taken",
                         json!({
@@ -350,6 +362,7 @@
                         self.now,
                     );
                     self.begin_work(&function, steward_epoch);
+                    self.take_over(&function, given_epoch);
                 }
                 TermChange::Lost { function, steward_epoch, why } => {
                     self.journal.append(
@@ -456,6 +469,7 @@
                 if let Some(work) = self.stewards.works.get_mut(&ticket.function.0) {
                     work.returned(&ticket, how, latency, now);
                 }
+                self.hand_on_return(&ticket, how, latency_micros);
                 self.relayed_return(ticket, how, latency_micros);
             }
             Message::TicketWithdraw { ask, function } => {
@@ -464,6 +478,7 @@
                 }
                 self.relayed_withdraw(from, ask, &function.0);
             }
+            Message::TermHandedOver { .. } => self.term_handed_over(from, message),
             Message::HeldAnswer { functions } => {
                 for answer in functions.0 {
                     self.held_answered(from, answer);
@@ -495,6 +510,9 @@
         self.stewards.traffic_since.get_or_insert(now);
         let is_leader =
             self.stewards.election.term(&function.0, now).is_some() && !self.stewards.is_list_stale;
+        if !is_leader && self.take_ask_amid_hand_over(from, &message) {
+            return;
+        }
         let zone = self.zones.zone_of(from).filter(|_| self.is_on(Policy::NearCells));
         let zone = zone.map_or(Zone::default(), Zone::named);
         let work = self.stewards.works.get_mut(&function.0).filter(|_| is_leader);
@@ -505,36 +523,32 @@
             work.ask_in_detail(from, ask, time_left, u32::from(extra), details, now);
             return;
         }
-        let leader = self.stewards.election.holder(&function.0, now).map(|(node, _)| node);
+        let leader = self.leader_of(&function.0);
         if leader.is_none() {
             self.stewards.election.call_waits(&function.0);
         }
-        if deputy == 1 && self.take_ask_as_deputy(from, leader, &message) {
+        if deputy != NOT_AS_DEPUTY && self.take_ask_as_deputy(from, leader, &message) {
             return;
         }
         let reason = "not the steward".into();
         self.send(from, Message::TicketHeldBack { ask, outcome: 2, reason, retry_after_millis: 0 });
     }
 
-    /// The deputy passes an ask on to a leader that it has just heard; it grants by itself where the leader is
-    /// not heard, and where it may not, tries the leader all the same. `true` if one of these was done.
+    /// The deputy grants by itself as far as it may; beyond that it passes the ask on to a leader that it has just
+    /// heard and the asker cannot reach. A leader that is only slow is not asked twice. `true` if one of these was done.
     fn take_ask_as_deputy(&mut self, from: NodeId, leader: Option<NodeId>, message: &Message) -> bool {
-        let Message::TicketAsk { ask, function, time_left_micros, extra, avoid, .. } = message else {
+        let Message::TicketAsk { ask, function, time_left_micros, extra, avoid, deputy, .. } = message else {
             return false;
         };
-        let is_on = self.is_on(Policy::Deputies);
-        let heard = leader.filter(|node| is_on && self.is_heard_lately(*node));
-        if heard.is_some_and(|node| self.relay_ask(from, node, message.clone())) {
-            return true;
-        }
         let time_left = Micros(*time_left_micros);
         if let Some(ticket) = self.deputy_ticket(&function.0, *extra > 0, &avoid.0, time_left) {
             self.counts.deputy_tickets += 1;
             self.send(from, Message::TicketGranted { ask: *ask, ticket });
             return true;
         }
-        let unheard = leader.filter(|_| is_on && heard.is_none());
-        unheard.is_some_and(|node| self.relay_ask(from, node, message.clone()))
+        let is_relay = *deputy == AS_RELAY && self.is_on(Policy::Deputies);
+        let leader = leader.filter(|node| is_relay && self.is_heard_lately(*node));
+        leader.is_some_and(|node| self.relay_ask(from, node, message.clone()))
     }
 
     fn held_answered(&mut self, from: NodeId, answer: HeldAnswerEntry) {
--- a/packages/node_protocol/src/steward_part/allowances.rs
+++ b/packages/node_protocol/src/steward_part/allowances.rs
@@ -51,6 +51,11 @@
             }
         }
         self.tell_demand(&own_demands, members.len());
+        // Before the first list nothing is known that could be split: by a split of nothing a node that is just
+        // back would stop the cells of all that it leads as soon as it sees them.
+        if !self.stewards.has_list {
+            return;
+        }
         // The split goes over the whole configuration: it is done when something it rests on changed.
         let news_mark = self
             .news
--- a/packages/steward_election/src/lib.rs
+++ b/packages/steward_election/src/lib.rs
@@ -10,11 +10,13 @@
 //! rendezvous weight) claims without the gate.
 
 mod standing;
+mod successors;
 
 use clock_events::Micros;
 use colleague_messages::{LeaderRecord, NodeId, is_former_life, rendezvous_weight};
 use standing::Standing;
 use std::collections::{BTreeMap, BTreeSet};
+pub use successors::Successors;
 
 /// The election's times and limits. Example: `ElectionSettings::default().lease == Micros::from_secs(3)`.
 #[derive(Clone, Debug)]
@@ -62,8 +64,9 @@
 /// What became of a steward's term, for the decision stream.
 #[derive(Clone, Debug, PartialEq)]
 pub enum TermChange {
-    /// This node is steward now; `past_gate` when the fallback was used.
-    Taken { function: String, steward_epoch: u64, past_gate: bool, waited: Micros },
+    /// This node is steward now; `past_gate` when the fallback was used. `given_epoch` is the epoch of the term that
+    /// was given to this process, if it was.
+    Taken { function: String, steward_epoch: u64, past_gate: bool, waited: Micros, given_epoch: Option<u64> },
     /// This node is steward no more.
     Lost { function: String, steward_epoch: u64, why: &'static str },
 }
@@ -97,6 +100,7 @@
     sent_at: Micros,
     past_gate: bool,
     candidate_since: Micros,
+    given_epoch: Option<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -375,8 +379,8 @@
         holder.is_some_and(|holder| holder == self.own || is_former_life(self.own, holder))
     }
 
-    /// Stops claiming and gives every term back to nobody; the writes come with the next tick.
-    /// Example: `election.release_all(); let writes = election.tick(&members, now);`.
+    /// Stops claiming and gives every term that is not given to a node already back to nobody; the writes come
+    /// with the next tick. Example: `election.release_all(); let writes = election.tick(&members, now);`.
     pub fn release_all(&mut self) {
         self.draining = true;
         let held: Vec<String> = self.terms.keys().cloned().collect();
@@ -566,9 +570,11 @@
             });
             let candidate_since =
                 copy.record.as_ref().map_or(copy.observed_at, |held| copy.observed_at + lease_of(held));
+            let given = copy.record.as_ref().filter(|standing| standing.holder == self.own);
+            let given_epoch = given.map(|standing| standing.steward_epoch);
             self.passed_gate_over += u64::from(is_fallback);
-            self.claims
-                .insert(function, Claim { record, sent_at: now, past_gate: is_fallback, candidate_since });
+            let claim = Claim { record, sent_at: now, past_gate: is_fallback, candidate_since, given_epoch };
+            self.claims.insert(function, claim);
             cluster_count += 1;
             *counts.entry(self.own).or_default() += 1;
         }
@@ -641,6 +647,7 @@
             steward_epoch: record.steward_epoch,
             past_gate: claim.past_gate,
             waited: now - claim.candidate_since,
+            given_epoch: claim.given_epoch,
         });
     }
 
--- /dev/null
+++ b/packages/steward_election/src/successors/tests.rs
@@ -0,0 +1,69 @@
+use super::*;
+use crate::ElectionSettings;
+use colleague_messages::LeaderRecord;
+use std::collections::BTreeMap;
+
+const OWN: NodeId = 1;
+
+/// Leader counts by node, as the own election sees them.
+fn election_with(counts: &[(NodeId, usize)]) -> Election {
+    let mut election = Election::new(OWN, ElectionSettings::default());
+    let mut number = 0;
+    let holders = counts.iter().flat_map(|(node, count)| std::iter::repeat_n(*node, *count));
+    let records: Vec<(String, NodeId)> = holders
+        .map(|holder| {
+            number += 1;
+            (format!("f{number}"), holder)
+        })
+        .collect();
+    election.take_functions(records.iter().map(|(function, _)| function.clone()).collect());
+    for (function, holder) in records {
+        let record = LeaderRecord { holder, renew_count: 1, lease_micros: 3_000_000, steward_epoch: 1 };
+        election.observe(&function, 1, Some(record), Micros(0));
+    }
+    election
+}
+
+fn named(election: &Election, members: &[NodeId], functions: usize) -> BTreeMap<NodeId, usize> {
+    let mut successors = Successors::new(election, members, Micros(1));
+    let mut counts = BTreeMap::new();
+    for number in 0..functions {
+        let node = successors.name(&format!("g{number}"), 0).expect("a successor");
+        *counts.entry(node).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn the_stopping_node_is_never_named_and_room_is_filled_up_evenly() {
+    let election = election_with(&[(OWN, 30), (2, 20), (3, 20), (4, 20)]);
+    let counts = named(&election, &[OWN, 2, 3, 4], 30);
+    assert!(!counts.contains_key(&OWN));
+    for node in [2, 3, 4] {
+        assert!((8..=12).contains(&counts[&node]), "{counts:?}");
+    }
+}
+
+#[test]
+fn whoever_has_more_room_is_named_more_often() {
+    let election = election_with(&[(OWN, 40), (2, 38), (3, 2)]);
+    let counts = named(&election, &[OWN, 2, 3], 20);
+    assert!(counts[&3] > 4 * counts.get(&2).copied().unwrap_or(0).max(1), "{counts:?}");
+}
+
+#[test]
+fn members_that_lead_nothing_yet_are_named_only_where_nobody_else_is() {
+    let election = election_with(&[(OWN, 10), (2, 10)]);
+    assert_eq!(named(&election, &[OWN, 2, 3], 10).keys().copied().collect::<Vec<_>>(), [2]);
+    let election = election_with(&[(OWN, 10)]);
+    assert_eq!(named(&election, &[OWN, 3], 10).keys().copied().collect::<Vec<_>>(), [3]);
+}
+
+#[test]
+fn a_function_that_wants_a_large_machine_gets_the_largest_there_is() {
+    let mut election = election_with(&[(OWN, 4), (2, 1), (3, 4)]);
+    election.take_capacities([(OWN, 260), (2, 62), (3, 260)].into());
+    let mut successors = Successors::new(&election, &[OWN, 2, 3], Micros(1));
+    assert_eq!(successors.name("busy", 200), Some(3));
+    assert_eq!(successors.name("busier", 2_000), Some(3));
+}
--- a/packages/steward_work/src/cell_demand.rs
+++ b/packages/steward_work/src/cell_demand.rs
@@ -1,4 +1,5 @@
 use clock_events::Micros;
+use colleague_messages::HandedDemand;
 use std::collections::VecDeque;
 
 /// What cells, starts and late answers cost beside each other, all in megabytes of memory held for a
@@ -74,6 +75,7 @@
 const UNCALLED_SPAN: Micros = Micros::from_secs(60);
 /// Cold boots take up to so much of the usual time.
 const LONG_BOOT: f64 = 1.6;
+const THOUSAND: f64 = 1_000.0;
 const MOST_CELLS: u32 = 10_000;
 
 impl CellDemand {
@@ -101,6 +103,35 @@
         self.first_call_at.get_or_insert(now);
     }
 
+    /// What a successor shall know of the calls so far; latency, boot and cells are the caller's to fill in.
+    /// Example: `demand.handed(now).rate == 0` where no call came.
+    pub fn handed(&mut self, now: Micros) -> HandedDemand {
+        self.decay(now);
+        HandedDemand {
+            load_fast: thousandths(self.load_fast),
+            load_slow: thousandths(self.load_slow),
+            rate: thousandths(self.rate),
+            rate_fast: thousandths(self.rate_fast),
+            called_for_micros: self.first_call_at.map_or(0, |first_call_at| (now - first_call_at).0.max(1)),
+            cells_kept: 0,
+            usual_latency_micros: 0,
+            boot_micros: 0,
+        }
+    }
+
+    /// Goes on from what the leader before saw. Example: `demand.resume(&handed, now)`.
+    pub fn resume(&mut self, handed: &HandedDemand, now: Micros) {
+        self.load_fast = f64::from(handed.load_fast) / THOUSAND;
+        self.load_slow = f64::from(handed.load_slow) / THOUSAND;
+        self.rate = f64::from(handed.rate) / THOUSAND;
+        self.rate_fast = f64::from(handed.rate_fast) / THOUSAND;
+        self.decayed_at = now;
+        self.noted_at = now;
+        if handed.called_for_micros > 0 {
+            self.first_call_at = Some(now - Micros(handed.called_for_micros));
+        }
+    }
+
     /// Whether a call ever came. Example: `CellDemand::new(now).is_called() == false`.
     pub fn is_called(&self) -> bool {
         self.first_call_at.is_some()
@@ -255,6 +286,10 @@
     if used >= 1.0 { 1.0 } else { blocked / (1.0 - used * (1.0 - blocked)) }
 }
 
+fn thousandths(value: f64) -> u32 {
+    (value * THOUSAND).clamp(0.0, f64::from(u32::MAX)) as u32
+}
+
 fn seconds(span: Micros) -> f64 {
     span.0 as f64 / 1e6
 }
--- a/packages/steward_work/src/function_work.rs
+++ b/packages/steward_work/src/function_work.rs
@@ -1,6 +1,7 @@
 //! A steward's work for one function: asks, tickets, cells, and how many of these there are to be.
 
 mod cell;
+mod hand_over;
 
 use crate::extra_budget::{ExtraBound, ExtraBudget};
 use crate::zone::{WorkerZones, Zone, ZoneCalls};
@@ -12,6 +13,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+pub use hand_over::{HandedAsk, HandedWork};
+
 /// What the configuration says of the function. Example: `WorkSettings { calls_at_once: 4, .. }`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkSettings {
@@ -615,8 +618,10 @@
     /// Example: `work.held_elsewhere(9, vec![(ticket, Micros::from_secs(2))], now)`.
     pub fn held_elsewhere(&mut self, node: NodeId, tickets: Vec<(Ticket, Micros)>, now: Micros) {
         self.unheard.retain(|unheard_node| *unheard_node != node);
+        self.drop_returned(node, &tickets);
         for (ticket, ends_in) in tickets {
-            if ticket.granted_by == self.own && ticket.steward_epoch == self.steward_epoch {
+            let is_own = ticket.granted_by == self.own && ticket.steward_epoch == self.steward_epoch;
+            if is_own || self.open.contains_key(&ticket.id) {
                 continue;
             }
             if let Some(cell) = self.cells.get_mut(&ticket.cell.0) {
@@ -777,7 +782,7 @@
             // needed for one idle span.
             let usable_count = self.usable_cells().count() as u32;
             self.peak.0 = self.peak.0.max(usable_count * self.settings.calls_at_once);
-            self.demand.hold(usable_count, now + FOUND_SPAN);
+            self.hold_cells(usable_count, now);
             self.found_until = now + FOUND_SPAN;
         }
         // From now on it is known which cells run.
@@ -880,6 +885,12 @@
         self.note_load(now);
     }
 
+    /// Keeps so many cells for a while, from now on: the memory for them is claimed before the next clock event.
+    fn hold_cells(&mut self, cells: u32, now: Micros) {
+        self.demand.hold(cells, now + FOUND_SPAN);
+        self.worth.1 = self.demand.kept(self.worth.0, now);
+    }
+
     /// Judges how many cells to keep: by the peak of the last idle span where the configuration names
     /// one, by the cost model otherwise.
     fn note_load(&mut self, now: Micros) {
--- a/packages/steward_work/src/function_work/tests.rs
+++ b/packages/steward_work/src/function_work/tests.rs
@@ -500,3 +500,24 @@
         work.tick(now + waited);
     }
 }
+
+#[test]
+fn cells_that_a_new_leader_finds_are_claimed_before_its_first_clock_event() {
+    let counted = WorkSettings { idle: None, ..settings() };
+    let mut work = FunctionWork::new("proof", 7, 12, counted, vec![9], Micros(0));
+    let cell = |number: u16| ListedCell {
+        id: format!("c{number}"),
+        function: "proof".to_owned(),
+        worker: "w1".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], number)),
+        memory_mb: 128,
+        leaving: false,
+        started: true,
+    };
+    work.listed(&[cell(1), cell(2), cell(3), cell(4)], &[], Micros(0), Micros(0));
+    // The split of memory may come in between: what is not claimed then is not allowed, and is stopped.
+    assert_eq!(work.demanded_cells().total(), 4);
+    work.allow_cells(work.demanded_cells().total());
+    work.tick(Micros::from_millis(40));
+    assert!(!work.take_acts().iter().any(|act| matches!(act, WorkAct::Stop { .. })));
+}
--- a/packages/steward_work/src/lib.rs
+++ b/packages/steward_work/src/lib.rs
@@ -17,8 +17,8 @@
 pub use deputy_work::{DeputyAsk, DeputyCell, DeputyWork};
 pub use extra_budget::ExtraBound;
 pub use function_work::{
-    AskDetails, DemandedCells, FunctionWork, HeldBackAs, ListedCell, ReadyCell, StartOutcome, TicketWish,
-    Urgency, WorkAct, WorkSettings,
+    AskDetails, DemandedCells, FunctionWork, HandedAsk, HandedWork, HeldBackAs, ListedCell, ReadyCell,
+    StartOutcome, TicketWish, Urgency, WorkAct, WorkSettings,
 };
 pub use placement::{ListedWorker, Placement};
 pub use start_rate::StartRate;
