gateway: a prefix with a slash at its end leaves the path without it alone

Cause: RouteTable::find and RouteEntry::new cut all slashes off the ends of paths and prefixes before comparing them. The checker of the simulator did the same, and one unit test expected it: `hosted` (/proof/) for the path /proof.

RouteTable::find alone gives the wrong route, so neither the adapter nor a permit or connection is at fault.

Change: PathPrefix says what a prefix takes. /proof/ takes what begins with it; /proof takes itself and all below it, as before. The adapter is unchanged. The wrong expectation of the unit test is replaced by three (the path without the slash is the shorter prefix's, with it and below it the longer one's), and random tables are compared with a comparison of whole strings. The checker has a comparison of its own.

Why it works: a candidate directory is now always followed by a slash in the path, unless the prefix has none.

--- a/packages/configuration_schema/src/lib.rs
+++ b/packages/configuration_schema/src/lib.rs
@@ -9,6 +9,7 @@
 mod changes;
 mod delta;
 mod function_targets;
+mod path_prefix;
 mod schema_reasons;
 mod tenant_checks;
 
@@ -17,6 +18,7 @@
 pub use changes::{Change, ChangeOutcome, EXPECTED_VERSION, StoredConfiguration};
 pub use delta::{ChangedAnnotations, ChangedFunctions, ChangedLimits, ConfigurationDelta};
 pub use function_targets::FunctionTargets;
+pub use path_prefix::PathPrefix;
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -142,7 +144,8 @@
         #[serde(default, skip_serializing_if = "Vec::is_empty")] split: Vec<RouteShare>,
         /// The only host that it applies to; any host if none is named.
         #[serde(default)] host: Option<String>,
-        /// Matched at whole path segments; the longest prefix wins.
+        /// Matched at whole path segments; the longest prefix wins. With a slash at its end, it does not take the path
+        /// without that slash.
         path_prefix: String,
         /// The methods that it applies to; all if empty.
         #[serde(default)] methods: Vec<String>,
--- a/packages/fleet_simulator/src/route_scenarios.rs
+++ b/packages/fleet_simulator/src/route_scenarios.rs
@@ -134,3 +134,31 @@
     restore_all(&mut trial);
     trial.verdict()
 }
+
+/// A route below another route's prefix is added, moved and removed. Calls whose path equals the inner prefix without
+/// its last slash belong to the outer route all the time.
+pub(crate) fn lane_below_another(seed: u64) -> Verdict {
+    const CALLED: [&str; 4] = ["busy-1/part", "busy-1/part/", "busy-1/part/one", "busy-1/parts"];
+    let mut trial = Trial::default(seed);
+    trial.simulation.call_rate = 40.0;
+    let mut rng = Rng::with_seed(seed ^ 0xbe10);
+    for round in 0..8 {
+        let change_id = format!("below-{round}");
+        let inner = match rng.u8(..4) {
+            0 => Value::Null,
+            _ => json!({"function": rng.choice(["busy-2", "busy-3"]), "path_prefix": "/busy-1/part/"}),
+        };
+        let mut partial = json!({"lanes": {"below": inner}});
+        trial.simulation.put_marker(&mut partial, &change_id);
+        trial.simulation.change(rng.usize(..10), &change_id, None, Some(partial));
+        for _ in 0..15 {
+            for path in CALLED {
+                trial.simulation.send_call(rng.usize(..10), path, 0);
+            }
+            trial.simulation.run_for(0.1);
+        }
+        trial.require_propagated();
+    }
+    trial.require_settled();
+    trial.verdict()
+}
--- a/packages/fleet_simulator/src/scenarios.rs
+++ b/packages/fleet_simulator/src/scenarios.rs
@@ -23,7 +23,9 @@
 use crate::quota_scenarios::{
     allowances_contended, allowances_moved, lone_start_beside_hunger, uncalled_functions_yield,
 };
-use crate::route_scenarios::{functions_taken_out, lanes_moved, lanes_moved_while_nodes_sleep};
+use crate::route_scenarios::{
+    functions_taken_out, lane_below_another, lanes_moved, lanes_moved_while_nodes_sleep,
+};
 use crate::stop_scenarios::stops_together;
 use crate::usage_scenarios::{
     usage_answers_lost, usage_clocks_stepped, usage_collector_frozen, usage_collector_killed, usage_cut,
@@ -103,6 +105,7 @@
     cut_in_a_crowd,
     lanes_moved,
     lanes_moved_while_nodes_sleep,
+    lane_below_another,
     functions_taken_out,
     disk_full_and_room_again,
     two_disks_full,
--- a/packages/fleet_simulator/tests/scenarios.rs
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -86,6 +86,8 @@
     lanes_moved: (1..=20).chain([33, 43]);
     // 28: a node that had been isolated used its routes before it received newer ones.
     lanes_moved_while_nodes_sleep: (1..=20).chain([28]);
+    // 1: calls to a path that equals a prefix without its last slash went to that prefix's function.
+    lane_below_another: 1..=20;
     // 1: two nodes stopped instances of one removed function, both under fence 0.
     functions_taken_out: 1..=20;
     disk_full_and_room_again: 1..=20;
--- a/packages/gateway/src/route_table.rs
+++ b/packages/gateway/src/route_table.rs
@@ -1,5 +1,5 @@
 use configuration_schema::{
-    ApiKey, ClientLimits, Configuration, ConfigurationDelta, Function, Route, Tenant,
+    ApiKey, ClientLimits, Configuration, ConfigurationDelta, Function, PathPrefix, Route, Tenant,
 };
 use imbl::HashMap;
 use monotonic_clock::Micros;
@@ -28,7 +28,8 @@
     pub timeout: Micros,
     host: Option<String>,
     methods: Vec<String>,
-    prefix: String,
+    directory: String,
+    takes_directory: bool,
 }
 
 impl RouteEntry {
@@ -55,6 +56,7 @@
 impl RouteEntry {
     fn new(name: &str, route: &Route) -> RouteEntry {
         let shares = route.shares();
+        let prefix = PathPrefix::of(&route.path_prefix);
         RouteEntry {
             name: name.to_owned(),
             function: shares.first().map_or_else(String::new, |(function, _)| (*function).to_owned()),
@@ -70,14 +72,21 @@
             timeout: Micros::from_millis(route.timeout_millis),
             host: route.host.clone(),
             methods: route.methods.clone(),
-            prefix: route.path_prefix.trim_end_matches('/').to_owned(),
+            directory: prefix.directory.to_owned(),
+            takes_directory: prefix.takes_directory,
         }
     }
 
-    /// Sort key within a prefix: the more specific route comes first, one with a host, then one with methods.
+    /// Sort key within a directory: the more specific route comes first, one with a host, then one with methods.
     fn precedence(&self) -> (bool, bool, &str) {
         (self.host.is_none(), self.methods.is_empty(), &self.name)
     }
+
+    /// Whether the route's host and methods admit a call. The host has no port and is in lower case.
+    fn admits(&self, method: &str, host_name: Option<&str>) -> bool {
+        (self.host.is_none() || self.host.as_deref() == host_name)
+            && (self.methods.is_empty() || self.methods.iter().any(|named| named == method))
+    }
 }
 
 /// A tenant as calls are matched to it by their API keys. Example: `table.tenant_of("k1").unwrap().name`.
@@ -97,7 +106,7 @@
     calls_at_once: u32,
 }
 
-/// All routes of one configuration generation, by path prefix. Its maps are persistent: the table of the next
+/// All routes of one configuration generation, by the directory of their path prefix. Its maps are persistent: the table of the next
 /// generation shares everything unchanged with this one. Example: `RouteTable::new(4, &configuration)`.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RouteTable {
@@ -106,9 +115,9 @@
     /// Limits on clients, as far as the configuration sets them.
     pub client_limits: Option<ClientLimits>,
     instance_limits: HashMap<String, InstanceLimits>,
-    by_prefix: HashMap<String, Arc<Vec<RouteEntry>>>,
-    /// The prefix of each route.
-    prefixes: HashMap<String, String>,
+    by_directory: HashMap<String, Arc<Vec<RouteEntry>>>,
+    /// The directory of each route.
+    directories: HashMap<String, String>,
     /// Whether calls on routes that are not public need a key.
     needs_keys: bool,
     tenants_by_key: HashMap<ApiKey, TenantEntry>,
@@ -186,19 +195,19 @@
 
     fn put_route(&mut self, name: &str, route: &Route) {
         let entry = RouteEntry::new(name, route);
-        self.prefixes.insert(name.to_owned(), entry.prefix.clone());
-        let entries = self.by_prefix.entry(entry.prefix.clone()).or_default();
+        self.directories.insert(name.to_owned(), entry.directory.clone());
+        let entries = self.by_directory.entry(entry.directory.clone()).or_default();
         let entries = Arc::make_mut(entries);
         let index = entries.partition_point(|other| other.precedence() < entry.precedence());
         entries.insert(index, entry);
     }
 
     fn remove_route(&mut self, name: &str) {
-        let Some(prefix) = self.prefixes.remove(name) else { return };
-        let Some(entries) = self.by_prefix.get_mut(&prefix) else { return };
+        let Some(directory) = self.directories.remove(name) else { return };
+        let Some(entries) = self.by_directory.get_mut(&directory) else { return };
         Arc::make_mut(entries).retain(|entry| entry.name != name);
         if entries.is_empty() {
-            self.by_prefix.remove(&prefix);
+            self.by_directory.remove(&directory);
         }
     }
 
@@ -241,32 +250,29 @@
     }
 
     /// The route for a call: the longest prefix of whole path segments wins.
-    /// Example: `/proof` matches `/proof` and `/proof/1`, not `/proofs`.
+    /// Example: `/proof` matches `/proof` and `/proof/1`, not `/proofs`; `/proof/` matches `/proof/1`, not `/proof`.
     pub fn find(&self, method: &str, host: Option<&str>, path: &str) -> Option<&RouteEntry> {
         // An instance could resolve a path with `.` or `..` segments to another path: it matches no route.
         if path.split('/').any(|segment| segment == ".." || segment == ".") {
             return None;
         }
         let host_name = host.map(|named| named.split(':').next().unwrap_or(named).to_ascii_lowercase());
-        let mut prefix = path.trim_end_matches('/');
-        loop {
-            let matching = self.by_prefix.get(prefix).and_then(|entries| {
-                entries.iter().find(|entry| {
-                    (entry.host.is_none() || entry.host == host_name)
-                        && (entry.methods.is_empty() || entry.methods.iter().any(|named| named == method))
-                })
-            });
-            if matching.is_some() {
-                return matching;
-            }
-            let cut_at = prefix.rfind('/')?;
-            prefix = &prefix[..cut_at];
-        }
+        let admits = |entry: &RouteEntry| entry.admits(method, host_name.as_deref());
+        let exact = self.first_in(path, |entry| entry.takes_directory && admits(entry));
+        exact.or_else(|| {
+            let mut directories = path.rmatch_indices('/').map(|(end, _)| &path[..end]);
+            directories.find_map(|directory| self.first_in(directory, admits))
+        })
+    }
+
+    /// The most specific route of a directory that matches.
+    fn first_in(&self, directory: &str, is_match: impl Fn(&RouteEntry) -> bool) -> Option<&RouteEntry> {
+        self.by_directory.get(directory)?.iter().find(|entry| is_match(entry))
     }
 
     /// The number of routes. Example: `table.count() == 158`.
     pub fn count(&self) -> usize {
-        self.prefixes.len()
+        self.directories.len()
     }
 }
 
--- a/packages/gateway/src/route_table/tests.rs
+++ b/packages/gateway/src/route_table/tests.rs
@@ -16,13 +16,75 @@
     let name = |method, host, path| table.find(method, host, path).map(|route| route.name.as_str());
     assert_eq!(name("GET", None, "/proof/1"), Some("proof"));
     assert_eq!(name("POST", None, "/proof"), Some("posted"));
-    assert_eq!(name("POST", Some("RUSH.example:80"), "/proof"), Some("hosted"));
+    assert_eq!(name("POST", Some("RUSH.example:80"), "/proof"), Some("posted"));
+    assert_eq!(name("POST", Some("RUSH.example:80"), "/proof/"), Some("hosted"));
+    assert_eq!(name("POST", Some("RUSH.example:80"), "/proof/1"), Some("hosted"));
     assert_eq!(name("GET", None, "/proof/rush/now"), Some("deep"));
     assert_eq!(name("GET", None, "/proofs"), Some("root"));
     assert_eq!(name("GET", None, "/proof/../admin"), None);
     assert_eq!(RouteTable::default().find("GET", None, "/"), None);
 }
 
+/// A random path of up to three segments, of which some are empty; it ends with a slash or without one.
+fn random_path(rng: &mut fastrand::Rng) -> String {
+    let segments = ["a", "b", "ab", ""];
+    let path: String =
+        (0..rng.u8(..4)).map(|_| format!("/{}", segments[rng.usize(..segments.len())])).collect();
+    if path.is_empty() || rng.bool() { format!("{path}/") } else { path }
+}
+
+/// Whether a prefix takes a path, by comparing whole strings.
+fn takes(path_prefix: &str, path: &str) -> bool {
+    if path_prefix.ends_with('/') {
+        return path.starts_with(path_prefix);
+    }
+    path == path_prefix || path.starts_with(&format!("{path_prefix}/"))
+}
+
+/// The name of the route that a call has to get: the longest prefix, then the more specific route.
+fn expected_route(
+    configuration: &Configuration,
+    method: &str,
+    host: Option<&str>,
+    path: &str,
+) -> Option<String> {
+    let is_matching = |route: &Route| {
+        takes(&route.path_prefix, path)
+            && (route.host.is_none() || route.host.as_deref() == host)
+            && (route.methods.is_empty() || route.methods.iter().any(|named| named == method))
+    };
+    let matching = configuration.routes.iter().filter(|(_, route)| is_matching(route));
+    let first = matching.min_by_key(|(name, route)| {
+        let directory = route.path_prefix.strip_suffix('/').unwrap_or(&route.path_prefix);
+        let longest_first = std::cmp::Reverse(directory.len());
+        (longest_first, route.host.is_none(), route.methods.is_empty(), (*name).clone())
+    });
+    first.map(|(name, _)| name.clone())
+}
+
+/// Guards against violations of ROUTE: a path that equals a prefix without its last slash went to that prefix's
+/// route, which does not take it.
+#[test]
+fn calls_go_to_the_longest_prefix_that_takes_the_whole_path() {
+    for seed in 0..40 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut configuration = Configuration::empty();
+        for number in 0..rng.u8(1..12) {
+            let route = Route { path_prefix: random_path(&mut rng), ..random_route(&mut rng) };
+            configuration.routes.insert(format!("lane-{number}"), route);
+        }
+        let table = RouteTable::new(1, &configuration);
+        for _ in 0..200 {
+            let path = random_path(&mut rng);
+            let host = rng.bool().then(|| format!("host-{}.example", rng.u8(..3)));
+            let method = if rng.bool() { "POST" } else { "GET" };
+            let found = table.find(method, host.as_deref(), &path).map(|route| route.name.clone());
+            let expected = expected_route(&configuration, method, host.as_deref(), &path);
+            assert_eq!(found, expected, "seed {seed}: {method} {host:?} {path} in {configuration:?}");
+        }
+    }
+}
+
 /// A random route; many share a prefix and differ by host, methods or target.
 fn random_route(rng: &mut fastrand::Rng) -> Route {
     let host = rng.bool().then(|| format!("host-{}.example", rng.u8(..3)));
--- a/packages/history_checker/src/checkers.rs
+++ b/packages/history_checker/src/checkers.rs
@@ -164,15 +164,12 @@
     routes: BTreeMap<String, String>,
 }
 
-/// The function that a path is routed to: the longest prefix of whole segments wins.
+/// The function that a path is routed to: the longest prefix of whole segments wins. A prefix with a slash at its
+/// end does not take the path without that slash.
 fn route_of<'routes>(routes: &'routes BTreeMap<String, String>, path: &str) -> Option<&'routes str> {
-    let mut prefix = path.trim_end_matches('/');
-    loop {
-        if let Some(function) = routes.get(prefix) {
-            return Some(function);
-        }
-        prefix = &prefix[..prefix.rfind('/')?];
-    }
+    let below = path.rmatch_indices('/').flat_map(|(slash, _)| [&path[..=slash], &path[..slash]]);
+    let mut prefixes = std::iter::once(path).chain(below);
+    prefixes.find_map(|prefix| routes.get(prefix).map(String::as_str))
 }
 
 /// Routes are valid from when the first node has them until `apply_within` after the acknowledgement of a
--- a/packages/history_checker/src/checkers/tests.rs
+++ b/packages/history_checker/src/checkers/tests.rs
@@ -68,6 +68,27 @@
     check_all(&lines, &CheckSettings::default()).into_iter().map(|violation| violation.rule).collect()
 }
 
+/// Guards against a checker that shares the gateway's mistake: it took a path without its last slash for one that the
+/// longer prefix takes, so no scenario could show that such calls went to the wrong function.
+#[test]
+fn a_path_without_the_last_slash_belongs_to_the_shorter_prefix() {
+    let routes = [("/proof/", "proof"), ("/proof/rush/", "rush"), ("/whole", "whole")]
+        .map(|(prefix, function)| (prefix.to_owned(), function.to_owned()));
+    let routes = BTreeMap::from(routes);
+    for (path, function) in [
+        ("/proof/rush", Some("proof")),
+        ("/proof/rush/", Some("rush")),
+        ("/proof/rush/1", Some("rush")),
+        ("/proof/rushes", Some("proof")),
+        ("/proof", None),
+        ("/whole", Some("whole")),
+        ("/whole/", Some("whole")),
+        ("/wholes", None),
+    ] {
+        assert_eq!(route_of(&routes, path), function, "{path}");
+    }
+}
+
 #[test]
 fn every_checker_catches_its_planted_violation_and_no_other_fires() {
     assert_eq!(rules(Vec::new()), BTreeSet::new());
--- a/packages/vanelane/tests/one_node.rs
+++ b/packages/vanelane/tests/one_node.rs
@@ -2,7 +2,7 @@
 
 mod running_node;
 
-use history_checker::{CheckSettings, History, check_all};
+use history_checker::{CheckSettings, History, Line, check_all};
 use running_node::*;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -128,6 +128,34 @@
     assert_eq!(node.child.wait().expect("ended").code(), Some(0));
 }
 
+/// Guards against violations of ROUTE on real sockets: after a route was added below another one, calls to its prefix
+/// without the last slash ran on instances of the added route's function.
+#[test]
+fn a_route_added_below_another_leaves_the_path_without_its_last_slash() {
+    const ADDED: &str = r#"{"change_id": "below", "partial": {"lanes":
+        {"below": {"function": "again", "path_prefix": "/proof/rush/", "patience_millis": 20000}}}}"#;
+    let history = Arc::new(History::default());
+    let platform = platform(&history);
+    let node = start_node("below", platform.address());
+    for lines in [WHOLE, ADDED] {
+        let outcome = change(&node, &format!("{}\n", lines.replace('\n', " ")));
+        assert!(outcome.contains("\"outcome\":\"accepted\""), "{outcome}");
+    }
+    let calls = [("edge", "/proof/rush"), ("inside", "/proof/rush/1"), ("beside", "/proof/rushes")];
+    for (id, path) in calls {
+        let (status, text) = call(&node, path, &format!("x-call-id: {id}\r\n"), "x");
+        assert_eq!(status, 200, "{path}: {text}");
+    }
+    let lines = history.lines();
+    let function_of = |id: &str| {
+        lines.iter().find_map(|line| match line {
+            Line::InstanceReceivedCall { call, function, .. } if call == id => Some(function.as_str()),
+            _ => None,
+        })
+    };
+    assert_eq!(calls.map(|(id, _)| function_of(id)), [Some("proof"), Some("again"), Some("proof")]);
+}
+
 /// A file size limit simulates a full disk; the test lifts it with `prlimit`.
 #[test]
 fn full_disk_acknowledges_nothing_and_recovers_without_a_restart() {
