configuration_schema: accept prefixes that differ by more than one slash at their end

Change: it compares directories (PathPrefix), as the route table does. /a beside /a/ is refused as before.

Measured: prefixes_that_take_different_paths_are_no_twins failed before at "/proof/ beside /proof//" and passes now, as do all tests of configuration_schema and platform_adapter.

--- a/packages/configuration_schema/src/lib.rs
+++ b/packages/configuration_schema/src/lib.rs
@@ -379,13 +379,13 @@
         if !route.split.is_empty() && route.split.iter().map(|share| share.weight).sum::<f64>() <= 0.0 {
             reasons.push(Reason::at(format!("{place}/split"), "the weights add up to 0"));
         }
-        let trimmed_prefix = route.path_prefix.trim_end_matches('/');
+        let directory = PathPrefix::of(&route.path_prefix).directory;
         let methods: Vec<&str> = match route.methods.is_empty() {
             true => vec!["any"],
             false => route.methods.iter().map(String::as_str).collect(),
         };
         for method in methods {
-            let key = (route.host.as_deref(), trimmed_prefix, method);
+            let key = (route.host.as_deref(), directory, method);
             if let Some(other_name) = routes_by_match.insert(key, name) {
                 let reason = format!("lane {other_name} takes the same calls");
                 reasons.push(Reason::at(format!("{place}/path_prefix"), reason));
--- a/packages/configuration_schema/src/tests.rs
+++ b/packages/configuration_schema/src/tests.rs
@@ -45,6 +45,27 @@
     assert_eq!(paths(&invalid_floors), ["/allowances/all/memory_ceiling_mb"]);
 }
 
+/// Guards against a valid configuration that is refused: prefixes that differ by more than one slash at their end take
+/// different paths.
+#[test]
+fn prefixes_that_take_different_paths_are_no_twins() {
+    for (first, second, is_accepted) in [
+        ("/proof", "/proof/", false),
+        ("/proof/", "/proof/", false),
+        ("/", "/", false),
+        ("/proof/", "/proof//", true),
+        ("/proof", "/proof//", true),
+        ("/", "//", true),
+    ] {
+        let mut document = small_document();
+        document["lanes"] = json!({
+            "first": { "function": "proof", "path_prefix": first },
+            "second": { "function": "proof", "path_prefix": second }
+        });
+        assert_eq!(check(&document).is_ok(), is_accepted, "{first} beside {second}");
+    }
+}
+
 /// The small document with these tenants and their keys.
 fn document_of_tenants(tenants: &[(&str, &[&str])]) -> Value {
     let mut document = small_document();
