control_registers: one function reads the function's name from a leader record's key

Cause: record_polls.rs and record_relay.rs each cut the literal "steward/" off, which leader_key and is_leader_key name too.

Change: function_of_leader_key beside them, one constant for the prefix. Behaviour is unchanged.

--- a/packages/control_registers/src/lib.rs
+++ b/packages/control_registers/src/lib.rs
@@ -65,14 +65,23 @@
 /// The key of the decided usage reports and of the node that sends them.
 pub const USAGE_KEY: &str = "usage";
 
+/// What the keys of leader records begin with.
+const LEADER_KEY_PREFIX: &str = "steward/";
+
 /// The key of a function's leader record. Example: `leader_key("proof") == "steward/proof"`.
 pub fn leader_key(function: &str) -> String {
-    format!("steward/{function}")
+    format!("{LEADER_KEY_PREFIX}{function}")
 }
 
 /// Whether a key is that of a leader record. Example: `is_leader_key("steward/proof")`.
 pub fn is_leader_key(key: &str) -> bool {
-    key.starts_with("steward/")
+    key.starts_with(LEADER_KEY_PREFIX)
+}
+
+/// The function whose leader record has this key; none for other keys.
+/// Example: `function_of_leader_key("steward/proof") == Some("proof")`.
+pub fn function_of_leader_key(key: &str) -> Option<&str> {
+    key.strip_prefix(LEADER_KEY_PREFIX)
 }
 
 #[cfg(test)]
--- a/packages/node_protocol/src/control_store/record_polls.rs
+++ b/packages/node_protocol/src/control_store/record_polls.rs
@@ -2,7 +2,7 @@
 //! up to which each owner's changes were received.
 
 use crate::node::Node;
-use control_registers::{keys_digest, leader_key};
+use control_registers::{function_of_leader_key, keys_digest, leader_key};
 use peer_messages::{LeaderRecord, List, Message, NodeId, PolledRecord, RenewedRecord, Text};
 use std::collections::BTreeMap;
 
@@ -84,7 +84,7 @@
         let election = &mut self.leadership.election;
         let observed = &mut self.control.observed_records;
         for record in records {
-            if let Some(function) = record.key.0.strip_prefix("steward/") {
+            if let Some(function) = function_of_leader_key(&record.key.0) {
                 observed.observe(function, record.version, &record.value);
                 let leader = LeaderRecord::decode(&record.value);
                 election.observe(function, record.version, leader, now);
--- a/packages/node_protocol/src/control_store/record_relay.rs
+++ b/packages/node_protocol/src/control_store/record_relay.rs
@@ -8,7 +8,7 @@
 
 use super::record_polls::keys_of;
 use crate::node::Node;
-use control_registers::{keys_digest, leader_key};
+use control_registers::{function_of_leader_key, keys_digest, leader_key};
 use monotonic_clock::Micros;
 use peer_messages::{Bytes, LeaderRecord, List, Message, NodeId, PolledRecord, RenewedRecord};
 use std::collections::BTreeMap;
@@ -169,7 +169,7 @@
         self.control.polls.remove(&from);
         let election = &mut self.leadership.election;
         for record in records {
-            if let Some(function) = record.key.0.strip_prefix("steward/") {
+            if let Some(function) = function_of_leader_key(&record.key.0) {
                 let leader = LeaderRecord::decode(&record.value);
                 election.observe(function, record.version, leader, now);
             }
