fleet_simulator: settings of a large fleet stand in one place

Cause: docs/ROADMAP.md, "seen and left": disks, voters and link rates of large fleets stood in four files.

Change: SimulationSettings::large_fleet(); each scenario names only what differs. No random draw moves.

--- a/packages/fleet_simulator/src/bin/grown_loss.rs
+++ b/packages/fleet_simulator/src/bin/grown_loss.rs
@@ -2,7 +2,7 @@
 //! those with disks, are killed at once and start again after a second. For each second it prints how many
 //! functions have no leader, how many calls ran, and the messages a node sends, by kind.
 
-use fleet_simulator::{LinkRates, Processors, Simulation, SimulationSettings};
+use fleet_simulator::{Processors, Simulation, SimulationSettings};
 use std::collections::BTreeMap;
 
 const NODES: usize = 77;
@@ -14,13 +14,11 @@
     let settings = SimulationSettings {
         node_count: NODES,
         disks: DISKS,
-        bootstrap_disks: 5,
         busy: 30,
         rare: 1_000,
         workers: (40, 6_332),
         processors: Some(Processors { with_disk: 260, others: 62 }),
-        link_rates: Some(LinkRates { with_disk: 12.5e6, others: 250e3 }),
-        ..SimulationSettings::default()
+        ..SimulationSettings::large_fleet()
     };
     let mut simulation = Simulation::new(settings, 1);
     println!("founded and settled: {}", simulation.bootstrap());
--- a/packages/fleet_simulator/src/grown_scenarios.rs
+++ b/packages/fleet_simulator/src/grown_scenarios.rs
@@ -2,7 +2,7 @@
 //! kilobytes that operators read and change at any node.
 
 use crate::scenarios::{Trial, Verdict};
-use crate::{LinkRates, Simulation, SimulationSettings};
+use crate::{Simulation, SimulationSettings};
 use fastrand::Rng;
 use serde_json::{Value, json};
 
@@ -29,11 +29,9 @@
     SimulationSettings {
         node_count: NODES,
         disks: DISKS,
-        bootstrap_disks: 5,
         busy: 4,
         rare: 8,
-        link_rates: Some(LinkRates { with_disk: 12.5e6, others: 250e3 }),
-        ..SimulationSettings::default()
+        ..SimulationSettings::large_fleet()
     }
 }
 
--- a/packages/fleet_simulator/src/late_gossip_scenarios.rs
+++ b/packages/fleet_simulator/src/late_gossip_scenarios.rs
@@ -2,7 +2,7 @@
 //! must apply it in time.
 
 use crate::scenarios::{Trial, Verdict};
-use crate::{LinkRates, Simulation, SimulationSettings};
+use crate::{Simulation, SimulationSettings};
 use fastrand::Rng;
 use history_checker::Line;
 use serde_json::{Value, json};
@@ -24,11 +24,9 @@
     let settings = SimulationSettings {
         node_count: NODES,
         disks: DISKS,
-        bootstrap_disks: 5,
         busy: 4,
         rare: 8,
-        link_rates: Some(LinkRates { with_disk: 12.5e6, others: 250e3 }),
-        ..SimulationSettings::default()
+        ..SimulationSettings::large_fleet()
     };
     let mut trial = Trial::without_configuration(settings, seed);
     let is_ready = trial.simulation.run_until(20.0, Simulation::is_all_ready);
--- a/packages/fleet_simulator/src/processor_scenarios.rs
+++ b/packages/fleet_simulator/src/processor_scenarios.rs
@@ -1,8 +1,8 @@
 //! Fleets with limited processor time: small machines must not be saturated by control messages.
 
+use crate::SimulationSettings;
 use crate::processors::Processors;
 use crate::scenarios::{Trial, Verdict};
-use crate::{LinkRates, SimulationSettings};
 
 const DISKS: usize = 3;
 const SMALL_FLEET_NODES: usize = 12;
@@ -92,13 +92,11 @@
     let settings = SimulationSettings {
         node_count: LARGE_FLEET_NODES,
         disks: LARGE_FLEET_DISKS,
-        bootstrap_disks: 5,
         busy: 30,
         rare: 1_000,
         workers: (40, 6_332),
-        link_rates: Some(LinkRates { with_disk: 12.5e6, others: 250e3 }),
         processors: Some(PROCESSORS),
-        ..SimulationSettings::default()
+        ..SimulationSettings::large_fleet()
     };
     let mut trial = Trial::bootstrapped(settings, seed);
     trial.simulation.call_rate = 800.0;
--- a/packages/fleet_simulator/src/simulation/settings.rs
+++ b/packages/fleet_simulator/src/simulation/settings.rs
@@ -57,6 +57,20 @@
     pub usage: Option<SimUsage>,
 }
 
+impl SimulationSettings {
+    /// A large fleet: 77 nodes, eight of them with disks, and links of 100 Mbit/s for those and 2 Mbit/s for the
+    /// others. Example: `SimulationSettings { busy: 30, ..SimulationSettings::large_fleet() }`.
+    pub fn large_fleet() -> SimulationSettings {
+        SimulationSettings {
+            node_count: 77,
+            disks: 8,
+            bootstrap_disks: 5,
+            link_rates: Some(LinkRates { with_disk: 12.5e6, others: 250e3 }),
+            ..SimulationSettings::default()
+        }
+    }
+}
+
 impl Default for SimulationSettings {
     fn default() -> SimulationSettings {
         SimulationSettings {
