--- a/packages/control_registers/src/key_owner.rs
+++ b/packages/control_registers/src/key_owner.rs
@@ -6,6 +6,7 @@
     StoreEntry, StoredEntry, Text, WriteEntry, WriteOutcome, stable_hash, value_digest,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
 /// The write was stored on a majority.
@@ -125,6 +126,22 @@
     replaced_at: u64,
 }
 
+/// How often keys were acquired and lost, for metrics. Example: `owner.counts().deposed`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnerCounts {
+    /// Acquisitions begun.
+    pub acquired: u64,
+    /// Keys lost because a disk had promised a higher epoch.
+    pub deposed: u64,
+    /// Keys given up because no quorum of the disks responded in time.
+    pub abandoned: u64,
+}
+
+/// States that differ only in their counts are the same state to the model checker.
+impl Hash for OwnerCounts {
+    fn hash<H: Hasher>(&self, _: &mut H) {}
+}
+
 /// The keys that one node owns. Example: `KeyOwner::new(7)` owns nothing until the first request.
 #[derive(Clone, Debug, Hash)]
 pub struct KeyOwner {
@@ -138,6 +155,7 @@
     /// Rises with each change of an owned record, and never falls during the lifetime of this process.
     change_count: u64,
     key_sets: VecDeque<(u64, Arc<[Text]>)>,
+    counts: OwnerCounts,
 }
 
 impl KeyOwner {
@@ -153,9 +171,15 @@
             group_due: None,
             change_count: 0,
             key_sets: VecDeque::new(),
+            counts: OwnerCounts::default(),
         }
     }
 
+    /// How often keys were acquired and lost. Example: `owner.counts().acquired == 0` at the start.
+    pub fn counts(&self) -> OwnerCounts {
+        self.counts
+    }
+
     /// Sets the voter set; a newer one makes every key start again under a higher epoch.
     /// Example: `owner.adopt_set(registers.chosen())`.
     pub fn adopt_set(&mut self, known_set: &ChosenSet) {
@@ -228,6 +252,7 @@
             return;
         }
         self.highest_counter += 1;
+        self.counts.acquired += 1;
         let owned_key = OwnedKey {
             epoch: Epoch { counter: self.highest_counter, owner: self.own },
             state: KeyState::Acquiring {
@@ -316,6 +341,7 @@
             let KeyState::Acquiring { promised, newest, .. } = &mut owned_key.state else { continue };
             if entry.granted == 0 {
                 if entry.promised.rank() > owned_key.epoch.rank() {
+                    self.counts.deposed += 1;
                     self.reacquire(&key, now);
                 }
                 continue;
@@ -391,6 +417,7 @@
             let Some(open_attempt) = attempt else { continue };
             if entry.granted == 0 {
                 if entry.promised.rank() > owned_key.epoch.rank() {
+                    self.counts.deposed += 1;
                     self.release(&key);
                 }
                 continue;
@@ -571,6 +598,7 @@
             .map(|(key, _)| key.clone())
             .collect();
         for key in stuck_keys {
+            self.counts.abandoned += 1;
             self.release(&key);
         }
     }
--- a/packages/control_registers/src/lib.rs
+++ b/packages/control_registers/src/lib.rs
@@ -53,9 +53,10 @@
 pub use chosen_set::{ChosenSet, ProposedSet};
 pub use disk_registers::DiskRegisters;
 pub use key_owner::{
-    AS_KNOWN, DIFFERS, KeyOwner, NOT_OWNER, OwnerAction, PollResponse, UNKNOWN, WRITTEN, keys_digest,
+    AS_KNOWN, DIFFERS, KeyOwner, NOT_OWNER, OwnerAction, OwnerCounts, PollResponse, UNKNOWN, WRITTEN,
+    keys_digest,
 };
-pub use set_copy::SetCopy;
+pub use set_copy::{CopyProgress, SetCopy};
 pub use voter_set::VoterSet;
 
 /// The key of the voter set, which says which disks vote.
--- a/packages/control_registers/src/set_copy.rs
+++ b/packages/control_registers/src/set_copy.rs
@@ -20,6 +20,17 @@
     copied: BTreeSet<String>,
 }
 
+/// How far a copy is, for metrics. Example: `copy.progress().disks_listed`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CopyProgress {
+    /// Disks that listed their keys.
+    pub disks_listed: usize,
+    /// Keys that these disks listed.
+    pub keys_known: usize,
+    /// Keys that were stored again.
+    pub keys_copied: usize,
+}
+
 impl SetCopy {
     /// A copy with nothing listed or copied yet. Example: `!SetCopy::new(joint_set).is_done()`.
     pub fn new(joint_set: ChosenSet) -> SetCopy {
@@ -79,6 +90,16 @@
         }
     }
 
+    /// How many disks listed their keys, how many keys these lists name, and how many of those are copied.
+    /// Example: `copy.progress().keys_copied <= copy.progress().keys_known`.
+    pub fn progress(&self) -> CopyProgress {
+        CopyProgress {
+            disks_listed: self.listed.len(),
+            keys_known: self.known.len(),
+            keys_copied: self.copied.len(),
+        }
+    }
+
     /// Whether the successor may be written. Example: `copy.is_done()`.
     pub fn is_done(&self) -> bool {
         self.joint_set.quorum(&self.listed) && self.known.is_subset(&self.copied)
--- a/packages/node_protocol/src/control_store.rs
+++ b/packages/node_protocol/src/control_store.rs
@@ -20,7 +20,7 @@
 
 use crate::node::Node;
 use crate::voter_replacement::DiskObservations;
-use control_registers::{ChosenSet, DiskRegisters, KeyOwner, SetCopy, VoterSet};
+use control_registers::{ChosenSet, CopyProgress, DiskRegisters, KeyOwner, OwnerCounts, SetCopy, VoterSet};
 use disk::Disk;
 use monotonic_clock::{Micros, Ticker};
 use owner_responses::OWNS_NO_KEYS;
@@ -55,6 +55,7 @@
     owner: KeyOwner,
     /// The newest chosen voter set known to this node; all its decisions use it.
     set: ChosenSet,
+    set_adopted_at: Micros,
     /// Writes and confirmed reads that await a response, by request id.
     attempts: BTreeMap<u64, WriteAttempt>,
     /// Owners that did not respond in time, and until when they are skipped.
@@ -81,6 +82,7 @@
             replaces_damaged: false,
             owner: KeyOwner::new(own),
             set: ChosenSet::default(),
+            set_adopted_at: Micros(0),
             attempts: BTreeMap::new(),
             suspected: BTreeMap::new(),
             polls: BTreeMap::new(),
@@ -107,6 +109,27 @@
     pub(crate) fn owned_count(&self) -> usize {
         self.owner.owned_count()
     }
+
+    pub(crate) fn owner_counts(&self) -> OwnerCounts {
+        self.owner.counts()
+    }
+
+    /// The change of the voter set under way as seen by this node; `None` without a change.
+    pub(crate) fn voter_change(&self, now: Micros) -> Option<VoterChange> {
+        (!self.set.joining.0.is_empty()).then(|| VoterChange {
+            known_for: now - self.set_adopted_at,
+            progress: self.copy.as_ref().map(SetCopy::progress),
+        })
+    }
+}
+
+/// A change of the voter set that is under way. Example: `node.status(now).voter_change`.
+#[derive(Clone, Copy, Debug)]
+pub struct VoterChange {
+    /// The time since this node learned of the joint set.
+    pub known_for: Micros,
+    /// How far the copy of the keys is, on the node that performs it.
+    pub progress: Option<CopyProgress>,
 }
 
 impl Node {
--- a/packages/node_protocol/src/control_store/current_set.rs
+++ b/packages/node_protocol/src/control_store/current_set.rs
@@ -53,6 +53,7 @@
 
     fn adopt_set(&mut self, next_set: &ChosenSet) {
         self.control.set = next_set.clone();
+        self.control.set_adopted_at = self.now;
         self.control.copy = None;
         self.control.owner.adopt_set(next_set);
         self.decision_log.append(
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -17,6 +17,7 @@
 mod voter_replacement;
 mod zones;
 
+pub use control_store::VoterChange;
 pub use decision_log::DecisionLog;
 pub use node::{Node, NodeCounts, NodeStatus};
 pub use permit_ledger::{PermitAdmission, PermitLedger};
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -1,12 +1,12 @@
 use crate::call_admission::CallAdmission;
 use crate::configuration_sync::ConfigurationSync;
-use crate::control_store::ControlStore;
+use crate::control_store::{ControlStore, VoterChange};
 use crate::decision_log::DecisionLog;
 use crate::function_leadership::FunctionLeadership;
 use crate::usage_reporting::UsageReporting;
 use crate::zones::Zones;
 use crate::{Action, Event, NodeSettings, Policy};
-use control_registers::{DiskRegisters, VoterSet};
+use control_registers::{DiskRegisters, OwnerCounts, VoterSet};
 use fastrand::Rng;
 use gossip::Gossip;
 use membership::{MemberChange, Members};
@@ -66,6 +66,12 @@
     pub disk_fault: Option<String>,
     /// The number of register keys that this node owns.
     pub owned_keys: usize,
+    /// How often this node acquired and lost keys.
+    pub owner_counts: OwnerCounts,
+    /// The generation of the voter set in force at this node.
+    pub voter_set_generation: u64,
+    /// The change of the voter set under way; `None` without one.
+    pub voter_change: Option<VoterChange>,
     /// The time since a majority last confirmed the configuration to this node; `None` before the first time.
     pub majority_read_age: Option<Micros>,
     /// The time since this node learned of a configuration generation newer than its own; `None` if it knows
@@ -579,6 +585,9 @@
             voters: self.control.voters().disks.0.clone(),
             disk_fault: self.control.disk_fault().map(str::to_owned),
             owned_keys: self.control.owned_count(),
+            owner_counts: self.control.owner_counts(),
+            voter_set_generation: self.control.voters().generation,
+            voter_change: self.control.voter_change(now),
             majority_read_age: self.configuration.majority_read_age(now),
             newer_awaited_for: self
                 .gossip
--- a/packages/vanelane/src/control_pages.rs
+++ b/packages/vanelane/src/control_pages.rs
@@ -260,6 +260,16 @@
         line("functions_without_steward", status.unheld as u64);
         line("disk_unusable", u64::from(status.disk_fault.is_some()));
         line("owned_keys", status.owned_keys as u64);
+        line("keys_acquired", status.owner_counts.acquired);
+        line("keys_deposed", status.owner_counts.deposed);
+        line("keys_abandoned", status.owner_counts.abandoned);
+        line("voter_set_generation", status.voter_set_generation);
+        line("voter_change_millis", status.voter_change.map_or(0, |change| change.known_for.millis()));
+        if let Some(progress) = status.voter_change.and_then(|change| change.progress) {
+            line("voter_change_disks_listed", progress.disks_listed as u64);
+            line("voter_change_keys_known", progress.keys_known as u64);
+            line("voter_change_keys_copied", progress.keys_copied as u64);
+        }
         if let Some(age) = status.majority_read_age {
             line("majority_read_age_millis", age.millis());
         }
