A change of the voter set asks each key's owner to copy it, and takes no key away

Cause: livelock of rival owners. Before a joint set may be succeeded, every key must be stored again under it. The owner of the voter set did this by reading, and so acquiring, all 1,031 keys itself; their own owners took them back with the next renewal, each time under a higher epoch, and the copier began again. On machines that need half a second for that, nothing was ever copied: real processes showed 1,031 keys known and 0 copied after 46 s, with 4,046 keys lost to rivals at the copier. Each further lost disk then came on top of the earlier ones, until no majority of the old set was left: whatever was acknowledged stays on a minority.

Change: the copier requests the reads from the keys' owners, in one message for each owner (ReadsConfirmed, new), once a quorum of the disks has listed its keys. These disks refuse owners under older sets from then on, so a read that is confirmed later is stored under the joint set, whoever confirms it. A copy also goes on where it was when its node is taken for the owner again.

The model reads the keys for a copy at another machine now, which may go by an older set: its searches and walks hold.

--- a/packages/control_model/src/fleet.rs
+++ b/packages/control_model/src/fleet.rs
@@ -576,12 +576,19 @@
             let message = Message::KeysRequest { fleet_set: set.digest() };
             self.packets.push(Arc::new(Packet::new(Receiver::Disk(disk), from, message)));
         }
+        let owner = self.copied_keys_owner(machine);
         for key in due_keys {
-            self.request_read(machine, &key, Purpose::Copy { generation: set.generation })?;
+            self.request_read(owner, &key, Purpose::Copy { generation: set.generation, copier: from })?;
         }
         Ok(())
     }
 
+    /// The machine that reads the keys for a copy: another one that may own keys, perhaps by an older set.
+    fn copied_keys_owner(&self, copier: usize) -> usize {
+        let others = (copier + 1..self.machines.len()).chain(0..copier);
+        others.into_iter().find(|other| self.machines[*other].may_own()).unwrap_or(copier)
+    }
+
     fn new_request(&mut self, machine: usize, key: &str, value: Bytes, purpose: Purpose) -> u64 {
         let begun: Mark = self.history.acknowledged_mark(key);
         let own = self.machine(machine);
@@ -623,11 +630,10 @@
         if is_reported {
             own.known.insert(request.key.clone(), (outcome.version, value.clone()));
         }
-        if let (Purpose::Copy { generation }, Some(copy)) = (&request.purpose, &mut own.copy)
-            && copy.generation() == *generation
-        {
-            copy.record_read(&request.key, outcome.outcome == WRITTEN);
+        if let Purpose::Copy { generation, copier } = request.purpose {
+            self.record_copy(copier, generation, &request.key, outcome.outcome == WRITTEN);
         }
+        let own = self.machine(machine);
         if outcome.outcome == WRITTEN {
             let acknowledged = Acknowledged {
                 key: &request.key,
@@ -653,6 +659,14 @@
         self.handle_change_response(machine, &request, outcome.outcome)
     }
 
+    fn record_copy(&mut self, copier: u64, generation: u64, key: &str, is_copied: bool) {
+        let Some(copier) = self.machines.iter().position(|machine| machine.process == copier) else { return };
+        let copy = self.machine(copier).copy.as_mut().filter(|copy| copy.generation() == generation);
+        if let Some(copy) = copy {
+            copy.record_read(key, is_copied);
+        }
+    }
+
     fn handle_change_response(
         &mut self,
         machine: usize,
--- a/packages/control_model/src/machine.rs
+++ b/packages/control_model/src/machine.rs
@@ -62,8 +62,10 @@
         generation: u64,
         tries: u8,
     },
+    /// A read for the copy that another process, or this one, performs under the joint set of this generation.
     Copy {
         generation: u64,
+        copier: u64,
     },
 }
 
--- a/packages/control_registers/src/set_copy.rs
+++ b/packages/control_registers/src/set_copy.rs
@@ -8,6 +8,10 @@
 /// The copying that must be complete before the successor of a joint set is written: every key that a quorum
 /// of the disks knows is stored again under the joint set, and so on majorities of both sets.
 ///
+/// The owner of each key stores it, by a confirmed read that is requested once a quorum has listed its keys. These
+/// disks refuse owners under older sets from then on, so no such read is confirmed under an older set, whichever node
+/// confirms it.
+///
 /// Example: `SetCopy::new(joint_set)`, then `due_lists`, `record_list`, `due_keys` and `record_read` until
 /// `is_done`.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -70,10 +74,13 @@
         self.known.extend(keys.into_iter().filter(|key| key != DISKS_KEY));
     }
 
-    /// The keys that are due for a confirmed read, which stores them again; at most `window` are open at a
-    /// time.
-    /// Example: `for key in copy.due_keys(256) { owner.read_confirmed(own, request, key, now) }`.
+    /// The keys that are due for a confirmed read by their owners, which stores them again; at most `window` are
+    /// open at a time, and none before a quorum listed its keys.
+    /// Example: `for key in copy.due_keys(256) { request_read(key) }`.
     pub fn due_keys(&mut self, window: usize) -> Vec<String> {
+        if !self.joint_set.quorum(&self.listed) {
+            return Vec::new();
+        }
         let room = window.saturating_sub(self.requested.len());
         let is_due = |key: &&String| !self.copied.contains(*key) && !self.requested.contains(*key);
         let due_keys: Vec<String> = self.known.iter().filter(is_due).take(room).cloned().collect();
--- a/packages/control_registers/src/tests.rs
+++ b/packages/control_registers/src/tests.rs
@@ -504,6 +504,20 @@
     assert!(copy.is_done());
 }
 
+/// Guards against: another node confirms a key under the previous set, and the read counts as a copy.
+#[test]
+fn no_key_is_due_before_a_quorum_refuses_the_previous_set() {
+    let joint_set = VoterSet::bootstrap(&[1, 2, 3]).begin_change(3, 9).expect("no change under way");
+    let chosen_joint = ChosenSet::received(&joint_set.encode()).expect("a set");
+    let mut copy = SetCopy::new(chosen_joint.clone());
+    for disk in [1, 9] {
+        copy.record_list(disk, chosen_joint.digest(), ["steward/a".to_owned()]);
+        assert!(copy.due_keys(256).is_empty(), "disks 2 and 3 may still store under the previous set");
+    }
+    copy.record_list(2, chosen_joint.digest(), []);
+    assert_eq!(copy.due_keys(256), ["steward/a"]);
+}
+
 #[test]
 fn files_of_the_former_format_use_their_stored_set_as_chosen() {
     let (mut disks, set) = bootstrapped_disks();
--- a/packages/node_protocol/src/control_store.rs
+++ b/packages/node_protocol/src/control_store.rs
@@ -24,7 +24,7 @@
 use disk::Disk;
 use monotonic_clock::{Micros, Ticker};
 use owner_responses::OWNS_NO_KEYS;
-use peer_messages::{Message, NodeId};
+use peer_messages::{List, Message, NodeId, ReadEntry};
 use record_polls::PollGroups;
 use record_relay::{ObservedRecords, RelayedPoll};
 use requests::WriteAttempt;
@@ -68,6 +68,7 @@
     disk_observations: DiskObservations,
     /// The key copy that this node performs during a voter set change.
     copy: Option<SetCopy>,
+    copy_paused_until: Micros,
     bootstrap_ticker: Ticker,
     is_wait_reported: bool,
     upkeep_ticker: Ticker,
@@ -91,6 +92,7 @@
             relayed_poll: RelayedPoll::default(),
             disk_observations: DiskObservations::default(),
             copy: None,
+            copy_paused_until: Micros(0),
             bootstrap_ticker: Ticker::every(Micros::from_millis(200)),
             is_wait_reported: false,
             upkeep_ticker: Ticker::every(Micros::from_millis(500)),
@@ -160,8 +162,9 @@
             }
             Message::Write { entries } => self.writes_requested(from, entries),
             Message::ReadConfirmed { request_id, key, digest } => {
-                self.read_requested(from, request_id, key, digest)
+                self.reads_requested(from, List(vec![ReadEntry { request_id, key, digest }]))
             }
+            Message::ReadsConfirmed { entries } => self.reads_requested(from, entries),
             Message::WriteResponse { outcomes } => {
                 for outcome in outcomes.0 {
                     self.write_answered(from, outcome);
--- a/packages/node_protocol/src/control_store/key_owners.rs
+++ b/packages/node_protocol/src/control_store/key_owners.rs
@@ -95,7 +95,7 @@
             .map(|member| member.node)
             .collect();
         let own = self.settings.node;
-        if self.draining_since.is_some() || self.control.copy.is_some() {
+        if self.draining_since.is_some() {
             return;
         }
         self.control.owner.retain_keys(|key| {
--- a/packages/node_protocol/src/control_store/owner_responses.rs
+++ b/packages/node_protocol/src/control_store/owner_responses.rs
@@ -4,7 +4,7 @@
 use super::VIA_GOSSIP;
 use crate::node::Node;
 use control_registers::{CONFIGURATION_KEY, NOT_OWNER, OwnerAction, WRITTEN};
-use peer_messages::{Bytes, List, Message, NodeId, Text, WriteEntry, WriteOutcome};
+use peer_messages::{Bytes, List, Message, NodeId, ReadEntry, Text, WriteEntry, WriteOutcome};
 use std::collections::BTreeMap;
 
 /// In a poll's response: the node does not know the digest and needs the list of keys.
@@ -29,8 +29,13 @@
         }
     }
 
-    pub(super) fn read_requested(&mut self, from: NodeId, request_id: u64, key: Text, digest: u64) {
-        if self.owns_keys() {
+    /// Serves confirmed reads of any key, also of those that another voter should own by this node's view: a copy
+    /// during a change of the voter set reads each key once, and must not wait until all views agree.
+    pub(super) fn reads_requested(&mut self, from: NodeId, entries: List<ReadEntry>) {
+        if !self.owns_keys() {
+            return;
+        }
+        for ReadEntry { request_id, key, digest } in entries.0 {
             self.control.owner.confirm(from, request_id, key, digest, self.now);
         }
     }
--- a/packages/node_protocol/src/control_store/requests.rs
+++ b/packages/node_protocol/src/control_store/requests.rs
@@ -6,7 +6,9 @@
 use crate::{Action, ConfigurationResponse};
 use control_registers::{AS_KNOWN, CONFIGURATION_KEY, DIFFERS, NOT_OWNER, UNKNOWN, WRITTEN, leader_key};
 use monotonic_clock::Micros;
-use peer_messages::{Bytes, LeaderRecord, List, Message, NodeId, WriteEntry, WriteOutcome, value_digest};
+use peer_messages::{
+    Bytes, LeaderRecord, List, Message, NodeId, ReadEntry, WriteEntry, WriteOutcome, value_digest,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Timeout of operators' reads, whose clients try another node after about a second, and of usage reads and
@@ -68,6 +70,8 @@
             // A renewal waits for up to the owner's batching interval; another voter is tried after that.
             WritePurpose::Leader { .. } if has_owner_responded => SLOW_LEADER_TIMEOUT,
             WritePurpose::Leader { .. } => OWNER_TIMEOUT,
+            // Another voter owns the keys of one that is gone, and a change of the voter set must not wait.
+            WritePurpose::DisksCopy { .. } if !has_owner_responded => OWNER_TIMEOUT,
             WritePurpose::ConfigurationRequested { .. }
             | WritePurpose::UsageRead
             | WritePurpose::UsageWrite => REQUEST_TIMEOUT,
@@ -95,23 +99,28 @@
         purpose: WritePurpose,
     ) -> Option<u64> {
         let owner = self.key_owner(key)?;
+        if purpose.is_read() {
+            let ReadEntry { request_id, key, digest } = self.read_entry(owner, key, purpose);
+            self.send(owner, Message::ReadConfirmed { request_id, key, digest });
+            return Some(request_id);
+        }
         let request_id = self.next_request_id();
-        let is_read = purpose.is_read();
-        let known_digest = if is_read { self.known_digest(key) } else { 0 };
-        let message = match is_read {
-            true => Message::ReadConfirmed { request_id, key: key.into(), digest: known_digest },
-            false => {
-                let entry = WriteEntry { request_id, key: key.into(), expected, value, urgent: 1 };
-                Message::Write { entries: List(vec![entry]) }
-            }
-        };
-        self.control
-            .attempts
-            .insert(request_id, WriteAttempt { owner, purpose, sent_at: self.now, known_digest });
-        self.send(owner, message);
+        let entry = WriteEntry { request_id, key: key.into(), expected, value, urgent: 1 };
+        let attempt = WriteAttempt { owner, purpose, sent_at: self.now, known_digest: 0 };
+        self.control.attempts.insert(request_id, attempt);
+        self.send(owner, Message::Write { entries: List(vec![entry]) });
         Some(request_id)
     }
 
+    /// Records a confirmed read as sent to a node and returns its entry.
+    pub(super) fn read_entry(&mut self, owner: NodeId, key: &str, purpose: WritePurpose) -> ReadEntry {
+        let request_id = self.next_request_id();
+        let digest = self.known_digest(key);
+        let attempt = WriteAttempt { owner, purpose, sent_at: self.now, known_digest: digest };
+        self.control.attempts.insert(request_id, attempt);
+        ReadEntry { request_id, key: key.into(), digest }
+    }
+
     /// The digest of the configuration's bytes at this node, zero for none. Values of other keys are small,
     /// so no digest is sent for them.
     pub(super) fn known_digest(&self, key: &str) -> u64 {
@@ -205,9 +214,7 @@
     /// Fills in the value, where it is needed, of a response that only confirms this node's own value. If
     /// the value has changed here since the request, the outcome is unknown and the request is repeated.
     fn with_known_value(&mut self, outcome: WriteOutcome, attempt: &WriteAttempt) -> WriteOutcome {
-        let needs_value =
-            matches!(attempt.purpose, WritePurpose::ConfigurationCheck | WritePurpose::DisksCopy { .. });
-        if outcome.outcome != AS_KNOWN || !needs_value {
+        if outcome.outcome != AS_KNOWN || attempt.purpose != WritePurpose::ConfigurationCheck {
             return outcome;
         }
         match self.known_digest(&outcome.key.0) == attempt.known_digest {
--- a/packages/node_protocol/src/control_store/voter_changes.rs
+++ b/packages/node_protocol/src/control_store/voter_changes.rs
@@ -1,13 +1,17 @@
 //! Changes of the voter set: the votes of lost disks move to other disks by way of a joint set, under which
 //! every key is copied before the new set takes effect.
 
-use super::requests::{WriteAttempt, WritePurpose};
+use super::requests::WritePurpose;
 use crate::node::Node;
 use control_registers::{ChosenSet, DIFFERS, DISKS_KEY, SetCopy, VoterSet, WRITTEN};
-use peer_messages::{Bytes, List, MemberUpdate, Message, NodeId, Text, WriteOutcome};
+use monotonic_clock::Micros;
+use peer_messages::{Bytes, List, MemberUpdate, Message, NodeId, ReadEntry, Text, WriteOutcome};
+use std::collections::BTreeMap;
 
 /// How many keys are copied concurrently during a voter set change.
-const COPY_WINDOW: usize = 256;
+const COPY_WINDOW: usize = 1_024;
+/// Pause after a read that was not confirmed: its owner may not have learned of the joint set yet.
+const COPY_RETRY_PAUSE: Micros = Micros::from_millis(100);
 
 impl Node {
     /// Moves the votes of lost disks to other disks: first the joint set, then a copy of every key under
@@ -28,7 +32,6 @@
         }
         let owner = self.key_owner(DISKS_KEY);
         if owner != Some(self.settings.node) || !self.owns_keys() {
-            self.control.copy = None;
             self.report_observations(owner, &set, &live);
             return;
         }
@@ -104,7 +107,10 @@
             return;
         }
         let due_lists = copy.due_lists(now);
-        let due_keys = copy.due_keys(COPY_WINDOW);
+        let due_keys = match now >= self.control.copy_paused_until {
+            true => copy.due_keys(COPY_WINDOW),
+            false => Vec::new(),
+        };
         let fleet_set = joint_set.digest();
         for node in due_lists.into_iter().filter_map(|disk| self.node_of_disk(disk)).collect::<Vec<_>>() {
             self.send(node, Message::KeysRequest { fleet_set });
@@ -112,17 +118,23 @@
         self.copy_keys(due_keys, joint_set.generation);
     }
 
-    /// Sends this node, as the key owner, a confirmed read of every due key: the owner stores each value
-    /// again on majorities of both sets.
+    /// Requests a confirmed read of each due key from the key's owner, which stores the value again on
+    /// majorities of both sets. A node that read the keys of others itself would take them from their owners,
+    /// which take them back with the next renewal.
     fn copy_keys(&mut self, due_keys: Vec<String>, generation: u64) {
-        let (own, now) = (self.settings.node, self.now);
+        let candidates = self.owner_candidates();
+        let mut entries_by_owner: BTreeMap<NodeId, Vec<ReadEntry>> = BTreeMap::new();
         for key in due_keys {
-            let request_id = self.next_request_id();
+            let Some(owner) = Node::rendezvous_choice(&key, candidates.iter().copied()) else {
+                self.copy_answered(&key, generation, false);
+                continue;
+            };
             let purpose = WritePurpose::DisksCopy { key: key.clone(), generation };
-            let known_digest = self.known_digest(&key);
-            let attempt = WriteAttempt { owner: own, purpose, sent_at: now, known_digest };
-            self.control.attempts.insert(request_id, attempt);
-            self.send(own, Message::ReadConfirmed { request_id, key: key.into(), digest: known_digest });
+            let entry = self.read_entry(owner, &key, purpose);
+            entries_by_owner.entry(owner).or_default().push(entry);
+        }
+        for (owner, entries) in entries_by_owner {
+            self.send(owner, Message::ReadsConfirmed { entries: List(entries) });
         }
     }
 
@@ -138,5 +150,8 @@
         if let Some(copy) = copy {
             copy.record_read(key, is_confirmed);
         }
+        if !is_confirmed {
+            self.control.copy_paused_until = self.now + COPY_RETRY_PAUSE;
+        }
     }
 }
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -332,7 +332,8 @@
             | Message::RelayPolled { .. }
             | Message::Write { .. }
             | Message::WriteResponse { .. }
-            | Message::ReadConfirmed { .. } => self.handle_control_message(from, message),
+            | Message::ReadConfirmed { .. }
+            | Message::ReadsConfirmed { .. } => self.handle_control_message(from, message),
             Message::ChangeForward { request_id, change } => self.change_forwarded(from, request_id, &change),
             Message::ChangeSettled { request_id, outcome } => self.change_settled(request_id, &outcome),
             Message::PermitRequest { .. }
--- a/packages/peer_messages/src/delivery.rs
+++ b/packages/peer_messages/src/delivery.rs
@@ -67,6 +67,7 @@
             | Message::Write { .. }
             | Message::WriteResponse { .. }
             | Message::ReadConfirmed { .. }
+            | Message::ReadsConfirmed { .. }
             | Message::PermitRequest { .. }
             | Message::PermitDeferred { .. } => RESPONSE_SPAN,
             _ => LASTING_SPAN,
--- a/packages/peer_messages/src/lib.rs
+++ b/packages/peer_messages/src/lib.rs
@@ -103,6 +103,8 @@
         RenewedRecord { index: u16, version: u64, }
         /// `urgent` 1 requests an immediate flush; renewals are sent in groups.
         WriteEntry { request_id: u64, key: Text, expected: u64, value: Bytes, urgent: u8, }
+        /// A confirmed read of one of several keys; `digest` is that of the requester's value, zero for none.
+        ReadEntry { request_id: u64, key: Text, digest: u64, }
         /// `outcome`: 0 written, 1 version differs (`value` is the current one), 2 not owner, 3 no majority,
         /// 4 the current value has the requester's digest, 5 the current value is large and the requester
         /// lacks it: the responding node provides it by gossip.
@@ -192,6 +194,8 @@
         "25" ChangeForward as "ChangeCarry" { request_id: u64, change: Bytes, }
         /// Its outcome (JSON) on the way back.
         "26" ChangeSettled as "ChangeSettled" { request_id: u64, outcome: Bytes, }
+        /// Confirmed reads of several keys with one owner, which stores them again together.
+        "27" ReadsConfirmed as "ReadsConfirmed" { entries: List<ReadEntry>, }
         /// Requests from the zone's relay which of all leader records changed since its change number; the
         /// digest is that of the configured functions.
         "28" RelayPoll as "RelayPoll" { keys_digest: u64, since: u64, }
