--- a/packages/fleet_simulator/src/disk_scenarios.rs
+++ b/packages/fleet_simulator/src/disk_scenarios.rs
@@ -60,6 +60,30 @@
     trial.verdict()
 }
 
+/// All disks are slow for longer than a silent owner is waited for. Nobody is silent, so the configuration's key stays
+/// with its owner, also in the owner's own view.
+pub(crate) fn slow_disks_leave_the_owner(seed: u64) -> Verdict {
+    let mut trial = Trial::default(seed);
+    let Some(owner) = trial.simulation.configuration_owner() else { return trial.verdict() };
+    let slow_seconds = 1.2 + (seed % 5) as f64 * 0.2;
+    let until = trial.simulation.now() + (slow_seconds * 1e6) as u64;
+    for number in 0..3 {
+        if let Some(disk) = trial.simulation.disk(number) {
+            disk.stalled_until = until;
+        }
+    }
+    trial.simulation.send_marked_change(owner, "while-slow");
+    while trial.simulation.now() < until {
+        trial.simulation.run_for(0.05);
+        let is_owner = trial.simulation.is_own_configuration_owner(owner);
+        trial.require(is_owner, "a slow owner stays", "the owner takes itself for silent");
+    }
+    let is_accepted = trial.simulation.run_until(6.0, |simulation| simulation.is_accepted("while-slow"));
+    trial.require(is_accepted, "changes are taken", "while-slow was not accepted");
+    trial.require_settled();
+    trial.verdict()
+}
+
 /// A voter is lost for good and two spare disks exist; the owner of the voter set's key is killed, frozen or
 /// cut off repeatedly in the middle of the change.
 pub(crate) fn vote_change_with_owner_lost(seed: u64) -> Verdict {
--- a/packages/fleet_simulator/src/scenarios.rs
+++ b/packages/fleet_simulator/src/scenarios.rs
@@ -10,8 +10,9 @@
     orders_race_during_a_cut, owner_frozen_amid_orders, two_control_machines_cut_off,
 };
 use crate::disk_scenarios::{
-    disk_full_and_room_again, disks_damaged, disks_wiped_in_turn, lowest_seeds_without_disk, two_disks_full,
-    two_disks_stalled, two_of_five_wiped, vote_change_with_owner_lost, wiped_amid_a_vote_change,
+    disk_full_and_room_again, disks_damaged, disks_wiped_in_turn, lowest_seeds_without_disk,
+    slow_disks_leave_the_owner, two_disks_full, two_disks_stalled, two_of_five_wiped,
+    vote_change_with_owner_lost, wiped_amid_a_vote_change,
 };
 use crate::grown_scenarios::grown_links;
 use crate::late_gossip_scenarios::bodies_of_changes_lost;
@@ -151,6 +152,7 @@
     usage_answers_lost,
     bodies_of_changes_lost,
     votes_move_between_losses,
+    slow_disks_leave_the_owner,
 }
 
 /// A running scenario.
--- a/packages/fleet_simulator/src/simulation/queries.rs
+++ b/packages/fleet_simulator/src/simulation/queries.rs
@@ -116,6 +116,16 @@
         self.owner_of(control_registers::CONFIGURATION_KEY)
     }
 
+    /// Whether this node takes itself for the owner of the configuration's key.
+    /// Example: `simulation.is_own_configuration_owner(0)`.
+    pub fn is_own_configuration_owner(&self, number: usize) -> bool {
+        let owner = self.nodes[number]
+            .node
+            .as_ref()
+            .and_then(|node| node.owner_of(control_registers::CONFIGURATION_KEY));
+        owner == Some(self.nodes[number].id)
+    }
+
     pub(super) fn owner_of(&self, key: &str) -> Option<usize> {
         let number = *self.up().first()?;
         let owner = self.nodes[number].node.as_ref()?.owner_of(key)?;
--- a/packages/fleet_simulator/tests/scenarios.rs
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -138,6 +138,8 @@
     bodies_of_changes_lost: 1..=4;
     // 1: two owners took keys from each other and the vote of a lost disk never moved, until a majority was lost.
     votes_move_between_losses: 1..=2;
+    // 1: an owner that waited for slow disks took itself for silent, and another one took its keys.
+    slow_disks_leave_the_owner: 1..=20;
 }
 
 /// Source files below `packages/*/src` and `platform/src` that contain one of these words, by their paths from
