Simulator: one setting of the grown deployments, one wait for a whole voter set, one way to stall a disk

The settings of a grown deployment stood in three places, votes_move_between_losses repeated the wait of require_voting_again with another bound, a stalled disk was set up twice in one file, and the owner as a node sees it was looked up twice.

Change: SimulationSettings::grown_deployment, start_and_require_whole_set, stall_disk and owner_seen_by; bounds and rules are unchanged.

--- a/packages/fleet_simulator/src/bin/grown_loss.rs
+++ b/packages/fleet_simulator/src/bin/grown_loss.rs
@@ -14,11 +14,8 @@
     let settings = SimulationSettings {
         node_count: NODES,
         disks: DISKS,
-        busy: 30,
-        rare: 1_000,
-        workers: (40, 6_332),
         processors: Some(Processors { with_disk: 260, others: 62 }),
-        ..SimulationSettings::large_fleet()
+        ..SimulationSettings::grown_deployment()
     };
     let mut simulation = Simulation::new(settings, 1);
     println!("founded and settled: {}", simulation.bootstrap());
--- a/packages/fleet_simulator/src/disk_scenarios.rs
+++ b/packages/fleet_simulator/src/disk_scenarios.rs
@@ -6,6 +6,12 @@
 use fastrand::Rng;
 use monotonic_clock::Micros;
 
+fn stall_disk(trial: &mut Trial, number: usize, until: u64) {
+    if let Some(disk) = trial.simulation.disk(number) {
+        disk.stalled_until = until;
+    }
+}
+
 fn set_disk_full(trial: &mut Trial, number: usize, is_full: bool) {
     if let Some(disk) = trial.simulation.disk(number) {
         disk.is_full = is_full;
@@ -50,9 +56,7 @@
     let mut trial = Trial::default(seed);
     for victim in [seed % 3, (seed + 1) % 3] {
         let until = trial.simulation.now() + 4_000_000 + (seed % 5) * 1_000_000;
-        if let Some(disk) = trial.simulation.disk(victim as usize) {
-            disk.stalled_until = until;
-        }
+        stall_disk(&mut trial, victim as usize, until);
     }
     trial.simulation.run_for(8.0);
     trial.require_settled();
@@ -67,11 +71,7 @@
     let Some(owner) = trial.simulation.configuration_owner() else { return trial.verdict() };
     let slow_seconds = 1.2 + (seed % 5) as f64 * 0.2;
     let until = trial.simulation.now() + (slow_seconds * 1e6) as u64;
-    for number in 0..3 {
-        if let Some(disk) = trial.simulation.disk(number) {
-            disk.stalled_until = until;
-        }
-    }
+    (0..3).for_each(|number| stall_disk(&mut trial, number, until));
     trial.simulation.send_marked_change(owner, "while-slow");
     while trial.simulation.now() < until {
         trial.simulation.run_for(0.05);
@@ -172,17 +172,29 @@
     /// Starts these nodes; the voter set must be complete, with as many voters as before, within the time for
     /// which a returned machine still counts as lost (4 s).
     fn require_voting_again(&mut self, victims: &[usize]) {
+        let passed = self.start_and_require_whole_set(victims, 4.0, "votes within 4 s");
+        if passed < 2.0 {
+            self.simulation.run_for(2.0 - passed);
+        }
+    }
+
+    /// Starts these nodes; the voter set must be complete within this time, as the rule says. Returns how many
+    /// seconds it took.
+    pub(crate) fn start_and_require_whole_set(
+        &mut self,
+        victims: &[usize],
+        within: f64,
+        rule: &'static str,
+    ) -> f64 {
         let back_at = self.simulation.now();
         for victim in victims {
             self.simulation.start(*victim);
         }
-        let is_whole = self.simulation.run_until(4.0, Simulation::has_whole_set);
-        self.require(is_whole, "votes within 4 s", "the voter set is not whole");
+        let is_whole = self.simulation.run_until(within, Simulation::has_whole_set);
+        self.require(is_whole, rule, "the voter set is not whole");
         let passed = (self.simulation.now() - back_at) as f64 / 1e6;
         self.figures.push(("vote_seconds", passed));
-        if passed < 2.0 {
-            self.simulation.run_for(2.0 - passed);
-        }
+        passed
     }
 }
 
--- a/packages/fleet_simulator/src/processor_scenarios.rs
+++ b/packages/fleet_simulator/src/processor_scenarios.rs
@@ -1,8 +1,8 @@
 //! Fleets with limited processor time: small machines must not be saturated by control messages.
 
+use crate::SimulationSettings;
 use crate::processors::Processors;
 use crate::scenarios::{Trial, Verdict};
-use crate::{Simulation, SimulationSettings};
 
 const DISKS: usize = 3;
 const SMALL_FLEET_NODES: usize = 12;
@@ -92,11 +92,8 @@
     let settings = SimulationSettings {
         node_count: LARGE_FLEET_NODES,
         disks: LARGE_FLEET_DISKS,
-        busy: 30,
-        rare: 1_000,
-        workers: (40, 6_332),
         processors: Some(PROCESSORS),
-        ..SimulationSettings::large_fleet()
+        ..SimulationSettings::grown_deployment()
     };
     let mut trial = Trial::bootstrapped(settings, seed);
     trial.simulation.call_rate = 800.0;
@@ -135,11 +132,9 @@
     let settings = SimulationSettings {
         node_count: VOTING_FLEET_NODES,
         disks: VOTING_FLEET_DISKS,
-        busy: 30,
-        rare: 1_000,
         workers: (40, 6_324),
         processors: Some(SLOW_PROCESSORS),
-        ..SimulationSettings::large_fleet()
+        ..SimulationSettings::grown_deployment()
     };
     let mut trial = Trial::bootstrapped(settings, seed);
     trial.checks.count_refusals = false;
@@ -166,14 +161,7 @@
             self.simulation.lose_disk(*victim);
         }
         self.simulation.run_for(2.0);
-        let back_at = self.simulation.now();
-        for victim in victims {
-            self.simulation.start(*victim);
-        }
-        let is_whole = self.simulation.run_until(CATCH_UP_SECONDS, Simulation::has_whole_set);
-        self.require(is_whole, "votes within 6 s", "the voter set is not whole");
-        let passed = (self.simulation.now() - back_at) as f64 / 1e6;
-        self.figures.push(("vote_seconds", passed));
+        let passed = self.start_and_require_whole_set(victims, CATCH_UP_SECONDS, "votes within 6 s");
         self.simulation.run_for(CATCH_UP_SECONDS - passed);
     }
 
--- a/packages/fleet_simulator/src/simulation/queries.rs
+++ b/packages/fleet_simulator/src/simulation/queries.rs
@@ -119,16 +119,16 @@
     /// Whether this node takes itself for the owner of the configuration's key.
     /// Example: `simulation.is_own_configuration_owner(0)`.
     pub fn is_own_configuration_owner(&self, number: usize) -> bool {
-        let owner = self.nodes[number]
-            .node
-            .as_ref()
-            .and_then(|node| node.owner_of(control_registers::CONFIGURATION_KEY));
-        owner == Some(self.nodes[number].id)
+        self.owner_seen_by(number, control_registers::CONFIGURATION_KEY) == Some(self.nodes[number].id)
+    }
+
+    fn owner_seen_by(&self, number: usize, key: &str) -> Option<NodeId> {
+        self.nodes[number].node.as_ref()?.owner_of(key)
     }
 
     pub(super) fn owner_of(&self, key: &str) -> Option<usize> {
         let number = *self.up().first()?;
-        let owner = self.nodes[number].node.as_ref()?.owner_of(key)?;
+        let owner = self.owner_seen_by(number, key)?;
         self.up().into_iter().find(|other| self.nodes[*other].id == owner)
     }
 
--- a/packages/fleet_simulator/src/simulation/settings.rs
+++ b/packages/fleet_simulator/src/simulation/settings.rs
@@ -69,6 +69,17 @@
             ..SimulationSettings::default()
         }
     }
+
+    /// A large fleet with the functions and workers of the users' grown deployments.
+    /// Example: `SimulationSettings { node_count: 30, ..SimulationSettings::grown_deployment() }`.
+    pub fn grown_deployment() -> SimulationSettings {
+        SimulationSettings {
+            busy: 30,
+            rare: 1_000,
+            workers: (40, 6_332),
+            ..SimulationSettings::large_fleet()
+        }
+    }
 }
 
 impl Default for SimulationSettings {
