--- a/packages/node_protocol/src/control_store.rs
+++ b/packages/node_protocol/src/control_store.rs
@@ -130,7 +130,7 @@
 pub struct VoterChange {
     /// The time since this node learned of the joint set.
     pub known_for: Micros,
-    /// How far the copy of the keys is, on the node that performs it.
+    /// How far the copy of the keys is, on a node that performs it or did for a while.
     pub progress: Option<CopyProgress>,
 }
 
