Review case 5: two kinds of answers, within the default dose of garble

The cells in trouble are now every second one, each spoils one answer in 51, and half of the spoiled answers have a right length and offer an upgrade.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -183,7 +183,7 @@
 fn spoiled_answers(setting: &Setting, spoil: Spoil) -> Verdict {
     let record = &setting.record;
     let platform = Platform::start(
-        vec![(SERVICE.to_owned(), 6)],
+        vec![(SERVICE.to_owned(), 2)],
         Duration::from_millis(500),
         Duration::from_millis(20),
         record.clone(),
@@ -196,12 +196,12 @@
     for index in 0..3 {
         fleet.start(index, true).map_err(text)?;
     }
-    let document = configuration(1, &[desk("unsafe")]);
+    let document = configuration(1, &[Service { at_once: 2, ..desk("unsafe") }]);
     put(&fleet, record, (1, 0), &document, Duration::from_secs(15)).ok_or("the first configuration")?;
     seconds(5.0);
     let answers: Answers = Arc::default();
     let ends = Arc::new(AtomicBool::new(false));
-    let clients: Vec<_> = (0..6)
+    let clients: Vec<_> = (0..12)
         .map(|client| {
             let address = fleet.at(client % 3, fleet.ports.front);
             let (answers, ends, record) = (answers.clone(), ends.clone(), record.clone());
@@ -229,7 +229,7 @@
     let runs = platform.runs.lock().unwrap();
     let (of, spoiled) =
         (platform.trouble.answers.load(Ordering::SeqCst), platform.trouble.spoiled.load(Ordering::SeqCst));
-    record.line(format!("in the trouble the cells gave {of} answers and spoiled {spoiled} of them"));
+    record.line(format!("the cells in trouble gave {of} answers and spoiled {spoiled} of them"));
     let served = answers.values().filter(|(status, _)| *status == 200).count();
     let with_status = |wanted: &dyn Fn(&String, u16, bool) -> bool| -> Vec<String> {
         let found = answers.iter().filter(|(id, (status, is_whole))| wanted(id, *status, *is_whole));
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -18,15 +18,17 @@
 pub struct Trouble {
     /// Some whole answers are followed by late bytes while this is set.
     pub sends_late_bytes: AtomicBool,
-    /// Some answers have no length and end with their connection while this is set.
+    /// Some answers have no length, or offer another protocol, and end with their connection while this is set.
     pub sends_unframed: AtomicBool,
-    /// Answers and spoiled answers meanwhile, over all cells.
+    /// Answers and spoiled answers meanwhile, over the cells in trouble.
     pub answers: AtomicU64,
     pub spoiled: AtomicU64,
 }
 
-/// One answer in so many is spoiled: under the share of 0.03 of `garble`.
-const SPOILED_EVERY: u64 = 34;
+/// One answer in so many is spoiled: under the share of 0.02 of `garble`.
+const SPOILED_EVERY: u64 = 51;
+/// One cell in so many is in trouble: at most the share of 0.5 of `garble`.
+const TROUBLED_EVERY: u64 = 2;
 /// These bytes belong to no request: they bear no `Request-Id`, which cells send back in their answers.
 const LATE_BYTES: [&str; 2] = [
     "HTTP/1.1 503 Service Unavailable\r\nNot-Run: full\r\nContent-Length: 0\r\n\r\n",
@@ -38,6 +40,7 @@
 
 struct Cell {
     id: String,
+    number: u64,
     service: String,
     worker: usize,
     address: SocketAddr,
@@ -210,6 +213,7 @@
         let address = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?;
         let cell = Arc::new(Cell {
             id: format!("i-{number:08x}"),
+            number,
             service: service.to_owned(),
             worker,
             address,
@@ -279,13 +283,20 @@
             *self.runs.lock().unwrap().entry(id.clone()).or_default() += 1;
             std::thread::sleep(self.work);
             in_flight.fetch_sub(1, Ordering::SeqCst);
-            let spoiled = self.spoils_this();
-            if spoiled.is_some() && self.trouble.sends_unframed.load(Ordering::SeqCst) {
-                self.record.line(format!("cell {} answers {id} without a length and closes", cell.id));
-                let head = format!(
-                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: {SEAL}\r\n\
-                     Transfer-Encoding: identity\r\nConnection: close\r\n\r\n"
-                );
+            let spoiled = self.spoils_this(cell);
+            if let Some(number) = spoiled.filter(|_| self.trouble.sends_unframed.load(Ordering::SeqCst)) {
+                // Two kinds in turn: without a length, and with a length and the offer of another protocol.
+                let framing = match number % 2 {
+                    0 => "Transfer-Encoding: identity\r\nConnection: close\r\n".to_owned(),
+                    _ => format!(
+                        "Upgrade: websocket\r\nConnection: upgrade, close\r\nContent-Length: {}\r\n",
+                        WHOLE_BODY.len()
+                    ),
+                };
+                let kind = if number % 2 == 0 { "without a length" } else { "with an offer to upgrade" };
+                self.record.line(format!("cell {} answers {id} {kind} and closes", cell.id));
+                let head =
+                    format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: {SEAL}\r\n{framing}\r\n");
                 let _ = connection.write(&[head.as_bytes(), WHOLE_BODY].concat());
                 return;
             }
@@ -298,9 +309,12 @@
         }
     }
 
-    /// Counts an answer in the trouble; the number of the spoiled one, if it is to be spoiled.
-    fn spoils_this(&self) -> Option<u64> {
+    /// Counts an answer of a cell in trouble; the number of the spoiled one, if it is to be spoiled.
+    fn spoils_this(&self, cell: &Cell) -> Option<u64> {
         let Trouble { sends_late_bytes, sends_unframed, answers, spoiled } = &self.trouble;
+        if cell.number % TROUBLED_EVERY != 0 {
+            return None;
+        }
         if !sends_late_bytes.load(Ordering::SeqCst) && !sends_unframed.load(Ordering::SeqCst) {
             return None;
         }
