Review case 7: where memory is one cell short, an added route is never served

Cause: every called function with a cell keeps it, whatever the split of memory says, and one without a cell waits for room for ever. Nothing is fixed.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,4 @@
 #!/bin/bash
-# Bytes after a whole answer are taken for the next answer: an order that runs is refused, or runs twice.
+# At the first start the three seeds carry no disk: the system never takes a configuration.
 folder=$(cd "$(dirname "$0")" && pwd)
-exec bash "$folder/../standins-2/case.sh" late_bytes "$folder"
+exec bash "$folder/../standins-2/case.sh" first_seeds "$folder"
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -57,6 +57,7 @@
         "late_bytes" => spoiled_answers(&setting, Spoil::LateBytes),
         "unframed" => spoiled_answers(&setting, Spoil::Unframed),
         "long_name" => long_name(&setting),
+        "short_memory" => short_memory(&setting),
         "first_seeds" => first_seeds(&setting),
         "first_kill" => first_kill(&setting),
         _ => Err("no such case".to_owned()),
@@ -119,6 +120,7 @@
     let record = &setting.record;
     let platform = Platform::start(
         vec![(SERVICE.to_owned(), 6)],
+        platform::WORKER_MB,
         Duration::from_millis(500),
         Duration::from_millis(60),
         record.clone(),
@@ -184,6 +186,7 @@
     let record = &setting.record;
     let platform = Platform::start(
         vec![(SERVICE.to_owned(), 2)],
+        platform::WORKER_MB,
         Duration::from_millis(500),
         Duration::from_millis(20),
         record.clone(),
@@ -303,6 +306,7 @@
     record.line(format!("the added service is {added}, of {} bytes", added.len()));
     let platform = Platform::start(
         vec![(SERVICE.to_owned(), 6), (added.to_owned(), 6)],
+        platform::WORKER_MB,
         Duration::from_millis(500),
         Duration::from_millis(20),
         record.clone(),
@@ -333,11 +337,107 @@
     Ok(later * 4 >= first)
 }
 
+/// How many services the workers have room for, one cell each.
+const ROOM: usize = 9;
+
+/// The workers have room for the cells of nine services, which are called all the time. A configuration adds a
+/// route, with the disruption to a service of its own, without it to one of the nine.
+fn short_memory(setting: &Setting) -> Verdict {
+    let record = &setting.record;
+    let names: Vec<String> = (0..=ROOM).map(|number| format!("{}{number}", SERVICE)).collect();
+    let prefixes: Vec<String> = (0..=ROOM).map(|number| format!("/rami751x{number}/")).collect();
+    let platform = Platform::start(
+        names.iter().map(|name| (name.clone(), 4)).collect(),
+        384,
+        Duration::from_millis(500),
+        Duration::from_millis(60),
+        record.clone(),
+    )
+    .map_err(text)?;
+    let survive = Survive { machines: 1, zones: 0 };
+    let mut fleet =
+        Fleet::lay_out(&setting.folder, setting.program.clone(), platform.address, (3, 0), survive, record.clone())
+            .map_err(text)?;
+    for index in 0..3 {
+        fleet.start(index, true).map_err(text)?;
+    }
+    let service = |number: usize| Service {
+        name: &names[number],
+        prefix: &prefixes[number],
+        route_type: "safe",
+        at_once: 4,
+    };
+    let mut services: Vec<Service> = (0..ROOM).map(service).collect();
+    let within = Duration::from_secs(15);
+    put(&fleet, record, (1, 0), &configuration(1, &services), within).ok_or("the first configuration")?;
+    seconds(4.0);
+    let ends = Arc::new(AtomicBool::new(false));
+    let counts: Arc<Mutex<Vec<(usize, usize)>>> = Arc::new(Mutex::new(vec![(0, 0); ROOM + 1]));
+    let client = |number: usize, machine: usize| {
+        let address = fleet.at(machine % 3, fleet.ports.front);
+        let (prefix, record, ends, counts) =
+            (prefixes[number].clone(), record.clone(), ends.clone(), counts.clone());
+        std::thread::spawn(move || {
+            while !ends.load(Ordering::SeqCst) {
+                let id = format!("{:016x}", fastrandom());
+                let answer = http::call(
+                    address,
+                    &format!("GET {prefix}x HTTP/1.1"),
+                    &[("Host", HOST), ("Request-Id", &id), ("Time-Left-Ms", "4000")],
+                    b"",
+                    Duration::from_secs(4),
+                );
+                let status = answer.as_ref().map_or(0, http::Message::status);
+                record.line(format!("request {id} on {prefix}: {status}"));
+                let mut counts = counts.lock().unwrap();
+                counts[number].0 += 1;
+                counts[number].1 += usize::from(status == 200);
+                drop(counts);
+                seconds(0.5);
+            }
+        })
+    };
+    let mut clients: Vec<_> = (0..ROOM).map(|number| client(number, number)).collect();
+    seconds(15.0);
+    let before: Vec<(usize, usize)> = counts.lock().unwrap().clone();
+    record.line(format!("before the change, requests and served, by route: {before:?}"));
+    let mut added = service(ROOM);
+    if !setting.has_trouble {
+        added.name = &names[0];
+    }
+    services.push(added);
+    // A service is listed once; without the disruption the added route names the first one again.
+    let document = match setting.has_trouble {
+        true => configuration(3, &services),
+        false => operator::with_route(&configuration(3, &services[..ROOM]), &services[ROOM]),
+    };
+    put(&fleet, record, (3, 1), &document, within).ok_or("the second configuration")?;
+    seconds(4.0);
+    counts.lock().unwrap().iter_mut().for_each(|count| *count = (0, 0));
+    clients.extend((0..4).map(|machine| client(ROOM, machine)));
+    seconds(60.0);
+    let after: Vec<(usize, usize)> = counts.lock().unwrap().clone();
+    ends.store(true, Ordering::SeqCst);
+    for client in clients {
+        let _ = client.join();
+    }
+    record.line(format!("after the change, requests and served, by route: {after:?}"));
+    let (asked, served) = after[..ROOM].iter().fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+    let (later_asked, later_served) = after[ROOM];
+    record.line(format!("first routes: {served} of {asked}; added route: {later_served} of {later_asked}"));
+    if later_asked < 20 || served * 2 < asked {
+        return Err("too few requests, or the first routes are not served".to_owned());
+    }
+    // Served under a quarter as often.
+    Ok(later_served * asked * 4 >= served * later_asked)
+}
+
 /// At the first start the list names three machines that serve `control` and carry no disk.
 fn first_seeds(setting: &Setting) -> Verdict {
     let record = &setting.record;
     let platform = Platform::start(
         vec![(SERVICE.to_owned(), 6)],
+        platform::WORKER_MB,
         Duration::from_millis(500),
         Duration::from_millis(60),
         record.clone(),
@@ -374,6 +474,7 @@
     let record = &setting.record;
     let platform = Platform::start(
         vec![(SERVICE.to_owned(), 6)],
+        platform::WORKER_MB,
         Duration::from_millis(500),
         Duration::from_millis(60),
         record.clone(),
--- a/review/standins-2/src/operator.rs
+++ b/review/standins-2/src/operator.rs
@@ -15,21 +15,25 @@
 
 pub const HOST: &str = "dese56.example";
 
+fn route(service: &Service) -> String {
+    let tries = if service.route_type == "safe" { 2 } else { 1 };
+    format!(
+        "{{\"name\":\"r-{}\",\"host\":\"{HOST}\",\"pathPrefix\":\"{}\",\"routeType\":\"{}\",\
+         \"timeoutMs\":4000,\"targetMs\":400,\"rank\":1,\"service\":\"{}\",\"tries\":{tries}}}",
+        service.prefix.trim_matches('/').replace('/', "-"),
+        service.prefix,
+        service.route_type,
+        service.name,
+    )
+}
+
+/// The configuration with one more route, to a service that it has.
+pub fn with_route(document: &str, added: &Service) -> String {
+    document.replacen("],\"services\":", &format!(",{}],\"services\":", route(added)), 1)
+}
+
 pub fn configuration(version: u64, services: &[Service]) -> String {
-    let routes: Vec<String> = services
-        .iter()
-        .map(|service| {
-            let tries = if service.route_type == "safe" { 2 } else { 1 };
-            format!(
-                "{{\"name\":\"r-{}\",\"host\":\"{HOST}\",\"pathPrefix\":\"{}\",\"routeType\":\"{}\",\
-                 \"timeoutMs\":4000,\"targetMs\":400,\"rank\":1,\"service\":\"{}\",\"tries\":{tries}}}",
-                service.prefix.trim_matches('/').replace('/', "-"),
-                service.prefix,
-                service.route_type,
-                service.name,
-            )
-        })
-        .collect();
+    let routes: Vec<String> = services.iter().map(route).collect();
     let listed: Vec<String> = services
         .iter()
         .map(|service| {
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -8,7 +8,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-const WORKER_MB: u64 = 6_509;
+/// The memory of a worker in the small deployment.
+pub const WORKER_MB: u64 = 6_509;
+const CELL_MB: u64 = 128;
 const LIST_LAG: Duration = Duration::from_millis(800);
 /// "requestNonce chosen by the caller (at most 64 bytes)"
 const NONCE_BYTES: usize = 64;
@@ -60,6 +62,7 @@
     services: Vec<(String, u32)>,
     record: Record,
     next: AtomicU64,
+    worker_mb: u64,
     boot: Duration,
     work: Duration,
 }
@@ -78,6 +81,7 @@
     /// Serves the API. `services` are those that exist, with the calls that one cell takes at once.
     pub fn start(
         services: Vec<(String, u32)>,
+        worker_mb: u64,
         boot: Duration,
         work: Duration,
         record: Record,
@@ -93,6 +97,7 @@
             services,
             record,
             next: AtomicU64::new(1),
+            worker_mb,
             boot,
             work,
         });
@@ -135,12 +140,13 @@
         let live = self.live();
         let rows: Vec<String> = (0..3)
             .map(|worker| {
-                let used = 128 * live.iter().filter(|cell| cell.worker == worker).count() as u64;
+                let used = CELL_MB * live.iter().filter(|cell| cell.worker == worker).count() as u64;
                 format!(
-                    "{{\"name\":\"w-{worker}\",\"zone\":\"{}\",\"memoryMb\":{WORKER_MB},\
+                    "{{\"name\":\"w-{worker}\",\"zone\":\"{}\",\"memoryMb\":{},\
                      \"freeMemoryMb\":{},\"phase\":\"ready\"}}",
                     crate::fleet::ZONES[worker],
-                    WORKER_MB.saturating_sub(used)
+                    self.worker_mb,
+                    self.worker_mb.saturating_sub(used)
                 )
             })
             .collect();
@@ -192,6 +198,10 @@
         let cell = match by_nonce.get(&(service.clone(), nonce.clone())) {
             Some(cell) => cell.clone(),
             None => {
+                let used = CELL_MB * self.live().iter().filter(|cell| cell.worker == worker).count() as u64;
+                if used + CELL_MB > self.worker_mb {
+                    return json("409 Conflict", "{}");
+                }
                 let Ok(cell) = self.new_cell(&service, worker, capacity) else {
                     return json("409 Conflict", "{}");
                 };
