--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -27,7 +27,7 @@
     pub spoiled: AtomicU64,
 }
 
-/// One answer in so many is spoiled: under the share of 0.02 of `garble`.
+/// One answer in so many of a cell is spoiled: under the share of 0.02 of `garble`.
 const SPOILED_EVERY: u64 = 51;
 /// One cell in so many is in trouble: at most the share of 0.5 of `garble`.
 const TROUBLED_EVERY: u64 = 2;
@@ -48,6 +48,8 @@
     address: SocketAddr,
     ready_at: Instant,
     is_stopped: Arc<AtomicBool>,
+    /// Answers of this cell in the trouble.
+    answers: AtomicU64,
 }
 
 pub struct Platform {
@@ -229,6 +231,7 @@
             address,
             ready_at: Instant::now() + self.boot,
             is_stopped: Arc::default(),
+            answers: AtomicU64::new(0),
         });
         self.record.line(format!("cell {} of {service} starts", cell.id));
         self.cells.lock().unwrap().push(cell.clone());
@@ -328,7 +331,9 @@
         if !sends_late_bytes.load(Ordering::SeqCst) && !sends_unframed.load(Ordering::SeqCst) {
             return None;
         }
-        let is_spoiled = (answers.fetch_add(1, Ordering::SeqCst) + 1) % SPOILED_EVERY == 0;
+        answers.fetch_add(1, Ordering::SeqCst);
+        // Counted for each cell, so that none spoils more than its share.
+        let is_spoiled = (cell.answers.fetch_add(1, Ordering::SeqCst) + 1) % SPOILED_EVERY == 0;
         is_spoiled.then(|| spoiled.fetch_add(1, Ordering::SeqCst))
     }
 }
