--- a/packages/fleet_simulator/src/disk_scenarios.rs
+++ b/packages/fleet_simulator/src/disk_scenarios.rs
@@ -339,3 +339,32 @@
     trial.require_settled();
     trial.verdict()
 }
+
+/// Two nodes with disks in each zone, of which one may be lost: each zone in turn loses its nodes, and some of their
+/// disks, for five seconds. Changes must be accepted meanwhile, and the next zone is lost once the time has passed
+/// for which a returned machine still counts as lost (4 s).
+pub(crate) fn zones_lost_in_turn(seed: u64) -> Verdict {
+    let settings = SimulationSettings { disks: 6, tolerated_zones: 1, ..SimulationSettings::default() };
+    let mut trial = Trial::bootstrapped(settings, seed);
+    let mut rng = Rng::with_seed(seed ^ 0x20e5);
+    trial.checks.count_refusals = false;
+    trial.require_accepted(3, "before", 4.0);
+    for round in 0..4 {
+        let zone = (seed as usize + round) % 3;
+        let victims: Vec<usize> = (0..10).filter(|number| number % 3 == zone).collect();
+        for victim in &victims {
+            trial.simulation.kill_either_way(*victim);
+            if trial.simulation.disk(*victim).is_some() && rng.bool() {
+                trial.simulation.lose_disk(*victim);
+            }
+        }
+        trial.simulation.run_for(5.0);
+        let survivor = 6 + (zone + 1) % 3;
+        trial.require_accepted(survivor, &format!("zone-lost-{round}"), 6.0);
+        victims.iter().for_each(|victim| trial.simulation.start(*victim));
+        trial.simulation.run_for(4.0);
+    }
+    trial.require_settled();
+    trial.require_accepted(8, "after", 6.0);
+    trial.verdict()
+}
--- a/packages/fleet_simulator/src/scenarios.rs
+++ b/packages/fleet_simulator/src/scenarios.rs
@@ -12,7 +12,7 @@
 use crate::disk_scenarios::{
     disk_full_and_room_again, disks_damaged, disks_wiped_in_turn, lowest_seeds_without_disk,
     slow_disks_leave_the_owner, two_disks_full, two_disks_stalled, two_of_five_wiped,
-    vote_change_with_owner_lost, wiped_amid_a_vote_change,
+    vote_change_with_owner_lost, wiped_amid_a_vote_change, zones_lost_in_turn,
 };
 use crate::grown_scenarios::grown_links;
 use crate::late_gossip_scenarios::bodies_of_changes_lost;
@@ -153,6 +153,7 @@
     bodies_of_changes_lost,
     votes_move_between_losses,
     slow_disks_leave_the_owner,
+    zones_lost_in_turn,
 }
 
 /// A running scenario.
--- a/packages/fleet_simulator/src/simulation.rs
+++ b/packages/fleet_simulator/src/simulation.rs
@@ -25,8 +25,8 @@
 use membership::ProbeSettings;
 use monotonic_clock::Micros;
 use node_protocol::{
-    Action, ConfigurationResponse, Event, Node, NodeSettings, NodeStatus, Policy, RefusedAs, StartResult,
-    StopResult,
+    Action, ConfigurationResponse, Event, LossTolerance, Node, NodeSettings, NodeStatus, Policy, RefusedAs,
+    StartResult, StopResult,
 };
 use peer_messages::{Address, Envelope, Message, NodeId, Permit, UsageWindow, fleet_id, node_id};
 use serde_json::{Value, json};
--- a/packages/fleet_simulator/src/simulation/faults.rs
+++ b/packages/fleet_simulator/src/simulation/faults.rs
@@ -15,6 +15,7 @@
             zone: self.nodes[number].zone.clone(),
             seeds: self.seeds.clone(),
             bootstrap_disks: self.settings.bootstrap_disks,
+            tolerance: LossTolerance { zones: self.settings.tolerated_zones, ..LossTolerance::default() },
             costs: function_scheduler::CostModel::default(),
             may_bootstrap: true,
             list_every: Micros::from_millis(900),
--- a/packages/fleet_simulator/src/simulation/settings.rs
+++ b/packages/fleet_simulator/src/simulation/settings.rs
@@ -45,6 +45,8 @@
     pub first_disk: usize,
     /// Disks that bootstrap the state.
     pub bootstrap_disks: usize,
+    /// Number of zones that may be lost at one time.
+    pub tolerated_zones: usize,
     /// Memory ceiling of the rare functions' quota in MB, if any.
     pub rare_ceiling_mb: Option<f64>,
     /// Rates of the nodes' links; without them transfer time does not depend on size.
@@ -105,6 +107,7 @@
             disks: 3,
             first_disk: 0,
             bootstrap_disks: 3,
+            tolerated_zones: 0,
             rare_ceiling_mb: None,
             link_rates: None,
             switched_off: BTreeSet::new(),
--- a/packages/fleet_simulator/tests/scenarios.rs
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -140,6 +140,8 @@
     votes_move_between_losses: 1..=2;
     // 1: an owner that waited for slow disks took itself for silent, and another one took its keys.
     slow_disks_leave_the_owner: 1..=20;
+    // The loss of a zone took a majority of the voters, and with it the acknowledged configuration.
+    zones_lost_in_turn: 1..=20;
 }
 
 /// Source files below `packages/*/src` and `platform/src` that contain one of these words, by their paths from
--- a/packages/node_protocol/src/control_store.rs
+++ b/packages/node_protocol/src/control_store.rs
@@ -70,6 +70,8 @@
     copy: Option<SetCopy>,
     copy_paused_until: Micros,
     bootstrap_ticker: Ticker,
+    /// Since when this bootstrap node has known enough blank disks.
+    enough_blank_disks_since: Option<Micros>,
     is_wait_reported: bool,
     upkeep_ticker: Ticker,
     replacement_ticker: Ticker,
@@ -94,6 +96,7 @@
             copy: None,
             copy_paused_until: Micros(0),
             bootstrap_ticker: Ticker::every(Micros::from_millis(200)),
+            enough_blank_disks_since: None,
             is_wait_reported: false,
             upkeep_ticker: Ticker::every(Micros::from_millis(500)),
             replacement_ticker: Ticker::every(Micros::from_millis(100)),
--- a/packages/node_protocol/src/control_store/bootstrap.rs
+++ b/packages/node_protocol/src/control_store/bootstrap.rs
@@ -3,10 +3,16 @@
 
 use super::{DISK_BLANK, DISK_VOTING};
 use crate::node::Node;
+use crate::voter_placement::PlacedDisk;
 use control_registers::{ChosenSet, VoterSet};
+use monotonic_clock::Micros;
 use peer_messages::{Address, List, Message, NodeId, stable_hash};
 use serde_json::json;
 
+/// How long enough blank disks are known before the bootstrap goes without the zones that have none of them. The
+/// machines of a fleet start together; votes move to a zone that appears later.
+const MISSING_ZONES_TIMEOUT: Micros = Micros::from_secs(2);
+
 impl Node {
     /// Only one node may bootstrap: the seed with the lowest address among those that have a disk. Every
     /// seed with a lower address must have been contacted and have no disk; a process never changes that,
@@ -51,16 +57,48 @@
         {
             return;
         }
-        let mut bootstrap_disks = self.blank_disks();
-        if bootstrap_disks.len() < self.settings.bootstrap_disks {
+        if let Some(bootstrap_disks) = self.choose_bootstrap_disks(own_disk) {
+            // This node's own disk stores the set first, by a message to itself, so that this node never
+            // bootstraps another set whatever happens to the process afterwards.
+            self.announce_bootstrap(&bootstrap_disks, &[own_disk]);
+        }
+    }
+
+    /// The blank disks that vote first, with the preferred one among them: spread so that the tolerated losses
+    /// leave a majority. `None` while there are too few, or briefly while their zones are.
+    fn choose_bootstrap_disks(&mut self, preferred_disk: u64) -> Option<Vec<u64>> {
+        let mut blank_disks = self.blank_disks();
+        let count = self.settings.bootstrap_disks;
+        if blank_disks.len() < count {
+            self.control.enough_blank_disks_since = None;
+            return None;
+        }
+        let enough_since = *self.control.enough_blank_disks_since.get_or_insert(self.now);
+        blank_disks.sort_unstable_by_key(|placed| (placed.disk != preferred_disk, placed.disk));
+        let chosen = self.settings.tolerance.spread(&blank_disks, count);
+        if !self.settings.tolerance.is_tolerated_by(&chosen) {
+            if self.now < enough_since + MISSING_ZONES_TIMEOUT {
+                return None;
+            }
+            self.report_missing_zones(&chosen);
+        }
+        let mut disks: Vec<u64> = chosen.into_iter().map(|placed| placed.disk).collect();
+        disks.sort_unstable();
+        Some(disks)
+    }
+
+    /// Records once that the first voters do not tolerate every loss that the settings name.
+    fn report_missing_zones(&mut self, chosen: &[PlacedDisk]) {
+        if std::mem::replace(&mut self.control.is_wait_reported, true) {
             return;
         }
-        // This node's own disk stores the set first, by a message to itself, so that this node never
-        // bootstraps another set whatever happens to the process afterwards.
-        bootstrap_disks.sort_unstable_by_key(|disk| (*disk != own_disk, *disk));
-        bootstrap_disks.truncate(self.settings.bootstrap_disks);
-        bootstrap_disks.sort_unstable();
-        self.announce_bootstrap(&bootstrap_disks, &[own_disk]);
+        let zones: Vec<&str> = chosen.iter().map(|placed| placed.zone.as_str()).collect();
+        let reason = "a tolerated loss of zones or regions would take a majority of the founding disks";
+        self.decision_log.append(
+            "founding_zones_missing",
+            json!({"zones": zones, "reason": reason}),
+            self.now,
+        );
     }
 
     /// Records once, on the bootstrap seed without a disk, that no seed can bootstrap.
@@ -84,14 +122,16 @@
             && self.members.live().iter().all(|member| member.disk_state < DISK_VOTING)
     }
 
-    fn blank_disks(&self) -> Vec<u64> {
+    fn blank_disks(&self) -> Vec<PlacedDisk> {
         let live = self.members.live().into_iter();
-        live.filter(|member| member.disk_state == DISK_BLANK).map(|member| member.disk).collect()
+        live.filter(|member| member.disk_state == DISK_BLANK)
+            .map(|member| PlacedDisk { disk: member.disk, zone: member.zone.0.clone() })
+            .collect()
     }
 
     /// Resends an interrupted bootstrap to the members of the set that are still blank.
     fn finish_bootstrap(&mut self, bootstrap_set: &VoterSet) {
-        let mut blank_disks = self.blank_disks();
+        let mut blank_disks: Vec<u64> = self.blank_disks().iter().map(|placed| placed.disk).collect();
         blank_disks.retain(|disk| bootstrap_set.disks.0.contains(disk));
         self.announce_bootstrap(&bootstrap_set.disks.0, &blank_disks);
     }
--- a/packages/node_protocol/src/control_store/voter_changes.rs
+++ b/packages/node_protocol/src/control_store/voter_changes.rs
@@ -3,6 +3,7 @@
 
 use super::requests::WritePurpose;
 use crate::node::Node;
+use crate::voter_replacement::ReplacementPolicy;
 use control_registers::{ChosenSet, DIFFERS, DISKS_KEY, SetCopy, VoterSet, WRITTEN};
 use monotonic_clock::Micros;
 use peer_messages::{Bytes, List, MemberUpdate, Message, NodeId, ReadEntry, Text, WriteOutcome};
@@ -35,8 +36,11 @@
             self.report_observations(owner, &set, &live);
             return;
         }
-        let timeout = self.settings.replace_disk_after;
-        let replacements = self.control.disk_observations.replacements(&set, &live, timeout, now);
+        let policy = ReplacementPolicy {
+            failed_timeout: self.settings.replace_disk_after,
+            tolerance: &self.settings.tolerance,
+        };
+        let replacements = self.control.disk_observations.replacements(&set, &live, policy, now);
         if !set.joining.0.is_empty() {
             self.continue_copy(&set);
         } else if let Some(joint_set) = set.begin_changes(&replacements) {
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -14,6 +14,7 @@
 mod policy;
 mod request_relay;
 mod usage_reporting;
+mod voter_placement;
 mod voter_replacement;
 mod zones;
 
@@ -23,6 +24,7 @@
 pub use permit_ledger::{PermitAdmission, PermitLedger};
 pub use policy::{Policy, UnknownPolicy};
 pub use usage_reporting::UsageSettings;
+pub use voter_placement::LossTolerance;
 
 use configuration_schema::{Change, ChangeOutcome, Configuration, ConfigurationDelta};
 use function_scheduler::{CostModel, ListedInstance, ListedWorker, PermitParameters, RetryLimits};
@@ -47,6 +49,8 @@
     pub seeds: Vec<Address>,
     /// The number of disks in the first voter set, which the bootstrap creates.
     pub bootstrap_disks: usize,
+    /// The zones and regions that may be lost; the voters' places allow for it.
+    pub tolerance: LossTolerance,
     /// The relative costs of running instances, starts and late responses.
     pub costs: CostModel,
     /// Whether this node may bootstrap the fleet's state, which is done once for each fleet.
--- a/packages/node_protocol/src/platform_list/tests.rs
+++ b/packages/node_protocol/src/platform_list/tests.rs
@@ -39,6 +39,7 @@
         zone: "a".to_owned(),
         seeds: vec![address(2)],
         bootstrap_disks: 3,
+        tolerance: crate::LossTolerance::default(),
         costs: function_scheduler::CostModel::default(),
         retry_limits: function_scheduler::RetryLimits::default(),
         may_bootstrap: false,
--- a/packages/node_protocol/src/voter_replacement.rs
+++ b/packages/node_protocol/src/voter_replacement.rs
@@ -2,6 +2,7 @@
 //! observes of the machines with disks.
 
 use crate::control_store::{DISK_BLANK, DISK_SPARE};
+use crate::voter_placement::{LossTolerance, PlacedDisk};
 use control_registers::VoterSet;
 use monotonic_clock::Micros;
 use peer_messages::{Address, MemberUpdate, NodeId};
@@ -14,24 +15,40 @@
 /// Timeout for a voter that this process has never seen, since an update about it may still be on its way.
 const UNKNOWN_VOTER_TIMEOUT: Micros = Micros::from_secs(1);
 
+/// When and where votes move. Example: `ReplacementPolicy { failed_timeout, tolerance: &settings.tolerance }`.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReplacementPolicy<'a> {
+    /// A live machine whose disk has failed for this long loses its vote.
+    pub failed_timeout: Micros,
+    /// The losses that the voters' places must allow for.
+    pub tolerance: &'a LossTolerance,
+}
+
+/// Where the machine of a disk is.
+#[derive(Clone, Debug)]
+struct DiskMachine {
+    address: Address,
+    zone: String,
+}
+
 /// What this process observed of the voters' disks.
-/// Example: `observations.update(&set, &live, now); observations.replacements(&set, &live, timeout, now)`.
+/// Example: `observations.update(&set, &live, now); observations.replacements(&set, &live, policy, now)`.
 #[derive(Debug, Default)]
 pub(crate) struct DiskObservations {
-    addresses: BTreeMap<u64, Address>,
+    machines: BTreeMap<u64, DiskMachine>,
     missing_since: BTreeMap<u64, Micros>,
     /// What was reported to the owner of the set: nodes and their states.
     reported: BTreeSet<(NodeId, u8)>,
 }
 
 impl DiskObservations {
-    /// Records the disks' addresses and which voters' disks no responding member has.
+    /// Records the disks' machines and which voters' disks no responding member has.
     /// Example: `observations.update(&set, &live, now)` before each call of `replacements`.
     pub(crate) fn update(&mut self, set: &VoterSet, live: &[MemberUpdate], now: Micros) {
         let disks = live.iter().filter(|member| member.disk != 0);
         let voters = set.all();
-        self.addresses.retain(|disk, _| voters.contains(disk));
-        self.addresses.extend(disks.clone().map(|member| (member.disk, member.address)));
+        self.machines.retain(|disk, _| voters.contains(disk));
+        self.machines.extend(disks.clone().map(|member| (member.disk, machine_of(member))));
         let responding: BTreeSet<u64> =
             disks.filter(|member| member.state == membership::ALIVE).map(|member| member.disk).collect();
         self.missing_since.retain(|disk, _| voters.contains(disk) && !responding.contains(disk));
@@ -56,14 +73,14 @@
 
     /// The voters to replace now, each with the disk that gets its vote. A machine that returns with
     /// another disk gets its own vote back immediately. The vote of a lost machine goes to a spare disk,
-    /// and that of a live machine with a failed disk does so after `failed_timeout`. Empty without a
-    /// majority.
-    /// Example: `set.begin_changes(&observations.replacements(&set, &live, timeout, now))`.
+    /// and that of a live machine with a failed disk does so after its timeout. While no voter is lost, votes
+    /// move if the loss of a zone or region would otherwise take a majority. Empty without a majority.
+    /// Example: `set.begin_changes(&observations.replacements(&set, &live, policy, now))`.
     pub(crate) fn replacements(
         &self,
         set: &VoterSet,
         live: &[MemberUpdate],
-        failed_timeout: Micros,
+        policy: ReplacementPolicy,
         now: Micros,
     ) -> Vec<(u64, u64)> {
         let voters = &set.disks.0;
@@ -72,51 +89,121 @@
         if (voters.len() - lost_voters.len()) * 2 <= voters.len() {
             return Vec::new();
         }
-        // Lowest id first, so that successive owners choose the same disks.
-        let mut free_disks: BTreeMap<u64, Address> = live
-            .iter()
-            .filter(|member| [DISK_BLANK, DISK_SPARE].contains(&member.disk_state))
-            .filter(|member| member.draining == 0 && member.state == membership::ALIVE)
-            .filter(|member| !set.all().contains(&member.disk))
-            .map(|member| (member.disk, member.address))
-            .collect();
-        let is_alive_without = |address: &Address, lost: u64| {
-            live.iter().any(|member| {
-                member.address == *address && member.disk != lost && member.state == membership::ALIVE
-            })
-        };
+        let mut free_disks = free_disks(set, live);
         let mut replacements = Vec::new();
         let mut other_lost_voters = Vec::new();
-        for lost in lost_voters {
-            let address = self.addresses.get(&lost);
+        for lost in &lost_voters {
+            let address = self.machines.get(lost).map(|machine| machine.address);
             let same_machine_disk =
-                free_disks.iter().find(|(_, at)| address == Some(at)).map(|(disk, _)| *disk);
+                free_disks.iter().find(|(_, at)| address == Some(at.address)).map(|(disk, _)| *disk);
             match same_machine_disk {
                 Some(replacement) => {
                     free_disks.remove(&replacement);
-                    replacements.push((lost, replacement));
+                    replacements.push((*lost, replacement));
                 }
-                None => other_lost_voters.push(lost),
+                None => other_lost_voters.push(*lost),
             }
         }
         // A disk at a voter's address is that machine's new one: it is reserved until that machine's own
         // voter counts as lost.
-        let voter_addresses = self.addresses.iter().filter(|(disk, _)| voters.contains(disk));
-        free_disks
-            .retain(|_, address| !voter_addresses.clone().any(|(_, voter_address)| voter_address == address));
+        let is_reserved = |machine: &DiskMachine| {
+            let voter_machines = self.machines.iter().filter(|(disk, _)| voters.contains(disk));
+            voter_machines.into_iter().any(|(_, voter_machine)| voter_machine.address == machine.address)
+        };
+        free_disks.retain(|_, machine| !is_reserved(machine));
+        if lost_voters.is_empty() {
+            return self.rebalancing(voters, &free_disks, policy.tolerance);
+        }
+        let staying: Vec<u64> = voters.iter().copied().filter(|disk| !lost_voters.contains(disk)).collect();
+        let mut staying = self.placed(&staying);
+        staying.extend(replacements.iter().filter_map(|(lost, added)| self.placed_as(*lost, *added)));
         for lost in other_lost_voters {
-            let timeout = match self.addresses.get(&lost) {
-                None => UNKNOWN_VOTER_TIMEOUT,
-                Some(address) if is_alive_without(address, lost) => failed_timeout,
-                Some(_) => LOST_TIMEOUT,
-            };
-            let is_due = self.missing_since.get(&lost).is_some_and(|since| now >= *since + timeout);
-            if is_due && let Some((replacement, _)) = free_disks.pop_first() {
+            if !self.is_replacement_due(lost, live, policy.failed_timeout, now) {
+                continue;
+            }
+            let available = placed_disks(&free_disks);
+            let Some(replacement) = policy.tolerance.best_addition(&staying, &available) else { break };
+            if let Some(machine) = free_disks.remove(&replacement) {
+                staying.push(PlacedDisk { disk: replacement, zone: machine.zone });
                 replacements.push((lost, replacement));
             }
         }
         replacements
     }
+
+    /// Whether a lost voter was absent for so long that another disk gets its vote.
+    fn is_replacement_due(
+        &self,
+        lost: u64,
+        live: &[MemberUpdate],
+        failed_timeout: Micros,
+        now: Micros,
+    ) -> bool {
+        let is_alive_without = |address: Address| {
+            live.iter().any(|member| {
+                member.address == address && member.disk != lost && member.state == membership::ALIVE
+            })
+        };
+        let timeout = match self.machines.get(&lost) {
+            None => UNKNOWN_VOTER_TIMEOUT,
+            Some(machine) if is_alive_without(machine.address) => failed_timeout,
+            Some(_) => LOST_TIMEOUT,
+        };
+        self.missing_since.get(&lost).is_some_and(|since| now >= *since + timeout)
+    }
+
+    /// The votes to move where a tolerated loss of a zone or region would take a majority of the voters, and
+    /// free disks elsewhere can prevent it: a zone has returned whose votes went to other zones, or it had no
+    /// live disk at the bootstrap.
+    fn rebalancing(
+        &self,
+        voters: &[u64],
+        free_disks: &BTreeMap<u64, DiskMachine>,
+        tolerance: &LossTolerance,
+    ) -> Vec<(u64, u64)> {
+        let placed_voters = self.placed(voters);
+        if placed_voters.len() < voters.len() || tolerance.is_tolerated_by(&placed_voters) {
+            return Vec::new();
+        }
+        let candidates = [placed_voters, placed_disks(free_disks)].concat();
+        let target = tolerance.spread(&candidates, voters.len());
+        if !tolerance.is_tolerated_by(&target) {
+            return Vec::new();
+        }
+        let target: Vec<u64> = target.into_iter().map(|placed| placed.disk).collect();
+        let removed = voters.iter().copied().filter(|disk| !target.contains(disk));
+        let added = target.iter().copied().filter(|disk| !voters.contains(disk));
+        removed.zip(added).collect()
+    }
+
+    /// These disks with their zones, as far as they are known.
+    fn placed(&self, disks: &[u64]) -> Vec<PlacedDisk> {
+        disks.iter().filter_map(|disk| self.placed_as(*disk, *disk)).collect()
+    }
+
+    /// Disk `added` in the zone of disk `known`.
+    fn placed_as(&self, known: u64, added: u64) -> Option<PlacedDisk> {
+        let zone = self.machines.get(&known)?.zone.clone();
+        Some(PlacedDisk { disk: added, zone })
+    }
+}
+
+fn machine_of(member: &MemberUpdate) -> DiskMachine {
+    DiskMachine { address: member.address, zone: member.zone.0.clone() }
+}
+
+/// The live disks that may get a vote, lowest id first, so that successive owners choose the same ones.
+fn free_disks(set: &VoterSet, live: &[MemberUpdate]) -> BTreeMap<u64, DiskMachine> {
+    live.iter()
+        .filter(|member| [DISK_BLANK, DISK_SPARE].contains(&member.disk_state))
+        .filter(|member| member.draining == 0 && member.state == membership::ALIVE)
+        .filter(|member| !set.all().contains(&member.disk))
+        .map(|member| (member.disk, machine_of(member)))
+        .collect()
+}
+
+fn placed_disks(disks: &BTreeMap<u64, DiskMachine>) -> Vec<PlacedDisk> {
+    disks.iter().map(|(disk, machine)| PlacedDisk { disk: *disk, zone: machine.zone.clone() }).collect()
 }
 
 #[cfg(test)]
--- a/packages/node_protocol/src/voter_replacement/tests.rs
+++ b/packages/node_protocol/src/voter_replacement/tests.rs
@@ -28,11 +28,23 @@
     before: &[MemberUpdate],
     live: &[MemberUpdate],
     elapsed: Micros,
+) -> Vec<(u64, u64)> {
+    let tolerance = LossTolerance::default();
+    replacements_tolerating(&tolerance, set, (before, live), elapsed)
+}
+
+/// As [`replacements_after`], where zones or regions may be lost. The members are given as before and now.
+fn replacements_tolerating(
+    tolerance: &LossTolerance,
+    set: &VoterSet,
+    (before, live): (&[MemberUpdate], &[MemberUpdate]),
+    elapsed: Micros,
 ) -> Vec<(u64, u64)> {
     let mut observations = DiskObservations::default();
     observations.update(set, before, Micros(0));
     observations.update(set, live, Micros(1));
-    observations.replacements(set, live, TIMEOUT, Micros(1) + elapsed)
+    let policy = ReplacementPolicy { failed_timeout: TIMEOUT, tolerance };
+    observations.replacements(set, live, policy, Micros(1) + elapsed)
 }
 
 #[test]
@@ -100,6 +112,53 @@
     assert_eq!(replacements_after(&set, &all, &minority, TIMEOUT), []);
 }
 
+fn in_zone(zone: &str, member: MemberUpdate) -> MemberUpdate {
+    MemberUpdate { zone: zone.into(), ..member }
+}
+
+/// The loss of a zone must leave a majority also after votes have moved: those of a lost zone move to the zone with
+/// the fewest votes, and back once it has returned.
+#[test]
+fn votes_are_kept_spread_over_the_zones_that_may_be_lost() {
+    let one_zone = LossTolerance { zones: 1, ..LossTolerance::default() };
+    let set = VoterSet::bootstrap(&[1, 2, 3, 4, 5]);
+    let all: Vec<MemberUpdate> = [(1, "a"), (2, "a"), (3, "b"), (4, "b"), (5, "c")]
+        .map(|(disk, zone)| in_zone(zone, member(disk as u8, disk, DISK_VOTING)))
+        .to_vec();
+    let spares = [
+        in_zone("a", member(6, 6, DISK_SPARE)),
+        in_zone("b", member(7, 7, DISK_SPARE)),
+        in_zone("c", member(8, 8, DISK_SPARE)),
+    ];
+    let without_voter_4: Vec<MemberUpdate> =
+        all.iter().filter(|voter| voter.disk != 4).chain(&spares).cloned().collect();
+    let replaced = replacements_tolerating(&one_zone, &set, (&all, &without_voter_4), LOST_TIMEOUT);
+    assert_eq!(replaced, [(4, 7)]);
+    // Without zones to lose the lowest disk is taken.
+    assert_eq!(replacements_after(&set, &all, &without_voter_4, LOST_TIMEOUT), [(4, 6)]);
+}
+
+#[test]
+fn votes_return_to_a_zone_that_has_come_back() {
+    let one_zone = LossTolerance { zones: 1, ..LossTolerance::default() };
+    let set = VoterSet::bootstrap(&[2, 3, 4]);
+    let mut live: Vec<MemberUpdate> = [(2, "b"), (3, "b"), (4, "c")]
+        .map(|(disk, zone)| in_zone(zone, member(disk as u8, disk, DISK_VOTING)))
+        .to_vec();
+    let replaced = |live: &[MemberUpdate]| replacements_tolerating(&one_zone, &set, (live, live), Micros(0));
+    assert_eq!(replaced(&live), []);
+    // Another disk in a zone with votes would not help.
+    live.push(in_zone("c", member(5, 5, DISK_SPARE)));
+    assert_eq!(replaced(&live), []);
+    live.push(in_zone("a", member(6, 6, DISK_SPARE)));
+    assert_eq!(replaced(&live), [(3, 6)]);
+    assert_eq!(replacements_after(&set, &live, &live, Micros(0)), []);
+    // While a voter is lost its own vote is moved first.
+    let without_voter_4: Vec<MemberUpdate> = live.iter().filter(|voter| voter.disk != 4).cloned().collect();
+    let replaced = replacements_tolerating(&one_zone, &set, (&live, &without_voter_4), LOST_TIMEOUT);
+    assert_eq!(replaced, [(4, 5)]);
+}
+
 #[test]
 fn suspected_voters_and_blank_disks_are_reported_to_the_owner_once() {
     let set = VoterSet::bootstrap(&[1, 2, 3]);
--- a/packages/vanelane/src/lib.rs
+++ b/packages/vanelane/src/lib.rs
@@ -18,6 +18,8 @@
 mod protocol_runtime;
 mod settings_watch;
 
+pub use node_protocol::LossTolerance;
+
 pub use control_pages::{ControlPages, metrics_page};
 pub use operator_port::{ConfirmedConfiguration, OperatorPages, OperatorPort, Page};
 pub use run_node::{PlatformIntegration, start};
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -344,6 +344,7 @@
         zone: settings.zone.clone(),
         seeds: settings.seeds.iter().map(|seed| Address::from(*seed)).collect(),
         bootstrap_disks: settings.bootstrap_disks,
+        tolerance: settings.tolerance.clone(),
         costs: CostModel {
             start: settings.start_cost,
             late_call: settings.late_call_cost,
--- a/packages/vanelane/src/settings.rs
+++ b/packages/vanelane/src/settings.rs
@@ -3,9 +3,9 @@
 
 use crate::command_line::Run;
 use monotonic_clock::Micros;
-use node_protocol::Policy;
+use node_protocol::{LossTolerance, Policy};
 use serde::Deserialize;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -35,6 +35,9 @@
     bootstrap_disks: u64,
     #[serde(rename = "may_found")]
     may_bootstrap: bool,
+    tolerated_zone_losses: u64,
+    tolerated_region_losses: u64,
+    zone_regions: BTreeMap<String, String>,
     #[serde(rename = "acts_per_second")]
     operations_per_second: f64,
     lease_millis: u64,
@@ -75,6 +78,11 @@
     log_level: String,
 }
 
+/// Where the number of founding disks is not set, the loss of so many machines with disks is tolerated.
+const DEFAULT_TOLERATED_MACHINE_LOSSES: usize = 1;
+/// The largest number of zones or regions that nine voters can lose.
+const MOST_LOSSES: u64 = 4;
+
 /// Checked settings. Example: `validate(SettingsFile::default()).unwrap_err()[0].0 == "zone"`.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -90,6 +98,8 @@
     pub platform_address: SocketAddr,
     pub bootstrap_disks: usize,
     pub may_bootstrap: bool,
+    /// The zones and regions that may be lost at one time.
+    pub tolerance: LossTolerance,
     pub operations_per_second: f64,
     pub lease_millis: u64,
     pub poll_millis: u64,
@@ -344,6 +354,14 @@
     }
     let [(_, start_cost), (_, late_call_cost), (_, remote_call_cost)] = costs;
     let own_name = file.node_name.unwrap_or_else(|| peer_address.to_string());
+    let tolerance = LossTolerance {
+        machines: DEFAULT_TOLERATED_MACHINE_LOSSES,
+        zones: checker.number("tolerated_zone_losses", file.tolerated_zone_losses, 0, 0, MOST_LOSSES)
+            as usize,
+        regions: checker.number("tolerated_region_losses", file.tolerated_region_losses, 0, 0, MOST_LOSSES)
+            as usize,
+        zone_regions: file.zone_regions.unwrap_or_default(),
+    };
     let settings = Settings {
         fleet,
         node_name: checker.text("node_name", Some(own_name), None),
@@ -355,7 +373,14 @@
         seeds,
         data_folder: file.data_folder,
         platform_address: checker.address("platform_address", file.platform_address),
-        bootstrap_disks: checker.number("founding_disks", file.bootstrap_disks, 3, 1, 9) as usize,
+        bootstrap_disks: checker.number(
+            "founding_disks",
+            file.bootstrap_disks,
+            tolerance.voter_count() as u64,
+            1,
+            9,
+        ) as usize,
+        tolerance,
         may_bootstrap: file.may_bootstrap.unwrap_or(true),
         operations_per_second,
         lease_millis,
