--- a/packages/fleet_simulator/src/disk_scenarios.rs
+++ b/packages/fleet_simulator/src/disk_scenarios.rs
@@ -340,6 +340,99 @@
     trial.verdict()
 }
 
+/// No seed has a disk: the lowest one bootstraps the state by a proposal. After that the fleet restarts as a whole,
+/// and no second state may be bootstrapped beside the disks that are slow to return.
+pub(crate) fn all_seeds_without_disk(seed: u64) -> Verdict {
+    let settings = SimulationSettings { disks: 7, first_disk: 3, ..SimulationSettings::default() };
+    let mut trial = Trial::bootstrapped(settings, seed);
+    trial.require_accepted(5, "founded", 4.0);
+    let voters = trial.simulation.voter_numbers();
+    (0..10).for_each(|number| trial.simulation.kill_either_way(number));
+    let others: Vec<usize> = (0..10).filter(|number| !voters.contains(number)).collect();
+    others.iter().for_each(|number| trial.simulation.start(*number));
+    trial.simulation.run_for(10.0);
+    let is_bootstrapped = others
+        .iter()
+        .filter_map(|number| trial.simulation.status(*number))
+        .any(|status| !status.voters.is_empty());
+    trial.require(!is_bootstrapped, "one state is founded", "a second state beside absent disks");
+    voters.iter().for_each(|number| trial.simulation.start(*number));
+    trial.require_settled();
+    trial.require_accepted(6, "after", 6.0);
+    trial.verdict()
+}
+
+/// The seeds have no disk, and within the first second some of them are killed and start again, while some disk nodes
+/// are cut off: every process is told that the fleet starts for the first time. At most one state may be
+/// bootstrapped, and one seed that restarts alone must not prevent it.
+pub(crate) fn seeds_without_disk_restart_in_the_first_start(seed: u64) -> Verdict {
+    let settings = SimulationSettings {
+        disks: 7,
+        first_disk: 3,
+        first_start_ends: Micros::from_secs(20),
+        ..SimulationSettings::default()
+    };
+    let mut trial = Trial::without_configuration(settings, seed);
+    let mut rng = Rng::with_seed(seed ^ 0x5eed);
+    trial.checks.count_refusals = false;
+    for _ in 0..3 {
+        trial.simulation.run_for(rng.f64() * 0.4);
+        let victim = rng.usize(..3);
+        let hidden: Vec<usize> = (3..10).filter(|_| rng.u8(..3) == 0).collect();
+        let others: Vec<usize> = (0..10).filter(|number| !hidden.contains(number)).collect();
+        trial.simulation.cut(&hidden, &others);
+        trial.simulation.kill(victim);
+        trial.simulation.run_for(0.05 + rng.f64() * 0.3);
+        trial.simulation.start(victim);
+        trial.simulation.run_for(rng.f64() * 1.5);
+        trial.simulation.heal();
+    }
+    let is_bootstrapped = trial.simulation.bootstrap();
+    trial.require(is_bootstrapped, "founding", "the fleet was not founded");
+    trial.simulation.call_rate = 100.0;
+    trial.simulation.run_for(5.0);
+    trial.require_accepted(5, "founded", 6.0);
+    trial.require_settled();
+    trial.verdict()
+}
+
+/// No seed has a disk. At the moment the first disk has stored the proposed set, the nodes of that set are cut off from
+/// all others, and the proposing seed is killed, at times with one more. They start again beside enough blank disks for
+/// another set, told that the fleet starts for the first time: no second state may be bootstrapped.
+pub(crate) fn proposing_seed_killed_at_the_bootstrap(seed: u64) -> Verdict {
+    let settings = SimulationSettings {
+        disks: 7,
+        first_disk: 3,
+        first_start_ends: Micros::from_secs(60),
+        ..SimulationSettings::default()
+    };
+    let mut trial = Trial::without_configuration(settings, seed);
+    let mut rng = Rng::with_seed(seed ^ 0xb007);
+    trial.checks.count_refusals = false;
+    let is_stored =
+        trial.simulation.run_until_closely(10.0, |simulation| !simulation.known_voter_sets().is_empty());
+    trial.require(is_stored, "founding", "no disk stored a first voter set");
+    let voters = trial.simulation.known_voter_sets().pop_first().unwrap_or_default();
+    let others: Vec<usize> = (0..10).filter(|number| !voters.contains(number)).collect();
+    trial.simulation.cut(&voters, &others);
+    let mut victims = vec![0];
+    victims.extend(rng.choice([None, Some(1), Some(2)]).flatten());
+    victims.iter().for_each(|victim| trial.simulation.kill(*victim));
+    trial.simulation.run_for(rng.f64() * 6.0);
+    victims.iter().for_each(|victim| trial.simulation.start(*victim));
+    trial.simulation.run_for(6.0);
+    let is_second_state = trial.simulation.known_voter_sets().len() > 1;
+    trial.require(!is_second_state, "one state is founded", "a second state beside hidden disks");
+    trial.simulation.heal();
+    let is_bootstrapped = trial.simulation.bootstrap();
+    trial.require(is_bootstrapped, "founding", "the fleet was not founded");
+    trial.simulation.call_rate = 100.0;
+    trial.simulation.run_for(5.0);
+    trial.require_accepted(5, "founded", 6.0);
+    trial.require_settled();
+    trial.verdict()
+}
+
 /// Two nodes with disks in each zone, of which one may be lost: each zone in turn loses its nodes, and some of their
 /// disks, for five seconds. Changes must be accepted meanwhile, and the next zone is lost once the time has passed
 /// for which a returned machine still counts as lost (4 s).
--- a/packages/fleet_simulator/src/scenarios.rs
+++ b/packages/fleet_simulator/src/scenarios.rs
@@ -10,9 +10,11 @@
     orders_race_during_a_cut, owner_frozen_amid_orders, two_control_machines_cut_off,
 };
 use crate::disk_scenarios::{
-    disk_full_and_room_again, disks_damaged, disks_wiped_in_turn, lowest_seeds_without_disk,
-    slow_disks_leave_the_owner, two_disks_full, two_disks_stalled, two_of_five_wiped,
-    vote_change_with_owner_lost, wiped_amid_a_vote_change, zones_lost_in_turn,
+    all_seeds_without_disk, disk_full_and_room_again, disks_damaged, disks_wiped_in_turn,
+    lowest_seeds_without_disk, proposing_seed_killed_at_the_bootstrap,
+    seeds_without_disk_restart_in_the_first_start, slow_disks_leave_the_owner, two_disks_full,
+    two_disks_stalled, two_of_five_wiped, vote_change_with_owner_lost, wiped_amid_a_vote_change,
+    zones_lost_in_turn,
 };
 use crate::grown_scenarios::grown_links;
 use crate::late_gossip_scenarios::bodies_of_changes_lost;
@@ -154,6 +156,9 @@
     votes_move_between_losses,
     slow_disks_leave_the_owner,
     zones_lost_in_turn,
+    all_seeds_without_disk,
+    seeds_without_disk_restart_in_the_first_start,
+    proposing_seed_killed_at_the_bootstrap,
 }
 
 /// A running scenario.
--- a/packages/fleet_simulator/src/simulation/faults.rs
+++ b/packages/fleet_simulator/src/simulation/faults.rs
@@ -18,6 +18,7 @@
             tolerance: LossTolerance { zones: self.settings.tolerated_zones, ..LossTolerance::default() },
             costs: function_scheduler::CostModel::default(),
             may_bootstrap: true,
+            is_first_start: self.now < self.settings.first_start_ends.0,
             list_every: Micros::from_millis(900),
             lists_per_second: 1_000.0,
             replace_disk_after: self.settings.replace_disk_after,
--- a/packages/fleet_simulator/src/simulation/queries.rs
+++ b/packages/fleet_simulator/src/simulation/queries.rs
@@ -104,6 +104,17 @@
             .collect()
     }
 
+    /// The different voter sets by which the nodes that are up go, as the numbers of the voters' nodes.
+    /// Example: `simulation.known_voter_sets().len() <= 1` before the first change of the set.
+    pub fn known_voter_sets(&self) -> BTreeSet<Vec<usize>> {
+        let known_sets = self.up().into_iter().filter_map(|number| self.voters(number));
+        let known_sets = known_sets.filter(|set| set.generation > 0);
+        let is_in = |set: &VoterSet, number: usize| {
+            self.nodes[number].disk.as_ref().is_some_and(|disk| set.disks.0.contains(&disk.id))
+        };
+        known_sets.map(|set| (0..self.nodes.len()).filter(|number| is_in(set, *number)).collect()).collect()
+    }
+
     /// The node that owns the voter set's key, according to the first node that is up.
     /// Example: `simulation.kill(simulation.voters_owner().unwrap())`.
     pub fn voters_owner(&self) -> Option<usize> {
--- a/packages/fleet_simulator/src/simulation/settings.rs
+++ b/packages/fleet_simulator/src/simulation/settings.rs
@@ -45,6 +45,8 @@
     pub first_disk: usize,
     /// Disks that bootstrap the state.
     pub bootstrap_disks: usize,
+    /// Processes that start before this time are told that the whole fleet starts for the first time.
+    pub first_start_ends: Micros,
     /// Number of zones that may be lost at one time.
     pub tolerated_zones: usize,
     /// Memory ceiling of the rare functions' quota in MB, if any.
@@ -107,6 +109,7 @@
             disks: 3,
             first_disk: 0,
             bootstrap_disks: 3,
+            first_start_ends: Micros(1),
             tolerated_zones: 0,
             rare_ceiling_mb: None,
             link_rates: None,
--- a/packages/fleet_simulator/tests/scenarios.rs
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -142,6 +142,11 @@
     slow_disks_leave_the_owner: 1..=20;
     // The loss of a zone took a majority of the voters, and with it the acknowledged configuration.
     zones_lost_in_turn: 1..=20;
+    // A fleet whose seeds all lack a disk was never founded and served nothing.
+    all_seeds_without_disk: 1..=20;
+    seeds_without_disk_restart_in_the_first_start: 1..=20;
+    // Without the seeds' record a proposing seed that restarts founds a second state.
+    proposing_seed_killed_at_the_bootstrap: 1..=20;
 }
 
 /// Source files below `packages/*/src` and `platform/src` that contain one of these words, by their paths from
--- a/packages/node_protocol/src/control_store.rs
+++ b/packages/node_protocol/src/control_store.rs
@@ -2,11 +2,12 @@
 //! to them, and periodic work.
 //!
 //! Submodules: the node's own [`disk`] and its syncs; the [`current_set`] of voters; [`bootstrap`] of the
-//! first voter set; [`voter_changes`] and the key copy that they need; [`key_owners`]; [`owner_responses`],
+//! first voter set, with the [`bootstrap_proposal`] where no seed has a disk; [`voter_changes`] and the key copy that they need; [`key_owners`]; [`owner_responses`],
 //! the work of this node as a key owner; outgoing [`requests`] to owners; [`record_polls`] and the
 //! [`record_relay`] of a zone.
 
 mod bootstrap;
+mod bootstrap_proposal;
 mod current_set;
 mod disk;
 mod key_owners;
@@ -20,6 +21,7 @@
 
 use crate::node::Node;
 use crate::voter_replacement::DiskObservations;
+use bootstrap_proposal::BootstrapProposal;
 use control_registers::{ChosenSet, CopyProgress, DiskRegisters, KeyOwner, OwnerCounts, SetCopy, VoterSet};
 use disk::Disk;
 use monotonic_clock::{Micros, Ticker};
@@ -70,6 +72,7 @@
     copy: Option<SetCopy>,
     copy_paused_until: Micros,
     bootstrap_ticker: Ticker,
+    bootstrap_proposal: BootstrapProposal,
     /// Since when this bootstrap node has known enough blank disks.
     enough_blank_disks_since: Option<Micros>,
     is_wait_reported: bool,
@@ -96,6 +99,7 @@
             copy: None,
             copy_paused_until: Micros(0),
             bootstrap_ticker: Ticker::every(Micros::from_millis(200)),
+            bootstrap_proposal: BootstrapProposal::default(),
             enough_blank_disks_since: None,
             is_wait_reported: false,
             upkeep_ticker: Ticker::every(Micros::from_millis(500)),
@@ -147,6 +151,8 @@
             Message::Stored { disk, entries, .. } => self.control.owner.stored(disk, entries, now),
             Message::Bootstrap { set, disks } => self.bootstrap(from, set, &disks.0),
             Message::BootstrapResponse { accepted: 0, disk, .. } => self.bootstrap_refused(disk),
+            Message::BootstrapProposal { disks } => self.bootstrap_proposed(from, &disks.0),
+            Message::BootstrapRecorded { disks } => self.bootstrap_recorded(from, disks.0),
             Message::KeysRequest { fleet_set } => self.keys_requested(from, fleet_set),
             Message::KeysResponse { fleet_set, disk, keys } => self.keys_received(disk, fleet_set, keys),
             Message::RecordsPoll { keys_digest, since, keys } => {
--- a/packages/node_protocol/src/control_store/bootstrap.rs
+++ b/packages/node_protocol/src/control_store/bootstrap.rs
@@ -14,8 +14,8 @@
 const MISSING_ZONES_TIMEOUT: Micros = Micros::from_secs(2);
 
 impl Node {
-    /// Only one node may bootstrap: the seed with the lowest address among those that have a disk. Every
-    /// seed with a lower address must have been contacted and have no disk; a process never changes that,
+    /// Only one node may bootstrap: the seed with the lowest address among those that have a disk, or the lowest
+    /// of all seeds if none has one (see [`super::bootstrap_proposal`]). Every seed with a lower address must have been contacted and have no disk; a process never changes that,
     /// so two nodes cannot both qualify. Any rule based on which disks a node currently sees could let two
     /// nodes bootstrap two sets that share disks.
     fn is_bootstrap_node(&self) -> bool {
@@ -38,13 +38,13 @@
     pub(super) fn try_bootstrap(&mut self) {
         let is_bootstrap_node = self.is_bootstrap_node();
         let Some(disk) = &self.control.disk else {
-            self.report_bootstrap_wait(is_bootstrap_node);
+            self.try_bootstrap_without_disk(is_bootstrap_node);
             return;
         };
         let (own_disk, own_set) = (disk.id, disk.registers.chosen().clone());
         if own_set.generation == 1 && own_set.joining.0.is_empty() {
             if self.members.own().disk_state != DISK_BLANK {
-                self.finish_bootstrap(&own_set);
+                self.finish_bootstrap(&own_set.disks.0);
             }
             return;
         }
@@ -57,16 +57,16 @@
         {
             return;
         }
-        if let Some(bootstrap_disks) = self.choose_bootstrap_disks(own_disk) {
+        if let Some(bootstrap_disks) = self.choose_bootstrap_disks(Some(own_disk)) {
             // This node's own disk stores the set first, by a message to itself, so that this node never
             // bootstraps another set whatever happens to the process afterwards.
             self.announce_bootstrap(&bootstrap_disks, &[own_disk]);
         }
     }
 
-    /// The blank disks that vote first, with the preferred one among them: spread so that the tolerated losses
+    /// The blank disks that vote first, a preferred one among them: spread so that the tolerated losses
     /// leave a majority. `None` while there are too few, or briefly while their zones are.
-    fn choose_bootstrap_disks(&mut self, preferred_disk: u64) -> Option<Vec<u64>> {
+    pub(super) fn choose_bootstrap_disks(&mut self, preferred_disk: Option<u64>) -> Option<Vec<u64>> {
         let mut blank_disks = self.blank_disks();
         let count = self.settings.bootstrap_disks;
         if blank_disks.len() < count {
@@ -74,7 +74,7 @@
             return None;
         }
         let enough_since = *self.control.enough_blank_disks_since.get_or_insert(self.now);
-        blank_disks.sort_unstable_by_key(|placed| (placed.disk != preferred_disk, placed.disk));
+        blank_disks.sort_unstable_by_key(|placed| (Some(placed.disk) != preferred_disk, placed.disk));
         let chosen = self.settings.tolerance.spread(&blank_disks, count);
         if !self.settings.tolerance.is_tolerated_by(&chosen) {
             if self.now < enough_since + MISSING_ZONES_TIMEOUT {
@@ -101,16 +101,33 @@
         );
     }
 
-    /// Records once, on the bootstrap seed without a disk, that no seed can bootstrap.
-    fn report_bootstrap_wait(&mut self, is_bootstrap_node: bool) {
+    /// Where no seed has a disk, the lowest one bootstraps by a proposal that all seeds record.
+    fn try_bootstrap_without_disk(&mut self, is_bootstrap_node: bool) {
         let own = self.settings.address;
         let all_seeds_lack_disks = is_bootstrap_node
+            && self.members.own().disk_state == 0
             && self.settings.seeds.iter().filter(|seed| **seed != own).all(|seed| self.lacks_disk(*seed));
-        let should_report =
-            all_seeds_lack_disks && self.control.set.generation == 0 && !self.control.is_wait_reported;
-        if should_report && self.members.live().len() > 1 {
-            self.control.is_wait_reported = true;
+        if !all_seeds_lack_disks || self.control.set.generation != 0 || !self.may_start_bootstrap() {
+            return;
+        }
+        let may_propose = self.settings.is_first_start && self.settings.may_bootstrap;
+        match may_propose && !self.settings.seeds.is_empty() {
+            true => self.try_bootstrap_by_proposal(),
+            false => self.report_bootstrap_wait(),
+        }
+    }
+
+    /// Records once that no seed can bootstrap.
+    fn report_bootstrap_wait(&mut self) {
+        if self.members.live().len() > 1 {
             let reason = "a seed founds the state, and none has a data folder";
+            self.report_waiting_bootstrap(reason);
+        }
+    }
+
+    /// Records once why the bootstrap waits.
+    pub(super) fn report_waiting_bootstrap(&mut self, reason: &str) {
+        if !std::mem::replace(&mut self.control.is_wait_reported, true) {
             self.decision_log.append("founding_waits", json!({"reason": reason}), self.now);
         }
     }
@@ -129,11 +146,11 @@
             .collect()
     }
 
-    /// Resends an interrupted bootstrap to the members of the set that are still blank.
-    fn finish_bootstrap(&mut self, bootstrap_set: &VoterSet) {
+    /// Sends an interrupted bootstrap, or a recorded proposal, to those of its disks that are still blank.
+    pub(super) fn finish_bootstrap(&mut self, bootstrap_disks: &[u64]) {
         let mut blank_disks: Vec<u64> = self.blank_disks().iter().map(|placed| placed.disk).collect();
-        blank_disks.retain(|disk| bootstrap_set.disks.0.contains(disk));
-        self.announce_bootstrap(&bootstrap_set.disks.0, &blank_disks);
+        blank_disks.retain(|disk| bootstrap_disks.contains(disk));
+        self.announce_bootstrap(bootstrap_disks, &blank_disks);
     }
 
     fn announce_bootstrap(&mut self, bootstrap_disks: &[u64], target_disks: &[u64]) {
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -55,6 +55,9 @@
     pub costs: CostModel,
     /// Whether this node may bootstrap the fleet's state, which is done once for each fleet.
     pub may_bootstrap: bool,
+    /// The whole fleet starts for the first time, on empty disks; only then may seeds without a disk bootstrap
+    /// it, since nothing of theirs outlasts their processes.
+    pub is_first_start: bool,
     /// The interval between two lists requested from the platform.
     pub list_every: Micros,
     /// The platform's limit on list requests per second from the whole fleet.
--- a/packages/node_protocol/src/node.rs
+++ b/packages/node_protocol/src/node.rs
@@ -324,6 +324,8 @@
             | Message::Stored { .. }
             | Message::Bootstrap { .. }
             | Message::BootstrapResponse { .. }
+            | Message::BootstrapProposal { .. }
+            | Message::BootstrapRecorded { .. }
             | Message::KeysRequest { .. }
             | Message::KeysResponse { .. }
             | Message::RecordsPoll { .. }
--- a/packages/node_protocol/src/platform_list/tests.rs
+++ b/packages/node_protocol/src/platform_list/tests.rs
@@ -43,6 +43,7 @@
         costs: function_scheduler::CostModel::default(),
         retry_limits: function_scheduler::RetryLimits::default(),
         may_bootstrap: false,
+        is_first_start: false,
         lists_per_second: 1_000.0,
         list_every: Micros::from_millis(900),
         replace_disk_after: Micros::from_secs(60),
--- a/packages/peer_messages/src/lib.rs
+++ b/packages/peer_messages/src/lib.rs
@@ -180,6 +180,11 @@
         /// refuses owners under the previous set.
         "16" KeysRequest as "KeysAsk" { fleet_set: u64, }
         "17" KeysResponse as "KeysTold" { fleet_set: u64, disk: u64, keys: List<Text>, }
+        /// From the seed that bootstraps a fleet whose seeds have no disk, to each other seed: record these disks
+        /// as the first voter set unless a proposal is recorded already. Without disks it only asks.
+        "18" BootstrapProposal as "FoundProposal" { disks: List<u64>, }
+        /// The proposal that the sender recorded; empty if none.
+        "19" BootstrapRecorded as "FoundRecorded" { disks: List<u64>, }
         /// Requests what changed since the owner's change number. The keys are identified by their digest,
         /// and listed only if the owner does not know the digest.
         "20" RecordsPoll as "RecordsPoll" { keys_digest: u64, since: u64, keys: List<Text>, }
--- a/packages/vanelane/src/run_node.rs
+++ b/packages/vanelane/src/run_node.rs
@@ -351,6 +351,7 @@
             remote_call: settings.remote_call_cost,
         },
         may_bootstrap: settings.may_bootstrap,
+        is_first_start: settings.is_first_start,
         lists_per_second: settings.lists_per_second,
         list_every: Micros::from_millis(settings.list_every_millis),
         replace_disk_after: Micros::from_secs(settings.replace_disk_after_seconds),
--- a/packages/vanelane/src/settings.rs
+++ b/packages/vanelane/src/settings.rs
@@ -35,6 +35,8 @@
     bootstrap_disks: u64,
     #[serde(rename = "may_found")]
     may_bootstrap: bool,
+    #[serde(rename = "first_start")]
+    is_first_start: bool,
     tolerated_zone_losses: u64,
     tolerated_region_losses: u64,
     zone_regions: BTreeMap<String, String>,
@@ -98,6 +100,8 @@
     pub platform_address: SocketAddr,
     pub bootstrap_disks: usize,
     pub may_bootstrap: bool,
+    /// The whole fleet starts for the first time, on empty disks.
+    pub is_first_start: bool,
     /// The zones and regions that may be lost at one time.
     pub tolerance: LossTolerance,
     pub operations_per_second: f64,
@@ -382,6 +386,7 @@
         ) as usize,
         tolerance,
         may_bootstrap: file.may_bootstrap.unwrap_or(true),
+        is_first_start: file.is_first_start.unwrap_or(false),
         operations_per_second,
         lease_millis,
         poll_millis: checker.number("poll_millis", file.poll_millis, 500, 50, 600_000),
