--- a/packages/fleet_simulator/src/sim_platform.rs
+++ b/packages/fleet_simulator/src/sim_platform.rs
@@ -7,6 +7,9 @@
 /// Zones of the simulated fleet; nodes and workers are assigned to them in turn.
 pub(crate) const ZONES: usize = 3;
 
+/// The longest start id that a platform takes, in bytes.
+const START_ID_LIMIT: usize = 64;
+
 /// The zone of a node or worker by its number. Example: `zone_name(4) == "zone-1"`.
 pub(crate) fn zone_name(number: usize) -> String {
     format!("zone-{}", number % ZONES)
@@ -139,6 +142,7 @@
         if !self.accept_fence(function, fence) {
             return SimStart::Fenced;
         }
+        assert!(start_id.len() <= START_ID_LIMIT, "a start id of {} bytes", start_id.len());
         if let Some(known) = self.instances.values().find(|instance| instance.start_id == start_id) {
             return SimStart::Started(known.id.clone(), known.address);
         }
--- a/packages/function_scheduler/src/lib.rs
+++ b/packages/function_scheduler/src/lib.rs
@@ -10,6 +10,7 @@
 mod quota_split;
 mod retry_budget;
 mod scheduler;
+mod start_ids;
 mod start_rate;
 mod zone;
 
@@ -23,6 +24,7 @@
     ReadyInstance, RequestDetails, SchedulerAction, SchedulerSettings, StartOutcome, TransferredRequest,
     Urgency,
 };
+pub use start_ids::START_ID_LIMIT;
 pub use start_rate::StartRate;
 pub use zone::{WorkerZones, Zone, ZoneCalls};
 
--- a/packages/function_scheduler/src/scheduler.rs
+++ b/packages/function_scheduler/src/scheduler.rs
@@ -5,6 +5,7 @@
 mod instance;
 
 use crate::retry_budget::{RetryBudget, RetryLimits};
+use crate::start_ids::StartIds;
 use crate::zone::{WorkerZones, Zone, ZoneCalls};
 use crate::{
     ABANDONED, CostModel, InstanceDemand, InstanceShape, NOT_RUN, RAN, REFUSED_BUSY, UNKNOWN, UNUSED,
@@ -237,7 +238,7 @@
     /// has not seen.
     discovered_until: Micros,
     next_permit: u64,
-    next_start: u64,
+    start_ids: StartIds,
     awaited_holders: Vec<NodeId>,
     half_limit_until: Micros,
     quarter_limit_until: Micros,
@@ -332,7 +333,7 @@
             allowed_instances: None,
             discovered_until: Micros(0),
             next_permit: 0,
-            next_start: 0,
+            start_ids: StartIds::new(function, leader_epoch),
             awaited_holders,
             half_limit_until: now + Micros::from_secs(4),
             quarter_limit_until: Micros(0),
@@ -1274,8 +1275,7 @@
             self.waiting_since = None;
         }
         while self.instance_count() < wanted {
-            self.next_start += 1;
-            let start_id = format!("{}-{}-{}", self.function, self.leader_epoch, self.next_start);
+            let start_id = self.start_ids.next_id();
             let zone = self.zone_for_a_start();
             self.starting.insert(start_id.clone(), (now, zone));
             let is_spare = !self.is_called();
--- a/packages/platform_client/src/lib.rs
+++ b/packages/platform_client/src/lib.rs
@@ -35,7 +35,8 @@
     }
     /// The response to `GET /cells`.
     ListDocument { workers: Vec<WorkerDocument>, #[serde(rename = "cells")] instances: Vec<InstanceDocument>, }
-    /// The body of `POST /cells`; a start with a repeated start id has no further effect.
+    /// The body of `POST /cells`; a start with a repeated start id has no further effect. The start id has at
+    /// most [`function_scheduler::START_ID_LIMIT`] bytes.
     StartDocument { start_id: String, function: String, worker: String, memory_mb: u64, }
     /// The response to `POST /cells`.
     StartedDocument { #[serde(rename = "cell")] instance: String, address: SocketAddr, }
--- a/packages/test_doubles/src/fake_platform.rs
+++ b/packages/test_doubles/src/fake_platform.rs
@@ -21,6 +21,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 
+/// The longest start id, in bytes.
+const START_ID_LIMIT: usize = 64;
+
 /// Settings of the fake platform. Example: `PlatformSettings { workers: 12, .. }`.
 #[derive(Clone, Debug)]
 pub struct PlatformSettings {
@@ -236,6 +239,9 @@
 }
 
 fn start_instance(state: &Rc<RefCell<PlatformState>>, start: &StartDocument) -> (StatusCode, String) {
+    if start.start_id.len() > START_ID_LIMIT {
+        return (StatusCode::BAD_REQUEST, json!({"reason": "the start id is too long"}).to_string());
+    }
     let mut platform = state.borrow_mut();
     if let Some(started) = platform.started.get(&start.start_id) {
         return (StatusCode::OK, json!(started).to_string());
--- a/packages/vanelane/tests/one_node.rs
+++ b/packages/vanelane/tests/one_node.rs
@@ -156,6 +156,25 @@
     assert_eq!(calls.map(|(id, _)| function_of(id)), [Some("proof"), Some("again"), Some("proof")]);
 }
 
+/// Guards against a function that is acknowledged and never started: the platform refuses start ids over 64 bytes.
+#[test]
+fn a_function_with_a_long_name_is_started() {
+    let history = Arc::new(History::default());
+    let platform = platform(&history);
+    let node = start_node("long-name", platform.address());
+    let added = format!(
+        "{{\"change_id\": \"long\", \"partial\": {{\"functions\": {{\"{LONG_NAME}\": {{\"allowance\": \"all\", \
+         \"cell_memory_mb\": 300, \"calls_at_once\": 4, \"boot_millis\": 150}}}}, \"lanes\": {{\"long\": \
+         {{\"function\": \"{LONG_NAME}\", \"path_prefix\": \"/long\", \"patience_millis\": 20000}}}}}}}}"
+    );
+    for lines in [WHOLE, &added] {
+        let outcome = change(&node, &format!("{}\n", lines.replace('\n', " ")));
+        assert!(outcome.contains("\"outcome\":\"accepted\""), "{outcome}");
+    }
+    let (status, text) = call(&node, "/long/1", "x-call-id: long\r\n", "x");
+    assert_eq!(status, 200, "{text}");
+}
+
 /// A file size limit simulates a full disk; the test lifts it with `prlimit`.
 #[test]
 fn full_disk_acknowledges_nothing_and_recovers_without_a_restart() {
--- a/packages/vanelane/tests/running_node/mod.rs
+++ b/packages/vanelane/tests/running_node/mod.rs
@@ -42,7 +42,7 @@
         worker_memory_mb: 2_000,
         operations_per_second: 80.0,
         list_late: Duration::from_millis(50),
-        functions: BTreeMap::from([("proof".to_owned(), behaviour.clone()), ("again".to_owned(), behaviour)]),
+        functions: ["proof", "again", LONG_NAME].map(|name| (name.to_owned(), behaviour.clone())).into(),
         drain_within: Duration::from_millis(500),
     };
     let listen = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -176,6 +176,9 @@
     split(&exchange(node.control, request.as_bytes())).1
 }
 
+/// A function whose name alone is as long as a start id may be.
+pub const LONG_NAME: &str = "orderdesk-of-the-wineries-for-the-rush-reorders-of-bottle-labels";
+
 pub const WHOLE: &str = r#"{"change_id": "first", "whole": {
     "allowances": {"all": {"weight": 1}},
     "functions": {
