--- a/packages/vanelane/tests/running_node/mod.rs
+++ b/packages/vanelane/tests/running_node/mod.rs
@@ -2,7 +2,6 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use history_checker::History;
-use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
