Bootstrap without a disk at the seeds: the lowest seed alone proposes

What callers would have seen: a fleet whose seeds have no disk could stay without a configuration for ever.

Cause: is_bootstrap_node holds for every diskless seed whose lower seeds lack disks. All seeds must record one set, so no second state came of it; but two seeds that knew different disks when they chose each recorded its own, and neither proposal was ever complete.

Change: only the lowest of the seeds proposes.

--- a/packages/fleet_simulator/src/disk_scenarios.rs
+++ b/packages/fleet_simulator/src/disk_scenarios.rs
@@ -362,6 +362,25 @@
     trial.verdict()
 }
 
+/// No seed has a disk, and nearly a third of all messages is lost during the first start, so that the seeds learn of
+/// the disks at different times: a state must be founded all the same.
+pub(crate) fn seeds_without_disk_learn_of_disks_late(seed: u64) -> Verdict {
+    let settings =
+        SimulationSettings { disks: 7, first_disk: 3, lost_messages: 0.3, ..SimulationSettings::default() };
+    let mut trial = Trial::without_configuration(settings, seed);
+    trial.checks.count_refusals = false;
+    let is_stored = trial.simulation.run_until(20.0, |simulation| !simulation.known_voter_sets().is_empty());
+    trial.require(is_stored, "founding", "no disk stored a first voter set");
+    trial.simulation.settings.lost_messages = 0.0;
+    let is_bootstrapped = trial.simulation.bootstrap();
+    trial.require(is_bootstrapped, "founding", "the fleet was not founded");
+    trial.simulation.call_rate = 100.0;
+    trial.simulation.run_for(5.0);
+    trial.require_accepted(5, "founded", 6.0);
+    trial.require_settled();
+    trial.verdict()
+}
+
 /// The seeds have no disk, and within the first second some of them are killed and start again, while some disk nodes
 /// are cut off: every process is told that the fleet starts for the first time. At most one state may be
 /// bootstrapped, and one seed that restarts alone must not prevent it.
--- a/packages/fleet_simulator/src/scenarios.rs
+++ b/packages/fleet_simulator/src/scenarios.rs
@@ -12,9 +12,9 @@
 use crate::disk_scenarios::{
     all_seeds_without_disk, disk_full_and_room_again, disks_damaged, disks_wiped_in_turn,
     lowest_seeds_without_disk, proposing_seed_killed_at_the_bootstrap,
-    seeds_without_disk_restart_in_the_first_start, slow_disks_leave_the_owner, two_disks_full,
-    two_disks_stalled, two_of_five_wiped, vote_change_with_owner_lost, wiped_amid_a_vote_change,
-    zones_lost_in_turn,
+    seeds_without_disk_learn_of_disks_late, seeds_without_disk_restart_in_the_first_start,
+    slow_disks_leave_the_owner, two_disks_full, two_disks_stalled, two_of_five_wiped,
+    vote_change_with_owner_lost, wiped_amid_a_vote_change, zones_lost_in_turn,
 };
 use crate::grown_scenarios::grown_links;
 use crate::late_gossip_scenarios::bodies_of_changes_lost;
@@ -159,6 +159,7 @@
     all_seeds_without_disk,
     seeds_without_disk_restart_in_the_first_start,
     proposing_seed_killed_at_the_bootstrap,
+    seeds_without_disk_learn_of_disks_late,
 }
 
 /// A running scenario.
--- a/packages/fleet_simulator/tests/scenarios.rs
+++ b/packages/fleet_simulator/tests/scenarios.rs
@@ -147,6 +147,8 @@
     seeds_without_disk_restart_in_the_first_start: 1..=20;
     // Without the seeds' record a proposing seed that restarts founds a second state.
     proposing_seed_killed_at_the_bootstrap: 1..=20;
+    // 48, 109, 150, 224, 288: two seeds proposed different disks, and nothing was ever founded.
+    seeds_without_disk_learn_of_disks_late: (1..=20).chain([48, 109, 150, 224, 288]);
 }
 
 /// Source files below `packages/*/src` and `platform/src` that contain one of these words, by their paths from
--- a/packages/node_protocol/src/control_store/bootstrap.rs
+++ b/packages/node_protocol/src/control_store/bootstrap.rs
@@ -101,10 +101,12 @@
         );
     }
 
-    /// Where no seed has a disk, the lowest one bootstraps by a proposal that all seeds record.
+    /// Where no seed has a disk, the lowest one bootstraps by a proposal that all seeds record. Two proposing
+    /// seeds with different views could each record another proposal, and neither would ever be complete.
     fn try_bootstrap_without_disk(&mut self, is_bootstrap_node: bool) {
         let own = self.settings.address;
-        let all_seeds_lack_disks = is_bootstrap_node
+        let is_lowest_seed = is_bootstrap_node && self.settings.seeds.iter().all(|seed| own <= *seed);
+        let all_seeds_lack_disks = is_lowest_seed
             && self.members.own().disk_state == 0
             && self.settings.seeds.iter().filter(|seed| **seed != own).all(|seed| self.lacks_disk(*seed));
         if !all_seeds_lack_disks || self.control.set.generation != 0 || !self.may_start_bootstrap() {
