Reading the change again: founding trials, voter numbers, bootstrap reports stand once

Three new scenarios repeated the founding of Trial::bootstrapped: it is Trial::require_bootstrapped now, with one setting for seeds without a disk and one closing sequence. voter_numbers and known_voter_sets share the step from disks to nodes. The two reports of a bootstrap in trouble share the one that appends once. The bound of nine voters was written in three places and is MOST_VOTERS now. Comments that ran over the line, or told less than the code does, are put right.

No behaviour is changed.

--- a/packages/fleet_simulator/src/disk_scenarios.rs
+++ b/packages/fleet_simulator/src/disk_scenarios.rs
@@ -340,11 +340,25 @@
     trial.verdict()
 }
 
+/// The three seeds have no disk, all other nodes have one.
+fn seeds_without_disk() -> SimulationSettings {
+    SimulationSettings { disks: 7, first_disk: 3, ..SimulationSettings::default() }
+}
+
+impl Trial {
+    /// The verdict of a trial of the first start: the fleet must be bootstrapped, take a change and serve.
+    fn founding_verdict(mut self) -> Verdict {
+        self.require_bootstrapped();
+        self.require_accepted(5, "founded", 6.0);
+        self.require_settled();
+        self.verdict()
+    }
+}
+
 /// No seed has a disk: the lowest one bootstraps the state by a proposal. After that the fleet restarts as a whole,
 /// and no second state may be bootstrapped beside the disks that are slow to return.
 pub(crate) fn all_seeds_without_disk(seed: u64) -> Verdict {
-    let settings = SimulationSettings { disks: 7, first_disk: 3, ..SimulationSettings::default() };
-    let mut trial = Trial::bootstrapped(settings, seed);
+    let mut trial = Trial::bootstrapped(seeds_without_disk(), seed);
     trial.require_accepted(5, "founded", 4.0);
     let voters = trial.simulation.voter_numbers();
     (0..10).for_each(|number| trial.simulation.kill_either_way(number));
@@ -365,32 +379,20 @@
 /// No seed has a disk, and nearly a third of all messages is lost during the first start, so that the seeds learn of
 /// the disks at different times: a state must be founded all the same.
 pub(crate) fn seeds_without_disk_learn_of_disks_late(seed: u64) -> Verdict {
-    let settings =
-        SimulationSettings { disks: 7, first_disk: 3, lost_messages: 0.3, ..SimulationSettings::default() };
+    let settings = SimulationSettings { lost_messages: 0.3, ..seeds_without_disk() };
     let mut trial = Trial::without_configuration(settings, seed);
     trial.checks.count_refusals = false;
     let is_stored = trial.simulation.run_until(20.0, |simulation| !simulation.known_voter_sets().is_empty());
     trial.require(is_stored, "founding", "no disk stored a first voter set");
     trial.simulation.settings.lost_messages = 0.0;
-    let is_bootstrapped = trial.simulation.bootstrap();
-    trial.require(is_bootstrapped, "founding", "the fleet was not founded");
-    trial.simulation.call_rate = 100.0;
-    trial.simulation.run_for(5.0);
-    trial.require_accepted(5, "founded", 6.0);
-    trial.require_settled();
-    trial.verdict()
+    trial.founding_verdict()
 }
 
 /// The seeds have no disk, and within the first second some of them are killed and start again, while some disk nodes
 /// are cut off: every process is told that the fleet starts for the first time. At most one state may be
 /// bootstrapped, and one seed that restarts alone must not prevent it.
 pub(crate) fn seeds_without_disk_restart_in_the_first_start(seed: u64) -> Verdict {
-    let settings = SimulationSettings {
-        disks: 7,
-        first_disk: 3,
-        first_start_ends: Micros::from_secs(20),
-        ..SimulationSettings::default()
-    };
+    let settings = SimulationSettings { first_start_ends: Micros::from_secs(20), ..seeds_without_disk() };
     let mut trial = Trial::without_configuration(settings, seed);
     let mut rng = Rng::with_seed(seed ^ 0x5eed);
     trial.checks.count_refusals = false;
@@ -406,25 +408,14 @@
         trial.simulation.run_for(rng.f64() * 1.5);
         trial.simulation.heal();
     }
-    let is_bootstrapped = trial.simulation.bootstrap();
-    trial.require(is_bootstrapped, "founding", "the fleet was not founded");
-    trial.simulation.call_rate = 100.0;
-    trial.simulation.run_for(5.0);
-    trial.require_accepted(5, "founded", 6.0);
-    trial.require_settled();
-    trial.verdict()
+    trial.founding_verdict()
 }
 
 /// No seed has a disk. At the moment the first disk has stored the proposed set, the nodes of that set are cut off from
 /// all others, and the proposing seed is killed, at times with one more. They start again beside enough blank disks for
 /// another set, told that the fleet starts for the first time: no second state may be bootstrapped.
 pub(crate) fn proposing_seed_killed_at_the_bootstrap(seed: u64) -> Verdict {
-    let settings = SimulationSettings {
-        disks: 7,
-        first_disk: 3,
-        first_start_ends: Micros::from_secs(60),
-        ..SimulationSettings::default()
-    };
+    let settings = SimulationSettings { first_start_ends: Micros::from_secs(60), ..seeds_without_disk() };
     let mut trial = Trial::without_configuration(settings, seed);
     let mut rng = Rng::with_seed(seed ^ 0xb007);
     trial.checks.count_refusals = false;
@@ -443,13 +434,7 @@
     let is_second_state = trial.simulation.known_voter_sets().len() > 1;
     trial.require(!is_second_state, "one state is founded", "a second state beside hidden disks");
     trial.simulation.heal();
-    let is_bootstrapped = trial.simulation.bootstrap();
-    trial.require(is_bootstrapped, "founding", "the fleet was not founded");
-    trial.simulation.call_rate = 100.0;
-    trial.simulation.run_for(5.0);
-    trial.require_accepted(5, "founded", 6.0);
-    trial.require_settled();
-    trial.verdict()
+    trial.founding_verdict()
 }
 
 /// Two nodes with disks in each zone, of which one may be lost: each zone in turn loses its nodes, and some of their
--- a/packages/fleet_simulator/src/scenarios.rs
+++ b/packages/fleet_simulator/src/scenarios.rs
@@ -183,13 +183,18 @@
 
     pub(crate) fn bootstrapped(settings: SimulationSettings, seed: u64) -> Trial {
         let mut trial = Trial::without_configuration(settings, seed);
-        let is_bootstrapped = trial.simulation.bootstrap();
-        trial.require(is_bootstrapped, "founding", "the fleet was not founded");
-        trial.simulation.call_rate = 100.0;
-        trial.simulation.run_for(5.0);
+        trial.require_bootstrapped();
         trial
     }
 
+    /// The fleet must be bootstrapped and take its first configuration; then calls begin.
+    pub(crate) fn require_bootstrapped(&mut self) {
+        let is_bootstrapped = self.simulation.bootstrap();
+        self.require(is_bootstrapped, "founding", "the fleet was not founded");
+        self.simulation.call_rate = 100.0;
+        self.simulation.run_for(5.0);
+    }
+
     pub(crate) fn default(seed: u64) -> Trial {
         Trial::bootstrapped(SimulationSettings::default(), seed)
     }
--- a/packages/fleet_simulator/src/simulation/queries.rs
+++ b/packages/fleet_simulator/src/simulation/queries.rs
@@ -98,21 +98,22 @@
     /// Example: `simulation.lose_disk(simulation.voter_numbers()[0])`.
     pub fn voter_numbers(&self) -> Vec<usize> {
         let first = self.up().first().and_then(|number| self.voters(*number));
-        let voters = first.map(|set| set.disks.0.clone()).unwrap_or_default();
-        (0..self.nodes.len())
-            .filter(|number| self.nodes[*number].disk.as_ref().is_some_and(|disk| voters.contains(&disk.id)))
-            .collect()
+        first.map(|set| self.numbers_of(set)).unwrap_or_default()
+    }
+
+    /// Numbers of the nodes that have the disks of a voter set.
+    fn numbers_of(&self, set: &VoterSet) -> Vec<usize> {
+        let is_voter = |number: &usize| {
+            self.nodes[*number].disk.as_ref().is_some_and(|disk| set.disks.0.contains(&disk.id))
+        };
+        (0..self.nodes.len()).filter(is_voter).collect()
     }
 
     /// The different voter sets by which the nodes that are up go, as the numbers of the voters' nodes.
     /// Example: `simulation.known_voter_sets().len() <= 1` before the first change of the set.
     pub fn known_voter_sets(&self) -> BTreeSet<Vec<usize>> {
         let known_sets = self.up().into_iter().filter_map(|number| self.voters(number));
-        let known_sets = known_sets.filter(|set| set.generation > 0);
-        let is_in = |set: &VoterSet, number: usize| {
-            self.nodes[number].disk.as_ref().is_some_and(|disk| set.disks.0.contains(&disk.id))
-        };
-        known_sets.map(|set| (0..self.nodes.len()).filter(|number| is_in(set, *number)).collect()).collect()
+        known_sets.filter(|set| set.generation > 0).map(|set| self.numbers_of(set)).collect()
     }
 
     /// The node that owns the voter set's key, according to the first node that is up.
--- a/packages/node_protocol/src/control_store.rs
+++ b/packages/node_protocol/src/control_store.rs
@@ -2,9 +2,9 @@
 //! to them, and periodic work.
 //!
 //! Submodules: the node's own [`disk`] and its syncs; the [`current_set`] of voters; [`bootstrap`] of the
-//! first voter set, with the [`bootstrap_proposal`] where no seed has a disk; [`voter_changes`] and the key copy that they need; [`key_owners`]; [`owner_responses`],
-//! the work of this node as a key owner; outgoing [`requests`] to owners; [`record_polls`] and the
-//! [`record_relay`] of a zone.
+//! first voter set, with the [`bootstrap_proposal`] where no seed has a disk; [`voter_changes`] and the key copy
+//! that they need; [`key_owners`]; [`owner_responses`], the work of this node as a key owner; outgoing
+//! [`requests`] to owners; [`record_polls`] and the [`record_relay`] of a zone.
 
 mod bootstrap;
 mod bootstrap_proposal;
@@ -75,7 +75,8 @@
     bootstrap_proposal: BootstrapProposal,
     /// Since when this bootstrap node has known enough blank disks.
     enough_blank_disks_since: Option<Micros>,
-    is_wait_reported: bool,
+    /// Whether a trouble with the bootstrap was recorded.
+    is_trouble_reported: bool,
     upkeep_ticker: Ticker,
     replacement_ticker: Ticker,
 }
@@ -101,7 +102,7 @@
             bootstrap_ticker: Ticker::every(Micros::from_millis(200)),
             bootstrap_proposal: BootstrapProposal::default(),
             enough_blank_disks_since: None,
-            is_wait_reported: false,
+            is_trouble_reported: false,
             upkeep_ticker: Ticker::every(Micros::from_millis(500)),
             replacement_ticker: Ticker::every(Micros::from_millis(100)),
         }
--- a/packages/node_protocol/src/control_store/bootstrap.rs
+++ b/packages/node_protocol/src/control_store/bootstrap.rs
@@ -14,10 +14,11 @@
 const MISSING_ZONES_TIMEOUT: Micros = Micros::from_secs(2);
 
 impl Node {
-    /// Only one node may bootstrap: the seed with the lowest address among those that have a disk, or the lowest
-    /// of all seeds if none has one (see [`super::bootstrap_proposal`]). Every seed with a lower address must have been contacted and have no disk; a process never changes that,
-    /// so two nodes cannot both qualify. Any rule based on which disks a node currently sees could let two
-    /// nodes bootstrap two sets that share disks.
+    /// Only one node with a disk may bootstrap: the seed with the lowest address among those that have one.
+    /// Every seed with a lower address must have been contacted and have no disk; a process never changes that,
+    /// so two nodes with disks cannot both qualify. Any rule based on which disks a node currently sees could
+    /// let two nodes bootstrap two sets that share disks. Seeds without a disk qualify together; of them only
+    /// the lowest proposes a set (see [`super::bootstrap_proposal`]).
     fn is_bootstrap_node(&self) -> bool {
         let own = self.settings.address;
         if self.settings.seeds.is_empty() {
@@ -87,18 +88,11 @@
         Some(disks)
     }
 
-    /// Records once that the first voters do not tolerate every loss that the settings name.
+    /// Records that the first voters do not tolerate every loss that the settings name.
     fn report_missing_zones(&mut self, chosen: &[PlacedDisk]) {
-        if std::mem::replace(&mut self.control.is_wait_reported, true) {
-            return;
-        }
         let zones: Vec<&str> = chosen.iter().map(|placed| placed.zone.as_str()).collect();
         let reason = "a tolerated loss of zones or regions would take a majority of the founding disks";
-        self.decision_log.append(
-            "founding_zones_missing",
-            json!({"zones": zones, "reason": reason}),
-            self.now,
-        );
+        self.report_bootstrap("founding_zones_missing", json!({"zones": zones, "reason": reason}));
     }
 
     /// Where no seed has a disk, the lowest one bootstraps by a proposal that all seeds record. Two proposing
@@ -119,18 +113,22 @@
         }
     }
 
-    /// Records once that no seed can bootstrap.
+    /// Records that no seed can bootstrap.
     fn report_bootstrap_wait(&mut self) {
         if self.members.live().len() > 1 {
-            let reason = "a seed founds the state, and none has a data folder";
-            self.report_waiting_bootstrap(reason);
+            self.report_waiting_bootstrap("a seed founds the state, and none has a data folder");
         }
     }
 
-    /// Records once why the bootstrap waits.
+    /// Records why the bootstrap waits.
     pub(super) fn report_waiting_bootstrap(&mut self, reason: &str) {
-        if !std::mem::replace(&mut self.control.is_wait_reported, true) {
-            self.decision_log.append("founding_waits", json!({"reason": reason}), self.now);
+        self.report_bootstrap("founding_waits", json!({"reason": reason}));
+    }
+
+    /// Appends the first decision that tells of trouble with the bootstrap; later ones are dropped.
+    fn report_bootstrap(&mut self, kind: &'static str, details: serde_json::Value) {
+        if !std::mem::replace(&mut self.control.is_trouble_reported, true) {
+            self.decision_log.append(kind, details, self.now);
         }
     }
 
@@ -150,9 +148,9 @@
 
     /// Sends an interrupted bootstrap, or a recorded proposal, to those of its disks that are still blank.
     pub(super) fn finish_bootstrap(&mut self, bootstrap_disks: &[u64]) {
-        let mut blank_disks: Vec<u64> = self.blank_disks().iter().map(|placed| placed.disk).collect();
-        blank_disks.retain(|disk| bootstrap_disks.contains(disk));
-        self.announce_bootstrap(bootstrap_disks, &blank_disks);
+        let blank_disks = self.blank_disks().into_iter().map(|placed| placed.disk);
+        let target_disks: Vec<u64> = blank_disks.filter(|disk| bootstrap_disks.contains(disk)).collect();
+        self.announce_bootstrap(bootstrap_disks, &target_disks);
     }
 
     fn announce_bootstrap(&mut self, bootstrap_disks: &[u64], target_disks: &[u64]) {
--- a/packages/node_protocol/src/control_store/bootstrap_proposal.rs
+++ b/packages/node_protocol/src/control_store/bootstrap_proposal.rs
@@ -28,7 +28,7 @@
     Propose(Vec<NodeId>),
     /// Every seed has recorded the proposal: ask its disks to store it.
     Store,
-    /// Two proposals are recorded, so neither was sent to a disk by all seeds; no process can tell which.
+    /// Different proposals are recorded: this process cannot tell which of them a disk may hold.
     Conflict,
 }
 
--- a/packages/node_protocol/src/lib.rs
+++ b/packages/node_protocol/src/lib.rs
@@ -24,7 +24,7 @@
 pub use permit_ledger::{PermitAdmission, PermitLedger};
 pub use policy::{Policy, UnknownPolicy};
 pub use usage_reporting::UsageSettings;
-pub use voter_placement::LossTolerance;
+pub use voter_placement::{LossTolerance, MOST_VOTERS};
 
 use configuration_schema::{Change, ChangeOutcome, Configuration, ConfigurationDelta};
 use function_scheduler::{CostModel, ListedInstance, ListedWorker, PermitParameters, RetryLimits};
--- a/packages/node_protocol/src/voter_placement.rs
+++ b/packages/node_protocol/src/voter_placement.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 /// The largest voter set that a bootstrap may create.
-const MOST_VOTERS: usize = 9;
+pub const MOST_VOTERS: usize = 9;
 
 /// What may be lost at one time without losing the control state: machines with disks, or zones, or regions.
 /// Example: `LossTolerance { zones: 1, ..LossTolerance::default() }`.
--- a/packages/node_protocol/src/voter_replacement.rs
+++ b/packages/node_protocol/src/voter_replacement.rs
@@ -107,8 +107,8 @@
         // A disk at a voter's address is that machine's new one: it is reserved until that machine's own
         // voter counts as lost.
         let is_reserved = |machine: &DiskMachine| {
-            let voter_machines = self.machines.iter().filter(|(disk, _)| voters.contains(disk));
-            voter_machines.into_iter().any(|(_, voter_machine)| voter_machine.address == machine.address)
+            let mut voter_machines = self.machines.iter().filter(|(disk, _)| voters.contains(disk));
+            voter_machines.any(|(_, voter_machine)| voter_machine.address == machine.address)
         };
         free_disks.retain(|_, machine| !is_reserved(machine));
         if lost_voters.is_empty() {
--- a/packages/vanelane/src/settings.rs
+++ b/packages/vanelane/src/settings.rs
@@ -3,7 +3,7 @@
 
 use crate::command_line::Run;
 use monotonic_clock::Micros;
-use node_protocol::{LossTolerance, Policy};
+use node_protocol::{LossTolerance, MOST_VOTERS, Policy};
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -82,8 +82,8 @@
 
 /// Where the number of founding disks is not set, the loss of so many machines with disks is tolerated.
 const DEFAULT_TOLERATED_MACHINE_LOSSES: usize = 1;
-/// The largest number of zones or regions that nine voters can lose.
-const MOST_LOSSES: u64 = 4;
+/// The largest number of zones or regions that the most voters can lose.
+const MOST_LOSSES: u64 = (MOST_VOTERS as u64 - 1) / 2;
 
 /// Checked settings. Example: `validate(SettingsFile::default()).unwrap_err()[0].0 == "zone"`.
 #[derive(Clone, Debug)]
@@ -382,7 +382,7 @@
             file.bootstrap_disks,
             tolerance.voter_count() as u64,
             1,
-            9,
+            MOST_VOTERS as u64,
         ) as usize,
         tolerance,
         may_bootstrap: file.may_bootstrap.unwrap_or(true),
